--- /dev/null
+++ b/board/sections.c
@@ -0,0 +1,242 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "board/sections.h"
+
+/* Empties an intrusive list whose entries are plain allocations. */
+#define free_list(head, type)                                   \
+	do {                                                    \
+		type *entry, *next;                             \
+		CK_STAILQ_FOREACH_SAFE(entry, head, link, next) \
+		free(entry);                                    \
+	} while (0)
+
+static void destroy_objects(kl_snapshot_t *snapshot);
+static void destroy_config(kl_snapshot_t *snapshot);
+static void destroy_terms(kl_snapshot_t *snapshot);
+static void destroy_members(kl_snapshot_t *snapshot);
+static void destroy_health(kl_snapshot_t *snapshot);
+static void destroy_plain(kl_snapshot_t *snapshot);
+
+kl_object_t *kl_object_new(const char *name, uint64_t version,
+			   const char *body)
+{
+	kl_object_t *object = calloc(1, sizeof(*object));
+
+	if (!object)
+		return NULL;
+	object->version = version;
+	object->body = strdup(body);
+	if (!object->body || kl_name_set(object->name.name, name)) {
+		kl_object_free(object);
+		return NULL;
+	}
+	return object;
+}
+
+void kl_object_free(kl_object_t *object)
+{
+	if (!object)
+		return;
+	free(object->body);
+	free(object);
+}
+
+void kl_object_list_clear(kl_object_list_t *list)
+{
+	kl_object_t *object;
+
+	while ((object = CK_STAILQ_FIRST(list))) {
+		CK_STAILQ_REMOVE_HEAD(list, link);
+		kl_object_free(object);
+	}
+}
+
+kl_objects_t *kl_objects_new(size_t expected)
+{
+	kl_objects_t *objects = calloc(1, sizeof(*objects));
+
+	if (!objects)
+		return NULL;
+	CK_STAILQ_INIT(&objects->list);
+	objects->base.destroy = destroy_objects;
+	objects->index = kl_index_new(expected);
+	return objects;
+}
+
+kl_config_t *kl_config_new(size_t expected)
+{
+	kl_config_t *config = calloc(1, sizeof(*config));
+
+	if (!config)
+		return NULL;
+	config->base.destroy = destroy_config;
+	CK_STAILQ_INIT(&config->plans);
+	CK_STAILQ_INIT(&config->workspaces);
+	CK_STAILQ_INIT(&config->services);
+	CK_STAILQ_INIT(&config->marks);
+	CK_STAILQ_INIT(&config->keys);
+	config->plan_index = kl_index_new(expected);
+	config->workspace_index = kl_index_new(expected);
+	config->service_index = kl_index_new(expected);
+	config->key_index = kl_index_new(expected);
+	config->mark_index = kl_index_new(8);
+	return config;
+}
+
+kl_terms_t *kl_terms_new(size_t expected)
+{
+	kl_terms_t *terms = calloc(1, sizeof(*terms));
+
+	if (!terms)
+		return NULL;
+	terms->base.destroy = destroy_terms;
+	CK_STAILQ_INIT(&terms->groups);
+	terms->index = kl_index_new(expected);
+	return terms;
+}
+
+kl_members_t *kl_members_new(size_t expected)
+{
+	kl_members_t *members = calloc(1, sizeof(*members));
+
+	if (!members)
+		return NULL;
+	members->base.destroy = destroy_members;
+	CK_STAILQ_INIT(&members->list);
+	members->index = kl_index_new(expected);
+	return members;
+}
+
+kl_health_t *kl_health_new(size_t expected)
+{
+	kl_health_t *health = calloc(1, sizeof(*health));
+
+	if (!health)
+		return NULL;
+	health->base.destroy = destroy_health;
+	CK_STAILQ_INIT(&health->list);
+	health->index = kl_index_new(expected);
+	return health;
+}
+
+kl_fresh_t *kl_fresh_new(uint64_t revision, uint64_t confirmed_us)
+{
+	kl_fresh_t *fresh = calloc(1, sizeof(*fresh));
+
+	if (!fresh)
+		return NULL;
+	fresh->base.destroy = destroy_plain;
+	fresh->revision = revision;
+	fresh->confirmed_us = confirmed_us;
+	return fresh;
+}
+
+kl_life_t *kl_life_new(kl_phase_t phase)
+{
+	kl_life_t *life = calloc(1, sizeof(*life));
+
+	if (!life)
+		return NULL;
+	life->base.destroy = destroy_plain;
+	life->phase = phase;
+	return life;
+}
+
+bool kl_config_marked(const kl_config_t *config, const char *kind,
+		      const char *name)
+{
+	char full[KL_NAME_MAX * 2];
+
+	snprintf(full, sizeof(full), "%s/%s", kind, name);
+	return kl_index_get(config->mark_index, full) != NULL;
+}
+
+const kl_upstream_t *kl_service_upstream(const kl_service_t *service,
+					 const char *name)
+{
+	const kl_upstream_t *upstream;
+
+	CK_STAILQ_FOREACH(upstream, &service->upstreams, link)
+	{
+		if (!strcmp(upstream->name.name, name))
+			return upstream;
+	}
+	return NULL;
+}
+
+const kl_observation_t *kl_health_of(const kl_health_t *health,
+				     const char *service,
+				     const char *upstream)
+{
+	char full[KL_NAME_MAX * 2];
+
+	if (!health)
+		return NULL;
+	snprintf(full, sizeof(full), "%s/%s", service, upstream);
+	return kl_index_get(health->index, full);
+}
+
+static void destroy_objects(kl_snapshot_t *snapshot)
+{
+	kl_objects_t *objects = (kl_objects_t *)snapshot;
+
+	kl_object_list_clear(&objects->list);
+	kl_index_free(objects->index);
+	free(objects);
+}
+
+static void destroy_config(kl_snapshot_t *snapshot)
+{
+	kl_config_t *config = (kl_config_t *)snapshot;
+	kl_service_t *service;
+
+	CK_STAILQ_FOREACH(service, &config->services, link)
+	free_list(&service->upstreams, kl_upstream_t);
+	free_list(&config->services, kl_service_t);
+	kl_key_t *key, *next;
+	CK_STAILQ_FOREACH_SAFE(key, &config->keys, all, next)
+	free(key);
+	free_list(&config->workspaces, kl_workspace_t);
+	free_list(&config->plans, kl_plan_t);
+	free_list(&config->marks, kl_mark_t);
+	kl_index_free(config->plan_index);
+	kl_index_free(config->workspace_index);
+	kl_index_free(config->service_index);
+	kl_index_free(config->key_index);
+	kl_index_free(config->mark_index);
+	free(config);
+}
+
+static void destroy_terms(kl_snapshot_t *snapshot)
+{
+	kl_terms_t *terms = (kl_terms_t *)snapshot;
+
+	free_list(&terms->groups, kl_group_t);
+	kl_index_free(terms->index);
+	free(terms);
+}
+
+static void destroy_members(kl_snapshot_t *snapshot)
+{
+	kl_members_t *members = (kl_members_t *)snapshot;
+
+	free_list(&members->list, kl_member_t);
+	kl_index_free(members->index);
+	free(members);
+}
+
+static void destroy_health(kl_snapshot_t *snapshot)
+{
+	kl_health_t *health = (kl_health_t *)snapshot;
+
+	free_list(&health->list, kl_observation_t);
+	kl_index_free(health->index);
+	free(health);
+}
+
+static void destroy_plain(kl_snapshot_t *snapshot)
+{
+	free(snapshot);
+}
