--- a/board/board.c
+++ b/board/board.c
@@ -107,7 +107,8 @@
 
 const void *kl_board_get(const kl_reader_t *reader, kl_section_t section)
 {
-	const void *snapshot = ck_pr_load_ptr(&reader->board->sections[section]);
+	const void *snapshot =
+		ck_pr_load_ptr(&reader->board->sections[section]);
 
 	ordering_acquire(&reader->board->sections[section]);
 	return snapshot;
--- a/board/sections.c
+++ b/board/sections.c
@@ -5,11 +5,11 @@
 #include "board/sections.h"
 
 /* Empties an intrusive list whose entries are plain allocations. */
-#define free_list(head, type)                                   \
-	do {                                                    \
-		type *entry, *next;                             \
-		CK_STAILQ_FOREACH_SAFE(entry, head, link, next) \
-		free(entry);                                    \
+#define free_list(head, type)                                    \
+	do {                                                     \
+		type *entry, *next;                              \
+		CK_STAILQ_FOREACH_SAFE (entry, head, link, next) \
+			free(entry);                             \
 	} while (0)
 
 static void destroy_objects(kl_snapshot_t *snapshot);
@@ -19,8 +19,7 @@
 static void destroy_health(kl_snapshot_t *snapshot);
 static void destroy_plain(kl_snapshot_t *snapshot);
 
-kl_object_t *kl_object_new(const char *name, uint64_t version,
-			   const char *body)
+kl_object_t *kl_object_new(const char *name, uint64_t version, const char *body)
 {
 	kl_object_t *object = calloc(1, sizeof(*object));
 
@@ -158,8 +157,7 @@
 {
 	const kl_upstream_t *upstream;
 
-	CK_STAILQ_FOREACH(upstream, &service->upstreams, link)
-	{
+	CK_STAILQ_FOREACH (upstream, &service->upstreams, link) {
 		if (!strcmp(upstream->name.name, name))
 			return upstream;
 	}
@@ -167,8 +165,7 @@
 }
 
 const kl_observation_t *kl_health_of(const kl_health_t *health,
-				     const char *service,
-				     const char *upstream)
+				     const char *service, const char *upstream)
 {
 	char full[KL_NAME_MAX * 2];
 
@@ -192,12 +189,12 @@
 	kl_config_t *config = (kl_config_t *)snapshot;
 	kl_service_t *service;
 
-	CK_STAILQ_FOREACH(service, &config->services, link)
-	free_list(&service->upstreams, kl_upstream_t);
+	CK_STAILQ_FOREACH (service, &config->services, link)
+		free_list(&service->upstreams, kl_upstream_t);
 	free_list(&config->services, kl_service_t);
 	kl_key_t *key, *next;
-	CK_STAILQ_FOREACH_SAFE(key, &config->keys, all, next)
-	free(key);
+	CK_STAILQ_FOREACH_SAFE (key, &config->keys, all, next)
+		free(key);
 	free_list(&config->workspaces, kl_workspace_t);
 	free_list(&config->plans, kl_plan_t);
 	free_list(&config->marks, kl_mark_t);
--- a/board/sections.h
+++ b/board/sections.h
@@ -15,9 +15,9 @@
 #include "board/board.h"
 #include "board/index.h"
 
-#define KL_HOST_MAX 48	/**< longest IP number as text, with its zero */
-#define KL_KEY_HASH 32	/**< bytes of a key's hash */
-#define KL_HISTORY 16	/**< newest terms kept of a group's history */
+#define KL_HOST_MAX 48 /**< longest IP number as text, with its zero */
+#define KL_KEY_HASH 24 /**< bytes of a key's hash */
+#define KL_HISTORY 16  /**< newest terms kept of a group's history */
 
 /** When the platform last confirmed the revision this node holds. */
 typedef struct kl_fresh {
@@ -182,11 +182,11 @@
 typedef struct kl_observation {
 	kl_named_t name; /**< "SERVICE/UPSTREAM" */
 	CK_STAILQ_ENTRY(kl_observation) link;
-	bool primary;	    /**< it says that it is */
-	uint64_t term;	    /**< it says that it serves */
-	uint64_t position;  /**< it says that it holds */
-	uint64_t known_us;  /**< when the answered question was asked */
-	uint64_t data_us;   /**< the replica holds all the primary had then */
+	bool primary;	     /**< it says that it is */
+	uint64_t term;	     /**< it says that it serves */
+	uint64_t position;   /**< it says that it holds */
+	uint64_t known_us;   /**< when the answered question was asked */
+	uint64_t data_us;    /**< the replica holds all the primary had then */
 	uint64_t failing_us; /**< first failure since the last success, or 0 */
 	uint32_t failures;
 } kl_observation_t;
@@ -206,6 +206,7 @@
 	uint64_t valid_until; /**< microseconds; atomic */
 	uint64_t asked;	      /**< statements that came; atomic */
 	uint64_t refused;     /**< of them refused here; atomic */
+	uint64_t waiting;     /**< of them waiting for tokens; atomic */
 	uint64_t sessions;    /**< open client connections; atomic */
 	uint64_t session_cap; /**< this VM's part of them; atomic */
 	uint32_t references;  /**< snapshots that hold it; control thread */
@@ -262,7 +263,6 @@
 
 /** Find what is known of an upstream. @return NULL if nothing is */
 const kl_observation_t *kl_health_of(const kl_health_t *health,
-				     const char *service,
-				     const char *upstream);
+				     const char *service, const char *upstream);
 
 #endif
--- a/include/kumquatloft/kind.h
+++ b/include/kumquatloft/kind.h
@@ -44,7 +44,7 @@
 	const char *name;     /**< stable name, used in logs and counters */
 	const char *sqlstate; /**< five characters for the caller */
 	const char *text;     /**< message for the caller */
-	bool not_run;         /**< true if the statement certainly did not run */
+	bool not_run; /**< true if the statement certainly did not run */
 } kl_answer_t;
 
 /**
--- /dev/null
+++ b/include/kumquatloft/share.h
@@ -0,0 +1,112 @@
+/**
+ * @file
+ * A limit shared exactly by many nodes through leased parts.
+ *
+ * Each node owns part of a workspace's rate and burst and may lend some of it
+ * for a bounded time.  The parts in use over all nodes never exceed the whole,
+ * whatever messages are lost, doubled or late: a lender counts a loan as gone
+ * for longer than the borrower counts it as held, since the borrower's time
+ * runs from the sending of its question.  No I/O, no clock: the embedding
+ * program passes times and carries the messages.
+ */
+#ifndef KUMQUATLOFT_SHARE_H
+#define KUMQUATLOFT_SHARE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** The whole, in the unit of shares. */
+#define KL_SHARE_WHOLE 1000000u
+/** Tokens of one statement. */
+#define KL_TOKENS_ONE 1000
+/** Longest node name, with its zero. */
+#define KL_SHARE_NAME 64
+
+typedef struct kl_share kl_share_t;
+
+/** Where the tokens are kept, so that other threads can take some. */
+typedef struct kl_purse_ops {
+	/** Set aside up to max tokens. @return how many were taken */
+	int64_t (*take)(void *purse, int64_t max);
+	/** Add tokens, then cut down to cap. */
+	void (*put)(void *purse, int64_t tokens, int64_t cap);
+	/** Tokens may be spent until then, microseconds. */
+	void (*valid_until)(void *purse, uint64_t until_us);
+} kl_purse_ops_t;
+
+/** A borrower's question. */
+typedef struct kl_loan_ask {
+	uint64_t asked_us;   /**< borrower's clock at sending */
+	uint64_t want;	     /**< share wanted from this lender in all */
+	int64_t want_tokens; /**< tokens wanted along with it */
+} kl_loan_ask_t;
+
+/** A lender's answer. */
+typedef struct kl_loan_grant {
+	uint64_t asked_us;    /**< echo of the question */
+	uint64_t sequence;    /**< rises with each grant of a lender */
+	uint64_t share;	      /**< replaces what was lent before */
+	int64_t tokens;	      /**< to be added once */
+	uint64_t duration_us; /**< from asked_us on the borrower's clock */
+} kl_loan_grant_t;
+
+/**
+ * Create a node's part of one limit.
+ *
+ * @param ops, purse where tokens are kept; must outlive the share
+ * @param now_us the node's clock, microseconds
+ * @return NULL when out of memory
+ */
+kl_share_t *kl_share_new(const kl_purse_ops_t *ops, void *purse,
+			 uint64_t now_us);
+
+/** Free a share; loans it holds or gave simply run out. */
+void kl_share_free(kl_share_t *share);
+
+/**
+ * Set the limit: statements a second and statements of burst.  Tokens above
+ * the new cap are dropped.
+ */
+void kl_share_limit(kl_share_t *share, uint64_t rate, uint64_t burst);
+
+/**
+ * Set the part owned, of KL_SHARE_WHOLE, and until when it may be used.  The
+ * caller guarantees that all nodes' owned parts never exceed the whole.
+ */
+void kl_share_own(kl_share_t *share, uint64_t owned, uint64_t until_us);
+
+/** Let time pass: loans run out, tokens are minted. */
+void kl_share_tick(kl_share_t *share, uint64_t now_us);
+
+/** Tell how many statements came in since the last call, and the backlog. */
+void kl_share_demand(kl_share_t *share, uint64_t now_us, uint64_t came,
+		     uint64_t backlog);
+
+/**
+ * Whether to ask a lender, and for what.
+ *
+ * @return true if the question in *ask should be sent to lender
+ */
+bool kl_share_wants(kl_share_t *share, const char *lender, uint64_t now_us,
+		    kl_loan_ask_t *ask);
+
+/**
+ * Answer a question.
+ *
+ * @return true if *grant should be sent back
+ */
+bool kl_share_lend(kl_share_t *share, const char *borrower,
+		   const kl_loan_ask_t *ask, uint64_t now_us,
+		   kl_loan_grant_t *grant);
+
+/** Take in a grant; doubles and late ones change nothing. */
+void kl_share_borrow(kl_share_t *share, const char *lender,
+		     const kl_loan_grant_t *grant, uint64_t now_us);
+
+/** Part in use now, of KL_SHARE_WHOLE. */
+uint64_t kl_share_effective(const kl_share_t *share);
+
+/** Whether nothing is owned, lent, borrowed or asked for. */
+bool kl_share_idle(const kl_share_t *share, uint64_t now_us);
+
+#endif
