--- /dev/null
+++ b/control/control.c
@@ -0,0 +1,135 @@
+#include <ck_pr.h>
+#include <string.h>
+
+#include "control/controllers.h"
+#include "control/node.h"
+
+#define EVENT(kind) (1u << KL_EVENT_##kind)
+#define SECTION(section) (1u << KL_SECTION_##section)
+
+const kl_controller_t kl_controllers[KL_CONTROLLER_COUNT] = {
+	[KL_CONTROLLER_SYNC] = {"sync",
+				EVENT(TICK) | EVENT(PEER) | EVENT(PLATFORM), 0,
+				KL_SECTION_OBJECTS, kl_sync_create,
+				kl_sync_step, kl_sync_destroy},
+	[KL_CONTROLLER_CONFIG] = {"config", 0, SECTION(OBJECTS),
+				  KL_SECTION_CONFIG, kl_config_create,
+				  kl_config_step, kl_config_destroy},
+	[KL_CONTROLLER_MEMBER] = {"member", EVENT(TICK) | EVENT(PEER),
+				  SECTION(OBJECTS) | SECTION(CONFIG),
+				  KL_SECTION_MEMBERS, kl_member_create,
+				  kl_member_step, kl_member_destroy},
+	[KL_CONTROLLER_TERMS] = {"terms", 0, SECTION(OBJECTS), KL_SECTION_TERMS,
+				 kl_terms_create, kl_terms_step,
+				 kl_terms_destroy},
+	[KL_CONTROLLER_HEALTH] = {"health",
+				  EVENT(TICK) | EVENT(DATABASE) | EVENT(DEMAND),
+				  SECTION(CONFIG), KL_SECTION_HEALTH,
+				  kl_health_create, kl_health_step,
+				  kl_health_destroy},
+	[KL_CONTROLLER_FAILOVER] = {"failover",
+				    EVENT(TICK) | EVENT(PEER) | EVENT(DATABASE),
+				    SECTION(TERMS), -1, kl_failover_create,
+				    kl_failover_step, kl_failover_destroy},
+	[KL_CONTROLLER_SHARE] = {"share",
+				 EVENT(TICK) | EVENT(PEER) | EVENT(DEMAND) |
+					 EVENT(STOP),
+				 SECTION(CONFIG) | SECTION(OBJECTS),
+				 KL_SECTION_SHARES, kl_share_create,
+				 kl_share_step, kl_share_destroy},
+	[KL_CONTROLLER_DRAIN] = {"drain", EVENT(TICK) | EVENT(STOP),
+				 SECTION(CONFIG), KL_SECTION_LIFE,
+				 kl_drain_create, kl_drain_step,
+				 kl_drain_destroy},
+};
+
+void kl_tuning_default(kl_tuning_t *tuning)
+{
+	tuning->confirm_us = 400 * KL_MS;
+	tuning->hello_us = 400 * KL_MS;
+	tuning->lease_us = 2 * KL_SEC;
+	tuning->probe_us = 250 * KL_MS;
+	tuning->position_us = 20 * KL_MS;
+	tuning->suspect_us = 750 * KL_MS;
+	tuning->share_hold_us = 600 * KL_SEC;
+	tuning->catch_up_us = 2 * KL_SEC;
+	tuning->slots = 24;
+}
+
+uint64_t kl_fence_us(const kl_tuning_t *tuning)
+{
+	/* A tenth more: clocks of two VMs may run at unequal speeds. */
+	return tuning->lease_us + tuning->lease_us / 10;
+}
+
+int kl_node_start(kl_node_t *node)
+{
+	int error = 0;
+
+	node->board = kl_board_new();
+	if (!node->board)
+		return -KL_E_NOMEM;
+	node->reader = kl_reader_new(node->board);
+	if (!node->reader)
+		return -KL_E_NOMEM;
+	for (int i = 0; i < KL_CONTROLLER_COUNT && !error; i++)
+		error = kl_controllers[i].create(node);
+	return error;
+}
+
+void kl_node_step(kl_node_t *node, const kl_event_t *event)
+{
+	uint64_t written = 0;
+
+	kl_read_begin(node->reader);
+	for (int i = 0; i < KL_CONTROLLER_COUNT; i++) {
+		const kl_controller_t *row = &kl_controllers[i];
+
+		if (!(row->events & (1u << event->kind)) &&
+		    !(row->reads & written))
+			continue;
+		node->written = 0;
+		row->step(node, event);
+		written |= node->written;
+	}
+	kl_read_end(node->reader);
+	kl_board_reclaim(node->reader);
+}
+
+void kl_node_stop(kl_node_t *node)
+{
+	for (int i = 0; i < KL_CONTROLLER_COUNT; i++)
+		if (node->state[i])
+			kl_controllers[i].destroy(node);
+	kl_board_free(node->board);
+	node->board = NULL;
+}
+
+void kl_node_publish(kl_node_t *node, kl_section_t section,
+		     kl_snapshot_t *snapshot)
+{
+	kl_board_publish(node->reader, section, snapshot);
+	node->written |= 1u << section;
+}
+
+const void *kl_node_get(const kl_node_t *node, kl_section_t section)
+{
+	return kl_board_get(node->reader, section);
+}
+
+uint64_t kl_node_now(const kl_node_t *node)
+{
+	return node->outlet->now_us(node->context);
+}
+
+uint32_t kl_node_random(const kl_node_t *node)
+{
+	return node->outlet->random(node->context);
+}
+
+bool kl_lease_valid(const kl_fresh_t *fresh, const kl_terms_t *terms,
+		    uint64_t now_us, uint64_t lease_us)
+{
+	return fresh && terms && terms->revision >= fresh->revision &&
+	       now_us < fresh->confirmed_us + lease_us;
+}
--- /dev/null
+++ b/control/controllers.h
@@ -0,0 +1,45 @@
+/**
+ * @file
+ * The rows of the table of controllers.
+ */
+#ifndef KL_CONTROLLERS_H
+#define KL_CONTROLLERS_H
+
+#include "control/node.h"
+
+int kl_sync_create(kl_node_t *node);
+void kl_sync_step(kl_node_t *node, const kl_event_t *event);
+void kl_sync_destroy(kl_node_t *node);
+
+int kl_config_create(kl_node_t *node);
+void kl_config_step(kl_node_t *node, const kl_event_t *event);
+void kl_config_destroy(kl_node_t *node);
+
+int kl_member_create(kl_node_t *node);
+void kl_member_step(kl_node_t *node, const kl_event_t *event);
+void kl_member_destroy(kl_node_t *node);
+
+int kl_terms_create(kl_node_t *node);
+void kl_terms_step(kl_node_t *node, const kl_event_t *event);
+void kl_terms_destroy(kl_node_t *node);
+
+int kl_health_create(kl_node_t *node);
+void kl_health_step(kl_node_t *node, const kl_event_t *event);
+void kl_health_destroy(kl_node_t *node);
+
+int kl_failover_create(kl_node_t *node);
+void kl_failover_step(kl_node_t *node, const kl_event_t *event);
+void kl_failover_destroy(kl_node_t *node);
+
+int kl_share_create(kl_node_t *node);
+void kl_share_step(kl_node_t *node, const kl_event_t *event);
+void kl_share_destroy(kl_node_t *node);
+
+int kl_drain_create(kl_node_t *node);
+void kl_drain_step(kl_node_t *node, const kl_event_t *event);
+void kl_drain_destroy(kl_node_t *node);
+
+/** Slots that are recorded as this VM's. */
+uint32_t kl_share_slots_held(const kl_node_t *node);
+
+#endif
--- /dev/null
+++ b/control/drain.c
@@ -0,0 +1,62 @@
+/* This VM's life: starting, serving, draining. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/controllers.h"
+
+typedef struct drain_state {
+	bool stopping;
+} drain_state_t;
+
+static kl_phase_t phase_now(const kl_node_t *node, const drain_state_t *state);
+
+int kl_drain_create(kl_node_t *node)
+{
+	node->state[KL_CONTROLLER_DRAIN] = calloc(1, sizeof(drain_state_t));
+	return node->state[KL_CONTROLLER_DRAIN] ? 0 : -KL_E_NOMEM;
+}
+
+void kl_drain_destroy(kl_node_t *node)
+{
+	free(node->state[KL_CONTROLLER_DRAIN]);
+}
+
+void kl_drain_step(kl_node_t *node, const kl_event_t *event)
+{
+	drain_state_t *state = node->state[KL_CONTROLLER_DRAIN];
+	const kl_life_t *life = kl_node_get(node, KL_SECTION_LIFE);
+	kl_decision_t decision = {.what = "phase"};
+	static const char *const names[KL_PHASE_COUNT] = {
+		[KL_PHASE_STARTING] = "starting",
+		[KL_PHASE_SERVING] = "serving",
+		[KL_PHASE_DRAINING] = "draining",
+	};
+	kl_life_t *next;
+	kl_phase_t phase;
+
+	if (event->kind == KL_EVENT_STOP)
+		state->stopping = true;
+	phase = phase_now(node, state);
+	if (life && life->phase == phase)
+		return;
+	next = kl_life_new(phase);
+	if (!next)
+		return;
+	kl_node_publish(node, KL_SECTION_LIFE, &next->base);
+	decision.reason = names[phase];
+	node->outlet->decided(node->context, &decision);
+}
+
+static kl_phase_t phase_now(const kl_node_t *node, const drain_state_t *state)
+{
+	const kl_config_t *config = kl_node_get(node, KL_SECTION_CONFIG);
+
+	if (state->stopping)
+		return KL_PHASE_DRAINING;
+	if (!config)
+		return KL_PHASE_STARTING;
+	if (kl_config_marked(config, "vm", node->self.vm) ||
+	    kl_config_marked(config, "domain", node->self.domain))
+		return KL_PHASE_DRAINING;
+	return KL_PHASE_SERVING;
+}
--- /dev/null
+++ b/control/failover.c
@@ -0,0 +1,603 @@
+/*
+ * Changes a group's primary.  The record in the platform's service is the only
+ * memory: every step is driven by what the record says, so any prober can take
+ * up a change that another one left half done, and racing ones lose the
+ * conditional update.
+ *
+ *   STABLE(T) -> FENCING(T+1) -> PROMOTING(T+1, candidate) -> STABLE(T+1)
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/controllers.h"
+#include "control/group_record.h"
+#include "control/prober.h"
+
+#define RETRY_US (200 * KL_MS)	      /* between two tries of one step */
+#define SUSPECT_TTL_US (1200 * KL_MS) /* a peer's suspicion counts so long */
+#define RANK_US (150 * KL_MS)	      /* lower ranks start later */
+#define TAKEOVER_US (1500 * KL_MS)    /* a silent promoter is replaced */
+#define CANDIDATE_US (3 * KL_SEC)     /* a silent candidate is given up */
+#define FRESH_US (1 * KL_SEC)	      /* observations older than this are old */
+#define REPLIES 16		      /* databases of one group */
+
+typedef struct suspicion {
+	CK_STAILQ_ENTRY(suspicion) link;
+	char vm[KL_NAME_MAX];
+	uint64_t term;
+	uint64_t heard_us;
+} suspicion_t;
+
+typedef struct reply {
+	char upstream[KL_NAME_MAX];
+	uint64_t sealed;
+	uint64_t term;
+	uint64_t position;
+} reply_t;
+
+typedef struct change {
+	kl_named_t name; /* the service */
+	CK_STAILQ_ENTRY(change) link;
+	CK_STAILQ_HEAD(, suspicion) suspicions;
+	uint64_t suspect_us; /* quorum reached, or 0 */
+	uint64_t told_us;
+	uint64_t sent_us;  /* last database calls */
+	uint64_t write_us; /* last conditional update */
+	uint64_t version;  /* of the record the replies belong to */
+	uint64_t term;	   /* of that record */
+	reply_t replies[REPLIES];
+	uint32_t reply_count;
+	bool promoted;
+} change_t;
+
+typedef struct failover_state {
+	CK_STAILQ_HEAD(, change) changes;
+	kl_index_t *index;
+} failover_state_t;
+
+/* What one step sees. */
+typedef struct view {
+	kl_node_t *node;
+	const kl_service_t *service;
+	const kl_group_t *group;
+	const kl_members_t *members;
+	const kl_health_t *health;
+	change_t *change;
+	uint64_t now;
+	int rank;
+} view_t;
+
+static void step_stable(view_t *view);
+static void step_fencing(view_t *view);
+static void step_promoting(view_t *view);
+static void create_record(view_t *view);
+static void suspect(view_t *view);
+static bool primary_fails(const view_t *view);
+static bool primary_leaves(const view_t *view);
+static bool quorum(const view_t *view);
+static void tell_suspicion(view_t *view);
+static void note_suspicion(change_t *change, const char *vm, uint64_t term,
+			   uint64_t now);
+static bool acting(const view_t *view, uint64_t after_us);
+static void call_database(view_t *view, kl_database_op_t op,
+			  const kl_upstream_t *upstream);
+static void seal(view_t *view, const char *only);
+static bool caught_up(const view_t *view, const reply_t *old);
+static const reply_t *choose(const view_t *view);
+static const reply_t *reply_of(const change_t *change, const char *upstream);
+static void take_reply(failover_state_t *state,
+		       const kl_database_answer_t *answer);
+static void write_record(view_t *view, kl_group_t *group, const char *what,
+			 const char *reason);
+static void follow_strays(view_t *view);
+static change_t *change_of(failover_state_t *state, const char *service);
+
+static void (*const steps[KL_GROUP_STATE_COUNT])(view_t *view) = {
+	[KL_GROUP_STABLE] = step_stable,
+	[KL_GROUP_FENCING] = step_fencing,
+	[KL_GROUP_PROMOTING] = step_promoting,
+};
+
+int kl_failover_create(kl_node_t *node)
+{
+	failover_state_t *state = calloc(1, sizeof(*state));
+
+	if (!state)
+		return -KL_E_NOMEM;
+	CK_STAILQ_INIT(&state->changes);
+	state->index = kl_index_new(16);
+	node->state[KL_CONTROLLER_FAILOVER] = state;
+	return 0;
+}
+
+void kl_failover_destroy(kl_node_t *node)
+{
+	failover_state_t *state = node->state[KL_CONTROLLER_FAILOVER];
+	change_t *change, *next;
+	suspicion_t *suspicion, *after;
+
+	CK_STAILQ_FOREACH_SAFE (change, &state->changes, link, next) {
+		CK_STAILQ_FOREACH_SAFE (suspicion, &change->suspicions, link,
+					after)
+			free(suspicion);
+		free(change);
+	}
+	kl_index_free(state->index);
+	free(state);
+}
+
+void kl_failover_step(kl_node_t *node, const kl_event_t *event)
+{
+	failover_state_t *state = node->state[KL_CONTROLLER_FAILOVER];
+	const kl_config_t *config = kl_node_get(node, KL_SECTION_CONFIG);
+	const kl_terms_t *terms = kl_node_get(node, KL_SECTION_TERMS);
+	view_t view = {.node = node,
+		       .members = kl_node_get(node, KL_SECTION_MEMBERS),
+		       .health = kl_node_get(node, KL_SECTION_HEALTH),
+		       .now = kl_node_now(node)};
+
+	if (event->kind == KL_EVENT_PEER) {
+		if (event->peer->kind != KL_PEER_SUSPECT)
+			return;
+		note_suspicion(change_of(state, event->peer->subject),
+			       event->peer->from, event->peer->term, view.now);
+	}
+	if (event->kind == KL_EVENT_DATABASE) {
+		if (event->database->call.owner != KL_CONTROLLER_FAILOVER)
+			return;
+		take_reply(state, event->database);
+	}
+	if (!config || !terms || !view.members || !view.health)
+		return;
+	CK_STAILQ_FOREACH (view.service, &config->services, link) {
+		const char *name = view.service->name.name;
+
+		view.change = change_of(state, name);
+		view.group = kl_index_get(terms->index, name);
+		view.rank = kl_prober_rank(node, view.members, name);
+		if (!view.change || view.rank < 0)
+			continue;
+		if (!view.group) {
+			create_record(&view);
+			continue;
+		}
+		if (view.change->version != view.group->version) {
+			view.change->version = view.group->version;
+			view.change->term = view.group->term;
+			view.change->reply_count = 0;
+			view.change->promoted = false;
+			view.change->suspect_us = 0;
+			view.change->sent_us = 0;
+			view.change->write_us = 0;
+		}
+		steps[view.group->state](&view);
+	}
+}
+
+/* The first record names the database that a majority's view allows. */
+static void create_record(view_t *view)
+{
+	const kl_upstream_t *upstream;
+	const kl_observation_t *first = NULL;
+	const char *name = NULL;
+	uint32_t seen = 0;
+	kl_group_t group = {.state = KL_GROUP_STABLE};
+
+	if (view->rank != 0)
+		return;
+	CK_STAILQ_FOREACH (upstream, &view->service->upstreams, link) {
+		const kl_observation_t *seen_now =
+			kl_health_of(view->health, view->service->name.name,
+				     upstream->name.name);
+
+		if (!seen_now || !seen_now->known_us)
+			continue;
+		seen++;
+		if (seen_now->primary &&
+		    (!first || seen_now->term > first->term)) {
+			first = seen_now;
+			name = upstream->name.name;
+		}
+	}
+	if (!first || seen <= view->service->upstream_count / 2)
+		return;
+	group.name = view->service->name;
+	group.term = first->term;
+	kl_name_set(group.primary, name);
+	kl_group_fork(&group, first->term, 0);
+	write_record(view, &group, "group_recorded", "first_seen");
+}
+
+static void step_stable(view_t *view)
+{
+	bool fails = primary_fails(view);
+	kl_group_t next;
+
+	follow_strays(view);
+	if (fails)
+		suspect(view);
+	if (!(fails && quorum(view)) && !primary_leaves(view)) {
+		view->change->suspect_us = 0;
+		return;
+	}
+	if (!view->change->suspect_us)
+		view->change->suspect_us = view->now;
+	if (view->now - view->change->suspect_us <
+	    (uint64_t)view->rank * RANK_US)
+		return;
+	next = *view->group;
+	next.term++;
+	next.state = KL_GROUP_FENCING;
+	memcpy(next.promoter, view->node->self.vm, KL_NAME_MAX);
+	write_record(view, &next, "term_won",
+		     fails ? "primary_fails" : "primary_leaves");
+}
+
+/*
+ * First the old primary alone is sealed, so that a planned change loses
+ * nothing; once every older proof has run out the others are sealed too, and
+ * the best of a majority is chosen.
+ */
+static void step_fencing(view_t *view)
+{
+	const kl_tuning_t *tuning = &view->node->tuning;
+	uint64_t since = view->now - view->group->seen_us;
+	const reply_t *old, *best;
+	kl_group_t next;
+
+	if (!acting(view, kl_fence_us(tuning) + tuning->catch_up_us))
+		return;
+	if (since < kl_fence_us(tuning)) {
+		seal(view, view->group->primary);
+		return;
+	}
+	old = reply_of(view->change, view->group->primary);
+	if (old && since < kl_fence_us(tuning) + tuning->catch_up_us &&
+	    !caught_up(view, old))
+		return;
+	best = choose(view);
+	if (!best) {
+		seal(view, NULL);
+		return;
+	}
+	next = *view->group;
+	next.state = KL_GROUP_PROMOTING;
+	memcpy(next.primary, best->upstream, KL_NAME_MAX);
+	kl_group_fork(&next, next.term, best->position);
+	write_record(view, &next, "candidate_chosen", "highest_position");
+}
+
+static void step_promoting(view_t *view)
+{
+	const kl_upstream_t *candidate =
+		kl_service_upstream(view->service, view->group->primary);
+	kl_group_t next = *view->group;
+
+	if (!acting(view, TAKEOVER_US))
+		return;
+	if (view->change->promoted) {
+		next.state = KL_GROUP_STABLE;
+		write_record(view, &next, "promoted", "answered");
+		return;
+	}
+	if (!candidate || view->now - view->group->seen_us > CANDIDATE_US) {
+		/* The history keeps the term: it may have begun unseen. */
+		next.term++;
+		next.state = KL_GROUP_FENCING;
+		memcpy(next.promoter, view->node->self.vm, KL_NAME_MAX);
+		write_record(view, &next, "term_won", "candidate_silent");
+		return;
+	}
+	if (view->now - view->change->sent_us < RETRY_US)
+		return;
+	view->change->sent_us = view->now;
+	call_database(view, KL_DATABASE_PROMOTE, candidate);
+}
+
+/* The promoter acts; others take up its work in the order of their ranks. */
+static bool acting(const view_t *view, uint64_t after_us)
+{
+	uint64_t since = view->now - view->group->seen_us;
+
+	if (!strcmp(view->group->promoter, view->node->self.vm))
+		return true;
+	return since > after_us + TAKEOVER_US + (uint64_t)view->rank * RANK_US;
+}
+
+static bool primary_fails(const view_t *view)
+{
+	const kl_observation_t *seen = kl_health_of(
+		view->health, view->service->name.name, view->group->primary);
+	uint64_t limit = view->node->tuning.suspect_us;
+
+	if (!kl_service_upstream(view->service, view->group->primary))
+		return true;
+	if (!seen)
+		return false;
+	if (seen->failing_us)
+		return view->now - seen->failing_us >= limit &&
+		       seen->failures >= 3;
+	/* It answers, but lost its role: restarted, or sealed by someone. */
+	return seen->known_us && seen->known_us > view->group->seen_us &&
+	       (!seen->primary || seen->term != view->group->term);
+}
+
+/* A planned change starts only if it is likely to succeed at once. */
+static bool primary_leaves(const view_t *view)
+{
+	const kl_upstream_t *upstream =
+		kl_service_upstream(view->service, view->group->primary);
+	uint32_t healthy = 0, successors = 0;
+
+	if (!upstream || !upstream->leaving)
+		return false;
+	CK_STAILQ_FOREACH (upstream, &view->service->upstreams, link) {
+		const kl_observation_t *seen =
+			kl_health_of(view->health, view->service->name.name,
+				     upstream->name.name);
+
+		if (!seen || !seen->known_us || seen->failing_us)
+			continue;
+		healthy++;
+		successors += !upstream->leaving &&
+			      seen->term == view->group->term &&
+			      view->now - seen->data_us <
+				      view->node->tuning.catch_up_us;
+	}
+	return successors && healthy > view->service->upstream_count / 2;
+}
+
+static void suspect(view_t *view)
+{
+	note_suspicion(view->change, view->node->self.vm, view->group->term,
+		       view->now);
+	if (view->now - view->change->told_us < RETRY_US)
+		return;
+	view->change->told_us = view->now;
+	tell_suspicion(view);
+}
+
+static bool quorum(const view_t *view)
+{
+	const kl_member_t *table[KL_PROBERS];
+	uint32_t count =
+		kl_probers(view->members, view->service->name.name, table);
+	uint32_t suspects = 0;
+	const suspicion_t *suspicion;
+
+	CK_STAILQ_FOREACH (suspicion, &view->change->suspicions, link) {
+		if (suspicion->term != view->group->term ||
+		    view->now - suspicion->heard_us > SUSPECT_TTL_US)
+			continue;
+		for (uint32_t i = 0; i < count; i++)
+			suspects += !strcmp(table[i]->name.name, suspicion->vm);
+	}
+	return suspects > count / 2;
+}
+
+static void tell_suspicion(view_t *view)
+{
+	const kl_member_t *table[KL_PROBERS];
+	uint32_t count =
+		kl_probers(view->members, view->service->name.name, table);
+	kl_peer_message_t message = {.kind = KL_PEER_SUSPECT,
+				     .term = view->group->term};
+
+	memcpy(message.from, view->node->self.vm, KL_NAME_MAX);
+	memcpy(message.subject, view->service->name.name, KL_NAME_MAX);
+	for (uint32_t i = 0; i < count; i++) {
+		if (!strcmp(table[i]->name.name, view->node->self.vm))
+			continue;
+		view->node->outlet->peer(view->node->context,
+					 table[i]->name.name, table[i]->host,
+					 table[i]->port, &message);
+	}
+}
+
+static void note_suspicion(change_t *change, const char *vm, uint64_t term,
+			   uint64_t now)
+{
+	suspicion_t *suspicion;
+
+	if (!change)
+		return;
+	CK_STAILQ_FOREACH (suspicion, &change->suspicions, link) {
+		if (!strcmp(suspicion->vm, vm))
+			break;
+	}
+	if (!suspicion) {
+		suspicion = calloc(1, sizeof(*suspicion));
+		if (!suspicion)
+			return;
+		kl_name_set(suspicion->vm, vm);
+		CK_STAILQ_INSERT_TAIL(&change->suspicions, suspicion, link);
+	}
+	suspicion->term = term;
+	suspicion->heard_us = now;
+}
+
+static void call_database(view_t *view, kl_database_op_t op,
+			  const kl_upstream_t *upstream)
+{
+	kl_database_call_t call = {.op = op,
+				   .owner = KL_CONTROLLER_FAILOVER,
+				   .fresh = true,
+				   .port = upstream->port,
+				   .term = view->group->term,
+				   .asked_us = view->now};
+
+	memcpy(call.service, view->service->name.name, KL_NAME_MAX);
+	memcpy(call.upstream, upstream->name.name, KL_NAME_MAX);
+	memcpy(call.host, upstream->host, KL_HOST_MAX);
+	view->node->outlet->database(view->node->context, &call);
+}
+
+static void seal(view_t *view, const char *only)
+{
+	const kl_upstream_t *upstream;
+
+	if (view->now - view->change->sent_us < RETRY_US)
+		return;
+	view->change->sent_us = view->now;
+	CK_STAILQ_FOREACH (upstream, &view->service->upstreams, link) {
+		if (only && strcmp(only, upstream->name.name))
+			continue;
+		if (!reply_of(view->change, upstream->name.name))
+			call_database(view, KL_DATABASE_SEAL, upstream);
+	}
+}
+
+/* Whether some fit replica holds all that the sealed old primary holds. */
+static bool caught_up(const view_t *view, const reply_t *old)
+{
+	const kl_upstream_t *upstream;
+
+	CK_STAILQ_FOREACH (upstream, &view->service->upstreams, link) {
+		const kl_observation_t *seen =
+			kl_health_of(view->health, view->service->name.name,
+				     upstream->name.name);
+
+		if (upstream->leaving || !seen || seen->failing_us ||
+		    !strcmp(upstream->name.name, old->upstream))
+			continue;
+		if (seen->term == old->term && seen->position >= old->position)
+			return true;
+	}
+	return false;
+}
+
+/* The best of a sealed majority; one that is leaving only for want of it. */
+static const reply_t *choose(const view_t *view)
+{
+	const change_t *change = view->change;
+	const reply_t *best = NULL;
+	bool best_leaving = false;
+
+	if (change->reply_count <= view->service->upstream_count / 2)
+		return NULL;
+	for (uint32_t i = 0; i < change->reply_count; i++) {
+		const reply_t *reply = &change->replies[i];
+		const kl_upstream_t *upstream =
+			kl_service_upstream(view->service, reply->upstream);
+		bool better;
+
+		if (!upstream)
+			continue;
+		better = !best || reply->term > best->term ||
+			 (reply->term == best->term &&
+			  reply->position > best->position) ||
+			 (reply->term == best->term &&
+			  reply->position == best->position && best_leaving);
+		if (!better)
+			continue;
+		best = reply;
+		best_leaving = upstream->leaving;
+	}
+	return best;
+}
+
+static const reply_t *reply_of(const change_t *change, const char *upstream)
+{
+	for (uint32_t i = 0; i < change->reply_count; i++)
+		if (!strcmp(change->replies[i].upstream, upstream))
+			return &change->replies[i];
+	return NULL;
+}
+
+static void take_reply(failover_state_t *state,
+		       const kl_database_answer_t *answer)
+{
+	const kl_database_call_t *call = &answer->call;
+	change_t *change = change_of(state, call->service);
+	reply_t *reply;
+
+	if (!change || answer->error || call->term != change->term)
+		return;
+	if (call->op == KL_DATABASE_PROMOTE) {
+		if (answer->primary && answer->term == call->term)
+			change->promoted = true;
+		return;
+	}
+	if (call->op != KL_DATABASE_SEAL || answer->sealed != call->term ||
+	    reply_of(change, call->upstream) || change->reply_count == REPLIES)
+		return;
+	reply = &change->replies[change->reply_count++];
+	memcpy(reply->upstream, call->upstream, KL_NAME_MAX);
+	reply->sealed = answer->sealed;
+	reply->term = answer->term;
+	reply->position = answer->position;
+}
+
+static void write_record(view_t *view, kl_group_t *group, const char *what,
+			 const char *reason)
+{
+	kl_platform_call_t call = {.op = KL_PLATFORM_PUT,
+				   .owner = KL_CONTROLLER_FAILOVER,
+				   .asked_us = view->now};
+	kl_decision_t decision = {.what = what,
+				  .service = group->name.name,
+				  .upstream = group->primary,
+				  .reason = reason,
+				  .term = group->term};
+	char *body;
+
+	if (view->change->write_us &&
+	    view->now - view->change->write_us < RETRY_US)
+		return;
+	view->change->write_us = view->now;
+	body = kl_group_encode(group);
+	if (!body)
+		return;
+	if (snprintf(call.name, sizeof(call.name), "group/%s",
+		     group->name.name) >= (int)sizeof(call.name)) {
+		free(body);
+		return;
+	}
+	call.version = group->version;
+	call.body = body;
+	view->node->outlet->decided(view->node->context, &decision);
+	view->node->outlet->platform(view->node->context, &call);
+	free(body);
+}
+
+/* A database that missed a change of term is told to follow. */
+static void follow_strays(view_t *view)
+{
+	const kl_upstream_t *upstream;
+
+	if (view->now - view->change->sent_us < KL_SEC)
+		return;
+	CK_STAILQ_FOREACH (upstream, &view->service->upstreams, link) {
+		const kl_observation_t *seen =
+			kl_health_of(view->health, view->service->name.name,
+				     upstream->name.name);
+
+		if (!seen || !seen->known_us ||
+		    seen->known_us < view->group->seen_us ||
+		    view->now - seen->known_us > FRESH_US ||
+		    !strcmp(upstream->name.name, view->group->primary))
+			continue;
+		if (seen->term >= view->group->term && !seen->primary)
+			continue;
+		view->change->sent_us = view->now;
+		call_database(view, KL_DATABASE_FOLLOW, upstream);
+	}
+}
+
+static change_t *change_of(failover_state_t *state, const char *service)
+{
+	change_t *change = kl_index_get(state->index, service);
+
+	if (change)
+		return change;
+	change = calloc(1, sizeof(*change));
+	if (!change || kl_name_set(change->name.name, service)) {
+		free(change);
+		return NULL;
+	}
+	CK_STAILQ_INIT(&change->suspicions);
+	CK_STAILQ_INSERT_TAIL(&state->changes, change, link);
+	kl_index_put(state->index, &change->name);
+	return change;
+}
--- /dev/null
+++ b/control/group_record.c
@@ -0,0 +1,84 @@
+#include <jansson.h>
+#include <string.h>
+
+#include "control/group_record.h"
+#include "kumquatloft/kind.h"
+
+static const char *const state_names[KL_GROUP_STATE_COUNT] = {
+	[KL_GROUP_STABLE] = "stable",
+	[KL_GROUP_FENCING] = "fencing",
+	[KL_GROUP_PROMOTING] = "promoting",
+};
+
+int kl_group_decode(kl_group_t *group, const char *body)
+{
+	json_t *json = json_loads(body, 0, NULL);
+	json_t *history, *fork;
+	json_int_t term, began, start;
+	const char *state, *primary, *promoter;
+	int error = -KL_E_INVALID;
+	size_t i;
+
+	if (json_unpack(json, "{s:I,s:s,s:s,s:s,s:o}", "term", &term, "state",
+			&state, "primary", &primary, "promoter", &promoter,
+			"history", &history))
+		goto out;
+	group->state = KL_GROUP_STATE_COUNT;
+	for (int s = 0; s < KL_GROUP_STATE_COUNT; s++)
+		if (!strcmp(state, state_names[s]))
+			group->state = s;
+	if (group->state == KL_GROUP_STATE_COUNT ||
+	    kl_name_set(group->primary, primary) ||
+	    kl_name_set(group->promoter, promoter))
+		goto out;
+	group->term = (uint64_t)term;
+	group->history_count = 0;
+	json_array_foreach (history, i, fork) {
+		if (json_unpack(fork, "[I,I]", &began, &start))
+			goto out;
+		kl_group_fork(group, (uint64_t)began, (uint64_t)start);
+	}
+	error = 0;
+out:
+	json_decref(json);
+	return error;
+}
+
+char *kl_group_encode(const kl_group_t *group)
+{
+	json_t *history = json_array();
+	json_t *json;
+	char *text;
+
+	for (uint32_t i = 0; i < group->history_count; i++)
+		json_array_append_new(
+			history,
+			json_pack("[I,I]", (json_int_t)group->history[i].term,
+				  (json_int_t)group->history[i].start));
+	json = json_pack("{s:I,s:s,s:s,s:s,s:o}", "term",
+			 (json_int_t)group->term, "state",
+			 state_names[group->state], "primary", group->primary,
+			 "promoter", group->promoter, "history", history);
+	text = json_dumps(json, JSON_COMPACT);
+	json_decref(json);
+	return text;
+}
+
+uint64_t kl_group_read_term(const kl_group_t *group)
+{
+	if (!group->history_count)
+		return group->term;
+	return group->history[group->history_count - 1].term;
+}
+
+void kl_group_fork(kl_group_t *group, uint64_t term, uint64_t start)
+{
+	if (group->history_count == KL_HISTORY) {
+		memmove(group->history, group->history + 1,
+			(KL_HISTORY - 1) * sizeof(group->history[0]));
+		group->history_count--;
+	}
+	group->history[group->history_count].term = term;
+	group->history[group->history_count].start = start;
+	group->history_count++;
+}
--- /dev/null
+++ b/control/health.c
@@ -0,0 +1,286 @@
+/*
+ * Probes the databases: over new connections, since an old one that went
+ * silent proves nothing, and over kept ones for positions while requests wait.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/controllers.h"
+
+#define SAMPLES 64		/* remembered positions of a primary */
+#define DEMAND_US (500 * KL_MS) /* demand is remembered so long */
+#define ANSWER_US (600 * KL_MS) /* an answer this late is a failure */
+
+typedef struct sample {
+	uint64_t asked_us;
+	uint64_t position;
+	uint64_t term;
+} sample_t;
+
+typedef struct target {
+	kl_observation_t seen; /* named "SERVICE/UPSTREAM" */
+	CK_STAILQ_ENTRY(target) link;
+	uint64_t fresh_us;    /* outstanding question, or 0 */
+	uint64_t position_us; /* outstanding question, or 0 */
+	uint64_t next_fresh_us;
+	uint64_t next_position_us;
+	bool wanted; /* still configured */
+	sample_t samples[SAMPLES];
+	uint32_t next_sample;
+} target_t;
+
+typedef struct health_state {
+	CK_STAILQ_HEAD(, target) targets;
+	kl_index_t *index;
+	uint64_t demand_seen;
+	uint64_t demand_us;
+} health_state_t;
+
+static target_t *target_of(health_state_t *state, const char *service,
+			   const char *upstream, bool create);
+static void probe(kl_node_t *node, target_t *target,
+		  const kl_upstream_t *upstream, bool fresh, uint64_t now);
+static void probe_all(kl_node_t *node, health_state_t *state, uint64_t now);
+static bool answered(health_state_t *state, const kl_database_answer_t *answer,
+		     uint64_t now);
+static void succeeded(health_state_t *state, target_t *target,
+		      const kl_database_answer_t *answer);
+static void failed(target_t *target, uint64_t now);
+static uint64_t data_time(const health_state_t *state, const char *service,
+			  uint64_t term, uint64_t position);
+static void publish(kl_node_t *node, health_state_t *state);
+
+int kl_health_create(kl_node_t *node)
+{
+	health_state_t *state = calloc(1, sizeof(*state));
+
+	if (!state)
+		return -KL_E_NOMEM;
+	CK_STAILQ_INIT(&state->targets);
+	state->index = kl_index_new(16);
+	node->state[KL_CONTROLLER_HEALTH] = state;
+	return 0;
+}
+
+void kl_health_destroy(kl_node_t *node)
+{
+	health_state_t *state = node->state[KL_CONTROLLER_HEALTH];
+	target_t *target, *next;
+
+	CK_STAILQ_FOREACH_SAFE (target, &state->targets, link, next)
+		free(target);
+	kl_index_free(state->index);
+	free(state);
+}
+
+void kl_health_step(kl_node_t *node, const kl_event_t *event)
+{
+	health_state_t *state = node->state[KL_CONTROLLER_HEALTH];
+	uint64_t now = kl_node_now(node);
+
+	if (event->kind == KL_EVENT_DATABASE) {
+		if (event->database->call.owner == KL_CONTROLLER_HEALTH &&
+		    answered(state, event->database, now))
+			publish(node, state);
+		return;
+	}
+	if (node->demand != state->demand_seen) {
+		state->demand_seen = node->demand;
+		state->demand_us = now;
+	}
+	probe_all(node, state, now);
+}
+
+static void probe_all(kl_node_t *node, health_state_t *state, uint64_t now)
+{
+	const kl_config_t *config = kl_node_get(node, KL_SECTION_CONFIG);
+	const kl_service_t *service;
+	const kl_upstream_t *upstream;
+	target_t *target, *next;
+	bool demand = state->demand_us && now - state->demand_us < DEMAND_US;
+	bool changed = false;
+
+	if (!config)
+		return;
+	CK_STAILQ_FOREACH (target, &state->targets, link)
+		target->wanted = false;
+	CK_STAILQ_FOREACH (service, &config->services, link) {
+		CK_STAILQ_FOREACH (upstream, &service->upstreams, link) {
+			target = target_of(state, service->name.name,
+					   upstream->name.name, true);
+			if (!target)
+				continue;
+			target->wanted = true;
+			if (target->fresh_us &&
+			    now - target->fresh_us > ANSWER_US) {
+				target->fresh_us = 0;
+				failed(target, now);
+				changed = true;
+			}
+			if (target->position_us &&
+			    now - target->position_us > ANSWER_US)
+				target->position_us = 0;
+			if (!target->fresh_us && now >= target->next_fresh_us)
+				probe(node, target, upstream, true, now);
+			if (demand && !target->position_us &&
+			    now >= target->next_position_us)
+				probe(node, target, upstream, false, now);
+		}
+	}
+	CK_STAILQ_FOREACH_SAFE (target, &state->targets, link, next) {
+		if (target->wanted)
+			continue;
+		kl_index_remove(state->index, target->seen.name.name);
+		CK_STAILQ_REMOVE(&state->targets, target, target, link);
+		free(target);
+		changed = true;
+	}
+	if (changed)
+		publish(node, state);
+}
+
+static target_t *target_of(health_state_t *state, const char *service,
+			   const char *upstream, bool create)
+{
+	char name[KL_NAME_MAX * 2];
+	target_t *target;
+
+	snprintf(name, sizeof(name), "%s/%s", service, upstream);
+	target = kl_index_get(state->index, name);
+	if (target || !create)
+		return target;
+	target = calloc(1, sizeof(*target));
+	if (!target || kl_name_set(target->seen.name.name, name)) {
+		free(target);
+		return NULL;
+	}
+	CK_STAILQ_INSERT_TAIL(&state->targets, target, link);
+	kl_index_put(state->index, &target->seen.name);
+	return target;
+}
+
+static void probe(kl_node_t *node, target_t *target,
+		  const kl_upstream_t *upstream, bool fresh, uint64_t now)
+{
+	kl_database_call_t call = {.op = KL_DATABASE_STATUS,
+				   .owner = KL_CONTROLLER_HEALTH,
+				   .fresh = fresh,
+				   .port = upstream->port,
+				   .asked_us = now};
+
+	memcpy(call.service, upstream->service->name.name, KL_NAME_MAX);
+	memcpy(call.upstream, upstream->name.name, KL_NAME_MAX);
+	memcpy(call.host, upstream->host, KL_HOST_MAX);
+	if (fresh) {
+		target->fresh_us = now;
+		target->next_fresh_us = now + node->tuning.probe_us;
+	} else {
+		target->position_us = now;
+		target->next_position_us = now + node->tuning.position_us;
+	}
+	node->outlet->database(node->context, &call);
+}
+
+static bool answered(health_state_t *state, const kl_database_answer_t *answer,
+		     uint64_t now)
+{
+	const kl_database_call_t *call = &answer->call;
+	target_t *target =
+		target_of(state, call->service, call->upstream, false);
+	uint64_t *outstanding;
+
+	if (!target)
+		return false;
+	outstanding = call->fresh ? &target->fresh_us : &target->position_us;
+	if (*outstanding != call->asked_us)
+		return false; /* late: a newer question is out */
+	*outstanding = 0;
+	if (!answer->error)
+		succeeded(state, target, answer);
+	else if (call->fresh)
+		failed(target, now);
+	return true;
+}
+
+static void succeeded(health_state_t *state, target_t *target,
+		      const kl_database_answer_t *answer)
+{
+	kl_observation_t *seen = &target->seen;
+	uint64_t asked = answer->call.asked_us;
+
+	/* Only a new connection clears what new connections failed at. */
+	if (answer->call.fresh) {
+		seen->failing_us = 0;
+		seen->failures = 0;
+	}
+	if (asked < seen->known_us)
+		return;
+	seen->primary = answer->primary;
+	seen->term = answer->term;
+	seen->position = answer->position;
+	seen->known_us = asked;
+	if (answer->primary) {
+		sample_t *sample = &target->samples[target->next_sample];
+
+		target->next_sample = (target->next_sample + 1) % SAMPLES;
+		sample->asked_us = asked;
+		sample->position = answer->position;
+		sample->term = answer->term;
+		seen->data_us = asked;
+	} else {
+		seen->data_us = data_time(state, answer->call.service,
+					  answer->term, answer->position);
+	}
+}
+
+static void failed(target_t *target, uint64_t now)
+{
+	if (!target->seen.failing_us)
+		target->seen.failing_us = now;
+	target->seen.failures++;
+}
+
+/* The newest question whose answer showed the primary no further than this. */
+static uint64_t data_time(const health_state_t *state, const char *service,
+			  uint64_t term, uint64_t position)
+{
+	size_t length = strlen(service);
+	const target_t *target;
+	uint64_t newest = 0;
+
+	CK_STAILQ_FOREACH (target, &state->targets, link) {
+		const char *name = target->seen.name.name;
+
+		if (strncmp(name, service, length) || name[length] != '/')
+			continue;
+		for (uint32_t i = 0; i < SAMPLES; i++) {
+			const sample_t *sample = &target->samples[i];
+
+			if (sample->term == term &&
+			    sample->position <= position &&
+			    sample->asked_us > newest)
+				newest = sample->asked_us;
+		}
+	}
+	return newest;
+}
+
+static void publish(kl_node_t *node, health_state_t *state)
+{
+	kl_health_t *health = kl_health_new(16);
+	const target_t *target;
+
+	if (!health)
+		return;
+	CK_STAILQ_FOREACH (target, &state->targets, link) {
+		kl_observation_t *copy = malloc(sizeof(*copy));
+
+		if (!copy)
+			break;
+		*copy = target->seen;
+		CK_STAILQ_INSERT_TAIL(&health->list, copy, link);
+		kl_index_put(health->index, &copy->name);
+	}
+	kl_node_publish(node, KL_SECTION_HEALTH, &health->base);
+}
--- /dev/null
+++ b/control/member.c
@@ -0,0 +1,227 @@
+/*
+ * Who takes part: the platform's lagging list, the operators' marks and what
+ * was heard from peers.
+ */
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/controllers.h"
+
+#define REFRESH_US (400 * KL_MS)
+#define SILENT_US (60 * KL_SEC) /* an unlisted VM is forgotten after this */
+#define ROOTS 2			/* VMs that ask the platform per domain */
+
+typedef struct known {
+	kl_named_t name;
+	CK_STAILQ_ENTRY(known) link;
+	kl_member_t member;
+	uint64_t version; /* of the list's object, 0 if only heard */
+} known_t;
+
+typedef struct member_state {
+	CK_STAILQ_HEAD(, known) list;
+	kl_index_t *index;
+	uint64_t published_us;
+	bool changed;
+} member_state_t;
+
+static known_t *known_of(member_state_t *state, const char *name);
+static void take_list(member_state_t *state, const kl_objects_t *objects);
+static void take_entry(known_t *known, const kl_object_t *object);
+static void take_hello(member_state_t *state, const kl_peer_message_t *message,
+		       uint64_t now);
+static void forget(member_state_t *state, uint64_t now);
+static void publish(kl_node_t *node, member_state_t *state, uint64_t now);
+static void insert_sorted(kl_members_t *members, kl_member_t *member);
+
+int kl_member_create(kl_node_t *node)
+{
+	member_state_t *state = calloc(1, sizeof(*state));
+	known_t *self;
+
+	if (!state)
+		return -KL_E_NOMEM;
+	CK_STAILQ_INIT(&state->list);
+	state->index = kl_index_new(64);
+	node->state[KL_CONTROLLER_MEMBER] = state;
+	self = known_of(state, node->self.vm);
+	if (!self)
+		return -KL_E_NOMEM;
+	memcpy(self->member.domain, node->self.domain, KL_NAME_MAX);
+	memcpy(self->member.host, node->self.host, KL_HOST_MAX);
+	self->member.port = node->self.port;
+	publish(node, state, 0);
+	return 0;
+}
+
+void kl_member_destroy(kl_node_t *node)
+{
+	member_state_t *state = node->state[KL_CONTROLLER_MEMBER];
+	known_t *known, *next;
+
+	CK_STAILQ_FOREACH_SAFE (known, &state->list, link, next)
+		free(known);
+	kl_index_free(state->index);
+	free(state);
+}
+
+void kl_member_step(kl_node_t *node, const kl_event_t *event)
+{
+	member_state_t *state = node->state[KL_CONTROLLER_MEMBER];
+	const kl_objects_t *objects = kl_node_get(node, KL_SECTION_OBJECTS);
+	uint64_t now = kl_node_now(node);
+
+	if (event->kind == KL_EVENT_PEER) {
+		if (event->peer->kind == KL_PEER_HELLO)
+			take_hello(state, event->peer, now);
+	}
+	if (objects)
+		take_list(state, objects);
+	if (!state->changed && now - state->published_us < REFRESH_US)
+		return;
+	forget(state, now);
+	publish(node, state, now);
+}
+
+static known_t *known_of(member_state_t *state, const char *name)
+{
+	known_t *known = kl_index_get(state->index, name);
+
+	if (known || !*name)
+		return known;
+	known = calloc(1, sizeof(*known));
+	if (!known || kl_name_set(known->name.name, name)) {
+		free(known);
+		return NULL;
+	}
+	known->member.name = known->name;
+	CK_STAILQ_INSERT_TAIL(&state->list, known, link);
+	kl_index_put(state->index, &known->name);
+	state->changed = true;
+	return known;
+}
+
+static void take_list(member_state_t *state, const kl_objects_t *objects)
+{
+	const kl_object_t *object;
+
+	CK_STAILQ_FOREACH (object, &objects->list, link) {
+		known_t *known;
+
+		if (strncmp(object->name.name, "vm/", 3))
+			continue;
+		known = known_of(state, object->name.name + 3);
+		if (!known || known->version == object->version)
+			continue;
+		known->version = object->version;
+		take_entry(known, object);
+		state->changed = true;
+	}
+}
+
+static void take_entry(known_t *known, const kl_object_t *object)
+{
+	json_t *json = json_loads(object->body, JSON_DECODE_ANY, NULL);
+	const char *domain, *host, *state;
+	int port;
+
+	known->member.listed = false;
+	known->member.leaving = false;
+	if (!json_unpack(json, "{s:s,s:s,s:i,s:s}", "domain", &domain, "host",
+			 &host, "port", &port, "state", &state) &&
+	    strlen(host) < KL_HOST_MAX &&
+	    !kl_name_set(known->member.domain, domain)) {
+		memcpy(known->member.host, host, strlen(host) + 1);
+		known->member.port = (uint16_t)port;
+		known->member.listed = true;
+		known->member.leaving = !strcmp(state, "leaving");
+	}
+	json_decref(json);
+}
+
+static void take_hello(member_state_t *state, const kl_peer_message_t *message,
+		       uint64_t now)
+{
+	known_t *known = known_of(state, message->from);
+
+	if (!known)
+		return;
+	known->member.heard_us = now;
+	if (known->member.listed)
+		return;
+	memcpy(known->member.domain, message->hello.domain, KL_NAME_MAX);
+	memcpy(known->member.host, message->hello.host, KL_HOST_MAX);
+	known->member.port = message->hello.port;
+}
+
+static void forget(member_state_t *state, uint64_t now)
+{
+	known_t *known, *next;
+
+	CK_STAILQ_FOREACH_SAFE (known, &state->list, link, next) {
+		if (known == CK_STAILQ_FIRST(&state->list) ||
+		    known->member.listed ||
+		    now - known->member.heard_us < SILENT_US)
+			continue;
+		kl_index_remove(state->index, known->name.name);
+		CK_STAILQ_REMOVE(&state->list, known, known, link);
+		free(known);
+	}
+}
+
+static void publish(kl_node_t *node, member_state_t *state, uint64_t now)
+{
+	const kl_config_t *config = kl_node_get(node, KL_SECTION_CONFIG);
+	kl_members_t *members = kl_members_new(64);
+	const kl_member_t *member;
+	known_t *known;
+	uint32_t position = 0;
+
+	if (!members)
+		return;
+	CK_STAILQ_FOREACH (known, &state->list, link) {
+		kl_member_t *copy = malloc(sizeof(*copy));
+
+		if (!copy)
+			break;
+		*copy = known->member;
+		if (config &&
+		    (kl_config_marked(config, "vm", copy->name.name) ||
+		     kl_config_marked(config, "domain", copy->domain)))
+			copy->leaving = true;
+		insert_sorted(members, copy);
+		members->count++;
+		members->live += !copy->leaving &&
+				 (copy->listed ||
+				  !strcmp(copy->name.name, node->self.vm));
+		kl_index_put(members->index, &copy->name);
+	}
+	members->watcher = false;
+	CK_STAILQ_FOREACH (member, &members->list, link) {
+		if (strcmp(member->domain, node->self.domain))
+			continue;
+		if (!strcmp(member->name.name, node->self.vm))
+			members->watcher = position < ROOTS;
+		position++;
+	}
+	state->changed = false;
+	state->published_us = now;
+	kl_node_publish(node, KL_SECTION_MEMBERS, &members->base);
+}
+
+/* In the order of names, so that every VM draws the same tree. */
+static void insert_sorted(kl_members_t *members, kl_member_t *member)
+{
+	kl_member_t *entry, *before = NULL;
+
+	CK_STAILQ_FOREACH (entry, &members->list, link) {
+		if (strcmp(entry->name.name, member->name.name) > 0)
+			break;
+		before = entry;
+	}
+	if (before)
+		CK_STAILQ_INSERT_AFTER(&members->list, before, member, link);
+	else
+		CK_STAILQ_INSERT_HEAD(&members->list, member, link);
+}
--- /dev/null
+++ b/control/object_name.h
@@ -0,0 +1,16 @@
+/**
+ * @file
+ * Names and checks of the platform objects.
+ */
+#ifndef KL_OBJECT_NAME_H
+#define KL_OBJECT_NAME_H
+
+#include <stdbool.h>
+
+/**
+ * Whether a configuration document is good, by the same check that decides
+ * what comes in force; null, for a removed object, is good.
+ */
+bool kl_document_check(const char *name, const char *body);
+
+#endif
--- /dev/null
+++ b/control/share.c
@@ -0,0 +1,331 @@
+/*
+ * Keeps this VM's part of every workspace's rate and burst in admission
+ * buckets, and lends and borrows parts where the demand is.
+ */
+#include <ck_pr.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/controllers.h"
+#include "control/slot.h"
+
+#define BALANCE_US (200 * KL_MS)
+#define LENDERS 3 /* asked in one step for one workspace */
+
+typedef struct account {
+	kl_named_t name; /* the workspace */
+	CK_STAILQ_ENTRY(account) link;
+	kl_share_t *share;
+	kl_bucket_t *bucket;
+	uint64_t asked;
+	uint32_t cursor;
+	bool wanted;
+} account_t;
+
+typedef struct share_state {
+	CK_STAILQ_HEAD(, account) accounts;
+	kl_index_t *index;
+	kl_slots_t *slots;
+	uint64_t balanced_us;
+} share_state_t;
+
+static void take_config(kl_node_t *node, share_state_t *state);
+static account_t *account_new(kl_node_t *node, share_state_t *state,
+			      const char *name);
+static void account_free(account_t *account);
+static void run_account(kl_node_t *node, share_state_t *state,
+			account_t *account, uint64_t owned, uint64_t until);
+static void ask_lenders(kl_node_t *node, share_state_t *state,
+			account_t *account, uint64_t now);
+static void loan_message(kl_node_t *node, share_state_t *state,
+			 const kl_peer_message_t *message);
+static bool leaving(const kl_node_t *node, const share_state_t *state);
+static void publish(kl_node_t *node, share_state_t *state);
+static void destroy(kl_snapshot_t *snapshot);
+static void release(kl_bucket_t *bucket);
+static int64_t purse_take(void *purse, int64_t max);
+static void purse_put(void *purse, int64_t tokens, int64_t cap);
+static void purse_valid_until(void *purse, uint64_t until_us);
+
+static const kl_purse_ops_t purse_ops = {purse_take, purse_put,
+					 purse_valid_until};
+
+int kl_share_create(kl_node_t *node)
+{
+	share_state_t *state = calloc(1, sizeof(*state));
+
+	if (!state)
+		return -KL_E_NOMEM;
+	CK_STAILQ_INIT(&state->accounts);
+	state->index = kl_index_new(16);
+	state->slots = kl_slots_new(node->tuning.slots);
+	node->state[KL_CONTROLLER_SHARE] = state;
+	return state->slots ? 0 : -KL_E_NOMEM;
+}
+
+void kl_share_destroy(kl_node_t *node)
+{
+	share_state_t *state = node->state[KL_CONTROLLER_SHARE];
+	account_t *account, *next;
+
+	CK_STAILQ_FOREACH_SAFE (account, &state->accounts, link, next)
+		account_free(account);
+	kl_index_free(state->index);
+	kl_slots_free(state->slots);
+	free(state);
+}
+
+void kl_share_step(kl_node_t *node, const kl_event_t *event)
+{
+	share_state_t *state = node->state[KL_CONTROLLER_SHARE];
+	const kl_fresh_t *fresh = kl_node_get(node, KL_SECTION_FRESH);
+	uint64_t now = kl_node_now(node);
+	uint64_t owned, until;
+	account_t *account;
+
+	if (event->kind == KL_EVENT_PEER) {
+		loan_message(node, state, event->peer);
+		return;
+	}
+	kl_slots_read(node, state->slots);
+	take_config(node, state);
+	if (now - state->balanced_us >= BALANCE_US) {
+		state->balanced_us = now;
+		kl_slots_balance(node, state->slots, leaving(node, state));
+	}
+	owned = kl_slots_part(node, state->slots, KL_SHARE_WHOLE);
+	until = fresh ? fresh->confirmed_us + node->tuning.share_hold_us : 0;
+	CK_STAILQ_FOREACH (account, &state->accounts, link)
+		run_account(node, state, account, owned, until);
+}
+
+uint32_t kl_share_slots_held(const kl_node_t *node)
+{
+	const share_state_t *state = node->state[KL_CONTROLLER_SHARE];
+
+	return kl_slots_held(state->slots);
+}
+
+static void take_config(kl_node_t *node, share_state_t *state)
+{
+	const kl_config_t *config = kl_node_get(node, KL_SECTION_CONFIG);
+	const kl_workspace_t *workspace;
+	account_t *account, *next;
+	bool changed = false;
+
+	if (!config)
+		return;
+	CK_STAILQ_FOREACH (account, &state->accounts, link)
+		account->wanted = false;
+	CK_STAILQ_FOREACH (workspace, &config->workspaces, link) {
+		const char *name = workspace->name.name;
+		const kl_plan_t *plan = workspace->plan;
+
+		account = kl_index_get(state->index, name);
+		if (!account) {
+			account = account_new(node, state, name);
+			changed = true;
+		}
+		if (!account)
+			continue;
+		account->wanted = true;
+		kl_share_limit(account->share, plan ? plan->rate : 0,
+			       plan ? plan->burst : 0);
+		ck_pr_store_64(&account->bucket->session_cap,
+			       kl_slots_part(node, state->slots,
+					     plan ? plan->connections : 0));
+	}
+	CK_STAILQ_FOREACH_SAFE (account, &state->accounts, link, next) {
+		if (account->wanted)
+			continue;
+		kl_index_remove(state->index, account->name.name);
+		CK_STAILQ_REMOVE(&state->accounts, account, account, link);
+		account_free(account);
+		changed = true;
+	}
+	if (changed)
+		publish(node, state);
+}
+
+static account_t *account_new(kl_node_t *node, share_state_t *state,
+			      const char *name)
+{
+	account_t *account = calloc(1, sizeof(*account));
+	kl_bucket_t *bucket = calloc(1, sizeof(*bucket));
+
+	if (!account || !bucket)
+		goto fail;
+	kl_name_set(account->name.name, name);
+	bucket->name = account->name;
+	bucket->references = 1;
+	account->bucket = bucket;
+	account->cursor = kl_node_random(node);
+	account->share = kl_share_new(&purse_ops, bucket, kl_node_now(node));
+	if (!account->share)
+		goto fail;
+	CK_STAILQ_INSERT_TAIL(&state->accounts, account, link);
+	kl_index_put(state->index, &account->name);
+	return account;
+fail:
+	free(bucket);
+	free(account);
+	return NULL;
+}
+
+static void account_free(account_t *account)
+{
+	kl_share_free(account->share);
+	ck_pr_store_64(&account->bucket->valid_until, 0);
+	release(account->bucket);
+	free(account);
+}
+
+static void run_account(kl_node_t *node, share_state_t *state,
+			account_t *account, uint64_t owned, uint64_t until)
+{
+	kl_bucket_t *bucket = account->bucket;
+	uint64_t now = kl_node_now(node);
+	uint64_t asked = ck_pr_load_64(&bucket->asked);
+	uint64_t waiting = ck_pr_load_64(&bucket->waiting);
+
+	kl_share_tick(account->share, now);
+	kl_share_own(account->share, owned, until);
+	kl_share_demand(account->share, now, asked - account->asked, waiting);
+	account->asked = asked;
+	ask_lenders(node, state, account, now);
+}
+
+static void ask_lenders(kl_node_t *node, share_state_t *state,
+			account_t *account, uint64_t now)
+{
+	kl_peer_message_t message = {.kind = KL_PEER_ASK};
+
+	for (int i = 0; i < LENDERS; i++) {
+		const kl_member_t *lender =
+			kl_slots_lender(node, state->slots, &account->cursor);
+
+		if (!lender)
+			return;
+		if (!kl_share_wants(account->share, lender->name.name, now,
+				    &message.ask))
+			continue;
+		memcpy(message.from, node->self.vm, KL_NAME_MAX);
+		memcpy(message.subject, account->name.name, KL_NAME_MAX);
+		memcpy(message.hello.host, node->self.host, KL_HOST_MAX);
+		message.hello.port = node->self.port;
+		node->outlet->peer(node->context, lender->name.name,
+				   lender->host, lender->port, &message);
+	}
+}
+
+static void loan_message(kl_node_t *node, share_state_t *state,
+			 const kl_peer_message_t *message)
+{
+	account_t *account = kl_index_get(state->index, message->subject);
+	kl_peer_message_t reply = {.kind = KL_PEER_GRANT};
+	uint64_t now = kl_node_now(node);
+
+	if (!account)
+		return;
+	if (message->kind == KL_PEER_GRANT)
+		kl_share_borrow(account->share, message->from, &message->grant,
+				now);
+	if (message->kind != KL_PEER_ASK ||
+	    !kl_share_lend(account->share, message->from, &message->ask, now,
+			   &reply.grant))
+		return;
+	memcpy(reply.from, node->self.vm, KL_NAME_MAX);
+	memcpy(reply.subject, message->subject, KL_NAME_MAX);
+	node->outlet->peer(node->context, message->from, message->hello.host,
+			   message->hello.port, &reply);
+}
+
+/* Parts are kept while open sessions may still need them. */
+static bool leaving(const kl_node_t *node, const share_state_t *state)
+{
+	const kl_life_t *life = kl_node_get(node, KL_SECTION_LIFE);
+	const account_t *account;
+	uint64_t sessions = 0;
+
+	if (!life || life->phase != KL_PHASE_DRAINING)
+		return false;
+	CK_STAILQ_FOREACH (account, &state->accounts, link)
+		sessions += ck_pr_load_64(&account->bucket->sessions);
+	return !sessions;
+}
+
+static void publish(kl_node_t *node, share_state_t *state)
+{
+	kl_shares_t *shares = calloc(1, sizeof(*shares));
+	account_t *account;
+	uint32_t count = 0;
+
+	if (!shares)
+		return;
+	CK_STAILQ_FOREACH (account, &state->accounts, link)
+		count++;
+	shares->base.destroy = destroy;
+	shares->index = kl_index_new(count);
+	shares->buckets = calloc(count + 1, sizeof(*shares->buckets));
+	if (!shares->index || !shares->buckets) {
+		destroy(&shares->base);
+		return;
+	}
+	CK_STAILQ_FOREACH (account, &state->accounts, link) {
+		account->bucket->references++;
+		shares->buckets[shares->count++] = account->bucket;
+		kl_index_put(shares->index, &account->bucket->name);
+	}
+	kl_node_publish(node, KL_SECTION_SHARES, &shares->base);
+}
+
+static void destroy(kl_snapshot_t *snapshot)
+{
+	kl_shares_t *shares = (kl_shares_t *)snapshot;
+
+	for (uint32_t i = 0; i < shares->count; i++)
+		release(shares->buckets[i]);
+	kl_index_free(shares->index);
+	free(shares->buckets);
+	free(shares);
+}
+
+static void release(kl_bucket_t *bucket)
+{
+	if (!--bucket->references)
+		free(bucket);
+}
+
+static int64_t purse_take(void *purse, int64_t max)
+{
+	kl_bucket_t *bucket = purse;
+	uint64_t *tokens = (uint64_t *)&bucket->tokens;
+	uint64_t held, taken;
+
+	do {
+		held = ck_pr_load_64(tokens);
+		taken = held < (uint64_t)max ? held : (uint64_t)max;
+	} while (!ck_pr_cas_64(tokens, held, held - taken));
+	return (int64_t)taken;
+}
+
+static void purse_put(void *purse, int64_t more, int64_t cap)
+{
+	kl_bucket_t *bucket = purse;
+	uint64_t *tokens = (uint64_t *)&bucket->tokens;
+	uint64_t held, sum;
+
+	do {
+		held = ck_pr_load_64(tokens);
+		sum = held + (uint64_t)more;
+		if (sum > (uint64_t)cap)
+			sum = (uint64_t)cap;
+	} while (sum != held && !ck_pr_cas_64(tokens, held, sum));
+}
+
+static void purse_valid_until(void *purse, uint64_t until_us)
+{
+	kl_bucket_t *bucket = purse;
+
+	ck_pr_store_64(&bucket->valid_until, until_us);
+}
--- /dev/null
+++ b/control/slot.c
@@ -0,0 +1,301 @@
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/prober.h"
+#include "control/slot.h"
+
+#define PREFIX "slot/"
+#define RETRY_US (400 * KL_MS)	 /* between two updates of one slot */
+#define SETTLE_US (1200 * KL_MS) /* the former owner's loans run out */
+#define ABSENT_US (5 * KL_SEC)	 /* unlisted so long: revoked */
+#define UPDATES 3		 /* conditional updates of one round */
+
+typedef struct slot {
+	char owner[KL_NAME_MAX];
+	char host[KL_HOST_MAX];
+	uint16_t port;
+	uint64_t incarnation;
+	bool revoked;
+	uint64_t version;
+	uint64_t seen_us;   /* when this state was first seen */
+	uint64_t dropped;   /* version given up; not used up to it */
+	uint64_t write_us;  /* last conditional update */
+	uint64_t absent_us; /* owner first seen unlisted, or 0 */
+} slot_t;
+
+struct kl_slots {
+	uint32_t count;
+	slot_t *table;
+	char self[KL_NAME_MAX];
+	uint64_t incarnation;
+};
+
+static bool decode(slot_t *slot, const char *body);
+static void write_slot(kl_node_t *node, slot_t *slot, uint32_t number,
+		       const char *owner, bool revoked);
+static bool mine(const kl_slots_t *slots, const slot_t *slot);
+static bool is_free(const kl_node_t *node, const slot_t *slot, uint64_t now);
+static void revoke_absent(kl_node_t *node, kl_slots_t *slots,
+			  const kl_members_t *members, uint64_t now);
+static uint32_t owned_by(const kl_slots_t *slots, const char *vm);
+static bool someone_lacks(const kl_slots_t *slots, const kl_members_t *members,
+			  uint32_t floor);
+
+kl_slots_t *kl_slots_new(uint32_t count)
+{
+	kl_slots_t *slots = calloc(1, sizeof(*slots));
+
+	if (!slots)
+		return NULL;
+	slots->count = count;
+	slots->table = calloc(count, sizeof(*slots->table));
+	if (!slots->table) {
+		free(slots);
+		return NULL;
+	}
+	return slots;
+}
+
+void kl_slots_free(kl_slots_t *slots)
+{
+	if (!slots)
+		return;
+	free(slots->table);
+	free(slots);
+}
+
+void kl_slots_read(kl_node_t *node, kl_slots_t *slots)
+{
+	const kl_objects_t *objects = kl_node_get(node, KL_SECTION_OBJECTS);
+
+	memcpy(slots->self, node->self.vm, KL_NAME_MAX);
+	slots->incarnation = node->self.incarnation;
+	if (!objects)
+		return;
+	for (uint32_t i = 0; i < slots->count; i++) {
+		char name[KL_NAME_MAX];
+		const kl_object_t *object;
+		slot_t *slot = &slots->table[i];
+
+		snprintf(name, sizeof(name), PREFIX "%u", i);
+		object = kl_index_get(objects->index, name);
+		if (!object || object->version == slot->version)
+			continue;
+		slot->version = object->version;
+		slot->seen_us = kl_node_now(node);
+		slot->absent_us = 0;
+		slot->write_us = 0;
+		if (!decode(slot, object->body))
+			slot->owner[0] = '\0';
+	}
+}
+
+uint64_t kl_slots_part(const kl_node_t *node, const kl_slots_t *slots,
+		       uint64_t whole)
+{
+	uint64_t now = kl_node_now(node);
+	uint32_t usable = 0;
+
+	for (uint32_t i = 0; i < slots->count; i++) {
+		const slot_t *slot = &slots->table[i];
+
+		usable += mine(slots, slot) && !slot->revoked &&
+			  now - slot->seen_us >= SETTLE_US;
+	}
+	return whole * usable / slots->count;
+}
+
+uint32_t kl_slots_held(const kl_slots_t *slots)
+{
+	return owned_by(slots, slots->self);
+}
+
+void kl_slots_balance(kl_node_t *node, kl_slots_t *slots, bool leaving)
+{
+	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
+	uint64_t now = kl_node_now(node);
+	uint32_t live = members && members->live ? members->live : 1;
+	uint32_t floor = slots->count / live;
+	uint32_t ceiling = leaving ? 0 : (slots->count + live - 1) / live;
+	uint32_t held = 0, updates = 0, free_slots = 0;
+	uint32_t first = kl_node_random(node) % slots->count;
+
+	if (!members || !kl_node_get(node, KL_SECTION_FRESH))
+		return;
+	revoke_absent(node, slots, members, now);
+	for (uint32_t i = 0; i < slots->count; i++) {
+		held += mine(slots, &slots->table[i]);
+		free_slots += is_free(node, &slots->table[i], now);
+	}
+	bool excess =
+		held > ceiling || (!leaving && !free_slots && held > floor &&
+				   someone_lacks(slots, members, floor));
+	for (uint32_t n = 0; n < slots->count && updates < UPDATES; n++) {
+		uint32_t i = (first + n) % slots->count;
+		slot_t *slot = &slots->table[i];
+
+		if (slot->write_us && now - slot->write_us < RETRY_US) {
+			updates += !mine(slots, slot);
+			continue;
+		}
+		if (held < ceiling && is_free(node, slot, now)) {
+			write_slot(node, slot, i, node->self.vm, false);
+			held++;
+			updates++;
+		} else if (excess && mine(slots, slot)) {
+			/* Given up before asking: the answer may be lost. */
+			slot->dropped = slot->version;
+			write_slot(node, slot, i, "", false);
+			held--;
+			updates++;
+			excess = held > ceiling;
+		} else if (slot->dropped == slot->version && slot->dropped &&
+			   !strcmp(slot->owner, node->self.vm)) {
+			write_slot(node, slot, i, "", false);
+			updates++;
+		}
+	}
+}
+
+const kl_member_t *kl_slots_lender(const kl_node_t *node,
+				   const kl_slots_t *slots, uint32_t *cursor)
+{
+	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
+
+	for (uint32_t n = 0; members && n < slots->count; n++) {
+		const slot_t *slot = &slots->table[(*cursor)++ % slots->count];
+		const kl_member_t *member;
+
+		if (!slot->owner[0] || slot->revoked ||
+		    !strcmp(slot->owner, slots->self))
+			continue;
+		member = kl_index_get(members->index, slot->owner);
+		if (member)
+			return member;
+	}
+	return NULL;
+}
+
+static bool decode(slot_t *slot, const char *body)
+{
+	json_t *json = json_loads(body, 0, NULL);
+	const char *owner, *host;
+	json_int_t incarnation;
+	int port, revoked;
+	bool good = !json_unpack(json, "{s:s,s:I,s:s,s:i,s:b}", "owner", &owner,
+				 "incarnation", &incarnation, "host", &host,
+				 "port", &port, "revoked", &revoked) &&
+		    strlen(host) < KL_HOST_MAX &&
+		    !kl_name_set(slot->owner, owner);
+
+	if (good) {
+		memcpy(slot->host, host, strlen(host) + 1);
+		slot->port = (uint16_t)port;
+		slot->incarnation = (uint64_t)incarnation;
+		slot->revoked = revoked;
+	}
+	json_decref(json);
+	return good;
+}
+
+static void write_slot(kl_node_t *node, slot_t *slot, uint32_t number,
+		       const char *owner, bool revoked)
+{
+	kl_platform_call_t call = {.op = KL_PLATFORM_PUT,
+				   .owner = KL_CONTROLLER_SHARE,
+				   .asked_us = kl_node_now(node),
+				   .version = slot->version};
+	json_t *json;
+	char *body;
+
+	slot->write_us = call.asked_us;
+	json = json_pack("{s:s,s:I,s:s,s:i,s:b}", "owner", owner, "incarnation",
+			 (json_int_t)(revoked ? slot->incarnation
+					      : node->self.incarnation),
+			 "host", revoked ? slot->host : node->self.host, "port",
+			 revoked ? slot->port : node->self.port, "revoked",
+			 revoked);
+	body = json_dumps(json, JSON_COMPACT);
+	json_decref(json);
+	if (!body)
+		return;
+	snprintf(call.name, sizeof(call.name), PREFIX "%u", number);
+	call.body = body;
+	node->outlet->platform(node->context, &call);
+	free(body);
+}
+
+static bool mine(const kl_slots_t *slots, const slot_t *slot)
+{
+	return !strcmp(slot->owner, slots->self) &&
+	       slot->incarnation == slots->incarnation &&
+	       slot->version > slot->dropped;
+}
+
+/*
+ * Nobody's; or revoked for longer than its owner may use it unconfirmed; or
+ * left by an earlier process at this very address, which cannot be alive.
+ */
+static bool is_free(const kl_node_t *node, const slot_t *slot, uint64_t now)
+{
+	uint64_t hold = node->tuning.share_hold_us;
+
+	if (!slot->owner[0])
+		return true;
+	if (slot->revoked)
+		return now - slot->seen_us > hold + hold / 10;
+	return !strcmp(slot->owner, node->self.vm) &&
+	       slot->incarnation < node->self.incarnation &&
+	       !strcmp(slot->host, node->self.host) &&
+	       slot->port == node->self.port;
+}
+
+static void revoke_absent(kl_node_t *node, kl_slots_t *slots,
+			  const kl_members_t *members, uint64_t now)
+{
+	for (uint32_t i = 0; i < slots->count; i++) {
+		slot_t *slot = &slots->table[i];
+		const kl_member_t *owner =
+			kl_index_get(members->index, slot->owner);
+		char name[KL_NAME_MAX];
+
+		if (!slot->owner[0] || slot->revoked ||
+		    !strcmp(slot->owner, node->self.vm) ||
+		    (owner && owner->listed)) {
+			slot->absent_us = 0;
+			continue;
+		}
+		if (!slot->absent_us)
+			slot->absent_us = now;
+		snprintf(name, sizeof(name), PREFIX "%u", i);
+		if (now - slot->absent_us < ABSENT_US ||
+		    (slot->write_us && now - slot->write_us < RETRY_US) ||
+		    kl_prober_rank(node, members, name) != 0)
+			continue;
+		write_slot(node, slot, i, slot->owner, true);
+	}
+}
+
+static uint32_t owned_by(const kl_slots_t *slots, const char *vm)
+{
+	uint32_t owned = 0;
+
+	for (uint32_t i = 0; i < slots->count; i++)
+		owned += !strcmp(slots->table[i].owner, vm);
+	return owned;
+}
+
+static bool someone_lacks(const kl_slots_t *slots, const kl_members_t *members,
+			  uint32_t floor)
+{
+	const kl_member_t *member;
+
+	CK_STAILQ_FOREACH (member, &members->list, link) {
+		if (member->listed && !member->leaving &&
+		    owned_by(slots, member->name.name) < floor)
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/path/admit.c
@@ -0,0 +1,37 @@
+#include <ck_pr.h>
+
+#include "kumquatloft/share.h"
+#include "path/path.h"
+
+int kl_admit(const kl_scene_t *scene, kl_bucket_t *bucket)
+{
+	uint64_t *tokens = (uint64_t *)&bucket->tokens;
+	uint64_t held;
+
+	if (scene->now_us >= ck_pr_load_64(&bucket->valid_until))
+		return -KL_E_RATE;
+	do {
+		held = ck_pr_load_64(tokens);
+		if (held < KL_TOKENS_ONE)
+			return -KL_E_RATE;
+	} while (!ck_pr_cas_64(tokens, held, held - KL_TOKENS_ONE));
+	return 0;
+}
+
+int kl_admit_session(kl_bucket_t *bucket)
+{
+	uint64_t cap = ck_pr_load_64(&bucket->session_cap);
+	uint64_t open;
+
+	do {
+		open = ck_pr_load_64(&bucket->sessions);
+		if (open >= cap)
+			return -KL_E_CONNECTIONS;
+	} while (!ck_pr_cas_64(&bucket->sessions, open, open + 1));
+	return 0;
+}
+
+void kl_leave_session(kl_bucket_t *bucket)
+{
+	ck_pr_dec_64(&bucket->sessions);
+}
--- /dev/null
+++ b/path/auth.c
@@ -0,0 +1,38 @@
+#include <sodium.h>
+#include <string.h>
+
+#include "path/path.h"
+
+void kl_key_hash(const char *key, char hex[2 * KL_KEY_HASH + 1])
+{
+	unsigned char hash[KL_KEY_HASH];
+
+	crypto_generichash(hash, sizeof(hash), (const unsigned char *)key,
+			   strlen(key), NULL, 0);
+	sodium_bin2hex(hex, 2 * KL_KEY_HASH + 1, hash, sizeof(hash));
+}
+
+int kl_authenticate(const kl_scene_t *scene, const kl_path_settings_t *settings,
+		    const char *hash, const char *workspace,
+		    const char *service)
+{
+	const kl_service_t *route;
+	const kl_key_t *key;
+	uint64_t confirmed;
+
+	if (!scene->config)
+		return -KL_E_STALE_CONFIG;
+	confirmed = scene->fresh ? scene->fresh->confirmed_us : 0;
+	if (settings->stale_after_us &&
+	    scene->now_us - confirmed > settings->stale_after_us)
+		return -KL_E_STALE_CONFIG;
+	route = kl_index_get(scene->config->service_index, service);
+	if (!route)
+		return -KL_E_NOT_FOUND;
+	if (route->open && !strcmp(route->open_workspace, workspace))
+		return 0;
+	key = kl_index_get(scene->config->key_index, hash);
+	if (!key || strcmp(key->workspace->name.name, workspace))
+		return -KL_E_AUTH;
+	return key->withdrawn ? -KL_E_KEY_WITHDRAWN : 0;
+}
--- /dev/null
+++ b/path/scene.c
@@ -0,0 +1,14 @@
+#include "path/path.h"
+
+void kl_scene_look(kl_scene_t *scene, const kl_reader_t *reader,
+		   uint64_t now_us)
+{
+	scene->fresh = kl_board_get(reader, KL_SECTION_FRESH);
+	scene->config = kl_board_get(reader, KL_SECTION_CONFIG);
+	scene->terms = kl_board_get(reader, KL_SECTION_TERMS);
+	scene->members = kl_board_get(reader, KL_SECTION_MEMBERS);
+	scene->health = kl_board_get(reader, KL_SECTION_HEALTH);
+	scene->shares = kl_board_get(reader, KL_SECTION_SHARES);
+	scene->life = kl_board_get(reader, KL_SECTION_LIFE);
+	scene->now_us = now_us;
+}
