--- /dev/null
+++ b/front/pg_codec.c
@@ -0,0 +1,245 @@
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "front/pg_codec.h"
+#include "kumquatloft/kind.h"
+
+static void put_problem(struct evbuffer *out, const char *severity,
+			const char *sqlstate, const char *text);
+static void put_head(struct evbuffer *out, char type, size_t payload);
+static void put_int32(struct evbuffer *out, uint32_t value);
+static void put_int16(struct evbuffer *out, uint16_t value);
+static void put_string(struct evbuffer *out, const char *text);
+
+int kl_pg_take(struct evbuffer *in, bool startup, kl_pg_message_t *message)
+{
+	size_t head = startup ? 4 : 5;
+	size_t limit = startup ? KL_PG_STARTUP_MAX : KL_PG_MESSAGE_MAX;
+	unsigned char bytes[5];
+	uint32_t length;
+
+	if (evbuffer_copyout(in, bytes, head) < (ev_ssize_t)head)
+		return 0;
+	memcpy(&length, bytes + head - 4, 4);
+	length = ntohl(length);
+	if (length < 4 || length > limit || (startup && length < 8))
+		return -KL_E_PROTOCOL;
+	if (evbuffer_get_length(in) < head - 4 + length)
+		return 0;
+	memset(message, 0, sizeof(*message));
+	message->type = startup ? 0 : (char)bytes[0];
+	message->length = length - 4;
+	message->payload = malloc(message->length + 1);
+	if (!message->payload)
+		return -KL_E_NOMEM;
+	evbuffer_drain(in, head);
+	evbuffer_remove(in, message->payload, message->length);
+	message->payload[message->length] = '\0';
+	return 1;
+}
+
+void kl_pg_done(kl_pg_message_t *message)
+{
+	free(message->payload);
+	message->payload = NULL;
+}
+
+const unsigned char *kl_pg_bytes(kl_pg_message_t *message, size_t length)
+{
+	const unsigned char *bytes = message->payload + message->at;
+
+	if (message->bad || length > message->length - message->at) {
+		message->bad = true;
+		return NULL;
+	}
+	message->at += length;
+	return bytes;
+}
+
+uint32_t kl_pg_int32(kl_pg_message_t *message)
+{
+	const unsigned char *bytes = kl_pg_bytes(message, 4);
+	uint32_t value = 0;
+
+	if (bytes)
+		memcpy(&value, bytes, 4);
+	return ntohl(value);
+}
+
+uint16_t kl_pg_int16(kl_pg_message_t *message)
+{
+	const unsigned char *bytes = kl_pg_bytes(message, 2);
+	uint16_t value = 0;
+
+	if (bytes)
+		memcpy(&value, bytes, 2);
+	return ntohs(value);
+}
+
+uint8_t kl_pg_byte(kl_pg_message_t *message)
+{
+	const unsigned char *bytes = kl_pg_bytes(message, 1);
+
+	return bytes ? *bytes : 0;
+}
+
+const char *kl_pg_string(kl_pg_message_t *message)
+{
+	const char *text = (const char *)message->payload + message->at;
+	const char *end;
+
+	if (message->bad)
+		return "";
+	end = memchr(text, '\0', message->length - message->at);
+	if (!end) {
+		message->bad = true;
+		return "";
+	}
+	message->at += (size_t)(end - text) + 1;
+	return text;
+}
+
+void kl_pg_put_auth(struct evbuffer *out, uint32_t kind)
+{
+	put_head(out, 'R', 4);
+	put_int32(out, kind);
+}
+
+void kl_pg_put_parameter(struct evbuffer *out, const char *name,
+			 const char *value)
+{
+	put_head(out, 'S', strlen(name) + strlen(value) + 2);
+	put_string(out, name);
+	put_string(out, value);
+}
+
+void kl_pg_put_backend_key(struct evbuffer *out, uint32_t pid, uint32_t secret)
+{
+	put_head(out, 'K', 8);
+	put_int32(out, pid);
+	put_int32(out, secret);
+}
+
+void kl_pg_put_ready(struct evbuffer *out, char transaction)
+{
+	put_head(out, 'Z', 1);
+	evbuffer_add(out, &transaction, 1);
+}
+
+void kl_pg_put_error(struct evbuffer *out, const char *sqlstate,
+		     const char *text)
+{
+	put_problem(out, "ERROR", sqlstate, text);
+}
+
+void kl_pg_put_fatal(struct evbuffer *out, const char *sqlstate,
+		     const char *text)
+{
+	put_problem(out, "FATAL", sqlstate, text);
+}
+
+static void put_problem(struct evbuffer *out, const char *severity,
+			const char *sqlstate, const char *text)
+{
+	const struct {
+		char field;
+		const char *value;
+	} fields[] = {
+		{'S', severity}, {'V', severity}, {'C', sqlstate}, {'M', text}};
+	size_t count = sizeof(fields) / sizeof(*fields);
+	size_t payload = 1;
+
+	for (size_t i = 0; i < count; i++)
+		payload += strlen(fields[i].value) + 2;
+	put_head(out, 'E', payload);
+	for (size_t i = 0; i < count; i++) {
+		evbuffer_add(out, &fields[i].field, 1);
+		put_string(out, fields[i].value);
+	}
+	evbuffer_add(out, "", 1);
+}
+
+void kl_pg_put_columns(struct evbuffer *out, const kl_rows_ops_t *ops,
+		       const void *rows)
+{
+	int columns = ops->columns(rows);
+	size_t payload = 2;
+
+	for (int i = 0; i < columns; i++)
+		payload += strlen(ops->name(rows, i)) + 1 + 18;
+	put_head(out, 'T', payload);
+	put_int16(out, (uint16_t)columns);
+	for (int i = 0; i < columns; i++) {
+		put_string(out, ops->name(rows, i));
+		put_int32(out, 0);
+		put_int16(out, 0);
+		put_int32(out, ops->type(rows, i));
+		put_int16(out, (uint16_t)-1);
+		put_int32(out, (uint32_t)-1);
+		put_int16(out, (uint16_t)ops->format(rows, i));
+	}
+}
+
+void kl_pg_put_rows(struct evbuffer *out, const kl_rows_ops_t *ops,
+		    const void *rows)
+{
+	int columns = ops->columns(rows);
+	int count = ops->rows(rows);
+	size_t length;
+
+	for (int row = 0; row < count; row++) {
+		size_t payload = 2;
+
+		for (int i = 0; i < columns; i++) {
+			length = 0;
+			ops->value(rows, row, i, &length);
+			payload += 4 + length;
+		}
+		put_head(out, 'D', payload);
+		put_int16(out, (uint16_t)columns);
+		for (int i = 0; i < columns; i++) {
+			const char *value;
+
+			length = 0;
+			value = ops->value(rows, row, i, &length);
+			put_int32(out, value ? (uint32_t)length : (uint32_t)-1);
+			if (value)
+				evbuffer_add(out, value, length);
+		}
+	}
+}
+
+void kl_pg_put_complete(struct evbuffer *out, const char *tag)
+{
+	put_head(out, 'C', strlen(tag) + 1);
+	put_string(out, tag);
+}
+
+void kl_pg_put_bare(struct evbuffer *out, char type)
+{
+	put_head(out, type, 0);
+}
+
+static void put_head(struct evbuffer *out, char type, size_t payload)
+{
+	evbuffer_add(out, &type, 1);
+	put_int32(out, (uint32_t)payload + 4);
+}
+
+static void put_int32(struct evbuffer *out, uint32_t value)
+{
+	value = htonl(value);
+	evbuffer_add(out, &value, 4);
+}
+
+static void put_int16(struct evbuffer *out, uint16_t value)
+{
+	value = htons(value);
+	evbuffer_add(out, &value, 2);
+}
+
+static void put_string(struct evbuffer *out, const char *text)
+{
+	evbuffer_add(out, text, strlen(text) + 1);
+}
--- /dev/null
+++ b/front/pg_front.c
@@ -0,0 +1,686 @@
+/* The PostgreSQL front end: startup, simple and unnamed extended queries. */
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "front/front.h"
+#include "front/pg_codec.h"
+#include "kumquatloft/kind.h"
+
+#define LOGIN_SECONDS 10   /* a caller that stays silent is cut */
+#define HALF_SECONDS 30	   /* so is one that sends half a message */
+#define CLOSE_SECONDS 1	   /* to take the last answer and hang up */
+#define HIGH_WATER 1048576 /* bytes read ahead of a running query */
+
+typedef enum phase {
+	PHASE_STARTUP,
+	PHASE_PASSWORD,
+	PHASE_LOGIN, /* the worker looks at the login */
+	PHASE_READY,
+	PHASE_BUSY, /* a query runs */
+	PHASE_CLOSING,
+} phase_t;
+
+struct kl_front {
+	struct bufferevent *socket;
+	struct evbuffer *held;	  /* answers kept back */
+	struct evbuffer *carried; /* bytes read before a detach */
+	bool holding;
+	int detached;
+	const kl_front_events_t *events;
+	void *owner;
+	phase_t phase;
+	char *user;
+	char *database;
+	char *session;
+	char *max_age;
+	char *repeatable;
+	bool extended; /* the running query came by Sync */
+	bool described;
+	bool skipping; /* after an error, until Sync */
+	bool have_parse;
+	bool have_bind;
+	bool have_execute;
+	char *text;
+	int parameters;
+	uint32_t types[KL_PARAMETERS_MAX];
+	kl_pg_message_t bind; /* owns the values */
+	const char *values[KL_PARAMETERS_MAX];
+	int lengths[KL_PARAMETERS_MAX];
+	int formats[KL_PARAMETERS_MAX];
+	int result_format;
+	char transaction;
+};
+
+typedef void (*handler_t)(kl_front_t *front, kl_pg_message_t *message);
+
+static kl_front_t *pg_open(struct event_base *base, int socket,
+			   const kl_front_events_t *events, void *owner);
+static void pg_welcome(kl_front_t *front, uint32_t id, uint32_t secret);
+static void pg_parameter(kl_front_t *front, const char *name,
+			 const char *value);
+static void pg_rows(kl_front_t *front, const kl_rows_ops_t *ops,
+		    const void *rows);
+static void pg_complete(kl_front_t *front, const char *tag);
+static void pg_error(kl_front_t *front, const char *sqlstate, const char *text);
+static void pg_fatal(kl_front_t *front, const char *sqlstate, const char *text);
+static void pg_ready(kl_front_t *front, char transaction);
+static void pg_hold(kl_front_t *front);
+static void pg_release(kl_front_t *front);
+static void pg_discard(kl_front_t *front);
+static void pg_detach(kl_front_t *front);
+static int pg_attach(kl_front_t *front, struct event_base *base);
+static void pg_close(kl_front_t *front);
+static bool pg_idle(const kl_front_t *front);
+static void listen_to(kl_front_t *front);
+static void on_read(struct bufferevent *socket, void *arg);
+static void on_event(struct bufferevent *socket, short what, void *arg);
+static void on_discard(struct bufferevent *socket, void *arg);
+static void on_flushed(struct bufferevent *socket, void *arg);
+static void step(kl_front_t *front);
+static void on_startup(kl_front_t *front, kl_pg_message_t *message);
+static void on_cancel(kl_front_t *front, kl_pg_message_t *message);
+static void on_password(kl_front_t *front, kl_pg_message_t *message);
+static void on_simple(kl_front_t *front, kl_pg_message_t *message);
+static void on_parse(kl_front_t *front, kl_pg_message_t *message);
+static void on_bind(kl_front_t *front, kl_pg_message_t *message);
+static void on_describe(kl_front_t *front, kl_pg_message_t *message);
+static void on_execute(kl_front_t *front, kl_pg_message_t *message);
+static void on_close(kl_front_t *front, kl_pg_message_t *message);
+static void on_flush(kl_front_t *front, kl_pg_message_t *message);
+static void on_sync(kl_front_t *front, kl_pg_message_t *message);
+static void on_terminate(kl_front_t *front, kl_pg_message_t *message);
+static void read_options(kl_front_t *front, const char *options);
+static void refuse(kl_front_t *front, int error);
+static void protocol_error(kl_front_t *front);
+static void forget_statement(kl_front_t *front);
+static void front_free(kl_front_t *front);
+static void replace(char **field, const char *value);
+static struct evbuffer *out_of(kl_front_t *front);
+
+const kl_front_ops_t kl_front_pg = {
+	.name = "postgresql",
+	.open = pg_open,
+	.welcome = pg_welcome,
+	.parameter = pg_parameter,
+	.rows = pg_rows,
+	.complete = pg_complete,
+	.error = pg_error,
+	.fatal = pg_fatal,
+	.ready = pg_ready,
+	.hold = pg_hold,
+	.release = pg_release,
+	.discard = pg_discard,
+	.detach = pg_detach,
+	.attach = pg_attach,
+	.close = pg_close,
+	.idle = pg_idle,
+};
+
+static const struct {
+	char type;
+	handler_t handle;
+} handlers[] = {
+	{'Q', on_simple},   {'P', on_parse},   {'B', on_bind},
+	{'D', on_describe}, {'E', on_execute}, {'C', on_close},
+	{'H', on_flush},    {'S', on_sync},    {'X', on_terminate},
+};
+
+static kl_front_t *pg_open(struct event_base *base, int socket,
+			   const kl_front_events_t *events, void *owner)
+{
+	struct timeval login = {LOGIN_SECONDS, 0};
+	kl_front_t *front = calloc(1, sizeof(*front));
+
+	if (!front)
+		return NULL;
+	front->socket =
+		bufferevent_socket_new(base, socket, BEV_OPT_CLOSE_ON_FREE);
+	if (!front->socket) {
+		free(front);
+		return NULL;
+	}
+	front->events = events;
+	front->owner = owner;
+	front->transaction = 'I';
+	front->held = evbuffer_new();
+	front->carried = evbuffer_new();
+	listen_to(front);
+	bufferevent_set_timeouts(front->socket, &login, NULL);
+	return front;
+}
+
+static void listen_to(kl_front_t *front)
+{
+	bufferevent_setcb(front->socket, on_read, NULL, on_event, front);
+	bufferevent_setwatermark(front->socket, EV_READ, 0,
+				 KL_PG_MESSAGE_MAX + HIGH_WATER);
+	bufferevent_enable(front->socket, EV_READ | EV_WRITE);
+}
+
+static void pg_detach(kl_front_t *front)
+{
+	evbuffer_add_buffer(front->carried,
+			    bufferevent_get_input(front->socket));
+	front->detached = bufferevent_getfd(front->socket);
+	bufferevent_disable(front->socket, EV_READ | EV_WRITE);
+	bufferevent_setfd(front->socket, -1);
+	bufferevent_free(front->socket);
+	front->socket = NULL;
+}
+
+static int pg_attach(kl_front_t *front, struct event_base *base)
+{
+	front->socket = bufferevent_socket_new(base, front->detached,
+					       BEV_OPT_CLOSE_ON_FREE);
+	if (!front->socket)
+		return -KL_E_NOMEM;
+	evbuffer_add_buffer(bufferevent_get_input(front->socket),
+			    front->carried);
+	listen_to(front);
+	return 0;
+}
+
+static void pg_hold(kl_front_t *front)
+{
+	front->holding = true;
+}
+
+static void pg_release(kl_front_t *front)
+{
+	front->holding = false;
+	evbuffer_add_buffer(bufferevent_get_output(front->socket), front->held);
+}
+
+static void pg_discard(kl_front_t *front)
+{
+	front->holding = false;
+	evbuffer_drain(front->held, evbuffer_get_length(front->held));
+}
+
+static void on_read(struct bufferevent *socket, void *arg)
+{
+	(void)socket;
+	step(arg);
+}
+
+static void on_event(struct bufferevent *socket, short what, void *arg)
+{
+	kl_front_t *front = arg;
+	(void)socket;
+	(void)what;
+
+	if (front->phase != PHASE_CLOSING)
+		front->events->closed(front->owner);
+	front_free(front);
+}
+
+/* Takes messages off as long as no query runs. */
+static void step(kl_front_t *front)
+{
+	struct evbuffer *in = bufferevent_get_input(front->socket);
+	struct timeval half = {HALF_SECONDS, 0};
+
+	while (front->phase == PHASE_STARTUP ||
+	       front->phase == PHASE_PASSWORD || front->phase == PHASE_READY) {
+		phase_t phase = front->phase;
+		kl_pg_message_t message;
+		int taken = kl_pg_take(in, phase == PHASE_STARTUP, &message);
+
+		if (taken < 0) {
+			protocol_error(front);
+			return;
+		}
+		if (!taken) {
+			bool partial = evbuffer_get_length(in) > 0;
+
+			if (phase == PHASE_READY)
+				bufferevent_set_timeouts(front->socket,
+							 partial ? &half : NULL,
+							 NULL);
+			return;
+		}
+		if (phase == PHASE_STARTUP) {
+			on_startup(front, &message);
+		} else if (phase == PHASE_PASSWORD) {
+			on_password(front, &message);
+		} else {
+			handler_t handle = NULL;
+
+			for (size_t i = 0;
+			     i < sizeof(handlers) / sizeof(*handlers); i++)
+				if (handlers[i].type == message.type)
+					handle = handlers[i].handle;
+			if (!handle) {
+				kl_pg_done(&message);
+				protocol_error(front);
+				return;
+			}
+			if (message.type == 'X') {
+				kl_pg_done(&message);
+				on_terminate(front, NULL);
+				return;
+			}
+			if (!front->skipping || message.type == 'S')
+				handle(front, &message);
+		}
+		if (message.bad && front->phase != PHASE_CLOSING)
+			protocol_error(front);
+		kl_pg_done(&message);
+	}
+}
+
+static void on_startup(kl_front_t *front, kl_pg_message_t *message)
+{
+	uint32_t version = kl_pg_int32(message);
+
+	if (version == KL_PG_SSL || version == KL_PG_GSSENC) {
+		evbuffer_add(out_of(front), "N", 1);
+		return;
+	}
+	if (version == KL_PG_CANCEL) {
+		on_cancel(front, message);
+		return;
+	}
+	if (version >> 16 != 3) {
+		protocol_error(front);
+		return;
+	}
+	while (!message->bad && message->at + 1 < message->length) {
+		const char *name = kl_pg_string(message);
+		const char *value = kl_pg_string(message);
+
+		if (!strcmp(name, "user"))
+			replace(&front->user, value);
+		else if (!strcmp(name, "database"))
+			replace(&front->database, value);
+		else if (!strcmp(name, "options"))
+			read_options(front, value);
+	}
+	if (!front->user) {
+		protocol_error(front);
+		return;
+	}
+	if (!front->database)
+		replace(&front->database, front->user);
+	kl_pg_put_auth(out_of(front), 3);
+	front->phase = PHASE_PASSWORD;
+}
+
+/* Reads "-c kumquatloft.NAME=VALUE" words. */
+static void read_options(kl_front_t *front, const char *options)
+{
+	static const char prefix[] = "kumquatloft.";
+	char *copy = strdup(options);
+	char *save = NULL;
+	char *word;
+
+	for (word = strtok_r(copy, " ", &save); word;
+	     word = strtok_r(NULL, " ", &save)) {
+		char *value;
+
+		if (!strncmp(word, "-c", 2) && word[2])
+			word += 2;
+		if (strncmp(word, prefix, strlen(prefix)))
+			continue;
+		word += strlen(prefix);
+		value = strchr(word, '=');
+		if (!value)
+			continue;
+		*value++ = '\0';
+		if (!strcmp(word, "session"))
+			replace(&front->session, value);
+		else if (!strcmp(word, "max_age"))
+			replace(&front->max_age, value);
+		else if (!strcmp(word, "repeatable"))
+			replace(&front->repeatable, value);
+	}
+	free(copy);
+}
+
+static void on_cancel(kl_front_t *front, kl_pg_message_t *message)
+{
+	uint32_t id = kl_pg_int32(message);
+	uint32_t secret = kl_pg_int32(message);
+
+	if (!message->bad)
+		front->events->cancel(front->owner, id, secret);
+	front->events->closed(front->owner);
+	pg_close(front);
+}
+
+static void on_password(kl_front_t *front, kl_pg_message_t *message)
+{
+	kl_login_t login = {
+		.workspace = front->user,
+		.service = front->database,
+		.session = front->session ? front->session : "",
+		.max_age = front->max_age ? front->max_age : "",
+		.repeatable = front->repeatable ? front->repeatable : "",
+	};
+
+	if (message->type != 'p') {
+		protocol_error(front);
+		return;
+	}
+	login.key = kl_pg_string(message);
+	if (message->bad)
+		return;
+	front->phase = PHASE_LOGIN;
+	front->events->login(front->owner, &login);
+}
+
+static void on_simple(kl_front_t *front, kl_pg_message_t *message)
+{
+	kl_query_t query = {.text = kl_pg_string(message)};
+
+	if (message->bad)
+		return;
+	front->extended = false;
+	front->phase = PHASE_BUSY;
+	front->events->query(front->owner, &query);
+}
+
+static void on_parse(kl_front_t *front, kl_pg_message_t *message)
+{
+	const char *name = kl_pg_string(message);
+	const char *text = kl_pg_string(message);
+	int count = kl_pg_int16(message);
+
+	if (message->bad)
+		return;
+	if (*name || count > KL_PARAMETERS_MAX || front->have_parse) {
+		refuse(front, -KL_E_UNSUPPORTED);
+		return;
+	}
+	memset(front->types, 0, sizeof(front->types));
+	for (int i = 0; i < count; i++)
+		front->types[i] = kl_pg_int32(message);
+	replace(&front->text, text);
+	front->have_parse = true;
+}
+
+static void on_bind(kl_front_t *front, kl_pg_message_t *message)
+{
+	const char *portal = kl_pg_string(message);
+	const char *name = kl_pg_string(message);
+	int formats = kl_pg_int16(message);
+	int given[KL_PARAMETERS_MAX] = {0};
+
+	if (message->bad)
+		return;
+	if (*portal || *name || !front->text || front->have_bind ||
+	    formats > KL_PARAMETERS_MAX) {
+		refuse(front, -KL_E_UNSUPPORTED);
+		return;
+	}
+	for (int i = 0; i < formats; i++)
+		given[i] = kl_pg_int16(message);
+	front->parameters = kl_pg_int16(message);
+	if (front->parameters > KL_PARAMETERS_MAX) {
+		refuse(front, -KL_E_UNSUPPORTED);
+		return;
+	}
+	for (int i = 0; i < front->parameters; i++) {
+		int32_t length = (int32_t)kl_pg_int32(message);
+
+		front->formats[i] = formats == 1 ? given[0] : given[i];
+		front->values[i] = NULL;
+		front->lengths[i] = 0;
+		if (length < 0)
+			continue;
+		front->values[i] =
+			(const char *)kl_pg_bytes(message, (size_t)length);
+		front->lengths[i] = length;
+	}
+	front->result_format = 0;
+	if (kl_pg_int16(message) >= 1)
+		front->result_format = kl_pg_int16(message);
+	if (message->bad)
+		return;
+	kl_pg_done(&front->bind);
+	front->bind = *message;
+	message->payload = NULL;
+	front->have_bind = true;
+}
+
+static void on_describe(kl_front_t *front, kl_pg_message_t *message)
+{
+	char what = (char)kl_pg_byte(message);
+
+	if (what != 'P' || !front->have_bind)
+		refuse(front, -KL_E_UNSUPPORTED);
+	front->described = true;
+}
+
+static void on_execute(kl_front_t *front, kl_pg_message_t *message)
+{
+	const char *portal = kl_pg_string(message);
+	uint32_t limit = kl_pg_int32(message);
+
+	if (message->bad)
+		return;
+	if (*portal || limit || !front->have_bind || front->have_execute) {
+		refuse(front, -KL_E_UNSUPPORTED);
+		return;
+	}
+	front->have_execute = true;
+}
+
+static void on_close(kl_front_t *front, kl_pg_message_t *message)
+{
+	(void)message;
+	kl_pg_put_bare(out_of(front), '3');
+}
+
+static void on_flush(kl_front_t *front, kl_pg_message_t *message)
+{
+	(void)front;
+	(void)message;
+}
+
+static void on_sync(kl_front_t *front, kl_pg_message_t *message)
+{
+	kl_query_t query = {.text = front->text,
+			    .extended = true,
+			    .parameters = front->parameters,
+			    .types = front->types,
+			    .values = front->values,
+			    .lengths = front->lengths,
+			    .formats = front->formats,
+			    .result_format = front->result_format};
+	(void)message;
+
+	if (front->skipping || !front->have_execute) {
+		if (!front->skipping && front->have_parse) {
+			kl_pg_put_bare(out_of(front), '1');
+			if (front->have_bind)
+				kl_pg_put_bare(out_of(front), '2');
+		}
+		front->skipping = false;
+		forget_statement(front);
+		kl_pg_put_ready(out_of(front), front->transaction);
+		return;
+	}
+	front->extended = true;
+	front->phase = PHASE_BUSY;
+	front->events->query(front->owner, &query);
+}
+
+static void on_terminate(kl_front_t *front, kl_pg_message_t *message)
+{
+	(void)message;
+	front->events->closed(front->owner);
+	front_free(front);
+}
+
+/* Refuses one message of an extended query: nothing of it has run. */
+static void refuse(kl_front_t *front, int error)
+{
+	const kl_answer_t *answer = kl_answer_of(error);
+
+	kl_pg_put_error(out_of(front), answer->sqlstate, answer->text);
+	front->skipping = true;
+	forget_statement(front);
+}
+
+static void protocol_error(kl_front_t *front)
+{
+	const kl_answer_t *answer = kl_answer_of(-KL_E_PROTOCOL);
+
+	kl_pg_put_fatal(out_of(front), answer->sqlstate, answer->text);
+	front->events->closed(front->owner);
+	pg_close(front);
+}
+
+static void pg_welcome(kl_front_t *front, uint32_t id, uint32_t secret)
+{
+	struct evbuffer *out = out_of(front);
+
+	kl_pg_put_auth(out, 0);
+	kl_pg_put_parameter(out, "server_version", "15.0");
+	kl_pg_put_parameter(out, "server_encoding", "UTF8");
+	kl_pg_put_parameter(out, "client_encoding", "UTF8");
+	kl_pg_put_parameter(out, "DateStyle", "ISO, MDY");
+	kl_pg_put_parameter(out, "integer_datetimes", "on");
+	kl_pg_put_parameter(out, "standard_conforming_strings", "on");
+	kl_pg_put_backend_key(out, id, secret);
+	kl_pg_put_ready(out, 'I');
+	bufferevent_set_timeouts(front->socket, NULL, NULL);
+	front->phase = PHASE_READY;
+}
+
+static void pg_parameter(kl_front_t *front, const char *name, const char *value)
+{
+	kl_pg_put_parameter(out_of(front), name, value);
+}
+
+static void pg_rows(kl_front_t *front, const kl_rows_ops_t *ops,
+		    const void *rows)
+{
+	struct evbuffer *out = out_of(front);
+
+	if (front->extended) {
+		kl_pg_put_bare(out, '1');
+		kl_pg_put_bare(out, '2');
+		front->have_parse = false;
+	}
+	if (!front->extended || front->described)
+		kl_pg_put_columns(out, ops, rows);
+	kl_pg_put_rows(out, ops, rows);
+}
+
+static void pg_complete(kl_front_t *front, const char *tag)
+{
+	struct evbuffer *out = out_of(front);
+
+	if (front->extended && front->have_parse) {
+		kl_pg_put_bare(out, '1');
+		kl_pg_put_bare(out, '2');
+		if (front->described)
+			kl_pg_put_bare(out, 'n');
+	}
+	if (*tag)
+		kl_pg_put_complete(out, tag);
+	else
+		kl_pg_put_bare(out, 'I');
+}
+
+static void pg_error(kl_front_t *front, const char *sqlstate, const char *text)
+{
+	kl_pg_put_error(out_of(front), sqlstate, text);
+}
+
+static void pg_fatal(kl_front_t *front, const char *sqlstate, const char *text)
+{
+	kl_pg_put_fatal(out_of(front), sqlstate, text);
+}
+
+static void pg_ready(kl_front_t *front, char transaction)
+{
+	front->transaction = transaction;
+	kl_pg_put_ready(out_of(front), transaction);
+	forget_statement(front);
+	if (front->phase != PHASE_BUSY)
+		return;
+	front->phase = PHASE_READY;
+	/* Whatever came meanwhile is taken up by the loop, not deeper here. */
+	bufferevent_trigger(front->socket, EV_READ, BEV_OPT_DEFER_CALLBACKS);
+}
+
+/*
+ * The caller's unread bytes would turn a close into a reset, which may cost it
+ * the last answer: the sending half is shut first and its end waited for.
+ */
+static void pg_close(kl_front_t *front)
+{
+	struct timeval patience = {CLOSE_SECONDS, 0};
+
+	front->phase = PHASE_CLOSING;
+	if (front->holding)
+		pg_discard(front);
+	bufferevent_setcb(front->socket, on_discard, on_flushed, on_event,
+			  front);
+	bufferevent_set_timeouts(front->socket, &patience, &patience);
+	bufferevent_enable(front->socket, EV_READ | EV_WRITE);
+	if (!evbuffer_get_length(bufferevent_get_output(front->socket)))
+		bufferevent_trigger(front->socket, EV_WRITE,
+				    BEV_OPT_DEFER_CALLBACKS);
+}
+
+static void on_discard(struct bufferevent *socket, void *arg)
+{
+	struct evbuffer *in = bufferevent_get_input(socket);
+	(void)arg;
+
+	evbuffer_drain(in, evbuffer_get_length(in));
+}
+
+static bool pg_idle(const kl_front_t *front)
+{
+	return front->phase == PHASE_READY;
+}
+
+static void on_flushed(struct bufferevent *socket, void *arg)
+{
+	(void)arg;
+	shutdown(bufferevent_getfd(socket), SHUT_WR);
+}
+
+static void forget_statement(kl_front_t *front)
+{
+	kl_pg_done(&front->bind);
+	front->have_parse = false;
+	front->have_bind = false;
+	front->have_execute = false;
+	front->described = false;
+}
+
+static void front_free(kl_front_t *front)
+{
+	bufferevent_free(front->socket);
+	evbuffer_free(front->held);
+	evbuffer_free(front->carried);
+	kl_pg_done(&front->bind);
+	free(front->user);
+	free(front->database);
+	free(front->session);
+	free(front->max_age);
+	free(front->repeatable);
+	free(front->text);
+	free(front);
+}
+
+static void replace(char **field, const char *value)
+{
+	free(*field);
+	*field = strdup(value);
+}
+
+static struct evbuffer *out_of(kl_front_t *front)
+{
+	return front->holding ? front->held
+			      : bufferevent_get_output(front->socket);
+}
--- /dev/null
+++ b/peer/peer.x
@@ -0,0 +1,72 @@
+/* Messages between VMs, as ONC RPC calls that expect no reply. */
+
+const KL_WIRE_NAME = 63;
+const KL_WIRE_HOST = 47;
+const KL_WIRE_BODY = 49152;
+const KL_WIRE_OBJECTS = 256;
+
+struct kl_wire_hello {
+	unsigned hyper incarnation;
+	string domain<KL_WIRE_NAME>;
+	bool wants_answer;
+	unsigned hyper ping_us;
+	unsigned hyper echo_us;
+	unsigned hyper revision;
+	unsigned hyper age_us;
+};
+
+struct kl_wire_object {
+	string name<KL_WIRE_NAME>;
+	unsigned hyper changed;
+	string body<KL_WIRE_BODY>;
+};
+
+struct kl_wire_delta {
+	unsigned hyper since;
+	unsigned hyper revision;
+	bool more;
+	kl_wire_object objects<KL_WIRE_OBJECTS>;
+};
+
+struct kl_wire_ask {
+	unsigned hyper asked_us;
+	unsigned hyper want;
+	hyper want_tokens;
+};
+
+struct kl_wire_grant {
+	unsigned hyper asked_us;
+	unsigned hyper sequence;
+	unsigned hyper share;
+	hyper tokens;
+	unsigned hyper duration_us;
+};
+
+union kl_wire_body switch (unsigned int kind) {
+case 0:
+	kl_wire_hello hello;
+case 1:
+	unsigned hyper since;
+case 2:
+	kl_wire_delta delta;
+case 3:
+	unsigned hyper term;
+case 4:
+	kl_wire_ask ask;
+case 5:
+	kl_wire_grant grant;
+};
+
+struct kl_wire_message {
+	string from<KL_WIRE_NAME>;
+	string subject<KL_WIRE_NAME>;
+	string host<KL_WIRE_HOST>;
+	unsigned int port;
+	kl_wire_body body;
+};
+
+program KL_PEER_PROGRAM {
+	version KL_PEER_VERSION {
+		void KL_PEER_TELL(kl_wire_message) = 1;
+	} = 1;
+} = 0x2b4c0001;
--- /dev/null
+++ b/peer/peer_codec.c
@@ -0,0 +1,267 @@
+#include <rpc/rpc.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kumquatloft/kind.h"
+#include "peer/peer_codec.h"
+#include "peer/peer_wire.h"
+
+typedef struct codec_row {
+	void (*encode)(const kl_peer_message_t *message, kl_wire_message *wire);
+	void (*decode)(kl_peer_message_t *message, const kl_wire_message *wire);
+} codec_row_t;
+
+static void encode_hello(const kl_peer_message_t *message,
+			 kl_wire_message *wire);
+static void decode_hello(kl_peer_message_t *message,
+			 const kl_wire_message *wire);
+static void encode_fetch(const kl_peer_message_t *message,
+			 kl_wire_message *wire);
+static void decode_fetch(kl_peer_message_t *message,
+			 const kl_wire_message *wire);
+static void encode_delta(const kl_peer_message_t *message,
+			 kl_wire_message *wire);
+static void decode_delta(kl_peer_message_t *message,
+			 const kl_wire_message *wire);
+static void encode_suspect(const kl_peer_message_t *message,
+			   kl_wire_message *wire);
+static void decode_suspect(kl_peer_message_t *message,
+			   const kl_wire_message *wire);
+static void encode_ask(const kl_peer_message_t *message, kl_wire_message *wire);
+static void decode_ask(kl_peer_message_t *message, const kl_wire_message *wire);
+static void encode_grant(const kl_peer_message_t *message,
+			 kl_wire_message *wire);
+static void decode_grant(kl_peer_message_t *message,
+			 const kl_wire_message *wire);
+static int code(XDR *xdr, kl_wire_message *wire);
+
+static const codec_row_t rows[KL_PEER_KIND_COUNT] = {
+	[KL_PEER_HELLO] = {encode_hello, decode_hello},
+	[KL_PEER_FETCH] = {encode_fetch, decode_fetch},
+	[KL_PEER_DELTA] = {encode_delta, decode_delta},
+	[KL_PEER_SUSPECT] = {encode_suspect, decode_suspect},
+	[KL_PEER_ASK] = {encode_ask, decode_ask},
+	[KL_PEER_GRANT] = {encode_grant, decode_grant},
+};
+
+int kl_peer_encode(const kl_peer_message_t *message, const char *host,
+		   uint16_t port, char *buffer, size_t room)
+{
+	kl_wire_message wire;
+	int length = -KL_E_INVALID;
+	XDR xdr;
+
+	memset(&wire, 0, sizeof(wire));
+	wire.from = (char *)message->from;
+	wire.subject = (char *)message->subject;
+	wire.host = (char *)host;
+	wire.port = port;
+	wire.body.kind = message->kind;
+	rows[message->kind].encode(message, &wire);
+	xdrmem_create(&xdr, buffer, (u_int)room, XDR_ENCODE);
+	if (!code(&xdr, &wire))
+		length = (int)xdr_getpos(&xdr);
+	xdr_destroy(&xdr);
+	if (message->kind == KL_PEER_DELTA)
+		free(wire.body.kl_wire_body_u.delta.objects.objects_val);
+	return length;
+}
+
+int kl_peer_decode(kl_peer_message_t *message, char *buffer, size_t length)
+{
+	kl_wire_message wire;
+	int error = -KL_E_PROTOCOL;
+	XDR xdr;
+
+	memset(message, 0, sizeof(*message));
+	CK_STAILQ_INIT(&message->delta.objects);
+	memset(&wire, 0, sizeof(wire));
+	xdrmem_create(&xdr, buffer, (u_int)length, XDR_DECODE);
+	if (code(&xdr, &wire) || wire.body.kind >= KL_PEER_KIND_COUNT)
+		goto out;
+	message->kind = wire.body.kind;
+	kl_name_set(message->from, wire.from);
+	kl_name_set(message->subject, wire.subject);
+	strncpy(message->hello.host, wire.host, KL_HOST_MAX - 1);
+	message->hello.port = (uint16_t)wire.port;
+	rows[message->kind].decode(message, &wire);
+	error = 0;
+out:
+	xdr_destroy(&xdr);
+	xdr_free((xdrproc_t)xdr_kl_wire_message, (char *)&wire);
+	return error;
+}
+
+void kl_peer_clear(kl_peer_message_t *message)
+{
+	kl_object_list_clear(&message->delta.objects);
+}
+
+/* The call header and the argument, in whichever direction. */
+static int code(XDR *xdr, kl_wire_message *wire)
+{
+	struct rpc_msg head;
+
+	memset(&head, 0, sizeof(head));
+	head.rm_direction = CALL;
+	head.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+	head.rm_call.cb_prog = KL_PEER_PROGRAM;
+	head.rm_call.cb_vers = KL_PEER_VERSION;
+	head.rm_call.cb_proc = KL_PEER_TELL;
+	head.rm_call.cb_cred = _null_auth;
+	head.rm_call.cb_verf = _null_auth;
+	if (xdr->x_op == XDR_DECODE) {
+		head.rm_call.cb_cred.oa_base = calloc(1, MAX_AUTH_BYTES);
+		head.rm_call.cb_verf.oa_base = calloc(1, MAX_AUTH_BYTES);
+	}
+	bool good = xdr_callmsg(xdr, &head) &&
+		    head.rm_call.cb_prog == KL_PEER_PROGRAM &&
+		    head.rm_call.cb_vers == KL_PEER_VERSION &&
+		    head.rm_call.cb_proc == KL_PEER_TELL &&
+		    xdr_kl_wire_message(xdr, wire);
+	if (xdr->x_op == XDR_DECODE) {
+		free(head.rm_call.cb_cred.oa_base);
+		free(head.rm_call.cb_verf.oa_base);
+	}
+	return good ? 0 : -KL_E_PROTOCOL;
+}
+
+static void encode_hello(const kl_peer_message_t *message,
+			 kl_wire_message *wire)
+{
+	kl_wire_hello *out = &wire->body.kl_wire_body_u.hello;
+	const kl_peer_hello_t *hello = &message->hello;
+
+	out->incarnation = hello->incarnation;
+	out->domain = (char *)hello->domain;
+	out->wants_answer = hello->wants_answer;
+	out->ping_us = hello->ping_us;
+	out->echo_us = hello->echo_us;
+	out->revision = hello->revision;
+	out->age_us = hello->age_us;
+}
+
+static void decode_hello(kl_peer_message_t *message,
+			 const kl_wire_message *wire)
+{
+	const kl_wire_hello *in = &wire->body.kl_wire_body_u.hello;
+	kl_peer_hello_t *hello = &message->hello;
+
+	hello->incarnation = in->incarnation;
+	kl_name_set(hello->domain, in->domain);
+	hello->wants_answer = in->wants_answer;
+	hello->ping_us = in->ping_us;
+	hello->echo_us = in->echo_us;
+	hello->revision = in->revision;
+	hello->age_us = in->age_us;
+}
+
+static void encode_fetch(const kl_peer_message_t *message,
+			 kl_wire_message *wire)
+{
+	wire->body.kl_wire_body_u.since = message->since;
+}
+
+static void decode_fetch(kl_peer_message_t *message,
+			 const kl_wire_message *wire)
+{
+	message->since = wire->body.kl_wire_body_u.since;
+}
+
+static void encode_delta(const kl_peer_message_t *message,
+			 kl_wire_message *wire)
+{
+	kl_wire_delta *out = &wire->body.kl_wire_body_u.delta;
+	const kl_object_t *object;
+	u_int count = 0;
+
+	out->since = message->delta.since;
+	out->revision = message->delta.revision;
+	out->more = message->delta.more;
+	CK_STAILQ_FOREACH (object, &message->delta.objects, link)
+		count++;
+	out->objects.objects_val = calloc(count + 1, sizeof(kl_wire_object));
+	if (!out->objects.objects_val)
+		return;
+	CK_STAILQ_FOREACH (object, &message->delta.objects, link) {
+		kl_wire_object *entry =
+			&out->objects.objects_val[out->objects.objects_len++];
+
+		entry->name = (char *)object->name.name;
+		entry->changed = object->version;
+		entry->body = object->body;
+	}
+}
+
+static void decode_delta(kl_peer_message_t *message,
+			 const kl_wire_message *wire)
+{
+	const kl_wire_delta *in = &wire->body.kl_wire_body_u.delta;
+
+	message->delta.since = in->since;
+	message->delta.revision = in->revision;
+	message->delta.more = in->more;
+	for (u_int i = 0; i < in->objects.objects_len; i++) {
+		const kl_wire_object *entry = &in->objects.objects_val[i];
+		kl_object_t *object =
+			kl_object_new(entry->name, entry->changed, entry->body);
+
+		if (object)
+			CK_STAILQ_INSERT_TAIL(&message->delta.objects, object,
+					      link);
+	}
+}
+
+static void encode_suspect(const kl_peer_message_t *message,
+			   kl_wire_message *wire)
+{
+	wire->body.kl_wire_body_u.term = message->term;
+}
+
+static void decode_suspect(kl_peer_message_t *message,
+			   const kl_wire_message *wire)
+{
+	message->term = wire->body.kl_wire_body_u.term;
+}
+
+static void encode_ask(const kl_peer_message_t *message, kl_wire_message *wire)
+{
+	kl_wire_ask *out = &wire->body.kl_wire_body_u.ask;
+
+	out->asked_us = message->ask.asked_us;
+	out->want = message->ask.want;
+	out->want_tokens = message->ask.want_tokens;
+}
+
+static void decode_ask(kl_peer_message_t *message, const kl_wire_message *wire)
+{
+	const kl_wire_ask *in = &wire->body.kl_wire_body_u.ask;
+
+	message->ask.asked_us = in->asked_us;
+	message->ask.want = in->want;
+	message->ask.want_tokens = in->want_tokens;
+}
+
+static void encode_grant(const kl_peer_message_t *message,
+			 kl_wire_message *wire)
+{
+	kl_wire_grant *out = &wire->body.kl_wire_body_u.grant;
+
+	out->asked_us = message->grant.asked_us;
+	out->sequence = message->grant.sequence;
+	out->share = message->grant.share;
+	out->tokens = message->grant.tokens;
+	out->duration_us = message->grant.duration_us;
+}
+
+static void decode_grant(kl_peer_message_t *message,
+			 const kl_wire_message *wire)
+{
+	const kl_wire_grant *in = &wire->body.kl_wire_body_u.grant;
+
+	message->grant.asked_us = in->asked_us;
+	message->grant.sequence = in->sequence;
+	message->grant.share = in->share;
+	message->grant.tokens = in->tokens;
+	message->grant.duration_us = in->duration_us;
+}
--- /dev/null
+++ b/peer/peer_codec.h
@@ -0,0 +1,33 @@
+/**
+ * @file
+ * Messages between VMs as datagrams: ONC RPC calls over XDR.
+ */
+#ifndef KL_PEER_CODEC_H
+#define KL_PEER_CODEC_H
+
+#include <stddef.h>
+
+#include "control/peer_message.h"
+
+#define KL_DATAGRAM_MAX 60000 /**< bytes */
+
+/**
+ * Encode a message.
+ *
+ * @param host, port where answers go
+ * @return bytes written, or a negative kind
+ */
+int kl_peer_encode(const kl_peer_message_t *message, const char *host,
+		   uint16_t port, char *buffer, size_t room);
+
+/**
+ * Decode a message; kl_peer_clear() frees what it holds.
+ *
+ * @return 0 or -KL_E_PROTOCOL
+ */
+int kl_peer_decode(kl_peer_message_t *message, char *buffer, size_t length);
+
+/** Free a decoded message's objects. */
+void kl_peer_clear(kl_peer_message_t *message);
+
+#endif
--- /dev/null
+++ b/upstream/control_query.c
@@ -0,0 +1,54 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "upstream/control_query.h"
+
+/* Columns of every control answer. */
+enum { COLUMN_ROLE, COLUMN_TERM, COLUMN_SEALED, COLUMN_POSITION, COLUMNS };
+
+static const char *const statements[KL_DATABASE_OP_COUNT] = {
+	[KL_DATABASE_STATUS] = "SELECT kl_status(%" PRIu64 ")",
+	[KL_DATABASE_SEAL] = "SELECT kl_seal(%" PRIu64 ")",
+	[KL_DATABASE_PROMOTE] = "SELECT kl_promote(%" PRIu64 ")",
+	[KL_DATABASE_FOLLOW] = "SELECT kl_follow(%" PRIu64 ")",
+};
+
+static uint64_t number(const kl_link_result_t *result, int column);
+
+void kl_control_query(kl_database_op_t op, uint64_t term,
+		      char text[KL_CONTROL_QUERY_MAX])
+{
+	snprintf(text, KL_CONTROL_QUERY_MAX, statements[op], term);
+}
+
+void kl_control_answer(const kl_link_result_t *results, int count,
+		       kl_database_answer_t *answer)
+{
+	const kl_link_result_t *result = results;
+	size_t length = 0;
+	const char *role;
+
+	answer->error = -KL_E_UPSTREAM;
+	if (count != 1 || result->sqlstate || !result->has_rows ||
+	    result->ops->rows(result->rows) != 1 ||
+	    result->ops->columns(result->rows) != COLUMNS)
+		return;
+	role = result->ops->value(result->rows, 0, COLUMN_ROLE, &length);
+	if (!role)
+		return;
+	answer->error = 0;
+	answer->primary = !strcmp(role, "primary");
+	answer->term = number(result, COLUMN_TERM);
+	answer->sealed = number(result, COLUMN_SEALED);
+	answer->position = number(result, COLUMN_POSITION);
+}
+
+static uint64_t number(const kl_link_result_t *result, int column)
+{
+	size_t length = 0;
+	const char *text = result->ops->value(result->rows, 0, column, &length);
+
+	return text ? strtoull(text, NULL, 10) : 0;
+}
