--- /dev/null
+++ b/daemon/control_thread.c
@@ -0,0 +1,391 @@
+#include <arpa/inet.h>
+#include <ck_pr.h>
+#include <event2/event.h>
+#include <glib.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "control/controllers.h"
+#include "daemon/control_thread.h"
+#include "daemon/counter.h"
+#include "daemon/database_call.h"
+#include "daemon/inbox.h"
+#include "daemon/log.h"
+#include "daemon/status.h"
+#include "peer/peer_codec.h"
+#include "platform/http.h"
+
+#define TICK_US 10000
+
+struct kl_control_thread {
+	kl_node_t node;
+	pthread_t thread;
+	struct event_base *base;
+	struct event *tick;
+	struct event *readable;
+	kl_inbox_t *inbox;
+	kl_platform_t *platform;
+	kl_database_caller_t *databases;
+	kl_status_t *status;
+	GRand *random;
+	int socket;
+	uint32_t slots;
+	uint32_t demand_posted;
+};
+
+typedef struct answer_letter {
+	kl_letter_t letter;
+	kl_event_kind_t kind;
+	kl_platform_answer_t platform;
+	kl_object_list_t objects;
+	kl_database_answer_t database;
+} answer_letter_t;
+
+static void *run(void *arg);
+static uint64_t outlet_now(void *context);
+static uint32_t outlet_random(void *context);
+static void outlet_peer(void *context, const char *vm, const char *host,
+			uint16_t port, const kl_peer_message_t *message);
+static void outlet_platform(void *context, const kl_platform_call_t *call);
+static void outlet_database(void *context, const kl_database_call_t *call);
+static void outlet_decided(void *context, const kl_decision_t *decision);
+static void platform_answered(void *context, kl_platform_answer_t *answer);
+static void database_answered(void *context,
+			      const kl_database_answer_t *answer);
+static void open_answer(void *owner, kl_letter_t *letter);
+static void post_kind(kl_control_thread_t *control, kl_event_kind_t kind);
+static void on_tick(evutil_socket_t fd, short what, void *arg);
+static void on_datagram(evutil_socket_t fd, short what, void *arg);
+static int open_socket(kl_control_thread_t *control);
+static void fill_node(kl_control_thread_t *control,
+		      const kl_settings_t *settings);
+
+static const kl_outlet_t outlet = {
+	.now_us = outlet_now,
+	.random = outlet_random,
+	.peer = outlet_peer,
+	.platform = outlet_platform,
+	.database = outlet_database,
+	.decided = outlet_decided,
+};
+
+kl_control_thread_t *kl_control_thread_new(const kl_settings_t *settings)
+{
+	struct timeval tick = {0, TICK_US};
+	kl_control_thread_t *control = calloc(1, sizeof(*control));
+
+	if (!control)
+		return NULL;
+	control->socket = -1;
+	control->random = g_rand_new();
+	control->base = event_base_new();
+	control->inbox = kl_inbox_new(control->base, control);
+	fill_node(control, settings);
+	if (open_socket(control) || kl_node_start(&control->node))
+		goto fail;
+	control->platform =
+		kl_platform_new(settings->platform, platform_answered, control);
+	control->databases =
+		kl_database_caller_new(control->base, settings->upstream_user,
+				       database_answered, control);
+	control->status =
+		kl_status_new(control->base, settings->host,
+			      (uint16_t)settings->status_port, &control->node);
+	if (!control->platform || !control->databases || !control->status)
+		goto fail;
+	control->tick =
+		event_new(control->base, -1, EV_PERSIST, on_tick, control);
+	event_add(control->tick, &tick);
+	control->readable =
+		event_new(control->base, control->socket, EV_READ | EV_PERSIST,
+			  on_datagram, control);
+	event_add(control->readable, NULL);
+	if (pthread_create(&control->thread, NULL, run, control))
+		goto fail;
+	return control;
+fail:
+	kl_control_thread_free(control);
+	return NULL;
+}
+
+void kl_control_thread_free(kl_control_thread_t *control)
+{
+	if (!control)
+		return;
+	if (control->thread) {
+		event_base_loopexit(control->base, NULL);
+		/* Wakes a loop that sleeps in another thread. */
+		post_kind(control, KL_EVENT_TICK);
+		pthread_join(control->thread, NULL);
+	}
+	kl_platform_free(control->platform);
+	kl_database_caller_free(control->databases);
+	kl_status_free(control->status);
+	if (control->tick)
+		event_free(control->tick);
+	if (control->readable)
+		event_free(control->readable);
+	kl_inbox_free(control->inbox);
+	if (control->socket >= 0)
+		close(control->socket);
+	if (control->node.board)
+		kl_node_stop(&control->node);
+	while (!CK_SLIST_EMPTY(&control->node.seeds)) {
+		kl_seed_t *seed = CK_SLIST_FIRST(&control->node.seeds);
+
+		CK_SLIST_REMOVE_HEAD(&control->node.seeds, link);
+		free(seed);
+	}
+	event_base_free(control->base);
+	g_rand_free(control->random);
+	free(control);
+}
+
+kl_board_t *kl_control_thread_board(kl_control_thread_t *control)
+{
+	return control->node.board;
+}
+
+void kl_control_thread_demand(kl_control_thread_t *control)
+{
+	/* One letter is enough however many requests wait. */
+	if (ck_pr_fas_32(&control->demand_posted, 1))
+		return;
+	post_kind(control, KL_EVENT_DEMAND);
+}
+
+void kl_control_thread_stop(kl_control_thread_t *control)
+{
+	post_kind(control, KL_EVENT_STOP);
+}
+
+uint32_t kl_control_thread_slots(const kl_control_thread_t *control)
+{
+	return ck_pr_load_32(&control->slots);
+}
+
+uint64_t kl_clock_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+}
+
+static void fill_node(kl_control_thread_t *control,
+		      const kl_settings_t *settings)
+{
+	kl_node_t *node = &control->node;
+	kl_tuning_t *tuning = &node->tuning;
+	struct timespec wall;
+
+	node->outlet = &outlet;
+	node->context = control;
+	kl_name_set(node->self.vm, settings->vm);
+	kl_name_set(node->self.domain, settings->domain);
+	strncpy(node->self.host, settings->host, KL_HOST_MAX - 1);
+	node->self.port = (uint16_t)settings->peer_port;
+	clock_gettime(CLOCK_REALTIME, &wall);
+	node->self.incarnation =
+		(uint64_t)wall.tv_sec * 1000000 + (uint64_t)wall.tv_nsec / 1000;
+	kl_tuning_default(tuning);
+	tuning->lease_us = settings->lease_ms * KL_MS;
+	tuning->confirm_us = settings->confirm_ms * KL_MS;
+	tuning->probe_us = settings->probe_ms * KL_MS;
+	tuning->suspect_us = settings->suspect_ms * KL_MS;
+	tuning->share_hold_us = settings->share_hold_s * KL_SEC;
+	tuning->slots = settings->slots;
+	CK_SLIST_INIT(&node->seeds);
+	for (uint32_t i = 0; i < settings->peers_count; i++) {
+		kl_seed_t *seed = calloc(1, sizeof(*seed));
+
+		if (!seed)
+			return;
+		strncpy(seed->host, settings->peers[i].host, KL_HOST_MAX - 1);
+		seed->port = (uint16_t)settings->peers[i].port;
+		CK_SLIST_INSERT_HEAD(&node->seeds, seed, link);
+	}
+}
+
+static int open_socket(kl_control_thread_t *control)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+
+	address.sin_port = htons(control->node.self.port);
+	inet_pton(AF_INET, control->node.self.host, &address.sin_addr);
+	control->socket =
+		socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (control->socket < 0 ||
+	    bind(control->socket, (struct sockaddr *)&address,
+		 sizeof(address))) {
+		kl_log_text("start_failed", "the peer port is not free");
+		return -KL_E_UNAVAILABLE;
+	}
+	return 0;
+}
+
+static void *run(void *arg)
+{
+	kl_control_thread_t *control = arg;
+
+	event_base_loop(control->base, EVLOOP_NO_EXIT_ON_EMPTY);
+	return NULL;
+}
+
+static uint64_t outlet_now(void *context)
+{
+	(void)context;
+	return kl_clock_us();
+}
+
+static uint32_t outlet_random(void *context)
+{
+	kl_control_thread_t *control = context;
+
+	return g_rand_int(control->random);
+}
+
+static void outlet_peer(void *context, const char *vm, const char *host,
+			uint16_t port, const kl_peer_message_t *message)
+{
+	kl_control_thread_t *control = context;
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	static char buffer[KL_DATAGRAM_MAX];
+	int length;
+	(void)vm;
+
+	address.sin_port = htons(port);
+	if (inet_pton(AF_INET, host, &address.sin_addr) != 1)
+		return;
+	length =
+		kl_peer_encode(message, control->node.self.host,
+			       control->node.self.port, buffer, sizeof(buffer));
+	if (length < 0)
+		return;
+	kl_count(KL_COUNTER_PEER_SENT, 1);
+	kl_count(KL_COUNTER_PEER_SENT_BYTES, (uint64_t)length);
+	/* A lost datagram is as good as one that the network loses. */
+	if (sendto(control->socket, buffer, (size_t)length, 0,
+		   (struct sockaddr *)&address, sizeof(address)) < 0)
+		return;
+}
+
+static void outlet_platform(void *context, const kl_platform_call_t *call)
+{
+	kl_control_thread_t *control = context;
+
+	kl_count(KL_COUNTER_PLATFORM_CALLS, 1);
+	kl_platform_call(control->platform, call);
+}
+
+static void outlet_database(void *context, const kl_database_call_t *call)
+{
+	kl_control_thread_t *control = context;
+
+	kl_database_caller_call(control->databases, call);
+}
+
+static void outlet_decided(void *context, const kl_decision_t *decision)
+{
+	(void)context;
+	if (!strcmp(decision->what, "document_refused"))
+		kl_count(KL_COUNTER_DOCUMENTS_REFUSED, 1);
+	kl_log_decision(decision);
+}
+
+static void platform_answered(void *context, kl_platform_answer_t *answer)
+{
+	kl_control_thread_t *control = context;
+	answer_letter_t *letter = calloc(1, sizeof(*letter));
+
+	if (answer->error == -KL_E_UNAVAILABLE)
+		kl_count(KL_COUNTER_PLATFORM_ERRORS, 1);
+	if (!letter)
+		return;
+	letter->letter.open = open_answer;
+	letter->kind = KL_EVENT_PLATFORM;
+	letter->platform = *answer;
+	CK_STAILQ_INIT(&letter->objects);
+	CK_STAILQ_CONCAT(&letter->objects, answer->objects);
+	letter->platform.objects = &letter->objects;
+	kl_inbox_post(control->inbox, &letter->letter);
+}
+
+/* Through the inbox: an answer must not come while a controller still asks. */
+static void database_answered(void *context, const kl_database_answer_t *answer)
+{
+	kl_control_thread_t *control = context;
+	answer_letter_t *letter = calloc(1, sizeof(*letter));
+
+	if (!letter)
+		return;
+	letter->letter.open = open_answer;
+	letter->kind = KL_EVENT_DATABASE;
+	letter->database = *answer;
+	CK_STAILQ_INIT(&letter->objects);
+	kl_inbox_post(control->inbox, &letter->letter);
+}
+
+static void post_kind(kl_control_thread_t *control, kl_event_kind_t kind)
+{
+	answer_letter_t *letter = calloc(1, sizeof(*letter));
+
+	if (!letter)
+		return;
+	letter->letter.open = open_answer;
+	letter->kind = kind;
+	CK_STAILQ_INIT(&letter->objects);
+	kl_inbox_post(control->inbox, &letter->letter);
+}
+
+static void open_answer(void *owner, kl_letter_t *letter)
+{
+	kl_control_thread_t *control = owner;
+	answer_letter_t *answer = (answer_letter_t *)letter;
+	kl_event_t event = {.kind = answer->kind,
+			    .platform = &answer->platform,
+			    .database = &answer->database};
+
+	if (control) {
+		if (answer->kind == KL_EVENT_DEMAND) {
+			ck_pr_store_32(&control->demand_posted, 0);
+			control->node.demand++;
+		}
+		kl_node_step(&control->node, &event);
+	}
+	kl_object_list_clear(&answer->objects);
+	free(answer);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	kl_control_thread_t *control = arg;
+	kl_event_t event = {.kind = KL_EVENT_TICK};
+	(void)fd;
+	(void)what;
+
+	kl_node_step(&control->node, &event);
+	ck_pr_store_32(&control->slots, kl_share_slots_held(&control->node));
+}
+
+static void on_datagram(evutil_socket_t fd, short what, void *arg)
+{
+	kl_control_thread_t *control = arg;
+	static char buffer[KL_DATAGRAM_MAX];
+	kl_peer_message_t message;
+	kl_event_t event = {.kind = KL_EVENT_PEER, .peer = &message};
+	ssize_t length;
+	(void)what;
+
+	while ((length = recv(fd, buffer, sizeof(buffer), 0)) >= 0) {
+		kl_count(KL_COUNTER_PEER_RECEIVED, 1);
+		if (kl_peer_decode(&message, buffer, (size_t)length))
+			kl_count(KL_COUNTER_PEER_MALFORMED, 1);
+		else
+			kl_node_step(&control->node, &event);
+		kl_peer_clear(&message);
+	}
+}
--- /dev/null
+++ b/daemon/counter.c
@@ -0,0 +1,74 @@
+#include <ck_pr.h>
+
+#include "daemon/counter.h"
+
+typedef struct counter_row {
+	const char *name;
+	const char *help;
+} counter_row_t;
+
+static const counter_row_t rows[KL_COUNTER_COUNT] = {
+	[KL_COUNTER_SESSIONS] = {"kl_sessions_total", "sessions accepted"},
+	[KL_COUNTER_LOGINS_REFUSED] = {"kl_logins_refused_total",
+				       "logins refused"},
+	[KL_COUNTER_READS_REPLICA] = {"kl_reads_replica_total",
+				      "reads sent to replicas"},
+	[KL_COUNTER_READS_PRIMARY] = {"kl_reads_primary_total",
+				      "reads sent to primaries"},
+	[KL_COUNTER_WRITES] = {"kl_writes_total",
+			       "writes and transactions sent to primaries"},
+	[KL_COUNTER_ADMITTED] = {"kl_admitted_total",
+				 "statements within the workspace's rate"},
+	[KL_COUNTER_REFUSED_RATE] = {"kl_refused_rate_total",
+				     "statements over the rate"},
+	[KL_COUNTER_REFUSED_OTHER] = {"kl_refused_other_total",
+				      "statements refused for other reasons"},
+	[KL_COUNTER_UNKNOWN_OUTCOMES] = {"kl_unknown_outcomes_total",
+					 "writes whose outcome is unknown"},
+	[KL_COUNTER_RETRIES] = {"kl_retries_total", "statements sent again"},
+	[KL_COUNTER_PROOFS_LEASE] = {"kl_proofs_lease_total",
+				     "writes proven by lease"},
+	[KL_COUNTER_PROOFS_MAJORITY] = {"kl_proofs_majority_total",
+					"writes proven by a majority"},
+	[KL_COUNTER_LINKS_OPENED] = {"kl_links_opened_total",
+				     "upstream connections opened"},
+	[KL_COUNTER_LINKS_DROPPED] = {"kl_links_dropped_total",
+				      "upstream connections dropped"},
+	[KL_COUNTER_LATE_ANSWERS] = {"kl_late_answers_total",
+				     "answers whose request was given up"},
+	[KL_COUNTER_PEER_SENT] = {"kl_peer_sent_total", "peer messages sent"},
+	[KL_COUNTER_PEER_SENT_BYTES] = {"kl_peer_sent_bytes_total",
+					"bytes of peer messages sent"},
+	[KL_COUNTER_PEER_RECEIVED] = {"kl_peer_received_total",
+				      "peer messages received"},
+	[KL_COUNTER_PEER_MALFORMED] = {"kl_peer_malformed_total",
+				       "peer messages that made no sense"},
+	[KL_COUNTER_PLATFORM_CALLS] = {"kl_platform_calls_total",
+				       "calls of the platform"},
+	[KL_COUNTER_PLATFORM_ERRORS] = {"kl_platform_errors_total",
+					"calls that failed"},
+	[KL_COUNTER_DOCUMENTS_REFUSED] = {"kl_documents_refused_total",
+					  "bad documents not installed"},
+};
+
+static uint64_t counters[KL_COUNTER_COUNT];
+
+void kl_count(kl_counter_t counter, uint64_t more)
+{
+	ck_pr_add_64(&counters[counter], more);
+}
+
+uint64_t kl_counted(kl_counter_t counter)
+{
+	return ck_pr_load_64(&counters[counter]);
+}
+
+const char *kl_counter_name(kl_counter_t counter)
+{
+	return rows[counter].name;
+}
+
+const char *kl_counter_help(kl_counter_t counter)
+{
+	return rows[counter].help;
+}
--- /dev/null
+++ b/daemon/database_call.c
@@ -0,0 +1,196 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "daemon/database_call.h"
+#include "upstream/control_query.h"
+#include "upstream/link.h"
+
+#define TIMEOUT_US 500000 /* of connecting and answering together */
+
+/* A connection and the call that runs on it. */
+typedef struct line {
+	CK_STAILQ_ENTRY(line) link;
+	kl_database_caller_t *caller;
+	kl_database_call_t call;
+	kl_link_t *connection;
+	struct event *timer;
+	bool kept;
+	bool ready;
+	bool busy;
+} line_t;
+
+struct kl_database_caller {
+	struct event_base *base;
+	const char *user;
+	void (*answered)(void *context, const kl_database_answer_t *answer);
+	void *context;
+	CK_STAILQ_HEAD(, line) lines;
+};
+
+static line_t *kept_line(kl_database_caller_t *caller,
+			 const kl_database_call_t *call);
+static line_t *open_line(kl_database_caller_t *caller,
+			 const kl_database_call_t *call);
+static void ask(line_t *line);
+static void on_ready(void *owner);
+static void on_answered(void *owner, const kl_link_result_t *results,
+			int count);
+static void on_broken(void *owner);
+static void on_timeout(evutil_socket_t fd, short what, void *arg);
+static void fail(line_t *line);
+static void line_free(line_t *line);
+
+static const kl_link_events_t link_events = {on_ready, on_answered, on_broken};
+
+kl_database_caller_t *kl_database_caller_new(
+	struct event_base *base, const char *user,
+	void (*answered)(void *context, const kl_database_answer_t *answer),
+	void *context)
+{
+	kl_database_caller_t *caller = calloc(1, sizeof(*caller));
+
+	if (!caller)
+		return NULL;
+	caller->base = base;
+	caller->user = user;
+	caller->answered = answered;
+	caller->context = context;
+	CK_STAILQ_INIT(&caller->lines);
+	return caller;
+}
+
+void kl_database_caller_free(kl_database_caller_t *caller)
+{
+	line_t *line;
+
+	if (!caller)
+		return;
+	while ((line = CK_STAILQ_FIRST(&caller->lines)))
+		line_free(line);
+	free(caller);
+}
+
+void kl_database_caller_call(kl_database_caller_t *caller,
+			     const kl_database_call_t *call)
+{
+	struct timeval timeout = {0, TIMEOUT_US};
+	kl_database_answer_t failed = {.call = *call,
+				       .error = -KL_E_UNAVAILABLE};
+	line_t *line = call->fresh ? NULL : kept_line(caller, call);
+
+	if (line && line->busy) {
+		caller->answered(caller->context, &failed);
+		return;
+	}
+	if (!line)
+		line = open_line(caller, call);
+	if (!line) {
+		caller->answered(caller->context, &failed);
+		return;
+	}
+	line->call = *call;
+	line->busy = true;
+	evtimer_add(line->timer, &timeout);
+	if (line->ready)
+		ask(line);
+}
+
+static line_t *kept_line(kl_database_caller_t *caller,
+			 const kl_database_call_t *call)
+{
+	line_t *line;
+
+	CK_STAILQ_FOREACH (line, &caller->lines, link) {
+		if (line->kept && line->call.port == call->port &&
+		    !strcmp(line->call.host, call->host) &&
+		    !strcmp(line->call.service, call->service))
+			return line;
+	}
+	return NULL;
+}
+
+static line_t *open_line(kl_database_caller_t *caller,
+			 const kl_database_call_t *call)
+{
+	kl_link_target_t target = {call->host, call->port, call->service,
+				   caller->user};
+	line_t *line = calloc(1, sizeof(*line));
+
+	if (!line)
+		return NULL;
+	line->caller = caller;
+	line->kept = !call->fresh;
+	line->connection =
+		kl_link_pq.open(caller->base, &target, &link_events, line);
+	if (!line->connection) {
+		free(line);
+		return NULL;
+	}
+	line->timer = evtimer_new(caller->base, on_timeout, line);
+	CK_STAILQ_INSERT_TAIL(&caller->lines, line, link);
+	return line;
+}
+
+static void ask(line_t *line)
+{
+	char text[KL_CONTROL_QUERY_MAX];
+	kl_query_t query = {.text = text};
+
+	kl_control_query(line->call.op, line->call.term, text);
+	if (kl_link_pq.send(line->connection, &query))
+		fail(line);
+}
+
+static void on_ready(void *owner)
+{
+	line_t *line = owner;
+
+	line->ready = true;
+	ask(line);
+}
+
+static void on_answered(void *owner, const kl_link_result_t *results, int count)
+{
+	line_t *line = owner;
+	kl_database_caller_t *caller = line->caller;
+	kl_database_answer_t answer = {.call = line->call};
+
+	evtimer_del(line->timer);
+	line->busy = false;
+	kl_control_answer(results, count, &answer);
+	if (!line->kept)
+		line_free(line);
+	caller->answered(caller->context, &answer);
+}
+
+static void on_broken(void *owner)
+{
+	fail(owner);
+}
+
+static void on_timeout(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	fail(arg);
+}
+
+static void fail(line_t *line)
+{
+	kl_database_caller_t *caller = line->caller;
+	kl_database_answer_t answer = {.call = line->call,
+				       .error = -KL_E_UNAVAILABLE};
+	bool busy = line->busy;
+
+	line_free(line);
+	if (busy)
+		caller->answered(caller->context, &answer);
+}
+
+static void line_free(line_t *line)
+{
+	CK_STAILQ_REMOVE(&line->caller->lines, line, line, link);
+	kl_link_pq.close(line->connection);
+	event_free(line->timer);
+	free(line);
+}
--- /dev/null
+++ b/daemon/database_call.h
@@ -0,0 +1,26 @@
+/**
+ * @file
+ * Control calls of databases on an event loop: over a new connection each, or
+ * over one kept connection per database.
+ */
+#ifndef KL_DATABASE_CALL_H
+#define KL_DATABASE_CALL_H
+
+#include <event2/event.h>
+
+#include "control/node.h"
+
+typedef struct kl_database_caller kl_database_caller_t;
+
+/** @param answered called on the loop for each call, in time or not */
+kl_database_caller_t *kl_database_caller_new(
+	struct event_base *base, const char *user,
+	void (*answered)(void *context, const kl_database_answer_t *answer),
+	void *context);
+void kl_database_caller_free(kl_database_caller_t *caller);
+
+/** Start a call. */
+void kl_database_caller_call(kl_database_caller_t *caller,
+			     const kl_database_call_t *call);
+
+#endif
--- /dev/null
+++ b/daemon/inbox.c
@@ -0,0 +1,83 @@
+#include <pthread.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "daemon/inbox.h"
+
+struct kl_inbox {
+	pthread_mutex_t lock;
+	CK_STAILQ_HEAD(, kl_letter) letters;
+	struct event *event;
+	int wake;
+	void *owner;
+};
+
+static void on_wake(evutil_socket_t fd, short what, void *arg);
+static void open_all(kl_inbox_t *inbox, void *owner);
+
+kl_inbox_t *kl_inbox_new(struct event_base *base, void *owner)
+{
+	kl_inbox_t *inbox = calloc(1, sizeof(*inbox));
+
+	if (!inbox)
+		return NULL;
+	pthread_mutex_init(&inbox->lock, NULL);
+	CK_STAILQ_INIT(&inbox->letters);
+	inbox->owner = owner;
+	inbox->wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	inbox->event = event_new(base, inbox->wake, EV_READ | EV_PERSIST,
+				 on_wake, inbox);
+	event_add(inbox->event, NULL);
+	return inbox;
+}
+
+void kl_inbox_free(kl_inbox_t *inbox)
+{
+	if (!inbox)
+		return;
+	open_all(inbox, NULL);
+	event_free(inbox->event);
+	close(inbox->wake);
+	pthread_mutex_destroy(&inbox->lock);
+	free(inbox);
+}
+
+void kl_inbox_post(kl_inbox_t *inbox, kl_letter_t *letter)
+{
+	uint64_t one = 1;
+
+	pthread_mutex_lock(&inbox->lock);
+	CK_STAILQ_INSERT_TAIL(&inbox->letters, letter, link);
+	pthread_mutex_unlock(&inbox->lock);
+	/* A full counter already wakes the reader. */
+	if (write(inbox->wake, &one, sizeof(one)) < 0)
+		return;
+}
+
+static void on_wake(evutil_socket_t fd, short what, void *arg)
+{
+	kl_inbox_t *inbox = arg;
+	uint64_t count;
+	(void)what;
+
+	if (read(fd, &count, sizeof(count)) < 0)
+		return;
+	open_all(inbox, inbox->owner);
+}
+
+static void open_all(kl_inbox_t *inbox, void *owner)
+{
+	CK_STAILQ_HEAD(, kl_letter) letters;
+	kl_letter_t *letter;
+
+	CK_STAILQ_INIT(&letters);
+	pthread_mutex_lock(&inbox->lock);
+	CK_STAILQ_CONCAT(&letters, &inbox->letters);
+	pthread_mutex_unlock(&inbox->lock);
+	while ((letter = CK_STAILQ_FIRST(&letters))) {
+		CK_STAILQ_REMOVE_HEAD(&letters, link);
+		letter->open(owner, letter);
+	}
+}
--- /dev/null
+++ b/daemon/settings.c
@@ -0,0 +1,219 @@
+#include <arpa/inet.h>
+#include <cyaml/cyaml.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "daemon/settings.h"
+
+#define FIELD(member) offsetof(kl_settings_t, member)
+#define NUMBERS (sizeof(numbers) / sizeof(numbers[0]))
+
+/* Range and value if absent; 0 as a lowest value makes no difference there. */
+typedef struct number_row {
+	const char *name;
+	size_t offset;
+	uint32_t lowest;
+	uint32_t highest;
+	uint32_t usual; /* ABSENT where the setting must be given */
+} number_row_t;
+
+#define ABSENT UINT32_MAX
+
+static const number_row_t numbers[] = {
+	{"listen_port", FIELD(listen_port), 1, 65535, ABSENT},
+	{"peer_port", FIELD(peer_port), 1, 65535, ABSENT},
+	{"status_port", FIELD(status_port), 1, 65535, ABSENT},
+	{"workers", FIELD(workers), 1, 64, 2},
+	{"lease_ms", FIELD(lease_ms), 500, 60000, 2000},
+	{"confirm_ms", FIELD(confirm_ms), 50, 10000, 400},
+	{"probe_ms", FIELD(probe_ms), 50, 10000, 250},
+	{"suspect_ms", FIELD(suspect_ms), 100, 60000, 750},
+	{"read_wait_ms", FIELD(read_wait_ms), 0, 10000, 150},
+	{"admit_wait_ms", FIELD(admit_wait_ms), 0, 10000, 200},
+	{"statement_ms", FIELD(statement_ms), 100, 3600000, 20000},
+	{"silent_ms", FIELD(silent_ms), 100, 60000, 1500},
+	{"drain_ms", FIELD(drain_ms), 100, 3600000, 30000},
+	{"stale_after_ms", FIELD(stale_after_ms), 0, 86400000, 0},
+	{"share_hold_s", FIELD(share_hold_s), 5, 86400, 600},
+	{"slots", FIELD(slots), 1, 4096, 24},
+};
+
+static void on_message(cyaml_log_t level, void *context, const char *format,
+		       va_list args);
+static uint32_t *number_at(kl_settings_t *settings, size_t offset);
+static int check(kl_settings_t *settings, const char *path);
+static int line_of(const char *path, const char *name);
+static int complain(const char *path, const char *name, const char *expected);
+static int check_ip(const char *path, const char *name, const char *text);
+
+static const cyaml_schema_field_t peer_fields[] = {
+	CYAML_FIELD_STRING_PTR("host", CYAML_FLAG_POINTER, kl_settings_peer_t,
+			       host, 1, 47),
+	CYAML_FIELD_UINT("port", CYAML_FLAG_DEFAULT, kl_settings_peer_t, port),
+	CYAML_FIELD_END};
+
+static const cyaml_schema_value_t peer_schema = {
+	CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, kl_settings_peer_t,
+			    peer_fields),
+};
+
+static const cyaml_schema_value_t function_schema = {
+	CYAML_VALUE_STRING(CYAML_FLAG_POINTER, char, 1, 63),
+};
+
+#define TEXT(member, flags)                                           \
+	CYAML_FIELD_STRING_PTR(#member, CYAML_FLAG_POINTER | (flags), \
+			       kl_settings_t, member, 1, 63)
+#define NUMBER(member, flags) \
+	CYAML_FIELD_UINT(#member, flags, kl_settings_t, member)
+
+static const cyaml_schema_field_t fields[] = {
+	TEXT(vm, 0),
+	TEXT(domain, 0),
+	TEXT(host, 0),
+	CYAML_FIELD_STRING_PTR("platform", CYAML_FLAG_POINTER, kl_settings_t,
+			       platform, 1, 200),
+	TEXT(upstream_user, CYAML_FLAG_OPTIONAL),
+	CYAML_FIELD_SEQUENCE("peers", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+			     kl_settings_t, peers, &peer_schema, 0, 64),
+	CYAML_FIELD_SEQUENCE(
+		"read_functions", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+		kl_settings_t, read_functions, &function_schema, 0, 256),
+	NUMBER(listen_port, CYAML_FLAG_DEFAULT),
+	NUMBER(peer_port, CYAML_FLAG_DEFAULT),
+	NUMBER(status_port, CYAML_FLAG_DEFAULT),
+	NUMBER(workers, CYAML_FLAG_OPTIONAL),
+	NUMBER(lease_ms, CYAML_FLAG_OPTIONAL),
+	NUMBER(confirm_ms, CYAML_FLAG_OPTIONAL),
+	NUMBER(probe_ms, CYAML_FLAG_OPTIONAL),
+	NUMBER(suspect_ms, CYAML_FLAG_OPTIONAL),
+	NUMBER(read_wait_ms, CYAML_FLAG_OPTIONAL),
+	NUMBER(admit_wait_ms, CYAML_FLAG_OPTIONAL),
+	NUMBER(statement_ms, CYAML_FLAG_OPTIONAL),
+	NUMBER(silent_ms, CYAML_FLAG_OPTIONAL),
+	NUMBER(drain_ms, CYAML_FLAG_OPTIONAL),
+	NUMBER(stale_after_ms, CYAML_FLAG_OPTIONAL),
+	NUMBER(share_hold_s, CYAML_FLAG_OPTIONAL),
+	NUMBER(slots, CYAML_FLAG_OPTIONAL),
+	CYAML_FIELD_END};
+
+static const cyaml_schema_value_t schema = {
+	CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, kl_settings_t, fields),
+};
+
+static const cyaml_config_t config = {
+	.log_fn = on_message,
+	.mem_fn = cyaml_mem,
+	.log_level = CYAML_LOG_ERROR,
+	.flags = CYAML_CFG_DEFAULT,
+};
+
+kl_settings_t *kl_settings_load(const char *path)
+{
+	kl_settings_t *settings = NULL;
+	cyaml_err_t error = cyaml_load_file(path, &config, &schema,
+					    (cyaml_data_t **)&settings, NULL);
+
+	if (error != CYAML_OK || !settings) {
+		fprintf(stderr, "%s: %s\n", path, cyaml_strerror(error));
+		return NULL;
+	}
+	if (check(settings, path)) {
+		kl_settings_free(settings);
+		return NULL;
+	}
+	if (!settings->upstream_user)
+		settings->upstream_user = strdup("kumquatloft");
+	return settings;
+}
+
+void kl_settings_free(kl_settings_t *settings)
+{
+	cyaml_free(&config, &schema, settings, 0);
+}
+
+static int check(kl_settings_t *settings, const char *path)
+{
+	char expected[80];
+	int bad = 0;
+
+	for (size_t i = 0; i < NUMBERS; i++) {
+		const number_row_t *row = &numbers[i];
+		uint32_t *value = number_at(settings, row->offset);
+
+		if (!*value && row->usual != ABSENT &&
+		    line_of(path, row->name) < 0)
+			*value = row->usual;
+		if (*value >= row->lowest && *value <= row->highest)
+			continue;
+		snprintf(expected, sizeof(expected),
+			 "a whole number from %u to %u", row->lowest,
+			 row->highest);
+		bad |= complain(path, row->name, expected);
+	}
+	bad |= check_ip(path, "host", settings->host);
+	for (uint32_t i = 0; i < settings->peers_count; i++)
+		bad |= check_ip(path, "peers", settings->peers[i].host);
+	if (strncmp(settings->platform, "http://", 7) &&
+	    strncmp(settings->platform, "https://", 8))
+		bad |= complain(path, "platform", "an http or https URL");
+	if (settings->confirm_ms * 2 > settings->lease_ms)
+		bad |= complain(path, "lease_ms", "at least twice confirm_ms");
+	return bad;
+}
+
+static uint32_t *number_at(kl_settings_t *settings, size_t offset)
+{
+	return (uint32_t *)((char *)settings + offset);
+}
+
+static int check_ip(const char *path, const char *name, const char *text)
+{
+	unsigned char address[16];
+
+	if (inet_pton(AF_INET, text, address) == 1)
+		return 0;
+	return complain(path, name, "an IPv4 number");
+}
+
+static int complain(const char *path, const char *name, const char *expected)
+{
+	int line = line_of(path, name);
+
+	if (line > 0)
+		fprintf(stderr, "%s:%d: %s: expected %s\n", path, line, name,
+			expected);
+	else
+		fprintf(stderr, "%s: %s: expected %s\n", path, name, expected);
+	return 1;
+}
+
+/* The line of a top-level setting, or -1. */
+static int line_of(const char *path, const char *name)
+{
+	FILE *file = fopen(path, "r");
+	size_t length = strlen(name);
+	char text[512];
+	int line = 0;
+	int found = -1;
+
+	if (!file)
+		return -1;
+	while (found < 0 && fgets(text, sizeof(text), file)) {
+		line++;
+		if (!strncmp(text, name, length) &&
+		    (text[length] == ':' || text[length] == ' '))
+			found = line;
+	}
+	fclose(file);
+	return found;
+}
+
+static void on_message(cyaml_log_t level, void *context, const char *format,
+		       va_list args)
+{
+	(void)level;
+	(void)context;
+	vfprintf(stderr, format, args);
+}
--- /dev/null
+++ b/daemon/worker.c
@@ -0,0 +1,224 @@
+#include <arpa/inet.h>
+#include <ck_pr.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "daemon/worker_internal.h"
+
+#define TICK_US 5000
+#define SWEEP_US 200000
+#define BACKLOG 512
+
+static int start_worker(kl_workers_t *workers, uint32_t number);
+static struct evconnlistener *listen_on(kl_worker_t *worker);
+static void *run(void *arg);
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *address, int length, void *arg);
+static void on_tick(evutil_socket_t fd, short what, void *arg);
+static void open_drain(void *owner, kl_letter_t *letter);
+static void open_exit(void *owner, kl_letter_t *letter);
+static void post(kl_workers_t *workers,
+		 void (*open)(void *owner, kl_letter_t *letter));
+static void stop_worker(kl_worker_t *worker);
+static const char **copy_functions(const kl_settings_t *settings);
+
+kl_workers_t *kl_workers_new(const kl_settings_t *settings,
+			     kl_control_thread_t *control)
+{
+	kl_workers_t *workers = calloc(1, sizeof(*workers));
+
+	if (!workers)
+		return NULL;
+	workers->settings = settings;
+	workers->control = control;
+	workers->path.lease_us = settings->lease_ms * KL_MS;
+	workers->path.read_wait_us = settings->read_wait_ms * KL_MS;
+	workers->path.stale_after_us = settings->stale_after_ms * KL_MS;
+	kl_name_set(workers->path.domain, settings->domain);
+	workers->read_functions = copy_functions(settings);
+	workers->table = calloc(settings->workers, sizeof(*workers->table));
+	if (!workers->table || !workers->read_functions)
+		goto fail;
+	for (uint32_t i = 0; i < settings->workers; i++) {
+		workers->count++;
+		if (start_worker(workers, i))
+			goto fail;
+	}
+	/* Threads start last: a session may move to any of them. */
+	for (uint32_t i = 0; i < workers->count; i++)
+		if (pthread_create(&workers->table[i].thread, NULL, run,
+				   &workers->table[i]))
+			goto fail;
+	return workers;
+fail:
+	kl_workers_free(workers);
+	return NULL;
+}
+
+void kl_workers_drain(kl_workers_t *workers)
+{
+	ck_pr_store_32(&workers->draining, 1);
+	post(workers, open_drain);
+}
+
+uint64_t kl_workers_sessions(const kl_workers_t *workers)
+{
+	return ck_pr_load_64(&workers->sessions);
+}
+
+void kl_workers_free(kl_workers_t *workers)
+{
+	if (!workers)
+		return;
+	post(workers, open_exit);
+	for (uint32_t i = 0; i < workers->count; i++)
+		if (workers->table[i].thread)
+			pthread_join(workers->table[i].thread, NULL);
+	for (uint32_t i = 0; i < workers->count; i++)
+		stop_worker(&workers->table[i]);
+	free(workers->table);
+	free(workers->read_functions);
+	free(workers);
+}
+
+static int start_worker(kl_workers_t *workers, uint32_t number)
+{
+	struct timeval tick = {0, TICK_US};
+	kl_worker_t *worker = &workers->table[number];
+
+	worker->all = workers;
+	worker->number = number;
+	CK_LIST_INIT(&worker->sessions);
+	CK_STAILQ_INIT(&worker->waiting);
+	CK_STAILQ_INIT(&worker->pools);
+	worker->base = event_base_new();
+	worker->inbox = kl_inbox_new(worker->base, worker);
+	worker->reader =
+		kl_reader_new(kl_control_thread_board(workers->control));
+	worker->prover = kl_prover_new(worker);
+	worker->listener = listen_on(worker);
+	if (!worker->listener) {
+		kl_log_text("start_failed", "the listening port is not free");
+		return -KL_E_UNAVAILABLE;
+	}
+	worker->tick = event_new(worker->base, -1, EV_PERSIST, on_tick, worker);
+	event_add(worker->tick, &tick);
+	return 0;
+}
+
+/* Every worker listens on the same port; the kernel spreads the callers. */
+static struct evconnlistener *listen_on(kl_worker_t *worker)
+{
+	const kl_settings_t *settings = worker->all->settings;
+	struct sockaddr_in address = {.sin_family = AF_INET};
+
+	address.sin_port = htons((uint16_t)settings->listen_port);
+	inet_pton(AF_INET, settings->host, &address.sin_addr);
+	return evconnlistener_new_bind(
+		worker->base, on_accept, worker,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC |
+			LEV_OPT_REUSEABLE | LEV_OPT_REUSEABLE_PORT,
+		BACKLOG, (struct sockaddr *)&address, sizeof(address));
+}
+
+static void *run(void *arg)
+{
+	kl_worker_t *worker = arg;
+
+	event_base_loop(worker->base, EVLOOP_NO_EXIT_ON_EMPTY);
+	return NULL;
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *address, int length, void *arg)
+{
+	(void)listener;
+	(void)address;
+	(void)length;
+	kl_session_accept(arg, fd);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	kl_worker_t *worker = arg;
+	kl_scene_t scene;
+	uint64_t now = kl_clock_us();
+	(void)fd;
+	(void)what;
+
+	kl_request_look_again(worker);
+	if (now - worker->swept_us < SWEEP_US)
+		return;
+	worker->swept_us = now;
+	kl_request_deadlines(worker);
+	kl_read_begin(worker->reader);
+	kl_scene_look(&scene, worker->reader, now);
+	kl_session_sweep(worker, &scene);
+	kl_pool_check(worker, &scene);
+	kl_read_end(worker->reader);
+}
+
+static void post(kl_workers_t *workers,
+		 void (*open)(void *owner, kl_letter_t *letter))
+{
+	for (uint32_t i = 0; i < workers->count; i++) {
+		kl_letter_t *letter = calloc(1, sizeof(*letter));
+
+		if (!letter || !workers->table[i].inbox) {
+			free(letter);
+			continue;
+		}
+		letter->open = open;
+		kl_inbox_post(workers->table[i].inbox, letter);
+	}
+}
+
+static void open_drain(void *owner, kl_letter_t *letter)
+{
+	kl_worker_t *worker = owner;
+
+	if (worker)
+		evconnlistener_disable(worker->listener);
+	free(letter);
+}
+
+static void open_exit(void *owner, kl_letter_t *letter)
+{
+	kl_worker_t *worker = owner;
+
+	if (worker)
+		event_base_loopexit(worker->base, NULL);
+	free(letter);
+}
+
+static void stop_worker(kl_worker_t *worker)
+{
+	kl_session_t *session;
+	kl_pool_t *pool;
+
+	kl_inbox_free(worker->inbox);
+	while ((session = CK_LIST_FIRST(&worker->sessions)))
+		kl_session_end(session, -KL_E_DRAINING);
+	kl_prover_free(worker->prover);
+	while ((pool = CK_STAILQ_FIRST(&worker->pools))) {
+		CK_STAILQ_REMOVE_HEAD(&worker->pools, link);
+		kl_pool_free(pool);
+	}
+	if (worker->listener)
+		evconnlistener_free(worker->listener);
+	if (worker->tick)
+		event_free(worker->tick);
+	if (worker->base)
+		event_base_free(worker->base);
+}
+
+static const char **copy_functions(const kl_settings_t *settings)
+{
+	const char **list =
+		calloc(settings->read_functions_count + 1, sizeof(*list));
+
+	for (uint32_t i = 0; list && i < settings->read_functions_count; i++)
+		list[i] = settings->read_functions[i];
+	return list;
+}
--- /dev/null
+++ b/standin/database.c
@@ -0,0 +1,204 @@
+/*
+ * kl-standin-database: stands in for a group of databases in tests and the
+ * demo.  PostgreSQL protocol, terms and log positions, asynchronous
+ * replication with a lag, and switches for faults on an HTTP port:
+ * /fault?db=NAME&name=FAULT&value=N and /state.
+ */
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "standin/database.h"
+
+#define REPLICATE_US 2000
+
+typedef struct fault_row {
+	const char *name;
+	size_t offset;
+} fault_row_t;
+
+static const fault_row_t fault_rows[] = {
+	{"freeze", offsetof(faults_t, frozen)},
+	{"cut", offsetof(faults_t, cut)},
+	{"isolate", offsetof(faults_t, isolated)},
+	{"die_before", offsetof(faults_t, die_before)},
+	{"die_after", offsetof(faults_t, die_after)},
+	{"late_ms", offsetof(faults_t, late_ms)},
+	{"silent", offsetof(faults_t, silent)},
+	{"lag_ms", offsetof(faults_t, lag_ms)},
+};
+
+static void on_tick(evutil_socket_t fd, short what, void *arg);
+static void on_fault(struct evhttp_request *request, void *arg);
+static void on_state(struct evhttp_request *request, void *arg);
+static void reply(struct evhttp_request *request, struct evbuffer *body);
+static int open_databases(group_t *group, const char *host, const char *names,
+			  int first_port, int lag_ms);
+
+int main(int argc, char **argv)
+{
+	static group_t group = {.count = 3, .slots = 5};
+	static gchar *host, *names, *capture;
+	static gint port, admin, lag_ms;
+	static const GOptionEntry entries[] = {
+		{"host", 0, 0, G_OPTION_ARG_STRING, &host, "IP number", "HOST"},
+		{"names", 0, 0, G_OPTION_ARG_STRING, &names,
+		 "Databases, the primary first", "A,B,C"},
+		{"port", 0, 0, G_OPTION_ARG_INT, &port,
+		 "Port of the first; the others follow", "PORT"},
+		{"admin", 0, 0, G_OPTION_ARG_INT, &admin,
+		 "HTTP port for faults", "PORT"},
+		{"slots", 0, 0, G_OPTION_ARG_INT, &group.slots,
+		 "Statements executed at once", "N"},
+		{"exec-us", 0, 0, G_OPTION_ARG_INT, &group.exec_us,
+		 "Time of a statement", "US"},
+		{"connect-ms", 0, 0, G_OPTION_ARG_INT, &group.connect_ms,
+		 "Time of a new connection", "MS"},
+		{"lag-ms", 0, 0, G_OPTION_ARG_INT, &lag_ms, "Replication lag",
+		 "MS"},
+		{"capture", 0, 0, G_OPTION_ARG_FILENAME, &capture,
+		 "Write all received bytes to", "FILE"},
+		{NULL, 0, 0, 0, NULL, NULL, NULL},
+	};
+	GOptionContext *context = g_option_context_new(NULL);
+	struct timeval tick = {0, REPLICATE_US};
+	struct evhttp *http;
+
+	g_option_context_add_main_entries(context, entries, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, NULL) || !port ||
+	    !names)
+		return 2;
+	signal(SIGPIPE, SIG_IGN);
+	if (!host)
+		host = g_strdup("127.0.0.1");
+	group.base = event_base_new();
+	if (capture) {
+		group.capture = fopen(capture, "wb");
+		setvbuf(group.capture, NULL, _IONBF, 0);
+	}
+	if (open_databases(&group, host, names, port, lag_ms))
+		return 1;
+	http = evhttp_new(group.base);
+	evhttp_set_cb(http, "/fault", on_fault, &group);
+	evhttp_set_cb(http, "/state", on_state, &group);
+	if (admin && evhttp_bind_socket(http, host, (uint16_t)admin)) {
+		fprintf(stderr, "port %d is not free\n", admin);
+		return 1;
+	}
+	event_add(event_new(group.base, -1, EV_PERSIST, on_tick, &group),
+		  &tick);
+	printf("ready\n");
+	fflush(stdout);
+	event_base_dispatch(group.base);
+	return 0;
+}
+
+static int open_databases(group_t *group, const char *host, const char *names,
+			  int first_port, int lag_ms)
+{
+	gchar **list = g_strsplit(names, ",", 0);
+	int error = 0;
+
+	group->count = (int)g_strv_length(list);
+	group->databases = calloc((size_t)group->count, sizeof(database_t));
+	for (int i = 0; i < group->count && !error; i++) {
+		database_t *database = &group->databases[i];
+
+		g_strlcpy(database->name, list[i], sizeof(database->name));
+		database->group = group;
+		database->port = (uint16_t)(first_port + i);
+		database->primary = i == 0;
+		database->term = 1;
+		database->sealed = 1;
+		database->log = g_ptr_array_new();
+		database->tables = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, g_free);
+		database->faults.lag_ms = lag_ms;
+		CK_STAILQ_INIT(&database->queue);
+		CK_LIST_INIT(&database->peers);
+		error = standin_listen(database, host);
+		if (error)
+			fprintf(stderr, "port %u is not free\n",
+				database->port);
+	}
+	g_strfreev(list);
+	return error;
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	standin_replicate(arg);
+}
+
+static void on_fault(struct evhttp_request *request, void *arg)
+{
+	group_t *group = arg;
+	const char *query =
+		evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request));
+	const char *name, *db, *value;
+	struct evkeyvalq pairs;
+
+	if (!query || evhttp_parse_query_str(query, &pairs)) {
+		evhttp_send_error(request, 400, "no query");
+		return;
+	}
+	name = evhttp_find_header(&pairs, "name");
+	db = evhttp_find_header(&pairs, "db");
+	value = evhttp_find_header(&pairs, "value");
+	for (int i = 0; i < group->count; i++) {
+		database_t *database = &group->databases[i];
+
+		if (g_strcmp0(db, database->name))
+			continue;
+		for (size_t f = 0; f < sizeof(fault_rows) / sizeof(*fault_rows);
+		     f++) {
+			const fault_row_t *row = &fault_rows[f];
+			char *faults = (char *)&database->faults;
+
+			if (!g_strcmp0(name, row->name))
+				*(int *)(faults + row->offset) =
+					value ? atoi(value) : 0;
+		}
+		if (database->faults.cut)
+			standin_cut(database);
+		if (database->faults.silent)
+			standin_silence(database);
+		database->faults.silent = 0;
+		if (!database->faults.frozen)
+			standin_thaw(database);
+	}
+	evhttp_clear_headers(&pairs);
+	reply(request, evbuffer_new());
+}
+
+static void on_state(struct evhttp_request *request, void *arg)
+{
+	const group_t *group = arg;
+	struct evbuffer *body = evbuffer_new();
+
+	for (int i = 0; i < group->count; i++) {
+		const database_t *database = &group->databases[i];
+
+		evbuffer_add_printf(
+			body,
+			"%s %s term %llu sealed %llu position %u served %llu\n",
+			database->name,
+			database->primary ? "primary" : "replica",
+			(unsigned long long)database->term,
+			(unsigned long long)database->sealed,
+			database->log->len,
+			(unsigned long long)database->served);
+	}
+	reply(request, body);
+}
+
+static void reply(struct evhttp_request *request, struct evbuffer *body)
+{
+	evhttp_send_reply(request, 200, "OK", body);
+	evbuffer_free(body);
+}
