--- a/control/failover.c
+++ b/control/failover.c
@@ -264,6 +264,8 @@
 	next = *view->group;
 	next.state = KL_GROUP_PROMOTING;
 	memcpy(next.primary, best->upstream, KL_NAME_MAX);
+	/* Whoever took the change up goes on with it. */
+	memcpy(next.promoter, view->node->self.vm, KL_NAME_MAX);
 	kl_group_fork(&next, next.term, best->position);
 	write_record(view, &next, "candidate_chosen", "highest_position");
 }
--- a/control/share_lease.c
+++ b/control/share_lease.c
@@ -9,21 +9,32 @@
 #define RENEW_US 500000ull    /* a loan this close to its end is renewed */
 #define ASK_US 20000ull	      /* between two questions to one lender */
 #define FORGET_US 10000000ull /* a peer not heard of is forgotten */
-#define DEMAND_US 100000ull   /* width of a step of the demand average */
+#define DEMAND_US 100000ull   /* width of a window of the demand seen */
+#define WINDOWS 4	      /* the highest of so many windows counts */
 #define VALID_US 100000ull    /* tokens are spendable this long per tick */
+#define GRANTS 8	      /* unacknowledged ones of one borrower */
 #define HEADROOM_PERCENT 130  /* share wanted over the demand seen */
 
+/* What a lender gave and the borrower may still use. */
+typedef struct grant {
+	uint64_t sequence;
+	uint64_t share;
+	uint64_t until_us;
+} grant_t;
+
 typedef struct loan {
 	CK_LIST_ENTRY(loan) link;
 	char peer[KL_SHARE_NAME];
 	uint64_t share;
 	uint64_t until_us;
 	uint64_t sequence;
-	uint64_t old_share; /* lender: what a lost grant may leave in use */
-	uint64_t old_until_us;
+
 	uint64_t asked_us;
-	uint64_t touched_us; /* own clock, of the last message */
-	uint64_t pending;    /* borrower: asked for and not answered yet */
+	uint64_t touched_us;	/* own clock, of the last message */
+	bool owes_receipt;	/* borrower: the lender still counts more */
+	uint64_t pending;	/* borrower: asked for and not answered yet */
+	grant_t grants[GRANTS]; /* lender: not known to be superseded */
+	uint32_t grant_count;
 } loan_t;
 
 typedef CK_LIST_HEAD(, loan) loan_list_t;
@@ -38,8 +49,8 @@
 	uint64_t now_us;
 	uint64_t created_us;
 	uint64_t minted_us;
-	uint64_t remainder; /* of minting, below one token */
-	uint64_t demand;    /* statements a second, smoothed */
+	uint64_t remainder;	  /* of minting, below one token */
+	uint64_t recent[WINDOWS]; /* statements a second, newest last */
 	uint64_t came;
 	uint64_t demand_us;
 	uint64_t backlog;
@@ -52,11 +63,13 @@
 		       uint64_t now_us);
 static void expire(kl_share_t *share, uint64_t now_us);
 static uint64_t lent_to(const loan_t *loan, uint64_t now_us);
+static void drop_grants(loan_t *loan, uint64_t held, uint64_t now_us);
 static uint64_t lent_sum(const kl_share_t *share);
 static uint64_t borrowed_sum(const kl_share_t *share);
 static uint64_t pending_sum(const kl_share_t *share, uint64_t now_us);
 static uint64_t owned_now(const kl_share_t *share);
 static void prune(loan_list_t *list, uint64_t now_us);
+static uint64_t demand_of(const kl_share_t *share);
 static uint64_t needed(const kl_share_t *share);
 static int64_t cap_of(const kl_share_t *share);
 static void set_validity(kl_share_t *share);
@@ -139,12 +152,9 @@
 	share->backlog = backlog;
 	if (elapsed < DEMAND_US)
 		return;
-	uint64_t rate = share->came * 1000000 / elapsed;
-	/* Rises at once, falls slowly: a lull should not give all away. */
-	if (rate >= share->demand)
-		share->demand = (share->demand + 3 * rate) / 4;
-	else
-		share->demand = (7 * share->demand + rate) / 8;
+	memmove(share->recent, share->recent + 1,
+		sizeof(share->recent) - sizeof(share->recent[0]));
+	share->recent[WINDOWS - 1] = share->came * 1000000 / elapsed;
 	share->came = 0;
 	share->demand_us = now_us;
 }
@@ -152,15 +162,21 @@
 bool kl_share_wants(kl_share_t *share, const char *lender, uint64_t now_us,
 		    kl_loan_ask_t *ask)
 {
-	uint64_t need = needed(share);
-	uint64_t have = kl_share_effective(share);
-	uint64_t coming = have + pending_sum(share, now_us);
-	uint64_t missing = need > coming ? need - coming : 0;
 	loan_t *loan = loan_of(&share->borrowed, lender, false, now_us);
 	uint64_t held = loan ? loan->share : 0;
-	bool ending = held && loan->until_us < now_us + RENEW_US;
+	uint64_t need = needed(share);
+	uint64_t elsewhere =
+		kl_share_effective(share) - held + pending_sum(share, now_us);
+	uint64_t want = need > elsewhere ? need - elsewhere : 0;
+	bool ending = want && held && loan->until_us < now_us + RENEW_US;
+	bool surplus = want < held / 2;
+	bool owed = loan && loan->owes_receipt;
 
-	if (!missing && !(ending && need > owned_now(share)))
+	/*
+	 * More than is held; or the same once more before it ends; or less,
+	 * so that others get it sooner, and then a receipt for the less.
+	 */
+	if (want <= held && !ending && !surplus && !owed)
 		return false;
 	if (loan && now_us - loan->asked_us < ASK_US)
 		return false;
@@ -169,9 +185,11 @@
 		return false;
 	loan->asked_us = now_us;
 	loan->touched_us = now_us;
-	loan->pending = missing;
+	loan->pending = want > held ? want - held : 0;
+	loan->owes_receipt = false;
 	ask->asked_us = now_us;
-	ask->want = held + missing;
+	ask->held = loan->sequence;
+	ask->want = want;
 	ask->want_tokens = (int64_t)share->backlog * KL_TOKENS_ONE;
 	return true;
 }
@@ -194,6 +212,9 @@
 		return false;
 	loan->asked_us = ask->asked_us;
 	loan->touched_us = now_us;
+	drop_grants(loan, ask->held, now_us);
+	if (loan->grant_count == GRANTS)
+		return false;
 	own = owned_now(share);
 	before = lent_to(loan, now_us);
 	others = lent_sum(share) - before;
@@ -203,20 +224,13 @@
 		keep = own / 16;
 	spare = own > others + keep ? own - others - keep : 0;
 	grant->share = ask->want < spare ? ask->want : spare;
-	/* What a lost grant may have left in use can't be lent to others. */
-	loan->old_share = before;
-	loan->old_until_us = loan->old_until_us > loan->until_us
-				     ? loan->old_until_us
-				     : loan->until_us;
-	if (!before)
-		loan->old_until_us = 0;
-	loan->share = grant->share;
-	loan->until_us = now_us + LENDER_US;
-	loan->sequence = ++share->sequence;
-	grant->sequence = loan->sequence;
+	grant->sequence = ++share->sequence;
 	grant->asked_us = ask->asked_us;
 	grant->duration_us = LOAN_US;
 	grant->tokens = 0;
+	loan->grants[loan->grant_count].sequence = grant->sequence;
+	loan->grants[loan->grant_count].share = grant->share;
+	loan->grants[loan->grant_count++].until_us = now_us + LENDER_US;
 	if (grant->share > before) {
 		uint64_t added = grant->share - before;
 
@@ -247,6 +261,7 @@
 		return;
 	loan->pending = 0;
 	loan->touched_us = now_us;
+	loan->owes_receipt = grant->share < loan->share;
 	loan->sequence = grant->sequence;
 	loan->share = grant->share;
 	loan->until_us = until;
@@ -265,7 +280,7 @@
 bool kl_share_idle(const kl_share_t *share, uint64_t now_us)
 {
 	(void)now_us;
-	return !share->demand && !share->backlog &&
+	return !demand_of(share) && !share->backlog &&
 	       CK_LIST_EMPTY(&share->lent) && CK_LIST_EMPTY(&share->borrowed);
 }
 
@@ -301,12 +316,8 @@
 		if (loan->until_us <= now_us)
 			loan->share = 0;
 	}
-	CK_LIST_FOREACH (loan, &share->lent, link) {
-		if (loan->until_us <= now_us)
-			loan->share = 0;
-		if (loan->old_until_us <= now_us)
-			loan->old_share = 0;
-	}
+	CK_LIST_FOREACH (loan, &share->lent, link)
+		drop_grants(loan, 0, now_us);
 	prune(&share->borrowed, now_us);
 	prune(&share->lent, now_us);
 }
@@ -323,12 +334,32 @@
 	}
 }
 
+/* The most that the borrower may be using: any of them may have come last. */
 static uint64_t lent_to(const loan_t *loan, uint64_t now_us)
 {
-	uint64_t now = loan->until_us > now_us ? loan->share : 0;
-	uint64_t old = loan->old_until_us > now_us ? loan->old_share : 0;
+	uint64_t most = 0;
+
+	for (uint32_t i = 0; i < loan->grant_count; i++) {
+		const grant_t *grant = &loan->grants[i];
 
-	return now > old ? now : old;
+		if (grant->until_us > now_us && grant->share > most)
+			most = grant->share;
+	}
+	return most;
+}
+
+/* Drops what ran out, and what the borrower has replaced by a later one. */
+static void drop_grants(loan_t *loan, uint64_t held, uint64_t now_us)
+{
+	uint32_t kept = 0;
+
+	for (uint32_t i = 0; i < loan->grant_count; i++) {
+		const grant_t grant = loan->grants[i];
+
+		if (grant.until_us > now_us && grant.sequence >= held)
+			loan->grants[kept++] = grant;
+	}
+	loan->grant_count = kept;
 }
 
 static uint64_t lent_sum(const kl_share_t *share)
@@ -370,16 +401,27 @@
 	return share->now_us < share->owned_until_us ? share->owned : 0;
 }
 
+/* A short lull should not give all away. */
+static uint64_t demand_of(const kl_share_t *share)
+{
+	uint64_t most = 0;
+
+	for (int i = 0; i < WINDOWS; i++)
+		if (share->recent[i] > most)
+			most = share->recent[i];
+	return most;
+}
+
 static uint64_t needed(const kl_share_t *share)
 {
+	uint64_t demand = demand_of(share);
 	uint64_t steady, sudden, least, need;
 
-	if (!share->demand && !share->backlog)
+	if (!demand && !share->backlog)
 		return 0;
 	if (!share->rate || !share->burst)
 		return 0;
-	steady = share->demand * KL_SHARE_WHOLE / share->rate *
-		 HEADROOM_PERCENT / 100;
+	steady = demand * KL_SHARE_WHOLE / share->rate * HEADROOM_PERCENT / 100;
 	sudden = share->backlog * KL_SHARE_WHOLE / share->burst;
 	/* A part too small to hold a statement's tokens admits nothing. */
 	least = (KL_SHARE_WHOLE + share->burst - 1) / share->burst * 2;
--- a/path/route.c
+++ b/path/route.c
@@ -135,6 +135,12 @@
 	}
 	if (route->upstream)
 		return;
+	/* A session that saw a later term than this VM knows of. */
+	if (!unknown && ask->token.state == KL_TOKEN_KNOWN &&
+	    ask->token.term > group->term) {
+		wait_or_refuse(route, "term_behind");
+		return;
+	}
 	if (candidates && (!unknown || ask->max_age_us) &&
 	    ask->waited_us < settings->read_wait_us) {
 		wait_or_refuse(route, "replicas_lag");
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -30,6 +30,7 @@
 
 struct kl_wire_ask {
 	unsigned hyper asked_us;
+	unsigned hyper held;
 	unsigned hyper want;
 	hyper want_tokens;
 };
--- a/peer/peer_codec.c
+++ b/peer/peer_codec.c
@@ -229,6 +229,7 @@
 	kl_wire_ask *out = &wire->body.kl_wire_body_u.ask;
 
 	out->asked_us = message->ask.asked_us;
+	out->held = message->ask.held;
 	out->want = message->ask.want;
 	out->want_tokens = message->ask.want_tokens;
 }
@@ -238,6 +239,7 @@
 	const kl_wire_ask *in = &wire->body.kl_wire_body_u.ask;
 
 	message->ask.asked_us = in->asked_us;
+	message->ask.held = in->held;
 	message->ask.want = in->want;
 	message->ask.want_tokens = in->want_tokens;
 }
--- a/peer/peer_wire.h
+++ b/peer/peer_wire.h
@@ -49,6 +49,7 @@
 
 struct kl_wire_ask {
 	u_quad_t asked_us;
+	u_quad_t held;
 	u_quad_t want;
 	quad_t want_tokens;
 };
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -65,6 +65,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->asked_us))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->held))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->want))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->want_tokens))
--- /dev/null
+++ b/tests/unit/board.c
@@ -0,0 +1,172 @@
+/* The blackboard and the inbox under threads; also run with TSan. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+#include <event2/thread.h>
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include "board/sections.h"
+#include "daemon/inbox.h"
+
+#define READERS 4
+#define PUBLICATIONS 20000
+
+typedef struct pair {
+	kl_snapshot_t base;
+	uint64_t first;
+	uint64_t second;
+} pair_t;
+
+static atomic_int destroyed;
+static atomic_bool done;
+
+static void destroy_pair(kl_snapshot_t *snapshot)
+{
+	pair_t *pair = (pair_t *)snapshot;
+
+	pair->first = 1;
+	pair->second = 2;
+	atomic_fetch_add(&destroyed, 1);
+	free(pair);
+}
+
+static void *read_pairs(void *arg)
+{
+	kl_board_t *board = arg;
+	kl_reader_t *reader = kl_reader_new(board);
+	uint64_t torn = 0, last = 0;
+
+	while (!atomic_load(&done)) {
+		const pair_t *pair;
+
+		kl_read_begin(reader);
+		pair = kl_board_get(reader, KL_SECTION_FRESH);
+		if (pair) {
+			torn += pair->first != pair->second;
+			torn += pair->first < last;
+			last = pair->first;
+		}
+		kl_read_end(reader);
+	}
+	return (void *)(uintptr_t)torn;
+}
+
+static void readers_see_whole_snapshots_in_order(void **state)
+{
+	kl_board_t *board = kl_board_new();
+	kl_reader_t *writer = kl_reader_new(board);
+	pthread_t threads[READERS];
+	void *torn;
+	(void)state;
+
+	for (int i = 0; i < READERS; i++)
+		pthread_create(&threads[i], NULL, read_pairs, board);
+	for (uint64_t i = 1; i <= PUBLICATIONS; i++) {
+		pair_t *pair = calloc(1, sizeof(*pair));
+
+		pair->base.destroy = destroy_pair;
+		pair->first = pair->second = i + 10;
+		kl_board_publish(writer, KL_SECTION_FRESH, &pair->base);
+		kl_board_reclaim(writer);
+	}
+	atomic_store(&done, true);
+	for (int i = 0; i < READERS; i++) {
+		pthread_join(threads[i], &torn);
+		assert_int_equal((uintptr_t)torn, 0);
+	}
+	kl_board_free(board);
+	assert_int_equal(atomic_load(&destroyed), PUBLICATIONS);
+}
+
+typedef struct counted {
+	kl_letter_t letter;
+	struct event_base *base;
+} counted_t;
+
+static void open_counted(void *owner, kl_letter_t *letter)
+{
+	int *opened = owner;
+	counted_t *counted = (counted_t *)letter;
+
+	if (opened && ++*opened == READERS * 1000)
+		event_base_loopbreak(counted->base);
+	free(letter);
+}
+
+typedef struct post_job {
+	kl_inbox_t *inbox;
+	struct event_base *base;
+} post_job_t;
+
+static void *post_letters(void *arg)
+{
+	post_job_t *job = arg;
+
+	for (int i = 0; i < 1000; i++) {
+		counted_t *counted = calloc(1, sizeof(*counted));
+
+		counted->letter.open = open_counted;
+		counted->base = job->base;
+		kl_inbox_post(job->inbox, &counted->letter);
+	}
+	return NULL;
+}
+
+static void every_letter_is_opened_once(void **state)
+{
+	struct event_base *base;
+	pthread_t threads[READERS];
+	post_job_t job;
+	int opened = 0;
+	(void)state;
+
+	evthread_use_pthreads();
+	base = event_base_new();
+	job.base = base;
+	job.inbox = kl_inbox_new(base, &opened);
+	for (int i = 0; i < READERS; i++)
+		pthread_create(&threads[i], NULL, post_letters, &job);
+	event_base_dispatch(base);
+	for (int i = 0; i < READERS; i++)
+		pthread_join(threads[i], NULL);
+	assert_int_equal(opened, READERS * 1000);
+	kl_inbox_free(job.inbox);
+	event_base_free(base);
+}
+
+static void names_are_found_and_too_long_ones_refused(void **state)
+{
+	kl_index_t *index = kl_index_new(1);
+	kl_named_t entries[200];
+	char name[KL_NAME_MAX + 1];
+	(void)state;
+
+	for (int i = 0; i < 200; i++) {
+		snprintf(entries[i].name, KL_NAME_MAX, "n%d", i);
+		assert_int_equal(kl_index_put(index, &entries[i]), 0);
+	}
+	assert_int_not_equal(kl_index_put(index, &entries[7]), 0);
+	assert_ptr_equal(kl_index_get(index, "n150"), &entries[150]);
+	assert_ptr_equal(kl_index_remove(index, "n150"), &entries[150]);
+	assert_null(kl_index_get(index, "n150"));
+	memset(name, 'x', KL_NAME_MAX);
+	name[KL_NAME_MAX] = '\0';
+	assert_null(kl_index_get(index, name));
+	kl_index_free(index);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(readers_see_whole_snapshots_in_order),
+		cmocka_unit_test(every_letter_is_opened_once),
+		cmocka_unit_test(names_are_found_and_too_long_ones_refused),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/codec.c
@@ -0,0 +1,135 @@
+/* The PostgreSQL codec and the peer codec against bad bytes. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+#include <glib.h>
+
+#include "front/pg_codec.h"
+#include "kumquatloft/kind.h"
+#include "peer/peer_codec.h"
+
+static int take(const void *bytes, size_t length, bool startup,
+		kl_pg_message_t *message)
+{
+	struct evbuffer *in = evbuffer_new();
+	int taken;
+
+	evbuffer_add(in, bytes, length);
+	taken = kl_pg_take(in, startup, message);
+	evbuffer_free(in);
+	return taken;
+}
+
+static void half_a_message_needs_more(void **state)
+{
+	kl_pg_message_t message;
+	(void)state;
+
+	assert_int_equal(take("Q", 1, false, &message), 0);
+	assert_int_equal(take("Q\0\0\0\010abc", 8, false, &message), 0);
+	assert_int_equal(take("\0\0", 2, true, &message), 0);
+}
+
+static void bad_lengths_are_refused(void **state)
+{
+	kl_pg_message_t message;
+	(void)state;
+
+	assert_int_equal(take("Q\0\0\0\003", 5, false, &message),
+			 -KL_E_PROTOCOL);
+	assert_int_equal(take("Q\377\377\377\377", 5, false, &message),
+			 -KL_E_PROTOCOL);
+	assert_int_equal(take("\0\1\0\0\0\0\0\0", 8, true, &message),
+			 -KL_E_PROTOCOL);
+	assert_int_equal(take("\0\0\0\4", 4, true, &message), -KL_E_PROTOCOL);
+}
+
+static void reading_past_the_end_is_marked(void **state)
+{
+	kl_pg_message_t message;
+	(void)state;
+
+	assert_int_equal(take("B\0\0\0\007abc", 8, false, &message), 1);
+	assert_string_equal(kl_pg_string(&message), "");
+	assert_true(message.bad);
+	assert_int_equal(kl_pg_int32(&message), 0);
+	assert_null(kl_pg_bytes(&message, 1));
+	kl_pg_done(&message);
+	assert_int_equal(take("B\0\0\0\006ab", 7, false, &message), 1);
+	assert_null(kl_pg_bytes(&message, SIZE_MAX));
+	kl_pg_done(&message);
+}
+
+static void peer_messages_survive_the_wire(void **state)
+{
+	kl_peer_message_t message = {.kind = KL_PEER_DELTA};
+	kl_peer_message_t again;
+	char buffer[KL_DATAGRAM_MAX];
+	kl_object_t *object = kl_object_new("plan/gold", 7, "{\"rate\":1}");
+	int length;
+	(void)state;
+
+	strcpy(message.from, "a1");
+	message.delta.since = 3;
+	message.delta.revision = 9;
+	CK_STAILQ_INIT(&message.delta.objects);
+	CK_STAILQ_INSERT_TAIL(&message.delta.objects, object, link);
+	length = kl_peer_encode(&message, "127.0.0.1", 99, buffer,
+				sizeof(buffer));
+	assert_true(length > 0);
+	assert_int_equal(kl_peer_decode(&again, buffer, (size_t)length), 0);
+	assert_string_equal(again.from, "a1");
+	assert_int_equal(again.hello.port, 99);
+	assert_int_equal(again.delta.revision, 9);
+	object = CK_STAILQ_FIRST(&again.delta.objects);
+	assert_non_null(object);
+	assert_string_equal(object->name.name, "plan/gold");
+	assert_int_equal(object->version, 7);
+	kl_peer_clear(&again);
+	kl_peer_clear(&message);
+}
+
+static void mangled_datagrams_are_refused_or_harmless(void **state)
+{
+	kl_peer_message_t message = {.kind = KL_PEER_ASK};
+	kl_peer_message_t again;
+	char buffer[KL_DATAGRAM_MAX];
+	GRand *random = g_rand_new_with_seed(20261204);
+	int length, refused = 0;
+	(void)state;
+
+	strcpy(message.from, "a1");
+	strcpy(message.subject, "bakery");
+	length = kl_peer_encode(&message, "127.0.0.1", 99, buffer,
+				sizeof(buffer));
+	assert_true(length > 0);
+	for (int i = 0; i < 20000; i++) {
+		char mangled[KL_DATAGRAM_MAX];
+		size_t part = (size_t)g_rand_int_range(random, 0, length + 1);
+
+		memcpy(mangled, buffer, (size_t)length);
+		for (int n = g_rand_int_range(random, 0, 4); n > 0; n--)
+			mangled[g_rand_int_range(random, 0, length)] =
+				(char)g_rand_int(random);
+		refused += kl_peer_decode(&again, mangled, part) != 0;
+		kl_peer_clear(&again);
+	}
+	assert_true(refused > 1000);
+	g_rand_free(random);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(half_a_message_needs_more),
+		cmocka_unit_test(bad_lengths_are_refused),
+		cmocka_unit_test(reading_past_the_end_is_marked),
+		cmocka_unit_test(peer_messages_survive_the_wire),
+		cmocka_unit_test(mangled_datagrams_are_refused_or_harmless),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
