Keep the control side's cost from growing with members and workspaces

A VM that heard of another one only by its tombstone sent messages to port 0; found by AddressSanitizer in shares_owned once members were published less often.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 PROGRAMS = $(BUILD)/kumquatloftd $(BUILD)/kumquatctl \
 	$(BUILD)/kl-standin-platform $(BUILD)/kl-standin-database
 
-all: $(PROGRAMS) $(BUILD)/tests/script_run $(BENCH_PROGRAMS) $(PROCESS_PROGRAMS)
+all: $(PROGRAMS) $(BUILD)/tests/script_run $(BENCH_PROGRAMS) $(PROCESS_PROGRAMS) $(BUILD)/examples/lend
 unit: $(UNIT_PROGRAMS)
 property: $(PROPERTY_PROGRAMS)
 
--- a/bench/path.sh
+++ b/bench/path.sh
@@ -11,9 +11,9 @@
 exec one INSERT INTO bench VALUES ('a', '0')" | steps >/dev/null
 ctl plan set gold 9000 10000000 10000000 >/dev/null
 await_status 1 '"session_cap": 3000'
-rss() { sed -n 's/^VmRSS: *\([0-9]*\) kB/\1/p' "/proc/$PID_a1/status"; }
+rss() { sed -n 's/^VmRSS:[[:space:]]*\([0-9]*\) kB/\1/p' "/proc/$PID_a1/status"; }
 rest="--workspace bakery --service orders --key $KEY --seconds ${SECONDS_EACH:-3}"
-for n in 10 100 1000; do
+for n in ${CONNECTIONS-10 100 1000}; do
 	for mode in read write; do
 		echo "direct $mode: $($load --port 17401 $rest --mode $mode --connections $n)"
 		echo "daemon $mode: $($load --port 17001 $rest --mode $mode --connections $n --options '-c kumquatloft.session=new')"
@@ -30,12 +30,11 @@
 		echo "lag $lag ms, options '$options': reads on replicas $(((r1 - r0) * 1000 / (r1 - r0 + p1 - p0))) per mille; $out"
 	done
 done
-before=$(rss)
-{
-	for i in $(seq 1 60); do echo "connect c$i 17001 bakery orders $KEY session=new"; done
-	read -r -t 3 _ <>"$STAND/pause"
-} | steps >/dev/null &
-holder=$!
-read -r -t 1.5 _ <>"$STAND/pause"
-echo "rss_kb before $before with 60 idle connections $(rss)"
-wait $holder
+for n in 10 100 1000; do
+	before=$(rss)
+	$load --port 17001 $rest --seconds 3 --connections $n --rate 10 >/dev/null 2>&1 &
+	holder=$!
+	read -r -t 1.5 _ <>"$STAND/pause"
+	echo "$n idle connections: rss_kb $before to $(rss)"
+	wait $holder
+done
--- a/board/sections.h
+++ b/board/sections.h
@@ -165,13 +165,14 @@
 	uint16_t port;	   /**< peers' UDP port */
 	bool listed;	   /**< the platform lists it */
 	bool leaving;	   /**< listed as leaving, or marked */
-	uint64_t heard_us; /**< last message from it; 0 for never */
+	uint64_t heard_us; /**< last message from it when published */
 } kl_member_t;
 
 /** Who takes part. */
 typedef struct kl_members {
 	kl_snapshot_t base;
 	CK_STAILQ_HEAD(, kl_member) list;
+	uint64_t version; /**< rises with each publication */
 	uint32_t count;
 	uint32_t live; /**< listed and not leaving, this VM included */
 	kl_index_t *index;
--- a/control/failover.c
+++ b/control/failover.c
@@ -46,6 +46,10 @@
 	uint64_t write_us; /* last conditional update */
 	uint64_t version;  /* of the record the replies belong to */
 	uint64_t term;	   /* of that record */
+	uint64_t members;  /* version that the probers were chosen from */
+	char probers[KL_PROBERS][KL_NAME_MAX];
+	uint32_t prober_count;
+	int rank; /* of this VM among them, or -1 */
 	reply_t replies[REPLIES];
 	uint32_t reply_count;
 	bool promoted;
@@ -71,6 +75,7 @@
 static void step_stable(view_t *view);
 static void step_fencing(view_t *view);
 static void step_promoting(view_t *view);
+static void choose_probers(view_t *view);
 static void create_record(view_t *view);
 static void suspect(view_t *view);
 static bool primary_fails(const view_t *view);
@@ -155,8 +160,10 @@
 
 		view.change = change_of(state, name);
 		view.group = kl_index_get(terms->index, name);
-		view.rank = kl_prober_rank(node, view.members, name);
-		if (!view.change || view.rank < 0)
+		if (!view.change)
+			continue;
+		choose_probers(&view);
+		if (view.rank < 0)
 			continue;
 		if (!view.group) {
 			create_record(&view);
@@ -175,6 +182,27 @@
 	}
 }
 
+/* Anew only when the members changed: every VM finds the same ones. */
+static void choose_probers(view_t *view)
+{
+	const kl_member_t *table[KL_PROBERS];
+	change_t *change = view->change;
+
+	if (change->members != view->members->version) {
+		change->members = view->members->version;
+		change->rank = -1;
+		change->prober_count = kl_probers(
+			view->members, view->service->name.name, table);
+		for (uint32_t i = 0; i < change->prober_count; i++) {
+			memcpy(change->probers[i], table[i]->name.name,
+			       KL_NAME_MAX);
+			if (!strcmp(change->probers[i], view->node->self.vm))
+				change->rank = (int)i;
+		}
+	}
+	view->rank = change->rank;
+}
+
 /* The first record names the database that a majority's view allows. */
 static void create_record(view_t *view)
 {
@@ -362,9 +390,7 @@
 
 static bool quorum(const view_t *view)
 {
-	const kl_member_t *table[KL_PROBERS];
-	uint32_t count =
-		kl_probers(view->members, view->service->name.name, table);
+	uint32_t count = view->change->prober_count;
 	uint32_t suspects = 0;
 	const suspicion_t *suspicion;
 
@@ -373,27 +399,27 @@
 		    view->now - suspicion->heard_us > SUSPECT_TTL_US)
 			continue;
 		for (uint32_t i = 0; i < count; i++)
-			suspects += !strcmp(table[i]->name.name, suspicion->vm);
+			suspects += !strcmp(view->change->probers[i],
+					    suspicion->vm);
 	}
 	return suspects > count / 2;
 }
 
 static void tell_suspicion(view_t *view)
 {
-	const kl_member_t *table[KL_PROBERS];
-	uint32_t count =
-		kl_probers(view->members, view->service->name.name, table);
 	kl_peer_message_t message = {.kind = KL_PEER_SUSPECT,
 				     .term = view->group->term};
 
 	memcpy(message.from, view->node->self.vm, KL_NAME_MAX);
 	memcpy(message.subject, view->service->name.name, KL_NAME_MAX);
-	for (uint32_t i = 0; i < count; i++) {
-		if (!strcmp(table[i]->name.name, view->node->self.vm))
+	for (uint32_t i = 0; i < view->change->prober_count; i++) {
+		const kl_member_t *prober = kl_index_get(
+			view->members->index, view->change->probers[i]);
+
+		if (!prober || (int)i == view->rank)
 			continue;
-		view->node->outlet->peer(view->node->context,
-					 table[i]->name.name, table[i]->host,
-					 table[i]->port, &message);
+		view->node->outlet->peer(view->node->context, prober->name.name,
+					 prober->host, prober->port, &message);
 	}
 }
 
--- a/control/member.c
+++ b/control/member.c
@@ -20,9 +20,13 @@
 } known_t;
 
 typedef struct member_state {
+	char self[KL_NAME_MAX];
 	CK_STAILQ_HEAD(, known) list;
 	kl_index_t *index;
-	uint64_t published_us;
+	size_t count;
+	uint64_t revision;
+	uint64_t forgot_us;
+	uint64_t published;
 	bool changed;
 } member_state_t;
 
@@ -32,8 +36,8 @@
 static void take_hello(member_state_t *state, const kl_peer_message_t *message,
 		       uint64_t now);
 static void forget(member_state_t *state, uint64_t now);
-static void publish(kl_node_t *node, member_state_t *state, uint64_t now);
-static void insert_sorted(kl_members_t *members, kl_member_t *member);
+static void publish(kl_node_t *node, member_state_t *state);
+static void insert_sorted(member_state_t *state, known_t *known);
 
 int kl_member_create(kl_node_t *node)
 {
@@ -45,13 +49,14 @@
 	CK_STAILQ_INIT(&state->list);
 	state->index = kl_index_new(64);
 	node->state[KL_CONTROLLER_MEMBER] = state;
+	memcpy(state->self, node->self.vm, KL_NAME_MAX);
 	self = known_of(state, node->self.vm);
 	if (!self)
 		return -KL_E_NOMEM;
 	memcpy(self->member.domain, node->self.domain, KL_NAME_MAX);
 	memcpy(self->member.host, node->self.host, KL_HOST_MAX);
 	self->member.port = node->self.port;
-	publish(node, state, 0);
+	publish(node, state);
 	return 0;
 }
 
@@ -72,16 +77,19 @@
 	const kl_objects_t *objects = kl_node_get(node, KL_SECTION_OBJECTS);
 	uint64_t now = kl_node_now(node);
 
-	if (event->kind == KL_EVENT_PEER) {
-		if (event->peer->kind == KL_PEER_HELLO)
-			take_hello(state, event->peer, now);
-	}
-	if (objects)
+	if (event->kind == KL_EVENT_PEER && event->peer->kind == KL_PEER_HELLO)
+		take_hello(state, event->peer, now);
+	if (objects && objects->revision != state->revision) {
+		state->revision = objects->revision;
+		state->changed = true; /* marks may have changed as well */
 		take_list(state, objects);
-	if (!state->changed && now - state->published_us < REFRESH_US)
-		return;
-	forget(state, now);
-	publish(node, state, now);
+	}
+	if (now - state->forgot_us >= REFRESH_US) {
+		state->forgot_us = now;
+		forget(state, now);
+	}
+	if (state->changed)
+		publish(node, state);
 }
 
 static known_t *known_of(member_state_t *state, const char *name)
@@ -96,7 +104,8 @@
 		return NULL;
 	}
 	known->member.name = known->name;
-	CK_STAILQ_INSERT_TAIL(&state->list, known, link);
+	insert_sorted(state, known);
+	state->count++;
 	kl_index_put(state->index, &known->name);
 	state->changed = true;
 	return known;
@@ -111,7 +120,11 @@
 
 		if (strncmp(object->name.name, "vm/", 3))
 			continue;
-		known = known_of(state, object->name.name + 3);
+		known = kl_index_get(state->index, object->name.name + 3);
+		/* Of a VM that went before this one came there is no address.
+		 */
+		if (!known && strcmp(object->body, "null"))
+			known = known_of(state, object->name.name + 3);
 		if (!known || known->version == object->version)
 			continue;
 		known->version = object->version;
@@ -128,6 +141,7 @@
 
 	known->member.listed = false;
 	known->member.leaving = false;
+	known->member.heard_us = 0;
 	if (!json_unpack(json, "{s:s,s:s,s:i,s:s}", "domain", &domain, "host",
 			 &host, "port", &port, "state", &state) &&
 	    strlen(host) < KL_HOST_MAX &&
@@ -160,20 +174,22 @@
 	known_t *known, *next;
 
 	CK_STAILQ_FOREACH_SAFE (known, &state->list, link, next) {
-		if (known == CK_STAILQ_FIRST(&state->list) ||
+		if (!strcmp(known->name.name, state->self) ||
 		    known->member.listed ||
 		    now - known->member.heard_us < SILENT_US)
 			continue;
 		kl_index_remove(state->index, known->name.name);
 		CK_STAILQ_REMOVE(&state->list, known, known, link);
 		free(known);
+		state->count--;
+		state->changed = true;
 	}
 }
 
-static void publish(kl_node_t *node, member_state_t *state, uint64_t now)
+static void publish(kl_node_t *node, member_state_t *state)
 {
 	const kl_config_t *config = kl_node_get(node, KL_SECTION_CONFIG);
-	kl_members_t *members = kl_members_new(64);
+	kl_members_t *members = kl_members_new(state->count);
 	const kl_member_t *member;
 	known_t *known;
 	uint32_t position = 0;
@@ -190,7 +206,7 @@
 		    (kl_config_marked(config, "vm", copy->name.name) ||
 		     kl_config_marked(config, "domain", copy->domain)))
 			copy->leaving = true;
-		insert_sorted(members, copy);
+		CK_STAILQ_INSERT_TAIL(&members->list, copy, link);
 		members->count++;
 		members->live += !copy->leaving &&
 				 (copy->listed ||
@@ -206,22 +222,22 @@
 		position++;
 	}
 	state->changed = false;
-	state->published_us = now;
+	members->version = ++state->published;
 	kl_node_publish(node, KL_SECTION_MEMBERS, &members->base);
 }
 
 /* In the order of names, so that every VM draws the same tree. */
-static void insert_sorted(kl_members_t *members, kl_member_t *member)
+static void insert_sorted(member_state_t *state, known_t *known)
 {
-	kl_member_t *entry, *before = NULL;
+	known_t *entry, *before = NULL;
 
-	CK_STAILQ_FOREACH (entry, &members->list, link) {
-		if (strcmp(entry->name.name, member->name.name) > 0)
+	CK_STAILQ_FOREACH (entry, &state->list, link) {
+		if (strcmp(entry->name.name, known->name.name) > 0)
 			break;
 		before = entry;
 	}
 	if (before)
-		CK_STAILQ_INSERT_AFTER(&members->list, before, member, link);
+		CK_STAILQ_INSERT_AFTER(&state->list, before, known, link);
 	else
-		CK_STAILQ_INSERT_HEAD(&members->list, member, link);
+		CK_STAILQ_INSERT_HEAD(&state->list, known, link);
 }
--- a/control/share.c
+++ b/control/share.c
@@ -10,7 +10,8 @@
 #include "control/slot.h"
 
 #define BALANCE_US (200 * KL_MS)
-#define LENDERS 3 /* asked in one step for one workspace */
+#define IDLE_TURNS 8 /* steps in which every idle workspace has its turn */
+#define LENDERS 3    /* asked in one step for one workspace */
 
 typedef struct account {
 	kl_named_t name; /* the workspace */
@@ -22,24 +23,35 @@
 	bool wanted;
 } account_t;
 
+typedef CK_STAILQ_HEAD(account_list, account) account_list_t;
+
+/* An account is on the busy list, or on the idle one, which takes turns. */
 typedef struct share_state {
-	CK_STAILQ_HEAD(, account) accounts;
+	account_list_t busy;
+	account_list_t idle;
+	uint32_t count;
 	kl_index_t *index;
 	kl_slots_t *slots;
 	uint64_t balanced_us;
+	uint64_t revision; /* of the configuration taken in */
+	uint64_t owned;
+
 } share_state_t;
 
-static void take_config(kl_node_t *node, share_state_t *state);
+static void take_config(kl_node_t *node, share_state_t *state, uint64_t owned);
 static account_t *account_new(kl_node_t *node, share_state_t *state,
 			      const char *name);
 static void account_free(account_t *account);
+static void run_accounts(kl_node_t *node, share_state_t *state, uint64_t owned,
+			 uint64_t until, kl_event_kind_t kind);
+static bool is_idle(const account_t *account, uint64_t now);
 static void run_account(kl_node_t *node, share_state_t *state,
 			account_t *account, uint64_t owned, uint64_t until);
 static void ask_lenders(kl_node_t *node, share_state_t *state,
 			account_t *account, uint64_t now);
 static void loan_message(kl_node_t *node, share_state_t *state,
 			 const kl_peer_message_t *message);
-static bool leaving(const kl_node_t *node, const share_state_t *state);
+static bool leaving(const kl_node_t *node);
 static void publish(kl_node_t *node, share_state_t *state);
 static void destroy(kl_snapshot_t *snapshot);
 static void release(kl_bucket_t *bucket);
@@ -56,7 +68,8 @@
 
 	if (!state)
 		return -KL_E_NOMEM;
-	CK_STAILQ_INIT(&state->accounts);
+	CK_STAILQ_INIT(&state->busy);
+	CK_STAILQ_INIT(&state->idle);
 	state->index = kl_index_new(16);
 	state->slots = kl_slots_new(node->tuning.slots);
 	node->state[KL_CONTROLLER_SHARE] = state;
@@ -68,7 +81,8 @@
 	share_state_t *state = node->state[KL_CONTROLLER_SHARE];
 	account_t *account, *next;
 
-	CK_STAILQ_FOREACH_SAFE (account, &state->accounts, link, next)
+	CK_STAILQ_CONCAT(&state->busy, &state->idle);
+	CK_STAILQ_FOREACH_SAFE (account, &state->busy, link, next)
 		account_free(account);
 	kl_index_free(state->index);
 	kl_slots_free(state->slots);
@@ -81,22 +95,21 @@
 	const kl_fresh_t *fresh = kl_node_get(node, KL_SECTION_FRESH);
 	uint64_t now = kl_node_now(node);
 	uint64_t owned, until;
-	account_t *account;
 
 	if (event->kind == KL_EVENT_PEER) {
 		loan_message(node, state, event->peer);
 		return;
 	}
 	kl_slots_read(node, state->slots);
-	take_config(node, state);
 	if (now - state->balanced_us >= BALANCE_US) {
 		state->balanced_us = now;
-		kl_slots_balance(node, state->slots, leaving(node, state));
+		kl_slots_balance(node, state->slots, leaving(node));
 	}
 	owned = kl_slots_part(node, state->slots, KL_SHARE_WHOLE);
+	take_config(node, state, owned);
+
 	until = fresh ? fresh->confirmed_us + node->tuning.share_hold_us : 0;
-	CK_STAILQ_FOREACH (account, &state->accounts, link)
-		run_account(node, state, account, owned, until);
+	run_accounts(node, state, owned, until, event->kind);
 }
 
 uint32_t kl_share_slots_held(const kl_node_t *node)
@@ -106,16 +119,21 @@
 	return kl_slots_held(state->slots);
 }
 
-static void take_config(kl_node_t *node, share_state_t *state)
+static void take_config(kl_node_t *node, share_state_t *state, uint64_t owned)
 {
 	const kl_config_t *config = kl_node_get(node, KL_SECTION_CONFIG);
 	const kl_workspace_t *workspace;
 	account_t *account, *next;
 	bool changed = false;
 
-	if (!config)
+	if (!config ||
+	    (config->revision == state->revision && owned == state->owned))
 		return;
-	CK_STAILQ_FOREACH (account, &state->accounts, link)
+	state->revision = config->revision;
+	state->owned = owned;
+	/* All are looked at, and sorted out anew by the next step. */
+	CK_STAILQ_CONCAT(&state->busy, &state->idle);
+	CK_STAILQ_FOREACH (account, &state->busy, link)
 		account->wanted = false;
 	CK_STAILQ_FOREACH (workspace, &config->workspaces, link) {
 		const char *name = workspace->name.name;
@@ -135,11 +153,12 @@
 			       kl_slots_part(node, state->slots,
 					     plan ? plan->connections : 0));
 	}
-	CK_STAILQ_FOREACH_SAFE (account, &state->accounts, link, next) {
+	CK_STAILQ_FOREACH_SAFE (account, &state->busy, link, next) {
 		if (account->wanted)
 			continue;
 		kl_index_remove(state->index, account->name.name);
-		CK_STAILQ_REMOVE(&state->accounts, account, account, link);
+		CK_STAILQ_REMOVE(&state->busy, account, account, link);
+		state->count--;
 		account_free(account);
 		changed = true;
 	}
@@ -163,7 +182,8 @@
 	account->share = kl_share_new(&purse_ops, bucket, kl_node_now(node));
 	if (!account->share)
 		goto fail;
-	CK_STAILQ_INSERT_TAIL(&state->accounts, account, link);
+	CK_STAILQ_INSERT_TAIL(&state->busy, account, link);
+	state->count++;
 	kl_index_put(state->index, &account->name);
 	return account;
 fail:
@@ -180,6 +200,51 @@
 	free(account);
 }
 
+/*
+ * Busy ones at each step; of the idle ones so many that all have had their
+ * turn before their tokens cease to be valid.  One that waits comes at once.
+ */
+static void run_accounts(kl_node_t *node, share_state_t *state, uint64_t owned,
+			 uint64_t until, kl_event_kind_t kind)
+{
+	uint64_t now = kl_node_now(node);
+	uint32_t turns = state->count / IDLE_TURNS + 1;
+	account_list_t busy, idle;
+	account_t *account;
+
+	CK_STAILQ_INIT(&busy);
+	CK_STAILQ_INIT(&idle);
+	CK_STAILQ_CONCAT(&busy, &state->busy);
+	while ((account = CK_STAILQ_FIRST(&state->idle))) {
+		bool waits = kind == KL_EVENT_DEMAND &&
+			     ck_pr_load_64(&account->bucket->waiting);
+
+		if (!turns && kind != KL_EVENT_DEMAND)
+			break;
+		CK_STAILQ_REMOVE_HEAD(&state->idle, link);
+		if (turns || waits)
+			CK_STAILQ_INSERT_TAIL(&busy, account, link);
+		else
+			CK_STAILQ_INSERT_TAIL(&idle, account, link);
+		turns -= turns > 0;
+	}
+	CK_STAILQ_CONCAT(&state->idle, &idle);
+	while ((account = CK_STAILQ_FIRST(&busy))) {
+		CK_STAILQ_REMOVE_HEAD(&busy, link);
+		run_account(node, state, account, owned, until);
+		if (is_idle(account, now))
+			CK_STAILQ_INSERT_TAIL(&state->idle, account, link);
+		else
+			CK_STAILQ_INSERT_TAIL(&state->busy, account, link);
+	}
+}
+
+static bool is_idle(const account_t *account, uint64_t now)
+{
+	return !ck_pr_load_64(&account->bucket->waiting) &&
+	       kl_share_idle(account->share, now);
+}
+
 static void run_account(kl_node_t *node, share_state_t *state,
 			account_t *account, uint64_t owned, uint64_t until)
 {
@@ -241,16 +306,16 @@
 }
 
 /* Parts are kept while open sessions may still need them. */
-static bool leaving(const kl_node_t *node, const share_state_t *state)
+static bool leaving(const kl_node_t *node)
 {
 	const kl_life_t *life = kl_node_get(node, KL_SECTION_LIFE);
-	const account_t *account;
+	const kl_shares_t *shares = kl_node_get(node, KL_SECTION_SHARES);
 	uint64_t sessions = 0;
 
 	if (!life || life->phase != KL_PHASE_DRAINING)
 		return false;
-	CK_STAILQ_FOREACH (account, &state->accounts, link)
-		sessions += ck_pr_load_64(&account->bucket->sessions);
+	for (uint32_t i = 0; shares && i < shares->count; i++)
+		sessions += ck_pr_load_64(&shares->buckets[i]->sessions);
 	return !sessions;
 }
 
@@ -258,20 +323,16 @@
 {
 	kl_shares_t *shares = calloc(1, sizeof(*shares));
 	account_t *account;
-	uint32_t count = 0;
-
 	if (!shares)
 		return;
-	CK_STAILQ_FOREACH (account, &state->accounts, link)
-		count++;
 	shares->base.destroy = destroy;
-	shares->index = kl_index_new(count);
-	shares->buckets = calloc(count + 1, sizeof(kl_bucket_t *));
+	shares->index = kl_index_new(state->count);
+	shares->buckets = calloc(state->count + 1, sizeof(kl_bucket_t *));
 	if (!shares->index || !shares->buckets) {
 		destroy(&shares->base);
 		return;
 	}
-	CK_STAILQ_FOREACH (account, &state->accounts, link) {
+	CK_STAILQ_FOREACH (account, &state->busy, link) {
 		account->bucket->references++;
 		shares->buckets[shares->count++] = account->bucket;
 		kl_index_put(shares->index, &account->bucket->name);
--- a/control/slot.c
+++ b/control/slot.c
@@ -30,6 +30,7 @@
 	slot_t *table;
 	char self[KL_NAME_MAX];
 	uint64_t incarnation;
+	uint64_t revision; /* of the objects read */
 };
 
 static bool decode(slot_t *slot, const char *body);
@@ -72,8 +73,9 @@
 
 	memcpy(slots->self, node->self.vm, KL_NAME_MAX);
 	slots->incarnation = node->self.incarnation;
-	if (!objects)
+	if (!objects || objects->revision == slots->revision)
 		return;
+	slots->revision = objects->revision;
 	for (uint32_t i = 0; i < slots->count; i++) {
 		char name[KL_NAME_MAX];
 		const kl_object_t *object;
--- a/daemon/worker_session.c
+++ b/daemon/worker_session.c
@@ -6,6 +6,13 @@
 
 #include "daemon/worker_internal.h"
 
+/* A CancelRequest on its way to a worker. */
+typedef struct cancel_letter {
+	kl_letter_t letter;
+	uint32_t id;
+	uint32_t secret;
+} cancel_letter_t;
+
 typedef struct own_setting {
 	const char *name;
 	bool (*set)(kl_session_t *session, const char *value);
@@ -15,6 +22,7 @@
 static void on_login(void *owner, const kl_login_t *login);
 static void on_query(void *owner, const kl_query_t *query);
 static void on_cancel(void *owner, uint32_t id, uint32_t secret);
+static void open_cancel(void *owner, kl_letter_t *letter);
 static void on_closed(void *owner);
 static void open_moved(void *owner, kl_letter_t *letter);
 static void finish_login(kl_session_t *session);
@@ -257,15 +265,36 @@
 	kl_request_begin(owner, query);
 }
 
+/* The session to cancel may live on any worker. */
 static void on_cancel(void *owner, uint32_t id, uint32_t secret)
 {
 	kl_session_t *asker = owner;
+	kl_workers_t *all = asker->worker->all;
+
+	for (uint32_t i = 0; i < all->count; i++) {
+		cancel_letter_t *cancel = calloc(1, sizeof(*cancel));
+
+		if (!cancel)
+			return;
+		cancel->letter.open = open_cancel;
+		cancel->id = id;
+		cancel->secret = secret;
+		kl_inbox_post(all->table[i].inbox, &cancel->letter);
+	}
+}
+
+static void open_cancel(void *owner, kl_letter_t *letter)
+{
+	kl_worker_t *worker = owner;
+	const cancel_letter_t cancel = *(cancel_letter_t *)letter;
 	kl_session_t *session;
 
-	/* Sessions of other workers are not reached: a cancel is a wish. */
-	CK_LIST_FOREACH (session, &asker->worker->sessions, link) {
-		if (session->welcome && session->id == id &&
-		    session->secret == secret) {
+	free(letter);
+	if (!worker)
+		return;
+	CK_LIST_FOREACH (session, &worker->sessions, link) {
+		if (session->welcome && session->id == cancel.id &&
+		    session->secret == cancel.secret) {
 			kl_request_cancel(&session->request);
 			return;
 		}
--- a/path/route.c
+++ b/path/route.c
@@ -98,7 +98,7 @@
 	uint64_t read_term = kl_group_read_term(group);
 	uint32_t best = UINT32_MAX;
 	bool unknown = ask->token.state == KL_TOKEN_UNKNOWN;
-	bool candidates = false;
+	bool worth_waiting = false;
 
 	if (!unknown && kl_token_covered(&ask->token, group, read_term,
 					 UINT64_MAX) == KL_COVER_LOST) {
@@ -117,7 +117,9 @@
 		    !strcmp(upstream->name.name, group->primary) ||
 		    (ask->avoid && !strcmp(ask->avoid, upstream->name.name)))
 			continue;
-		candidates = true;
+		/* A replica that lags far more than that won't be in time. */
+		worth_waiting |= seen->known_us - seen->data_us <
+				 2 * settings->read_wait_us;
 		if (!replica_fits(scene, ask, group, seen))
 			continue;
 		load = 2 * ask->load(ask->context, upstream->name.name) +
@@ -141,7 +143,7 @@
 		wait_or_refuse(route, "term_behind");
 		return;
 	}
-	if (candidates && (!unknown || ask->max_age_us) &&
+	if (worth_waiting && (!unknown || ask->max_age_us) &&
 	    ask->waited_us < settings->read_wait_us) {
 		wait_or_refuse(route, "replicas_lag");
 		return;
