--- a/bench/decision.c
+++ b/bench/decision.c
@@ -30,7 +30,7 @@
 {
 	world_t *world = build(8, 3);
 	vm_t *vm = world_vm_of(world, "v0");
-	kl_route_ask_t ask = {.service = "s0", .read = true, .load = no_load};
+	kl_route_ask_t ask = { .service = "s0", .read = true, .load = no_load };
 	char hash[2 * KL_KEY_HASH + 1];
 	kl_classified_t out;
 	kl_scene_t scene;
@@ -76,7 +76,7 @@
 	size_t before = mallinfo2().uordblks;
 	world_t *world = build(workspaces, 3);
 	vm_t *vm = world_vm_of(world, "v0");
-	kl_event_t tick = {.kind = KL_EVENT_TICK};
+	kl_event_t tick = { .kind = KL_EVENT_TICK };
 	uint64_t start, changed;
 	char body[128];
 
--- a/bench/fleet.c
+++ b/bench/fleet.c
@@ -22,7 +22,8 @@
 	uint64_t delay_us; /* one way between failure domains */
 } site_t;
 
-static const site_t sites[] = {{"ireland", 8, 4, 1500}, {"uruguay", 7, 3, 500}};
+static const site_t sites[] = { { "ireland", 8, 4, 1500 },
+				{ "uruguay", 7, 3, 500 } };
 
 static world_t *build(uint32_t seed, int vms, int domains, bool databases);
 static void run_spread(int vms, int domains);
@@ -230,7 +231,7 @@
 
 static void move_demand(world_t *world, GRand *random, uint64_t total)
 {
-	double weights[64] = {0}, sum = 0;
+	double weights[64] = { 0 }, sum = 0;
 
 	for (guint i = 0; i < world->vms->len; i++) {
 		/* Skewed: a few VMs have most of the callers. */
--- a/bench/load.c
+++ b/bench/load.c
@@ -35,22 +35,22 @@
 int main(int argc, char **argv)
 {
 	static const GOptionEntry entries[] = {
-		{"port", 0, 0, G_OPTION_ARG_INT, &port, "Port", "N"},
-		{"workspace", 0, 0, G_OPTION_ARG_STRING, &user, "User", "W"},
-		{"service", 0, 0, G_OPTION_ARG_STRING, &service, "Database",
-		 "S"},
-		{"key", 0, 0, G_OPTION_ARG_STRING, &key, "Key", "K"},
-		{"mode", 0, 0, G_OPTION_ARG_STRING, &mode,
-		 "read, write or mix (one write in ten)", "M"},
-		{"options", 0, 0, G_OPTION_ARG_STRING, &options,
-		 "Startup options", "O"},
-		{"connections", 0, 0, G_OPTION_ARG_INT, &connections,
-		 "Connections", "N"},
-		{"seconds", 0, 0, G_OPTION_ARG_INT, &seconds, "Seconds", "N"},
-		{"rate", 0, 0, G_OPTION_ARG_INT, &rate,
-		 "Statements a second of all together, 0 for as many as go",
-		 "N"},
-		{NULL, 0, 0, 0, NULL, NULL, NULL},
+		{ "port", 0, 0, G_OPTION_ARG_INT, &port, "Port", "N" },
+		{ "workspace", 0, 0, G_OPTION_ARG_STRING, &user, "User", "W" },
+		{ "service", 0, 0, G_OPTION_ARG_STRING, &service, "Database",
+		  "S" },
+		{ "key", 0, 0, G_OPTION_ARG_STRING, &key, "Key", "K" },
+		{ "mode", 0, 0, G_OPTION_ARG_STRING, &mode,
+		  "read, write or mix (one write in ten)", "M" },
+		{ "options", 0, 0, G_OPTION_ARG_STRING, &options,
+		  "Startup options", "O" },
+		{ "connections", 0, 0, G_OPTION_ARG_INT, &connections,
+		  "Connections", "N" },
+		{ "seconds", 0, 0, G_OPTION_ARG_INT, &seconds, "Seconds", "N" },
+		{ "rate", 0, 0, G_OPTION_ARG_INT, &rate,
+		  "Statements a second of all together, 0 for as many as go",
+		  "N" },
+		{ NULL, 0, 0, 0, NULL, NULL, NULL },
 	};
 	GOptionContext *context = g_option_context_new(NULL);
 	uint64_t start, elapsed, done = 0, failed = 0, samples = 0;
@@ -72,7 +72,7 @@
 			       &callers[i]);
 	pthread_barrier_wait(&connected);
 	start = now_us();
-	struct timespec pause = {seconds, 0};
+	struct timespec pause = { seconds, 0 };
 	nanosleep(&pause, NULL);
 	stopping = true;
 	elapsed = now_us() - start;
@@ -102,11 +102,11 @@
 {
 	caller_t *caller = arg;
 	char text[8];
-	const char *names[] = {"hostaddr",   "port",	 "user",
-			       "dbname",     "password", "sslmode",
-			       "gssencmode", "options",	 NULL};
-	const char *values[] = {"127.0.0.1", text,	user,	 service, key,
-				"disable",   "disable", options, NULL};
+	const char *names[] = { "hostaddr",   "port",	  "user",
+				"dbname",     "password", "sslmode",
+				"gssencmode", "options",  NULL };
+	const char *values[] = { "127.0.0.1", text,	 user,	  service, key,
+				 "disable",   "disable", options, NULL };
 	GRand *random = g_rand_new_with_seed((guint32)(uintptr_t)caller);
 	PGconn *connection;
 	uint64_t next;
@@ -135,7 +135,8 @@
 			if (next > now) {
 				struct timespec pause = {
 					(time_t)((next - now) / 1000000),
-					(long)((next - now) % 1000000) * 1000};
+					(long)((next - now) % 1000000) * 1000
+				};
 				nanosleep(&pause, NULL);
 			}
 		}
--- a/board/index.c
+++ b/board/index.c
@@ -16,7 +16,7 @@
 static void *hs_malloc(size_t size);
 static void hs_free(void *p, size_t size, bool defer);
 
-static struct ck_malloc hs_memory = {.malloc = hs_malloc, .free = hs_free};
+static struct ck_malloc hs_memory = { .malloc = hs_malloc, .free = hs_free };
 
 kl_index_t *kl_index_new(size_t expected)
 {
--- a/board/sections.c
+++ b/board/sections.c
@@ -5,11 +5,11 @@
 #include "board/sections.h"
 
 /* Empties an intrusive list whose entries are plain allocations. */
-#define free_list(head, type)                                    \
-	do {                                                     \
-		type *entry, *next;                              \
-		CK_STAILQ_FOREACH_SAFE (entry, head, link, next) \
-			free(entry);                             \
+#define free_list(head, type)                                   \
+	do {                                                    \
+		type *entry, *next;                             \
+		CK_STAILQ_FOREACH_SAFE(entry, head, link, next) \
+			free(entry);                            \
 	} while (0)
 
 static void destroy_objects(kl_snapshot_t *snapshot);
@@ -157,7 +157,7 @@
 {
 	const kl_upstream_t *upstream;
 
-	CK_STAILQ_FOREACH (upstream, &service->upstreams, link) {
+	CK_STAILQ_FOREACH(upstream, &service->upstreams, link) {
 		if (!strcmp(upstream->name.name, name))
 			return upstream;
 	}
@@ -189,11 +189,11 @@
 	kl_config_t *config = (kl_config_t *)snapshot;
 	kl_service_t *service;
 
-	CK_STAILQ_FOREACH (service, &config->services, link)
+	CK_STAILQ_FOREACH(service, &config->services, link)
 		free_list(&service->upstreams, kl_upstream_t);
 	free_list(&config->services, kl_service_t);
 	kl_key_t *key, *next;
-	CK_STAILQ_FOREACH_SAFE (key, &config->keys, all, next)
+	CK_STAILQ_FOREACH_SAFE(key, &config->keys, all, next)
 		free(key);
 	free_list(&config->workspaces, kl_workspace_t);
 	free_list(&config->plans, kl_plan_t);
--- a/control/config.c
+++ b/control/config.c
@@ -45,10 +45,10 @@
 
 /* In the order of building: workspaces name plans, marks touch upstreams. */
 static const document_kind_t kinds[] = {
-	{"plan/", check_plan, build_plan},
-	{"workspace/", check_workspace, build_workspace},
-	{"mark/", check_mark, build_mark},
-	{"service/", check_service, build_service},
+	{ "plan/", check_plan, build_plan },
+	{ "workspace/", check_workspace, build_workspace },
+	{ "mark/", check_mark, build_mark },
+	{ "service/", check_service, build_service },
 };
 
 #define KINDS (sizeof(kinds) / sizeof(kinds[0]))
@@ -70,7 +70,7 @@
 	config_state_t *state = node->state[KL_CONTROLLER_CONFIG];
 	document_t *document, *next;
 
-	CK_STAILQ_FOREACH_SAFE (document, &state->documents, link, next) {
+	CK_STAILQ_FOREACH_SAFE(document, &state->documents, link, next) {
 		json_decref(document->good);
 		free(document);
 	}
@@ -86,7 +86,7 @@
 	kl_config_t *config;
 	(void)event;
 
-	CK_STAILQ_FOREACH (object, &objects->list, link) {
+	CK_STAILQ_FOREACH(object, &objects->list, link) {
 		const document_kind_t *kind = kind_of(object->name.name);
 
 		if (kind)
@@ -128,9 +128,9 @@
 	json = json_loads(object->body, JSON_DECODE_ANY, NULL);
 	document->bad = !json || !(json_is_null(json) || kind->check(json));
 	if (document->bad) {
-		kl_decision_t refused = {.what = "document_refused",
-					 .reason = object->name.name,
-					 .position = object->version};
+		kl_decision_t refused = { .what = "document_refused",
+					  .reason = object->name.name,
+					  .position = object->version };
 
 		node->outlet->decided(node->context, &refused);
 		json_decref(json);
@@ -146,7 +146,7 @@
 	document_t *document;
 	kl_config_t *config;
 
-	CK_STAILQ_FOREACH (document, &state->documents, link)
+	CK_STAILQ_FOREACH(document, &state->documents, link)
 		count++;
 	config = kl_config_new(count);
 	if (!config)
@@ -155,7 +155,7 @@
 	for (size_t i = 0; i < KINDS; i++) {
 		size_t length = strlen(kinds[i].prefix);
 
-		CK_STAILQ_FOREACH (document, &state->documents, link) {
+		CK_STAILQ_FOREACH(document, &state->documents, link) {
 			const char *name = document->name.name;
 
 			if (strncmp(name, kinds[i].prefix, length))
@@ -199,7 +199,7 @@
 			   "keys", &keys) ||
 	    strlen(plan) >= KL_NAME_MAX || !json_is_array(keys))
 		return false;
-	json_array_foreach (keys, i, key) {
+	json_array_foreach(keys, i, key) {
 		if (json_unpack_ex(key, NULL, JSON_STRICT, "{s:s,s:s,s:b}",
 				   "id", &id, "hash", &hash, "withdrawn",
 				   &withdrawn) ||
@@ -223,7 +223,7 @@
 	    !json_is_array(upstreams) || !json_array_size(upstreams) ||
 	    connections < 1 || (open && strlen(open) >= KL_NAME_MAX))
 		return false;
-	json_array_foreach (upstreams, i, upstream) {
+	json_array_foreach(upstreams, i, upstream) {
 		if (json_unpack_ex(upstream, NULL, JSON_STRICT,
 				   "{s:s,s:s,s:i,s:s}", "name", &name, "host",
 				   &host, "port", &port, "domain", &domain) ||
@@ -276,7 +276,7 @@
 	CK_STAILQ_INIT(&workspace->keys);
 	CK_STAILQ_INSERT_TAIL(&config->workspaces, workspace, link);
 	kl_index_put(config->workspace_index, &workspace->name);
-	json_array_foreach (keys, i, entry) {
+	json_array_foreach(keys, i, entry) {
 		kl_key_t *key = calloc(1, sizeof(*key));
 
 		if (!key)
@@ -311,7 +311,7 @@
 	service->open = open != NULL;
 	if (open)
 		kl_name_set(service->open_workspace, open);
-	json_array_foreach (upstreams, i, entry) {
+	json_array_foreach(upstreams, i, entry) {
 		kl_upstream_t *upstream = calloc(1, sizeof(*upstream));
 
 		if (!upstream)
--- a/control/drain.c
+++ b/control/drain.c
@@ -25,7 +25,7 @@
 {
 	drain_state_t *state = node->state[KL_CONTROLLER_DRAIN];
 	const kl_life_t *life = kl_node_get(node, KL_SECTION_LIFE);
-	kl_decision_t decision = {.what = "phase"};
+	kl_decision_t decision = { .what = "phase" };
 	static const char *const names[KL_PHASE_COUNT] = {
 		[KL_PHASE_STARTING] = "starting",
 		[KL_PHASE_SERVING] = "serving",
--- a/control/failover.c
+++ b/control/failover.c
@@ -11,88 +11,26 @@
 #include <string.h>
 
 #include "control/controllers.h"
+#include "control/failover_internal.h"
 #include "control/group_record.h"
-#include "control/prober.h"
-
-#define RETRY_US (200 * KL_MS)	      /* between two tries of one step */
-#define SUSPECT_TTL_US (1200 * KL_MS) /* a peer's suspicion counts so long */
-#define RANK_US (150 * KL_MS)	      /* lower ranks start later */
-#define TAKEOVER_US (1500 * KL_MS)    /* a silent promoter is replaced */
-#define CANDIDATE_US (3 * KL_SEC)     /* a silent candidate is given up */
-#define FRESH_US (1 * KL_SEC)	      /* observations older than this are old */
-#define REPLIES 16		      /* databases of one group */
-
-typedef struct suspicion {
-	CK_STAILQ_ENTRY(suspicion) link;
-	char vm[KL_NAME_MAX];
-	uint64_t term;
-	uint64_t heard_us;
-} suspicion_t;
-
-typedef struct reply {
-	char upstream[KL_NAME_MAX];
-	uint64_t sealed;
-	uint64_t term;
-	uint64_t position;
-} reply_t;
-
-typedef struct change {
-	kl_named_t name; /* the service */
-	CK_STAILQ_ENTRY(change) link;
-	CK_STAILQ_HEAD(, suspicion) suspicions;
-	uint64_t suspect_us; /* quorum reached, or 0 */
-	uint64_t told_us;
-	uint64_t sent_us;  /* last database calls */
-	uint64_t write_us; /* last conditional update */
-	uint64_t version;  /* of the record the replies belong to */
-	uint64_t term;	   /* of that record */
-	uint64_t members;  /* version that the probers were chosen from */
-	char probers[KL_PROBERS][KL_NAME_MAX];
-	uint32_t prober_count;
-	int rank; /* of this VM among them, or -1 */
-	reply_t replies[REPLIES];
-	uint32_t reply_count;
-	bool promoted;
-} change_t;
+
+#define RANK_US (150 * KL_MS)	   /* lower ranks start later */
+#define TAKEOVER_US (1500 * KL_MS) /* a silent promoter is replaced */
+#define CANDIDATE_US (3 * KL_SEC)  /* a silent candidate is given up */
+#define FRESH_US (1 * KL_SEC)	   /* observations older than this are old */
 
 typedef struct failover_state {
 	CK_STAILQ_HEAD(, change) changes;
 	kl_index_t *index;
 } failover_state_t;
 
-/* What one step sees. */
-typedef struct view {
-	kl_node_t *node;
-	const kl_service_t *service;
-	const kl_group_t *group;
-	const kl_members_t *members;
-	const kl_health_t *health;
-	change_t *change;
-	uint64_t now;
-	int rank;
-} view_t;
-
 static void step_stable(view_t *view);
 static void step_fencing(view_t *view);
 static void step_promoting(view_t *view);
-static void choose_probers(view_t *view);
 static void create_record(view_t *view);
-static void suspect(view_t *view);
 static bool primary_fails(const view_t *view);
 static bool primary_leaves(const view_t *view);
-static bool quorum(const view_t *view);
-static void tell_suspicion(view_t *view);
-static void note_suspicion(change_t *change, const char *vm, uint64_t term,
-			   uint64_t now);
 static bool acting(const view_t *view, uint64_t after_us);
-static void call_database(view_t *view, kl_database_op_t op,
-			  const kl_upstream_t *upstream);
-static void seal(view_t *view, const char *only);
-static bool caught_up(const view_t *view, const reply_t *old);
-static const reply_t *choose(const view_t *view);
-static const reply_t *reply_of(const change_t *change, const char *upstream);
-static void take_reply(failover_state_t *state,
-		       const kl_database_answer_t *answer);
 static void write_record(view_t *view, kl_group_t *group, const char *what,
 			 const char *reason);
 static void follow_strays(view_t *view);
@@ -122,9 +60,9 @@
 	change_t *change, *next;
 	suspicion_t *suspicion, *after;
 
-	CK_STAILQ_FOREACH_SAFE (change, &state->changes, link, next) {
-		CK_STAILQ_FOREACH_SAFE (suspicion, &change->suspicions, link,
-					after)
+	CK_STAILQ_FOREACH_SAFE(change, &state->changes, link, next) {
+		CK_STAILQ_FOREACH_SAFE(suspicion, &change->suspicions, link,
+				       after)
 			free(suspicion);
 		free(change);
 	}
@@ -137,32 +75,35 @@
 	failover_state_t *state = node->state[KL_CONTROLLER_FAILOVER];
 	const kl_config_t *config = kl_node_get(node, KL_SECTION_CONFIG);
 	const kl_terms_t *terms = kl_node_get(node, KL_SECTION_TERMS);
-	view_t view = {.node = node,
-		       .members = kl_node_get(node, KL_SECTION_MEMBERS),
-		       .health = kl_node_get(node, KL_SECTION_HEALTH),
-		       .now = kl_node_now(node)};
+	view_t view = { .node = node,
+			.members = kl_node_get(node, KL_SECTION_MEMBERS),
+			.health = kl_node_get(node, KL_SECTION_HEALTH),
+			.now = kl_node_now(node) };
 
 	if (event->kind == KL_EVENT_PEER) {
 		if (event->peer->kind != KL_PEER_SUSPECT)
 			return;
-		note_suspicion(change_of(state, event->peer->subject),
-			       event->peer->from, event->peer->term, view.now);
+		kl_failover_note(change_of(state, event->peer->subject),
+				 event->peer->from, event->peer->term,
+				 view.now);
 	}
 	if (event->kind == KL_EVENT_DATABASE) {
 		if (event->database->call.owner != KL_CONTROLLER_FAILOVER)
 			return;
-		take_reply(state, event->database);
+		kl_failover_take_reply(
+			change_of(state, event->database->call.service),
+			event->database);
 	}
 	if (!config || !terms || !view.members || !view.health)
 		return;
-	CK_STAILQ_FOREACH (view.service, &config->services, link) {
+	CK_STAILQ_FOREACH(view.service, &config->services, link) {
 		const char *name = view.service->name.name;
 
 		view.change = change_of(state, name);
 		view.group = kl_index_get(terms->index, name);
 		if (!view.change)
 			continue;
-		choose_probers(&view);
+		kl_failover_choose_probers(&view);
 		if (view.rank < 0)
 			continue;
 		if (!view.group) {
@@ -182,27 +123,6 @@
 	}
 }
 
-/* Anew only when the members changed: every VM finds the same ones. */
-static void choose_probers(view_t *view)
-{
-	const kl_member_t *table[KL_PROBERS];
-	change_t *change = view->change;
-
-	if (change->members != view->members->version) {
-		change->members = view->members->version;
-		change->rank = -1;
-		change->prober_count = kl_probers(
-			view->members, view->service->name.name, table);
-		for (uint32_t i = 0; i < change->prober_count; i++) {
-			memcpy(change->probers[i], table[i]->name.name,
-			       KL_NAME_MAX);
-			if (!strcmp(change->probers[i], view->node->self.vm))
-				change->rank = (int)i;
-		}
-	}
-	view->rank = change->rank;
-}
-
 /* The first record names the database that a majority's view allows. */
 static void create_record(view_t *view)
 {
@@ -210,11 +130,11 @@
 	const kl_observation_t *first = NULL;
 	const char *name = NULL;
 	uint32_t seen = 0;
-	kl_group_t group = {.state = KL_GROUP_STABLE};
+	kl_group_t group = { .state = KL_GROUP_STABLE };
 
 	if (view->rank != 0)
 		return;
-	CK_STAILQ_FOREACH (upstream, &view->service->upstreams, link) {
+	CK_STAILQ_FOREACH(upstream, &view->service->upstreams, link) {
 		const kl_observation_t *seen_now =
 			kl_health_of(view->health, view->service->name.name,
 				     upstream->name.name);
@@ -244,8 +164,8 @@
 
 	follow_strays(view);
 	if (fails)
-		suspect(view);
-	if (!(fails && quorum(view)) && !primary_leaves(view)) {
+		kl_failover_suspect(view);
+	if (!(fails && kl_failover_quorum(view)) && !primary_leaves(view)) {
 		view->change->suspect_us = 0;
 		return;
 	}
@@ -277,16 +197,16 @@
 	if (!acting(view, kl_fence_us(tuning) + tuning->catch_up_us))
 		return;
 	if (since < kl_fence_us(tuning)) {
-		seal(view, view->group->primary);
+		kl_failover_seal(view, view->group->primary);
 		return;
 	}
-	old = reply_of(view->change, view->group->primary);
+	old = kl_failover_reply_of(view->change, view->group->primary);
 	if (old && since < kl_fence_us(tuning) + tuning->catch_up_us &&
-	    !caught_up(view, old))
+	    !kl_failover_caught_up(view, old))
 		return;
-	best = choose(view);
+	best = kl_failover_choose(view);
 	if (!best) {
-		seal(view, NULL);
+		kl_failover_seal(view, NULL);
 		return;
 	}
 	next = *view->group;
@@ -322,7 +242,7 @@
 	if (view->now - view->change->sent_us < RETRY_US)
 		return;
 	view->change->sent_us = view->now;
-	call_database(view, KL_DATABASE_PROMOTE, candidate);
+	kl_failover_call(view, KL_DATABASE_PROMOTE, candidate);
 }
 
 /* The promoter acts; others take up its work in the order of their ranks. */
@@ -362,7 +282,7 @@
 
 	if (!upstream || !upstream->leaving)
 		return false;
-	CK_STAILQ_FOREACH (upstream, &view->service->upstreams, link) {
+	CK_STAILQ_FOREACH(upstream, &view->service->upstreams, link) {
 		const kl_observation_t *seen =
 			kl_health_of(view->health, view->service->name.name,
 				     upstream->name.name);
@@ -378,196 +298,17 @@
 	return successors && healthy > view->service->upstream_count / 2;
 }
 
-static void suspect(view_t *view)
-{
-	note_suspicion(view->change, view->node->self.vm, view->group->term,
-		       view->now);
-	if (view->now - view->change->told_us < RETRY_US)
-		return;
-	view->change->told_us = view->now;
-	tell_suspicion(view);
-}
-
-static bool quorum(const view_t *view)
-{
-	uint32_t count = view->change->prober_count;
-	uint32_t suspects = 0;
-	const suspicion_t *suspicion;
-
-	CK_STAILQ_FOREACH (suspicion, &view->change->suspicions, link) {
-		if (suspicion->term != view->group->term ||
-		    view->now - suspicion->heard_us > SUSPECT_TTL_US)
-			continue;
-		for (uint32_t i = 0; i < count; i++)
-			suspects += !strcmp(view->change->probers[i],
-					    suspicion->vm);
-	}
-	return suspects > count / 2;
-}
-
-static void tell_suspicion(view_t *view)
-{
-	kl_peer_message_t message = {.kind = KL_PEER_SUSPECT,
-				     .term = view->group->term};
-
-	memcpy(message.from, view->node->self.vm, KL_NAME_MAX);
-	memcpy(message.subject, view->service->name.name, KL_NAME_MAX);
-	for (uint32_t i = 0; i < view->change->prober_count; i++) {
-		const kl_member_t *prober = kl_index_get(
-			view->members->index, view->change->probers[i]);
-
-		if (!prober || (int)i == view->rank)
-			continue;
-		view->node->outlet->peer(view->node->context, prober->name.name,
-					 prober->host, prober->port, &message);
-	}
-}
-
-static void note_suspicion(change_t *change, const char *vm, uint64_t term,
-			   uint64_t now)
-{
-	suspicion_t *suspicion;
-
-	if (!change)
-		return;
-	CK_STAILQ_FOREACH (suspicion, &change->suspicions, link) {
-		if (!strcmp(suspicion->vm, vm))
-			break;
-	}
-	if (!suspicion) {
-		suspicion = calloc(1, sizeof(*suspicion));
-		if (!suspicion)
-			return;
-		kl_name_set(suspicion->vm, vm);
-		CK_STAILQ_INSERT_TAIL(&change->suspicions, suspicion, link);
-	}
-	suspicion->term = term;
-	suspicion->heard_us = now;
-}
-
-static void call_database(view_t *view, kl_database_op_t op,
-			  const kl_upstream_t *upstream)
-{
-	kl_database_call_t call = {.op = op,
-				   .owner = KL_CONTROLLER_FAILOVER,
-				   .fresh = true,
-				   .port = upstream->port,
-				   .term = view->group->term,
-				   .asked_us = view->now};
-
-	memcpy(call.service, view->service->name.name, KL_NAME_MAX);
-	memcpy(call.upstream, upstream->name.name, KL_NAME_MAX);
-	memcpy(call.host, upstream->host, KL_HOST_MAX);
-	view->node->outlet->database(view->node->context, &call);
-}
-
-static void seal(view_t *view, const char *only)
-{
-	const kl_upstream_t *upstream;
-
-	if (view->now - view->change->sent_us < RETRY_US)
-		return;
-	view->change->sent_us = view->now;
-	CK_STAILQ_FOREACH (upstream, &view->service->upstreams, link) {
-		if (only && strcmp(only, upstream->name.name))
-			continue;
-		if (!reply_of(view->change, upstream->name.name))
-			call_database(view, KL_DATABASE_SEAL, upstream);
-	}
-}
-
-/* Whether some fit replica holds all that the sealed old primary holds. */
-static bool caught_up(const view_t *view, const reply_t *old)
-{
-	const kl_upstream_t *upstream;
-
-	CK_STAILQ_FOREACH (upstream, &view->service->upstreams, link) {
-		const kl_observation_t *seen =
-			kl_health_of(view->health, view->service->name.name,
-				     upstream->name.name);
-
-		if (upstream->leaving || !seen || seen->failing_us ||
-		    !strcmp(upstream->name.name, old->upstream))
-			continue;
-		if (seen->term == old->term && seen->position >= old->position)
-			return true;
-	}
-	return false;
-}
-
-/* The best of a sealed majority; one that is leaving only for want of it. */
-static const reply_t *choose(const view_t *view)
-{
-	const change_t *change = view->change;
-	const reply_t *best = NULL;
-	bool best_leaving = false;
-
-	if (change->reply_count <= view->service->upstream_count / 2)
-		return NULL;
-	for (uint32_t i = 0; i < change->reply_count; i++) {
-		const reply_t *reply = &change->replies[i];
-		const kl_upstream_t *upstream =
-			kl_service_upstream(view->service, reply->upstream);
-		bool better;
-
-		if (!upstream)
-			continue;
-		better = !best || reply->term > best->term ||
-			 (reply->term == best->term &&
-			  reply->position > best->position) ||
-			 (reply->term == best->term &&
-			  reply->position == best->position && best_leaving);
-		if (!better)
-			continue;
-		best = reply;
-		best_leaving = upstream->leaving;
-	}
-	return best;
-}
-
-static const reply_t *reply_of(const change_t *change, const char *upstream)
-{
-	for (uint32_t i = 0; i < change->reply_count; i++)
-		if (!strcmp(change->replies[i].upstream, upstream))
-			return &change->replies[i];
-	return NULL;
-}
-
-static void take_reply(failover_state_t *state,
-		       const kl_database_answer_t *answer)
-{
-	const kl_database_call_t *call = &answer->call;
-	change_t *change = change_of(state, call->service);
-	reply_t *reply;
-
-	if (!change || answer->error || call->term != change->term)
-		return;
-	if (call->op == KL_DATABASE_PROMOTE) {
-		if (answer->primary && answer->term == call->term)
-			change->promoted = true;
-		return;
-	}
-	if (call->op != KL_DATABASE_SEAL || answer->sealed != call->term ||
-	    reply_of(change, call->upstream) || change->reply_count == REPLIES)
-		return;
-	reply = &change->replies[change->reply_count++];
-	memcpy(reply->upstream, call->upstream, KL_NAME_MAX);
-	reply->sealed = answer->sealed;
-	reply->term = answer->term;
-	reply->position = answer->position;
-}
-
 static void write_record(view_t *view, kl_group_t *group, const char *what,
 			 const char *reason)
 {
-	kl_platform_call_t call = {.op = KL_PLATFORM_PUT,
-				   .owner = KL_CONTROLLER_FAILOVER,
-				   .asked_us = view->now};
-	kl_decision_t decision = {.what = what,
-				  .service = group->name.name,
-				  .upstream = group->primary,
-				  .reason = reason,
-				  .term = group->term};
+	kl_platform_call_t call = { .op = KL_PLATFORM_PUT,
+				    .owner = KL_CONTROLLER_FAILOVER,
+				    .asked_us = view->now };
+	kl_decision_t decision = { .what = what,
+				   .service = group->name.name,
+				   .upstream = group->primary,
+				   .reason = reason,
+				   .term = group->term };
 	char *body;
 
 	if (view->change->write_us &&
@@ -596,7 +337,7 @@
 
 	if (view->now - view->change->sent_us < KL_SEC)
 		return;
-	CK_STAILQ_FOREACH (upstream, &view->service->upstreams, link) {
+	CK_STAILQ_FOREACH(upstream, &view->service->upstreams, link) {
 		const kl_observation_t *seen =
 			kl_health_of(view->health, view->service->name.name,
 				     upstream->name.name);
@@ -609,7 +350,7 @@
 		if (seen->term >= view->group->term && !seen->primary)
 			continue;
 		view->change->sent_us = view->now;
-		call_database(view, KL_DATABASE_FOLLOW, upstream);
+		kl_failover_call(view, KL_DATABASE_FOLLOW, upstream);
 	}
 }
 
--- a/control/group_record.c
+++ b/control/group_record.c
@@ -33,7 +33,7 @@
 		goto out;
 	group->term = (uint64_t)term;
 	group->history_count = 0;
-	json_array_foreach (history, i, fork) {
+	json_array_foreach(history, i, fork) {
 		if (json_unpack(fork, "[I,I]", &began, &start))
 			goto out;
 		kl_group_fork(group, (uint64_t)began, (uint64_t)start);
--- a/control/health.c
+++ b/control/health.c
@@ -68,7 +68,7 @@
 	health_state_t *state = node->state[KL_CONTROLLER_HEALTH];
 	target_t *target, *next;
 
-	CK_STAILQ_FOREACH_SAFE (target, &state->targets, link, next)
+	CK_STAILQ_FOREACH_SAFE(target, &state->targets, link, next)
 		free(target);
 	kl_index_free(state->index);
 	free(state);
@@ -103,10 +103,10 @@
 
 	if (!config)
 		return;
-	CK_STAILQ_FOREACH (target, &state->targets, link)
+	CK_STAILQ_FOREACH(target, &state->targets, link)
 		target->wanted = false;
-	CK_STAILQ_FOREACH (service, &config->services, link) {
-		CK_STAILQ_FOREACH (upstream, &service->upstreams, link) {
+	CK_STAILQ_FOREACH(service, &config->services, link) {
+		CK_STAILQ_FOREACH(upstream, &service->upstreams, link) {
 			target = target_of(state, service->name.name,
 					   upstream->name.name, true);
 			if (!target)
@@ -128,7 +128,7 @@
 				probe(node, target, upstream, false, now);
 		}
 	}
-	CK_STAILQ_FOREACH_SAFE (target, &state->targets, link, next) {
+	CK_STAILQ_FOREACH_SAFE(target, &state->targets, link, next) {
 		if (target->wanted)
 			continue;
 		kl_index_remove(state->index, target->seen.name.name);
@@ -163,11 +163,11 @@
 static void probe(kl_node_t *node, target_t *target,
 		  const kl_upstream_t *upstream, bool fresh, uint64_t now)
 {
-	kl_database_call_t call = {.op = KL_DATABASE_STATUS,
-				   .owner = KL_CONTROLLER_HEALTH,
-				   .fresh = fresh,
-				   .port = upstream->port,
-				   .asked_us = now};
+	kl_database_call_t call = { .op = KL_DATABASE_STATUS,
+				    .owner = KL_CONTROLLER_HEALTH,
+				    .fresh = fresh,
+				    .port = upstream->port,
+				    .asked_us = now };
 
 	memcpy(call.service, upstream->service->name.name, KL_NAME_MAX);
 	memcpy(call.upstream, upstream->name.name, KL_NAME_MAX);
@@ -249,7 +249,7 @@
 	const target_t *target;
 	uint64_t newest = 0;
 
-	CK_STAILQ_FOREACH (target, &state->targets, link) {
+	CK_STAILQ_FOREACH(target, &state->targets, link) {
 		const char *name = target->seen.name.name;
 
 		if (strncmp(name, service, length) || name[length] != '/')
@@ -273,7 +273,7 @@
 
 	if (!health)
 		return;
-	CK_STAILQ_FOREACH (target, &state->targets, link) {
+	CK_STAILQ_FOREACH(target, &state->targets, link) {
 		kl_observation_t *copy = malloc(sizeof(*copy));
 
 		if (!copy)
--- a/control/member.c
+++ b/control/member.c
@@ -65,7 +65,7 @@
 	member_state_t *state = node->state[KL_CONTROLLER_MEMBER];
 	known_t *known, *next;
 
-	CK_STAILQ_FOREACH_SAFE (known, &state->list, link, next)
+	CK_STAILQ_FOREACH_SAFE(known, &state->list, link, next)
 		free(known);
 	kl_index_free(state->index);
 	free(state);
@@ -115,7 +115,7 @@
 {
 	const kl_object_t *object;
 
-	CK_STAILQ_FOREACH (object, &objects->list, link) {
+	CK_STAILQ_FOREACH(object, &objects->list, link) {
 		known_t *known;
 
 		if (strncmp(object->name.name, "vm/", 3))
@@ -173,7 +173,7 @@
 {
 	known_t *known, *next;
 
-	CK_STAILQ_FOREACH_SAFE (known, &state->list, link, next) {
+	CK_STAILQ_FOREACH_SAFE(known, &state->list, link, next) {
 		if (!strcmp(known->name.name, state->self) ||
 		    known->member.listed ||
 		    now - known->member.heard_us < SILENT_US)
@@ -196,7 +196,7 @@
 
 	if (!members)
 		return;
-	CK_STAILQ_FOREACH (known, &state->list, link) {
+	CK_STAILQ_FOREACH(known, &state->list, link) {
 		kl_member_t *copy = malloc(sizeof(*copy));
 
 		if (!copy)
@@ -214,7 +214,7 @@
 		kl_index_put(members->index, &copy->name);
 	}
 	members->watcher = false;
-	CK_STAILQ_FOREACH (member, &members->list, link) {
+	CK_STAILQ_FOREACH(member, &members->list, link) {
 		if (strcmp(member->domain, node->self.domain))
 			continue;
 		if (!strcmp(member->name.name, node->self.vm))
@@ -231,7 +231,7 @@
 {
 	known_t *entry, *before = NULL;
 
-	CK_STAILQ_FOREACH (entry, &state->list, link) {
+	CK_STAILQ_FOREACH(entry, &state->list, link) {
 		if (strcmp(entry->name.name, known->name.name) > 0)
 			break;
 		before = entry;
--- a/control/prober.c
+++ b/control/prober.c
@@ -16,7 +16,7 @@
 		uint32_t best_same = 0;
 		unsigned long long best_rank = 0;
 
-		CK_STAILQ_FOREACH (member, &members->list, link) {
+		CK_STAILQ_FOREACH(member, &members->list, link) {
 			unsigned long long rank;
 			uint32_t same;
 			bool taken = false;
--- a/control/share.c
+++ b/control/share.c
@@ -59,8 +59,8 @@
 static void purse_put(void *purse, int64_t tokens, int64_t cap);
 static void purse_valid_until(void *purse, uint64_t until_us);
 
-static const kl_purse_ops_t purse_ops = {purse_take, purse_put,
-					 purse_valid_until};
+static const kl_purse_ops_t purse_ops = { purse_take, purse_put,
+					  purse_valid_until };
 
 int kl_share_create(kl_node_t *node)
 {
@@ -82,7 +82,7 @@
 	account_t *account, *next;
 
 	CK_STAILQ_CONCAT(&state->busy, &state->idle);
-	CK_STAILQ_FOREACH_SAFE (account, &state->busy, link, next)
+	CK_STAILQ_FOREACH_SAFE(account, &state->busy, link, next)
 		account_free(account);
 	kl_index_free(state->index);
 	kl_slots_free(state->slots);
@@ -133,9 +133,9 @@
 	state->owned = owned;
 	/* All are looked at, and sorted out anew by the next step. */
 	CK_STAILQ_CONCAT(&state->busy, &state->idle);
-	CK_STAILQ_FOREACH (account, &state->busy, link)
+	CK_STAILQ_FOREACH(account, &state->busy, link)
 		account->wanted = false;
-	CK_STAILQ_FOREACH (workspace, &config->workspaces, link) {
+	CK_STAILQ_FOREACH(workspace, &config->workspaces, link) {
 		const char *name = workspace->name.name;
 		const kl_plan_t *plan = workspace->plan;
 
@@ -153,7 +153,7 @@
 			       kl_slots_part(node, state->slots,
 					     plan ? plan->connections : 0));
 	}
-	CK_STAILQ_FOREACH_SAFE (account, &state->busy, link, next) {
+	CK_STAILQ_FOREACH_SAFE(account, &state->busy, link, next) {
 		if (account->wanted)
 			continue;
 		kl_index_remove(state->index, account->name.name);
@@ -263,7 +263,7 @@
 static void ask_lenders(kl_node_t *node, share_state_t *state,
 			account_t *account, uint64_t now)
 {
-	kl_peer_message_t message = {.kind = KL_PEER_ASK};
+	kl_peer_message_t message = { .kind = KL_PEER_ASK };
 
 	for (int i = 0; i < LENDERS; i++) {
 		const kl_member_t *lender =
@@ -287,7 +287,7 @@
 			 const kl_peer_message_t *message)
 {
 	account_t *account = kl_index_get(state->index, message->subject);
-	kl_peer_message_t reply = {.kind = KL_PEER_GRANT};
+	kl_peer_message_t reply = { .kind = KL_PEER_GRANT };
 	uint64_t now = kl_node_now(node);
 
 	if (!account)
@@ -332,7 +332,7 @@
 		destroy(&shares->base);
 		return;
 	}
-	CK_STAILQ_FOREACH (account, &state->busy, link) {
+	CK_STAILQ_FOREACH(account, &state->busy, link) {
 		account->bucket->references++;
 		shares->buckets[shares->count++] = account->bucket;
 		kl_index_put(shares->index, &account->bucket->name);
--- a/control/share_lease.c
+++ b/control/share_lease.c
@@ -289,7 +289,7 @@
 {
 	loan_t *loan;
 
-	CK_LIST_FOREACH (loan, list, link) {
+	CK_LIST_FOREACH(loan, list, link) {
 		if (!strcmp(loan->peer, peer))
 			return loan;
 	}
@@ -312,11 +312,11 @@
 	 * Entries stay a while for their sequence and question numbers,
 	 * without which a doubled message would count twice.
 	 */
-	CK_LIST_FOREACH (loan, &share->borrowed, link) {
+	CK_LIST_FOREACH(loan, &share->borrowed, link) {
 		if (loan->until_us <= now_us)
 			loan->share = 0;
 	}
-	CK_LIST_FOREACH (loan, &share->lent, link)
+	CK_LIST_FOREACH(loan, &share->lent, link)
 		drop_grants(loan, 0, now_us);
 	prune(&share->borrowed, now_us);
 	prune(&share->lent, now_us);
@@ -326,7 +326,7 @@
 {
 	loan_t *loan, *next;
 
-	CK_LIST_FOREACH_SAFE (loan, list, link, next) {
+	CK_LIST_FOREACH_SAFE(loan, list, link, next) {
 		if (loan->touched_us + FORGET_US > now_us)
 			continue;
 		CK_LIST_REMOVE(loan, link);
@@ -367,7 +367,7 @@
 	uint64_t sum = 0;
 	const loan_t *loan;
 
-	CK_LIST_FOREACH (loan, &share->lent, link)
+	CK_LIST_FOREACH(loan, &share->lent, link)
 		sum += lent_to(loan, share->now_us);
 	return sum;
 }
@@ -377,7 +377,7 @@
 	uint64_t sum = 0;
 	const loan_t *loan;
 
-	CK_LIST_FOREACH (loan, &share->borrowed, link) {
+	CK_LIST_FOREACH(loan, &share->borrowed, link) {
 		if (loan->until_us > share->now_us)
 			sum += loan->share;
 	}
@@ -389,7 +389,7 @@
 	uint64_t sum = 0;
 	const loan_t *loan;
 
-	CK_LIST_FOREACH (loan, &share->borrowed, link) {
+	CK_LIST_FOREACH(loan, &share->borrowed, link) {
 		if (now_us - loan->asked_us < ASK_US)
 			sum += loan->pending;
 	}
@@ -443,7 +443,7 @@
 
 	if (share->owned && share->owned_until_us < until)
 		until = share->owned_until_us;
-	CK_LIST_FOREACH (loan, &share->borrowed, link) {
+	CK_LIST_FOREACH(loan, &share->borrowed, link) {
 		if (loan->share && loan->until_us > share->now_us &&
 		    loan->until_us < until)
 			until = loan->until_us;
@@ -455,6 +455,6 @@
 {
 	loan_t *loan, *next;
 
-	CK_LIST_FOREACH_SAFE (loan, list, link, next)
+	CK_LIST_FOREACH_SAFE(loan, list, link, next)
 		free(loan);
 }
--- a/control/slot.c
+++ b/control/slot.c
@@ -205,10 +205,10 @@
 static void write_slot(kl_node_t *node, slot_t *slot, uint32_t number,
 		       const char *owner, bool revoked)
 {
-	kl_platform_call_t call = {.op = KL_PLATFORM_PUT,
-				   .owner = KL_CONTROLLER_SHARE,
-				   .asked_us = kl_node_now(node),
-				   .version = slot->version};
+	kl_platform_call_t call = { .op = KL_PLATFORM_PUT,
+				    .owner = KL_CONTROLLER_SHARE,
+				    .asked_us = kl_node_now(node),
+				    .version = slot->version };
 	json_t *json;
 	char *body;
 
@@ -294,7 +294,7 @@
 {
 	const kl_member_t *member;
 
-	CK_STAILQ_FOREACH (member, &members->list, link) {
+	CK_STAILQ_FOREACH(member, &members->list, link) {
 		if (member->listed && !member->leaving &&
 		    owned_by(slots, member->name.name) < floor)
 			return true;
--- a/control/sync.c
+++ b/control/sync.c
@@ -107,9 +107,9 @@
 	bool watcher = !members || members->watcher;
 	bool starved =
 		!sync->confirmed || now - sync->confirmed_us > SELF_SERVE_US;
-	kl_platform_call_t call = {.owner = KL_CONTROLLER_SYNC,
-				   .asked_us = now,
-				   .since = sync->revision};
+	kl_platform_call_t call = { .owner = KL_CONTROLLER_SYNC,
+				    .asked_us = now,
+				    .since = sync->revision };
 
 	if (sync->list_us && now - sync->list_us > ANSWER_US)
 		sync->list_us = 0;
@@ -181,7 +181,7 @@
 		       const kl_peer_message_t *message)
 {
 	const kl_objects_t *objects = kl_node_get(node, KL_SECTION_OBJECTS);
-	kl_peer_message_t reply = {.kind = KL_PEER_DELTA};
+	kl_peer_message_t reply = { .kind = KL_PEER_DELTA };
 	const kl_object_t *object;
 	size_t bytes = 0;
 
@@ -192,7 +192,7 @@
 	reply.delta.revision = sync->revision;
 	CK_STAILQ_INIT(&reply.delta.objects);
 	/* The list is kept in the order of versions. */
-	CK_STAILQ_FOREACH (object, &objects->list, link) {
+	CK_STAILQ_FOREACH(object, &objects->list, link) {
 		kl_object_t *copy;
 
 		if (object->version <= message->since)
@@ -227,7 +227,7 @@
 	    delta->since != sync->pending_since ||
 	    delta->revision <= sync->revision)
 		return;
-	CK_STAILQ_FOREACH (object, &delta->objects, link) {
+	CK_STAILQ_FOREACH(object, &delta->objects, link) {
 		kl_object_t *copy = kl_object_new(
 			object->name.name, object->version, object->body);
 
@@ -250,7 +250,7 @@
 static void send_fetch(kl_node_t *node, sync_t *sync, const char *vm,
 		       const char *host, uint16_t port, uint64_t since)
 {
-	kl_peer_message_t message = {.kind = KL_PEER_FETCH, .since = since};
+	kl_peer_message_t message = { .kind = KL_PEER_FETCH, .since = since };
 
 	if (since == sync->revision)
 		kl_object_list_clear(&sync->pending);
@@ -267,7 +267,7 @@
 		       const char *host, uint16_t port, uint64_t echo_us,
 		       bool wants_answer)
 {
-	kl_peer_message_t message = {.kind = KL_PEER_HELLO};
+	kl_peer_message_t message = { .kind = KL_PEER_HELLO };
 	kl_peer_hello_t *hello = &message.hello;
 	uint64_t now = kl_node_now(node);
 
@@ -314,7 +314,7 @@
 			   parent->port, 0, true);
 	}
 	pick = kl_node_random(node) % members->count;
-	CK_STAILQ_FOREACH (member, &members->list, link) {
+	CK_STAILQ_FOREACH(member, &members->list, link) {
 		if (pick--)
 			continue;
 		if (strcmp(member->name.name, node->self.vm) &&
@@ -346,7 +346,7 @@
 				   false);
 	}
 	uint32_t first = kl_node_random(node) % members->count;
-	CK_STAILQ_FOREACH (member, &members->list, link) {
+	CK_STAILQ_FOREACH(member, &members->list, link) {
 		if ((index++ == first || index == first + 1) &&
 		    strcmp(member->name.name, node->self.vm))
 			send_hello(node, sync, member->name.name, member->host,
@@ -363,7 +363,7 @@
 	uint32_t position = 0;
 
 	*count = 0;
-	CK_STAILQ_FOREACH (member, &members->list, link) {
+	CK_STAILQ_FOREACH(member, &members->list, link) {
 		if (strcmp(member->domain, node->self.domain))
 			continue;
 		if (!strcmp(member->name.name, node->self.vm))
@@ -388,7 +388,7 @@
 	if (revision <= sync->revision && old)
 		return false;
 	if (old) {
-		CK_STAILQ_FOREACH (object, &old->list, link)
+		CK_STAILQ_FOREACH(object, &old->list, link)
 			count++;
 	}
 	new = kl_objects_new(count);
@@ -396,7 +396,7 @@
 		return false;
 	new->revision = revision;
 	kl_index_t *newer = kl_index_new(count);
-	CK_STAILQ_FOREACH (entry, changed, link) {
+	CK_STAILQ_FOREACH(entry, changed, link) {
 		kl_object_t *other = kl_index_get(newer, entry->name.name);
 
 		if (other && other->version < entry->version)
@@ -405,7 +405,7 @@
 			kl_index_put(newer, &entry->name);
 	}
 	if (old) {
-		CK_STAILQ_FOREACH (object, &old->list, link) {
+		CK_STAILQ_FOREACH(object, &old->list, link) {
 			const kl_object_t *other =
 				kl_index_get(newer, object->name.name);
 
--- a/control/terms.c
+++ b/control/terms.c
@@ -29,7 +29,7 @@
 	if (!terms)
 		return;
 	terms->revision = objects->revision;
-	CK_STAILQ_FOREACH (object, &objects->list, link) {
+	CK_STAILQ_FOREACH(object, &objects->list, link) {
 		const char *name = object->name.name;
 		const kl_group_t *before;
 		kl_group_t *group;
--- a/ctl/command.c
+++ b/ctl/command.c
@@ -46,25 +46,27 @@
 static bool number(const char *text, json_int_t *value);
 
 const kl_command_t kl_commands[] = {
-	{"status", "", "what a daemon sees (--daemon)", 0, 0,
-	 kl_command_status},
-	{"get", "[PREFIX]", "documents of the platform", 0, 1, kl_command_get},
-	{"plan set", "NAME CONNECTIONS RATE BURST",
-	 "what a plan may use; rate in statements a second", 4, 4, plan_set},
-	{"plan rm", "NAME", "remove a plan", 1, 1, plan_rm},
-	{"workspace add", "NAME PLAN", "a customer and its plan", 2, 2,
-	 workspace_add},
-	{"workspace rm", "NAME", "remove a customer", 1, 1, workspace_rm},
-	{"key give", "WORKSPACE ID", "make a key; it is shown once", 2, 2,
-	 key_give},
-	{"key withdraw", "WORKSPACE ID", "withdraw a key", 2, 2, key_withdraw},
-	{"service set", "NAME FILE", "a service from a JSON file, or -", 2, 2,
-	 service_set},
-	{"service rm", "NAME", "remove a service", 1, 1, service_rm},
-	{"mark leave", "vm|domain|upstream NAME", "take out of service", 2, 2,
-	 mark_leave},
-	{"mark return", "vm|domain|upstream NAME", "bring back", 2, 2,
-	 mark_return},
+	{ "status", "", "what a daemon sees (--daemon)", 0, 0,
+	  kl_command_status },
+	{ "get", "[PREFIX]", "documents of the platform", 0, 1,
+	  kl_command_get },
+	{ "plan set", "NAME CONNECTIONS RATE BURST",
+	  "what a plan may use; rate in statements a second", 4, 4, plan_set },
+	{ "plan rm", "NAME", "remove a plan", 1, 1, plan_rm },
+	{ "workspace add", "NAME PLAN", "a customer and its plan", 2, 2,
+	  workspace_add },
+	{ "workspace rm", "NAME", "remove a customer", 1, 1, workspace_rm },
+	{ "key give", "WORKSPACE ID", "make a key; it is shown once", 2, 2,
+	  key_give },
+	{ "key withdraw", "WORKSPACE ID", "withdraw a key", 2, 2,
+	  key_withdraw },
+	{ "service set", "NAME FILE", "a service from a JSON file, or -", 2, 2,
+	  service_set },
+	{ "service rm", "NAME", "remove a service", 1, 1, service_rm },
+	{ "mark leave", "vm|domain|upstream NAME", "take out of service", 2, 2,
+	  mark_leave },
+	{ "mark return", "vm|domain|upstream NAME", "bring back", 2, 2,
+	  mark_return },
 };
 
 const int kl_command_count = sizeof(kl_commands) / sizeof(kl_commands[0]);
@@ -77,10 +79,10 @@
 		int error;
 		int status;
 	} statuses[] = {
-		{0, KL_EXIT_OK},
-		{-KL_E_UNAVAILABLE, KL_EXIT_UNKNOWN},
-		{-KL_E_CONFLICT, KL_EXIT_CONFLICT},
-		{-KL_E_NOT_FOUND, KL_EXIT_NOT_FOUND},
+		{ 0, KL_EXIT_OK },
+		{ -KL_E_UNAVAILABLE, KL_EXIT_UNKNOWN },
+		{ -KL_E_CONFLICT, KL_EXIT_CONFLICT },
+		{ -KL_E_NOT_FOUND, KL_EXIT_NOT_FOUND },
 	};
 	FILE *out = error ? stderr : stdout;
 	int status = KL_EXIT_REFUSED;
@@ -128,7 +130,7 @@
 
 static int key_give(const kl_command_context_t *context)
 {
-	key_edit_t edit = {.id = context->argv[1]};
+	key_edit_t edit = { .id = context->argv[1] };
 	unsigned char bytes[KEY_BYTES];
 	char key[2 * KEY_BYTES + 1];
 	int status;
@@ -146,7 +148,7 @@
 
 static int key_withdraw(const kl_command_context_t *context)
 {
-	key_edit_t edit = {.id = context->argv[1], .withdraw = true};
+	key_edit_t edit = { .id = context->argv[1], .withdraw = true };
 
 	return change(context, "workspace", context->argv[0], edit_key, &edit,
 		      "key withdrawn");
@@ -245,7 +247,7 @@
 		return -KL_E_NOT_FOUND;
 	*next = json_deep_copy(document);
 	keys = json_object_get(*next, "keys");
-	json_array_foreach (keys, i, key) {
+	json_array_foreach(keys, i, key) {
 		const char *id = json_string_value(json_object_get(key, "id"));
 
 		if (!id || strcmp(id, edit->id))
--- a/ctl/edit.c
+++ b/ctl/edit.c
@@ -17,7 +17,7 @@
 	int error = -KL_E_CONFLICT;
 
 	for (int i = 0; i < TRIES; i++) {
-		kl_platform_call_t call = {.op = KL_PLATFORM_PUT};
+		kl_platform_call_t call = { .op = KL_PLATFORM_PUT };
 		kl_platform_answer_t answer;
 		unsigned long long version;
 		json_t *document, *next = NULL;
@@ -71,7 +71,7 @@
 int kl_edit_read(const char *url, const char *name, json_t **document,
 		 unsigned long long *version)
 {
-	kl_platform_call_t call = {.op = KL_PLATFORM_GET};
+	kl_platform_call_t call = { .op = KL_PLATFORM_GET };
 	kl_platform_answer_t answer;
 	kl_object_list_t objects;
 	const kl_object_t *object;
@@ -95,7 +95,7 @@
 
 static void pause_a_little(void)
 {
-	struct timespec pause = {0, PAUSE_MS * 1000000l};
+	struct timespec pause = { 0, PAUSE_MS * 1000000l };
 
 	nanosleep(&pause, NULL);
 }
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -17,15 +17,15 @@
 	static gchar *platform, *daemon;
 	static gboolean json, help;
 	static const GOptionEntry entries[] = {
-		{"platform", 'p', 0, G_OPTION_ARG_STRING, &platform,
-		 "The platform's object API", "URL"},
-		{"daemon", 'd', 0, G_OPTION_ARG_STRING, &daemon,
-		 "A daemon's status port", "HOST:PORT"},
-		{"json", 'j', 0, G_OPTION_ARG_NONE, &json, "Answer in JSON",
-		 NULL},
-		{"help", 'h', 0, G_OPTION_ARG_NONE, &help,
-		 "Show help, also of one command", NULL},
-		{NULL, 0, 0, 0, NULL, NULL, NULL},
+		{ "platform", 'p', 0, G_OPTION_ARG_STRING, &platform,
+		  "The platform's object API", "URL" },
+		{ "daemon", 'd', 0, G_OPTION_ARG_STRING, &daemon,
+		  "A daemon's status port", "HOST:PORT" },
+		{ "json", 'j', 0, G_OPTION_ARG_NONE, &json, "Answer in JSON",
+		  NULL },
+		{ "help", 'h', 0, G_OPTION_ARG_NONE, &help,
+		  "Show help, also of one command", NULL },
+		{ NULL, 0, 0, 0, NULL, NULL, NULL },
 	};
 	GOptionContext *context = g_option_context_new("COMMAND ...");
 	const kl_command_t *command;
--- a/ctl/show.c
+++ b/ctl/show.c
@@ -32,7 +32,7 @@
 
 int kl_command_get(const kl_command_context_t *context)
 {
-	kl_platform_call_t call = {.op = KL_PLATFORM_LIST};
+	kl_platform_call_t call = { .op = KL_PLATFORM_LIST };
 	const char *prefix = context->argc ? context->argv[0] : "";
 	json_t *out = json_object();
 	kl_platform_answer_t answer;
@@ -41,7 +41,7 @@
 
 	CK_STAILQ_INIT(&objects);
 	kl_platform_once(context->platform, &call, &answer, &objects);
-	CK_STAILQ_FOREACH (object, &objects, link) {
+	CK_STAILQ_FOREACH(object, &objects, link) {
 		const char *name = object->name.name;
 
 		if (strncmp(name, prefix, strlen(prefix)) ||
--- a/daemon/control_thread.c
+++ b/daemon/control_thread.c
@@ -74,7 +74,7 @@
 
 kl_control_thread_t *kl_control_thread_new(const kl_settings_t *settings)
 {
-	struct timeval tick = {0, TICK_US};
+	struct timeval tick = { 0, TICK_US };
 	kl_control_thread_t *control = calloc(1, sizeof(*control));
 
 	if (!control)
@@ -212,7 +212,7 @@
 
 static int open_socket(kl_control_thread_t *control)
 {
-	struct sockaddr_in address = {.sin_family = AF_INET};
+	struct sockaddr_in address = { .sin_family = AF_INET };
 
 	address.sin_port = htons(control->node.self.port);
 	inet_pton(AF_INET, control->node.self.host, &address.sin_addr);
@@ -252,7 +252,7 @@
 			uint16_t port, const kl_peer_message_t *message)
 {
 	kl_control_thread_t *control = context;
-	struct sockaddr_in address = {.sin_family = AF_INET};
+	struct sockaddr_in address = { .sin_family = AF_INET };
 	static char buffer[KL_DATAGRAM_MAX];
 	int length;
 	(void)vm;
@@ -345,9 +345,9 @@
 {
 	kl_control_thread_t *control = owner;
 	answer_letter_t *answer = (answer_letter_t *)letter;
-	kl_event_t event = {.kind = answer->kind,
-			    .platform = &answer->platform,
-			    .database = &answer->database};
+	kl_event_t event = { .kind = answer->kind,
+			     .platform = &answer->platform,
+			     .database = &answer->database };
 
 	if (control) {
 		if (answer->kind == KL_EVENT_DEMAND) {
@@ -363,7 +363,7 @@
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	kl_control_thread_t *control = arg;
-	kl_event_t event = {.kind = KL_EVENT_TICK};
+	kl_event_t event = { .kind = KL_EVENT_TICK };
 	(void)fd;
 	(void)what;
 
@@ -376,7 +376,7 @@
 	kl_control_thread_t *control = arg;
 	static char buffer[KL_DATAGRAM_MAX];
 	kl_peer_message_t message;
-	kl_event_t event = {.kind = KL_EVENT_PEER, .peer = &message};
+	kl_event_t event = { .kind = KL_EVENT_PEER, .peer = &message };
 	ssize_t length;
 	(void)what;
 
--- a/daemon/database_call.c
+++ b/daemon/database_call.c
@@ -40,7 +40,8 @@
 static void fail(line_t *line);
 static void line_free(line_t *line);
 
-static const kl_link_events_t link_events = {on_ready, on_answered, on_broken};
+static const kl_link_events_t link_events = { on_ready, on_answered,
+					      on_broken };
 
 kl_database_caller_t *kl_database_caller_new(
 	struct event_base *base, const char *user,
@@ -73,9 +74,9 @@
 void kl_database_caller_call(kl_database_caller_t *caller,
 			     const kl_database_call_t *call)
 {
-	struct timeval timeout = {0, TIMEOUT_US};
-	kl_database_answer_t failed = {.call = *call,
-				       .error = -KL_E_UNAVAILABLE};
+	struct timeval timeout = { 0, TIMEOUT_US };
+	kl_database_answer_t failed = { .call = *call,
+					.error = -KL_E_UNAVAILABLE };
 	line_t *line = call->fresh ? NULL : kept_line(caller, call);
 
 	if (line && line->busy) {
@@ -100,7 +101,7 @@
 {
 	line_t *line;
 
-	CK_STAILQ_FOREACH (line, &caller->lines, link) {
+	CK_STAILQ_FOREACH(line, &caller->lines, link) {
 		if (line->kept && line->call.port == call->port &&
 		    !strcmp(line->call.host, call->host) &&
 		    !strcmp(line->call.service, call->service))
@@ -112,8 +113,8 @@
 static line_t *open_line(kl_database_caller_t *caller,
 			 const kl_database_call_t *call)
 {
-	kl_link_target_t target = {call->host, call->port, call->service,
-				   caller->user};
+	kl_link_target_t target = { call->host, call->port, call->service,
+				    caller->user };
 	line_t *line = calloc(1, sizeof(*line));
 
 	if (!line)
@@ -134,7 +135,7 @@
 static void ask(line_t *line)
 {
 	char text[KL_CONTROL_QUERY_MAX];
-	kl_query_t query = {.text = text};
+	kl_query_t query = { .text = text };
 
 	kl_control_query(line->call.op, line->call.term, text);
 	if (kl_link_pq.send(line->connection, &query))
@@ -153,7 +154,7 @@
 {
 	line_t *line = owner;
 	kl_database_caller_t *caller = line->caller;
-	kl_database_answer_t answer = {.call = line->call};
+	kl_database_answer_t answer = { .call = line->call };
 
 	evtimer_del(line->timer);
 	line->busy = false;
@@ -178,8 +179,8 @@
 static void fail(line_t *line)
 {
 	kl_database_caller_t *caller = line->caller;
-	kl_database_answer_t answer = {.call = line->call,
-				       .error = -KL_E_UNAVAILABLE};
+	kl_database_answer_t answer = { .call = line->call,
+					.error = -KL_E_UNAVAILABLE };
 	bool busy = line->busy;
 
 	line_free(line);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -28,11 +28,11 @@
 	static gchar *path;
 	static gboolean check;
 	static const GOptionEntry entries[] = {
-		{"settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
-		 "Settings file (YAML)", "FILE"},
-		{"check", 'c', 0, G_OPTION_ARG_NONE, &check,
-		 "Only check the settings", NULL},
-		{NULL, 0, 0, 0, NULL, NULL, NULL},
+		{ "settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
+		  "Settings file (YAML)", "FILE" },
+		{ "check", 'c', 0, G_OPTION_ARG_NONE, &check,
+		  "Only check the settings", NULL },
+		{ NULL, 0, 0, 0, NULL, NULL, NULL },
 	};
 	GOptionContext *context = g_option_context_new(NULL);
 	kl_settings_t *settings = NULL;
@@ -121,7 +121,7 @@
 
 static bool wait_a_moment(const sigset_t *signals)
 {
-	struct timespec moment = {0, 20000000};
+	struct timespec moment = { 0, 20000000 };
 
 	return sigtimedwait(signals, NULL, &moment) > 0;
 }
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -21,22 +21,22 @@
 #define ABSENT UINT32_MAX
 
 static const number_row_t numbers[] = {
-	{"listen_port", FIELD(listen_port), 1, 65535, ABSENT},
-	{"peer_port", FIELD(peer_port), 1, 65535, ABSENT},
-	{"status_port", FIELD(status_port), 1, 65535, ABSENT},
-	{"workers", FIELD(workers), 1, 64, 2},
-	{"lease_ms", FIELD(lease_ms), 500, 60000, 2000},
-	{"confirm_ms", FIELD(confirm_ms), 50, 10000, 400},
-	{"probe_ms", FIELD(probe_ms), 50, 10000, 250},
-	{"suspect_ms", FIELD(suspect_ms), 100, 60000, 750},
-	{"read_wait_ms", FIELD(read_wait_ms), 0, 10000, 150},
-	{"admit_wait_ms", FIELD(admit_wait_ms), 0, 10000, 200},
-	{"statement_ms", FIELD(statement_ms), 100, 3600000, 20000},
-	{"silent_ms", FIELD(silent_ms), 100, 60000, 1500},
-	{"drain_ms", FIELD(drain_ms), 100, 3600000, 30000},
-	{"stale_after_ms", FIELD(stale_after_ms), 0, 86400000, 0},
-	{"share_hold_s", FIELD(share_hold_s), 5, 86400, 600},
-	{"slots", FIELD(slots), 1, 4096, 24},
+	{ "listen_port", FIELD(listen_port), 1, 65535, ABSENT },
+	{ "peer_port", FIELD(peer_port), 1, 65535, ABSENT },
+	{ "status_port", FIELD(status_port), 1, 65535, ABSENT },
+	{ "workers", FIELD(workers), 1, 64, 2 },
+	{ "lease_ms", FIELD(lease_ms), 500, 60000, 2000 },
+	{ "confirm_ms", FIELD(confirm_ms), 50, 10000, 400 },
+	{ "probe_ms", FIELD(probe_ms), 50, 10000, 250 },
+	{ "suspect_ms", FIELD(suspect_ms), 100, 60000, 750 },
+	{ "read_wait_ms", FIELD(read_wait_ms), 0, 10000, 150 },
+	{ "admit_wait_ms", FIELD(admit_wait_ms), 0, 10000, 200 },
+	{ "statement_ms", FIELD(statement_ms), 100, 3600000, 20000 },
+	{ "silent_ms", FIELD(silent_ms), 100, 60000, 1500 },
+	{ "drain_ms", FIELD(drain_ms), 100, 3600000, 30000 },
+	{ "stale_after_ms", FIELD(stale_after_ms), 0, 86400000, 0 },
+	{ "share_hold_s", FIELD(share_hold_s), 5, 86400, 600 },
+	{ "slots", FIELD(slots), 1, 4096, 24 },
 };
 
 static void on_message(cyaml_log_t level, void *context, const char *format,
@@ -51,7 +51,8 @@
 	CYAML_FIELD_STRING_PTR("host", CYAML_FLAG_POINTER, kl_settings_peer_t,
 			       host, 1, 47),
 	CYAML_FIELD_UINT("port", CYAML_FLAG_DEFAULT, kl_settings_peer_t, port),
-	CYAML_FIELD_END};
+	CYAML_FIELD_END
+};
 
 static const cyaml_schema_value_t peer_schema = {
 	CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, kl_settings_peer_t,
@@ -96,7 +97,8 @@
 	NUMBER(stale_after_ms, CYAML_FLAG_OPTIONAL),
 	NUMBER(share_hold_s, CYAML_FLAG_OPTIONAL),
 	NUMBER(slots, CYAML_FLAG_OPTIONAL),
-	CYAML_FIELD_END};
+	CYAML_FIELD_END
+};
 
 static const cyaml_schema_value_t schema = {
 	CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, kl_settings_t, fields),
--- a/daemon/status.c
+++ b/daemon/status.c
@@ -128,7 +128,7 @@
 
 	if (!terms)
 		return list;
-	CK_STAILQ_FOREACH (group, &terms->groups, link)
+	CK_STAILQ_FOREACH(group, &terms->groups, link)
 		json_array_append_new(list,
 				      json_pack("{s:s,s:I,s:s,s:s,s:s}",
 						"service", group->name.name,
@@ -146,7 +146,7 @@
 
 	if (!health)
 		return list;
-	CK_STAILQ_FOREACH (seen, &health->list, link)
+	CK_STAILQ_FOREACH(seen, &health->list, link)
 		json_array_append_new(
 			list,
 			json_pack("{s:s,s:b,s:I,s:I,s:I,s:b}", "upstream",
--- a/daemon/worker.c
+++ b/daemon/worker.c
@@ -84,7 +84,7 @@
 
 static int start_worker(kl_workers_t *workers, uint32_t number)
 {
-	struct timeval tick = {0, TICK_US};
+	struct timeval tick = { 0, TICK_US };
 	kl_worker_t *worker = &workers->table[number];
 
 	worker->all = workers;
@@ -111,7 +111,7 @@
 static struct evconnlistener *listen_on(kl_worker_t *worker)
 {
 	const kl_settings_t *settings = worker->all->settings;
-	struct sockaddr_in address = {.sin_family = AF_INET};
+	struct sockaddr_in address = { .sin_family = AF_INET };
 
 	address.sin_port = htons((uint16_t)settings->listen_port);
 	inet_pton(AF_INET, settings->host, &address.sin_addr);
--- a/daemon/worker_answer.c
+++ b/daemon/worker_answer.c
@@ -18,12 +18,12 @@
 	else
 		kl_count(KL_COUNTER_UNKNOWN_OUTCOMES, request->needs_proof);
 	if (error) {
-		kl_decision_t refused = {.what = "refused",
-					 .workspace = session->workspace,
-					 .service = session->service,
-					 .upstream = request->upstream,
-					 .reason = answer->name,
-					 .term = request->term};
+		kl_decision_t refused = { .what = "refused",
+					  .workspace = session->workspace,
+					  .service = session->service,
+					  .upstream = request->upstream,
+					  .reason = answer->name,
+					  .term = request->term };
 
 		kl_log_decision(&refused);
 	}
--- a/daemon/worker_pool.c
+++ b/daemon/worker_pool.c
@@ -22,14 +22,15 @@
 static bool too_late(const kl_pool_t *pool, const kl_request_t *request);
 static void check_leases(kl_pool_t *pool, uint64_t now);
 
-static const kl_link_events_t link_events = {on_ready, on_answered, on_broken};
+static const kl_link_events_t link_events = { on_ready, on_answered,
+					      on_broken };
 
 kl_pool_t *kl_pool_of(kl_worker_t *worker, const kl_upstream_t *upstream)
 {
 	const char *service = upstream->service->name.name;
 	kl_pool_t *pool;
 
-	CK_STAILQ_FOREACH (pool, &worker->pools, link) {
+	CK_STAILQ_FOREACH(pool, &worker->pools, link) {
 		if (!strcmp(pool->service, service) &&
 		    !strcmp(pool->upstream, upstream->name.name))
 			return pool;
@@ -79,7 +80,7 @@
 void kl_pool_release(kl_lease_t *lease)
 {
 	kl_pool_t *pool = lease->pool;
-	kl_query_t reset = {.text = "DISCARD ALL"};
+	kl_query_t reset = { .text = "DISCARD ALL" };
 	uint64_t now = kl_clock_us();
 
 	pool->busy--;
@@ -122,7 +123,7 @@
 	const kl_session_t *session = request->session;
 	const kl_pool_t *pool;
 
-	CK_STAILQ_FOREACH (pool, &session->worker->pools, link) {
+	CK_STAILQ_FOREACH(pool, &session->worker->pools, link) {
 		if (!strcmp(pool->service, session->service) &&
 		    !strcmp(pool->upstream, upstream))
 			return pool->busy;
@@ -139,7 +140,7 @@
 				: 1;
 	kl_pool_t *pool, *next;
 
-	CK_STAILQ_FOREACH_SAFE (pool, &worker->pools, link, next) {
+	CK_STAILQ_FOREACH_SAFE(pool, &worker->pools, link, next) {
 		const kl_service_t *service =
 			scene->config
 				? kl_index_get(scene->config->service_index,
@@ -180,10 +181,10 @@
 
 static void check_leases(kl_pool_t *pool, uint64_t now)
 {
-	static const kl_query_t keepalive = {.text = "SELECT 1"};
+	static const kl_query_t keepalive = { .text = "SELECT 1" };
 	kl_lease_t *lease, *next;
 
-	CK_STAILQ_FOREACH_SAFE (lease, &pool->leases, link, next) {
+	CK_STAILQ_FOREACH_SAFE(lease, &pool->leases, link, next) {
 		uint64_t since = now - lease->since_us;
 		bool silent = (lease->checking || lease->resetting) &&
 			      since > CHECK_US;
@@ -247,7 +248,7 @@
 {
 	kl_lease_t *lease;
 
-	CK_STAILQ_FOREACH (lease, &pool->leases, link) {
+	CK_STAILQ_FOREACH(lease, &pool->leases, link) {
 		if (lease->idle)
 			return lease;
 	}
@@ -256,8 +257,10 @@
 
 static void start_lease(kl_pool_t *pool)
 {
-	kl_link_target_t target = {pool->host, pool->port, pool->service,
-				   pool->worker->all->settings->upstream_user};
+	kl_link_target_t target = {
+		pool->host, pool->port, pool->service,
+		pool->worker->all->settings->upstream_user
+	};
 	kl_lease_t *lease = calloc(1, sizeof(*lease));
 
 	if (!lease)
--- a/daemon/worker_prove.c
+++ b/daemon/worker_prove.c
@@ -65,7 +65,7 @@
 	if (!prover)
 		return;
 	kl_database_caller_free(prover->caller);
-	CK_STAILQ_FOREACH_SAFE (round, &prover->rounds, link, next)
+	CK_STAILQ_FOREACH_SAFE(round, &prover->rounds, link, next)
 		free(round);
 	free(prover);
 }
@@ -88,13 +88,13 @@
 
 	if (!round)
 		return;
-	CK_STAILQ_FOREACH (entry, &round->running, proving) {
+	CK_STAILQ_FOREACH(entry, &round->running, proving) {
 		if (entry != request)
 			continue;
 		CK_STAILQ_REMOVE(&round->running, request, kl_request, proving);
 		return;
 	}
-	CK_STAILQ_FOREACH (entry, &round->next, proving) {
+	CK_STAILQ_FOREACH(entry, &round->next, proving) {
 		if (entry != request)
 			continue;
 		CK_STAILQ_REMOVE(&round->next, request, kl_request, proving);
@@ -108,7 +108,7 @@
 	const kl_config_t *config;
 	const kl_service_t *service;
 	const kl_upstream_t *upstream;
-	kl_database_call_t call = {.op = KL_DATABASE_STATUS};
+	kl_database_call_t call = { .op = KL_DATABASE_STATUS };
 
 	memset(round->answers, 0, sizeof(round->answers));
 	CK_STAILQ_CONCAT(&round->running, &round->next);
@@ -120,7 +120,7 @@
 	service = config ? kl_index_get(config->service_index, round->service)
 			 : NULL;
 	if (service) {
-		CK_STAILQ_FOREACH (upstream, &service->upstreams, link) {
+		CK_STAILQ_FOREACH(upstream, &service->upstreams, link) {
 			if (round->asked == DATABASES_MAX)
 				break;
 			call.asked_us = round->started_us;
@@ -178,7 +178,7 @@
 	CK_STAILQ_INIT(&done);
 	CK_STAILQ_CONCAT(&done, &round->running);
 	while ((request = CK_STAILQ_FIRST(&done))) {
-		kl_tally_t tally = {.databases = round->asked};
+		kl_tally_t tally = { .databases = round->asked };
 
 		CK_STAILQ_REMOVE_HEAD(&done, proving);
 		for (uint32_t i = 0; i < round->asked; i++) {
@@ -204,7 +204,7 @@
 {
 	round_t *round;
 
-	CK_STAILQ_FOREACH (round, &prover->rounds, link) {
+	CK_STAILQ_FOREACH(round, &prover->rounds, link) {
 		if (!strcmp(round->service, service))
 			return round;
 	}
--- a/daemon/worker_session.c
+++ b/daemon/worker_session.c
@@ -39,13 +39,13 @@
 static void join(kl_worker_t *worker, kl_session_t *session);
 static bool may_end(const kl_session_t *session);
 
-static const kl_front_events_t front_events = {on_login, on_query, on_cancel,
-					       on_closed};
+static const kl_front_events_t front_events = { on_login, on_query, on_cancel,
+						on_closed };
 
 static const own_setting_t own_settings[] = {
-	{"session", set_session, show_session},
-	{"max_age", set_max_age, show_max_age},
-	{"repeatable", set_repeatable, show_repeatable},
+	{ "session", set_session, show_session },
+	{ "max_age", set_max_age, show_max_age },
+	{ "repeatable", set_repeatable, show_repeatable },
 };
 
 #define OWN_SETTINGS (sizeof(own_settings) / sizeof(own_settings[0]))
@@ -120,7 +120,7 @@
 	kl_session_t *session, *next;
 	bool leaving = scene->life && scene->life->phase == KL_PHASE_DRAINING;
 
-	CK_LIST_FOREACH_SAFE (session, &worker->sessions, link, next) {
+	CK_LIST_FOREACH_SAFE(session, &worker->sessions, link, next) {
 		int error;
 
 		if (!session->welcome)
@@ -321,7 +321,7 @@
 	free(letter);
 	if (!worker)
 		return;
-	CK_LIST_FOREACH (session, &worker->sessions, link) {
+	CK_LIST_FOREACH(session, &worker->sessions, link) {
 		if (session->welcome && session->id == cancel.id &&
 		    session->secret == cancel.secret) {
 			kl_request_cancel(&session->request);
@@ -439,13 +439,14 @@
 	return shown->text;
 }
 
-static const kl_rows_ops_t shown_ops = {shown_one,  shown_one,	  shown_name,
-					shown_type, shown_format, shown_value};
+static const kl_rows_ops_t shown_ops = {
+	shown_one, shown_one, shown_name, shown_type, shown_format, shown_value
+};
 
 void kl_session_show(kl_session_t *session, const char *name)
 {
 	char text[KL_TOKEN_MAX + 16];
-	shown_t shown = {name, text};
+	shown_t shown = { name, text };
 
 	for (size_t i = 0; i < OWN_SETTINGS; i++) {
 		if (strcmp(own_settings[i].name, name))
--- a/examples/lend.c
+++ b/examples/lend.c
@@ -49,10 +49,10 @@
 
 int main(void)
 {
-	static const kl_purse_ops_t ops = {take, put, valid_until};
-	purse_t purses[2] = {{0, 0}, {0, 0}};
+	static const kl_purse_ops_t ops = { take, put, valid_until };
+	purse_t purses[2] = { { 0, 0 }, { 0, 0 } };
 	kl_share_t *shares[2];
-	int admitted[2] = {0, 0};
+	int admitted[2] = { 0, 0 };
 	uint64_t now_us = 1000000;
 
 	for (int i = 0; i < 2; i++) {
--- a/front/pg_codec.c
+++ b/front/pg_codec.c
@@ -145,8 +145,10 @@
 	const struct {
 		char field;
 		const char *value;
-	} fields[] = {
-		{'S', severity}, {'V', severity}, {'C', sqlstate}, {'M', text}};
+	} fields[] = { { 'S', severity },
+		       { 'V', severity },
+		       { 'C', sqlstate },
+		       { 'M', text } };
 	size_t count = sizeof(fields) / sizeof(*fields);
 	size_t payload = 1;
 
--- a/front/pg_front.c
+++ b/front/pg_front.c
@@ -1,12 +1,11 @@
-/* The PostgreSQL front end: startup, simple and unnamed extended queries. */
+/* The PostgreSQL front end: connections, startup, answers. */
 #include <arpa/inet.h>
 #include <event2/bufferevent.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 
-#include "front/front.h"
-#include "front/pg_codec.h"
+#include "front/pg_front_internal.h"
 #include "kumquatloft/kind.h"
 
 #define LOGIN_SECONDS 10   /* a caller that stays silent is cut */
@@ -14,48 +13,6 @@
 #define CLOSE_SECONDS 1	   /* to take the last answer and hang up */
 #define HIGH_WATER 1048576 /* bytes read ahead of a running query */
 
-typedef enum phase {
-	PHASE_STARTUP,
-	PHASE_PASSWORD,
-	PHASE_LOGIN, /* the worker looks at the login */
-	PHASE_READY,
-	PHASE_BUSY, /* a query runs */
-	PHASE_CLOSING,
-} phase_t;
-
-struct kl_front {
-	struct bufferevent *socket;
-	struct evbuffer *held;	  /* answers kept back */
-	struct evbuffer *carried; /* bytes read before a detach */
-	bool holding;
-	int detached;
-	const kl_front_events_t *events;
-	void *owner;
-	phase_t phase;
-	char *user;
-	char *database;
-	char *session;
-	char *max_age;
-	char *repeatable;
-	bool extended; /* the running query came by Sync */
-	bool described;
-	bool skipping; /* after an error, until Sync */
-	bool have_parse;
-	bool have_bind;
-	bool have_execute;
-	char *text;
-	int parameters;
-	uint32_t types[KL_PARAMETERS_MAX];
-	kl_pg_message_t bind; /* owns the values */
-	const char *values[KL_PARAMETERS_MAX];
-	int lengths[KL_PARAMETERS_MAX];
-	int formats[KL_PARAMETERS_MAX];
-	int result_format;
-	char transaction;
-};
-
-typedef void (*handler_t)(kl_front_t *front, kl_pg_message_t *message);
-
 static kl_front_t *pg_open(struct event_base *base, int socket,
 			   const kl_front_events_t *events, void *owner);
 static void pg_welcome(kl_front_t *front, uint32_t id, uint32_t secret);
@@ -83,22 +40,10 @@
 static void on_startup(kl_front_t *front, kl_pg_message_t *message);
 static void on_cancel(kl_front_t *front, kl_pg_message_t *message);
 static void on_password(kl_front_t *front, kl_pg_message_t *message);
-static void on_simple(kl_front_t *front, kl_pg_message_t *message);
-static void on_parse(kl_front_t *front, kl_pg_message_t *message);
-static void on_bind(kl_front_t *front, kl_pg_message_t *message);
-static void on_describe(kl_front_t *front, kl_pg_message_t *message);
-static void on_execute(kl_front_t *front, kl_pg_message_t *message);
-static void on_close(kl_front_t *front, kl_pg_message_t *message);
-static void on_flush(kl_front_t *front, kl_pg_message_t *message);
-static void on_sync(kl_front_t *front, kl_pg_message_t *message);
-static void on_terminate(kl_front_t *front, kl_pg_message_t *message);
+static void on_terminate(kl_front_t *front);
 static void read_options(kl_front_t *front, const char *options);
-static void refuse(kl_front_t *front, int error);
 static void protocol_error(kl_front_t *front);
-static void forget_statement(kl_front_t *front);
 static void front_free(kl_front_t *front);
-static void replace(char **field, const char *value);
-static struct evbuffer *out_of(kl_front_t *front);
 
 const kl_front_ops_t kl_front_pg = {
 	.name = "postgresql",
@@ -119,19 +64,10 @@
 	.idle = pg_idle,
 };
 
-static const struct {
-	char type;
-	handler_t handle;
-} handlers[] = {
-	{'Q', on_simple},   {'P', on_parse},   {'B', on_bind},
-	{'D', on_describe}, {'E', on_execute}, {'C', on_close},
-	{'H', on_flush},    {'S', on_sync},    {'X', on_terminate},
-};
-
 static kl_front_t *pg_open(struct event_base *base, int socket,
 			   const kl_front_events_t *events, void *owner)
 {
-	struct timeval login = {LOGIN_SECONDS, 0};
+	struct timeval login = { LOGIN_SECONDS, 0 };
 	kl_front_t *front = calloc(1, sizeof(*front));
 
 	if (!front)
@@ -221,7 +157,7 @@
 static void step(kl_front_t *front)
 {
 	struct evbuffer *in = bufferevent_get_input(front->socket);
-	struct timeval half = {HALF_SECONDS, 0};
+	struct timeval half = { HALF_SECONDS, 0 };
 
 	while (front->phase == PHASE_STARTUP ||
 	       front->phase == PHASE_PASSWORD || front->phase == PHASE_READY) {
@@ -247,24 +183,16 @@
 		} else if (phase == PHASE_PASSWORD) {
 			on_password(front, &message);
 		} else {
-			handler_t handle = NULL;
-
-			for (size_t i = 0;
-			     i < sizeof(handlers) / sizeof(*handlers); i++)
-				if (handlers[i].type == message.type)
-					handle = handlers[i].handle;
-			if (!handle) {
+			if (message.type == 'X') {
 				kl_pg_done(&message);
-				protocol_error(front);
+				on_terminate(front);
 				return;
 			}
-			if (message.type == 'X') {
+			if (!kl_pg_handle(front, &message)) {
 				kl_pg_done(&message);
-				on_terminate(front, NULL);
+				protocol_error(front);
 				return;
 			}
-			if (!front->skipping || message.type == 'S')
-				handle(front, &message);
 		}
 		if (message.bad && front->phase != PHASE_CLOSING)
 			protocol_error(front);
@@ -277,7 +205,7 @@
 	uint32_t version = kl_pg_int32(message);
 
 	if (version == KL_PG_SSL || version == KL_PG_GSSENC) {
-		evbuffer_add(out_of(front), "N", 1);
+		evbuffer_add(kl_pg_out(front), "N", 1);
 		return;
 	}
 	if (version == KL_PG_CANCEL) {
@@ -293,9 +221,9 @@
 		const char *value = kl_pg_string(message);
 
 		if (!strcmp(name, "user"))
-			replace(&front->user, value);
+			kl_pg_replace(&front->user, value);
 		else if (!strcmp(name, "database"))
-			replace(&front->database, value);
+			kl_pg_replace(&front->database, value);
 		else if (!strcmp(name, "options"))
 			read_options(front, value);
 	}
@@ -304,8 +232,8 @@
 		return;
 	}
 	if (!front->database)
-		replace(&front->database, front->user);
-	kl_pg_put_auth(out_of(front), 3);
+		kl_pg_replace(&front->database, front->user);
+	kl_pg_put_auth(kl_pg_out(front), 3);
 	front->phase = PHASE_PASSWORD;
 }
 
@@ -331,11 +259,11 @@
 			continue;
 		*value++ = '\0';
 		if (!strcmp(word, "session"))
-			replace(&front->session, value);
+			kl_pg_replace(&front->session, value);
 		else if (!strcmp(word, "max_age"))
-			replace(&front->max_age, value);
+			kl_pg_replace(&front->max_age, value);
 		else if (!strcmp(word, "repeatable"))
-			replace(&front->repeatable, value);
+			kl_pg_replace(&front->repeatable, value);
 	}
 	free(copy);
 }
@@ -372,172 +300,24 @@
 	front->events->login(front->owner, &login);
 }
 
-static void on_simple(kl_front_t *front, kl_pg_message_t *message)
-{
-	kl_query_t query = {.text = kl_pg_string(message)};
-
-	if (message->bad)
-		return;
-	front->extended = false;
-	front->phase = PHASE_BUSY;
-	front->events->query(front->owner, &query);
-}
-
-static void on_parse(kl_front_t *front, kl_pg_message_t *message)
-{
-	const char *name = kl_pg_string(message);
-	const char *text = kl_pg_string(message);
-	int count = kl_pg_int16(message);
-
-	if (message->bad)
-		return;
-	if (*name || count > KL_PARAMETERS_MAX || front->have_parse) {
-		refuse(front, -KL_E_UNSUPPORTED);
-		return;
-	}
-	memset(front->types, 0, sizeof(front->types));
-	for (int i = 0; i < count; i++)
-		front->types[i] = kl_pg_int32(message);
-	replace(&front->text, text);
-	front->have_parse = true;
-}
-
-static void on_bind(kl_front_t *front, kl_pg_message_t *message)
-{
-	const char *portal = kl_pg_string(message);
-	const char *name = kl_pg_string(message);
-	int formats = kl_pg_int16(message);
-	int given[KL_PARAMETERS_MAX] = {0};
-
-	if (message->bad)
-		return;
-	if (*portal || *name || !front->text || front->have_bind ||
-	    formats > KL_PARAMETERS_MAX) {
-		refuse(front, -KL_E_UNSUPPORTED);
-		return;
-	}
-	for (int i = 0; i < formats; i++)
-		given[i] = kl_pg_int16(message);
-	front->parameters = kl_pg_int16(message);
-	if (front->parameters > KL_PARAMETERS_MAX) {
-		refuse(front, -KL_E_UNSUPPORTED);
-		return;
-	}
-	for (int i = 0; i < front->parameters; i++) {
-		int32_t length = (int32_t)kl_pg_int32(message);
-
-		front->formats[i] = formats == 1 ? given[0] : given[i];
-		front->values[i] = NULL;
-		front->lengths[i] = 0;
-		if (length < 0)
-			continue;
-		front->values[i] =
-			(const char *)kl_pg_bytes(message, (size_t)length);
-		front->lengths[i] = length;
-	}
-	front->result_format = 0;
-	if (kl_pg_int16(message) >= 1)
-		front->result_format = kl_pg_int16(message);
-	if (message->bad)
-		return;
-	kl_pg_done(&front->bind);
-	front->bind = *message;
-	message->payload = NULL;
-	front->have_bind = true;
-}
-
-static void on_describe(kl_front_t *front, kl_pg_message_t *message)
-{
-	char what = (char)kl_pg_byte(message);
-
-	if (what != 'P' || !front->have_bind)
-		refuse(front, -KL_E_UNSUPPORTED);
-	front->described = true;
-}
-
-static void on_execute(kl_front_t *front, kl_pg_message_t *message)
-{
-	const char *portal = kl_pg_string(message);
-	uint32_t limit = kl_pg_int32(message);
-
-	if (message->bad)
-		return;
-	if (*portal || limit || !front->have_bind || front->have_execute) {
-		refuse(front, -KL_E_UNSUPPORTED);
-		return;
-	}
-	front->have_execute = true;
-}
-
-static void on_close(kl_front_t *front, kl_pg_message_t *message)
-{
-	(void)message;
-	kl_pg_put_bare(out_of(front), '3');
-}
-
-static void on_flush(kl_front_t *front, kl_pg_message_t *message)
-{
-	(void)front;
-	(void)message;
-}
-
-static void on_sync(kl_front_t *front, kl_pg_message_t *message)
-{
-	kl_query_t query = {.text = front->text,
-			    .extended = true,
-			    .parameters = front->parameters,
-			    .types = front->types,
-			    .values = front->values,
-			    .lengths = front->lengths,
-			    .formats = front->formats,
-			    .result_format = front->result_format};
-	(void)message;
-
-	if (front->skipping || !front->have_execute) {
-		if (!front->skipping && front->have_parse) {
-			kl_pg_put_bare(out_of(front), '1');
-			if (front->have_bind)
-				kl_pg_put_bare(out_of(front), '2');
-		}
-		front->skipping = false;
-		forget_statement(front);
-		kl_pg_put_ready(out_of(front), front->transaction);
-		return;
-	}
-	front->extended = true;
-	front->phase = PHASE_BUSY;
-	front->events->query(front->owner, &query);
-}
-
-static void on_terminate(kl_front_t *front, kl_pg_message_t *message)
+static void on_terminate(kl_front_t *front)
 {
-	(void)message;
 	front->events->closed(front->owner);
 	front_free(front);
 }
 
-/* Refuses one message of an extended query: nothing of it has run. */
-static void refuse(kl_front_t *front, int error)
-{
-	const kl_answer_t *answer = kl_answer_of(error);
-
-	kl_pg_put_error(out_of(front), answer->sqlstate, answer->text);
-	front->skipping = true;
-	forget_statement(front);
-}
-
 static void protocol_error(kl_front_t *front)
 {
 	const kl_answer_t *answer = kl_answer_of(-KL_E_PROTOCOL);
 
-	kl_pg_put_fatal(out_of(front), answer->sqlstate, answer->text);
+	kl_pg_put_fatal(kl_pg_out(front), answer->sqlstate, answer->text);
 	front->events->closed(front->owner);
 	pg_close(front);
 }
 
 static void pg_welcome(kl_front_t *front, uint32_t id, uint32_t secret)
 {
-	struct evbuffer *out = out_of(front);
+	struct evbuffer *out = kl_pg_out(front);
 
 	kl_pg_put_auth(out, 0);
 	kl_pg_put_parameter(out, "server_version", "15.0");
@@ -554,13 +334,13 @@
 
 static void pg_parameter(kl_front_t *front, const char *name, const char *value)
 {
-	kl_pg_put_parameter(out_of(front), name, value);
+	kl_pg_put_parameter(kl_pg_out(front), name, value);
 }
 
 static void pg_rows(kl_front_t *front, const kl_rows_ops_t *ops,
 		    const void *rows)
 {
-	struct evbuffer *out = out_of(front);
+	struct evbuffer *out = kl_pg_out(front);
 
 	if (front->extended) {
 		kl_pg_put_bare(out, '1');
@@ -574,7 +354,7 @@
 
 static void pg_complete(kl_front_t *front, const char *tag)
 {
-	struct evbuffer *out = out_of(front);
+	struct evbuffer *out = kl_pg_out(front);
 
 	if (front->extended && front->have_parse) {
 		kl_pg_put_bare(out, '1');
@@ -590,19 +370,19 @@
 
 static void pg_error(kl_front_t *front, const char *sqlstate, const char *text)
 {
-	kl_pg_put_error(out_of(front), sqlstate, text);
+	kl_pg_put_error(kl_pg_out(front), sqlstate, text);
 }
 
 static void pg_fatal(kl_front_t *front, const char *sqlstate, const char *text)
 {
-	kl_pg_put_fatal(out_of(front), sqlstate, text);
+	kl_pg_put_fatal(kl_pg_out(front), sqlstate, text);
 }
 
 static void pg_ready(kl_front_t *front, char transaction)
 {
 	front->transaction = transaction;
-	kl_pg_put_ready(out_of(front), transaction);
-	forget_statement(front);
+	kl_pg_put_ready(kl_pg_out(front), transaction);
+	kl_pg_forget_statement(front);
 	if (front->phase != PHASE_BUSY)
 		return;
 	front->phase = PHASE_READY;
@@ -616,7 +396,7 @@
  */
 static void pg_close(kl_front_t *front)
 {
-	struct timeval patience = {CLOSE_SECONDS, 0};
+	struct timeval patience = { CLOSE_SECONDS, 0 };
 
 	front->phase = PHASE_CLOSING;
 	if (front->holding)
@@ -649,15 +429,6 @@
 	shutdown(bufferevent_getfd(socket), SHUT_WR);
 }
 
-static void forget_statement(kl_front_t *front)
-{
-	kl_pg_done(&front->bind);
-	front->have_parse = false;
-	front->have_bind = false;
-	front->have_execute = false;
-	front->described = false;
-}
-
 static void front_free(kl_front_t *front)
 {
 	bufferevent_free(front->socket);
@@ -673,13 +444,13 @@
 	free(front);
 }
 
-static void replace(char **field, const char *value)
+void kl_pg_replace(char **field, const char *value)
 {
 	free(*field);
 	*field = strdup(value);
 }
 
-static struct evbuffer *out_of(kl_front_t *front)
+struct evbuffer *kl_pg_out(kl_front_t *front)
 {
 	return front->holding ? front->held
 			      : bufferevent_get_output(front->socket);
--- a/path/classify.c
+++ b/path/classify.c
@@ -54,36 +54,37 @@
 static bool only_statement(const char *rest);
 
 static const leading_word_t leading_words[] = {
-	{"select", classify_query, KL_STATEMENT_READ, true},
-	{"values", classify_query, KL_STATEMENT_READ, true},
-	{"table", classify_query, KL_STATEMENT_READ, true},
-	{"with", classify_query, KL_STATEMENT_READ, true},
-	{"show", classify_show, KL_STATEMENT_READ, true},
-	{"insert", NULL, KL_STATEMENT_WRITE, true},
-	{"update", NULL, KL_STATEMENT_WRITE, true},
-	{"delete", NULL, KL_STATEMENT_WRITE, true},
-	{"begin", classify_begin, KL_STATEMENT_BEGIN, true},
-	{"start", classify_begin, KL_STATEMENT_BEGIN, true},
-	{"commit", classify_end, KL_STATEMENT_COMMIT, true},
-	{"end", classify_end, KL_STATEMENT_COMMIT, true},
-	{"rollback", classify_rollback, KL_STATEMENT_ROLLBACK, true},
-	{"abort", classify_end, KL_STATEMENT_ROLLBACK, true},
-	{"set", classify_set, KL_STATEMENT_SET, false},
-	{"copy", NULL, KL_STATEMENT_REFUSED, true},
-	{"listen", NULL, KL_STATEMENT_REFUSED, true},
-	{"unlisten", NULL, KL_STATEMENT_REFUSED, true},
-	{"prepare", NULL, KL_STATEMENT_REFUSED, true},
-	{"execute", NULL, KL_STATEMENT_REFUSED, true},
-	{"deallocate", NULL, KL_STATEMENT_REFUSED, true},
-	{"declare", NULL, KL_STATEMENT_REFUSED, true},
-	{"load", NULL, KL_STATEMENT_REFUSED, true},
-	{"reset", NULL, KL_STATEMENT_REFUSED, true},
-	{"discard", NULL, KL_STATEMENT_REFUSED, true},
+	{ "select", classify_query, KL_STATEMENT_READ, true },
+	{ "values", classify_query, KL_STATEMENT_READ, true },
+	{ "table", classify_query, KL_STATEMENT_READ, true },
+	{ "with", classify_query, KL_STATEMENT_READ, true },
+	{ "show", classify_show, KL_STATEMENT_READ, true },
+	{ "insert", NULL, KL_STATEMENT_WRITE, true },
+	{ "update", NULL, KL_STATEMENT_WRITE, true },
+	{ "delete", NULL, KL_STATEMENT_WRITE, true },
+	{ "begin", classify_begin, KL_STATEMENT_BEGIN, true },
+	{ "start", classify_begin, KL_STATEMENT_BEGIN, true },
+	{ "commit", classify_end, KL_STATEMENT_COMMIT, true },
+	{ "end", classify_end, KL_STATEMENT_COMMIT, true },
+	{ "rollback", classify_rollback, KL_STATEMENT_ROLLBACK, true },
+	{ "abort", classify_end, KL_STATEMENT_ROLLBACK, true },
+	{ "set", classify_set, KL_STATEMENT_SET, false },
+	{ "copy", NULL, KL_STATEMENT_REFUSED, true },
+	{ "listen", NULL, KL_STATEMENT_REFUSED, true },
+	{ "unlisten", NULL, KL_STATEMENT_REFUSED, true },
+	{ "prepare", NULL, KL_STATEMENT_REFUSED, true },
+	{ "execute", NULL, KL_STATEMENT_REFUSED, true },
+	{ "deallocate", NULL, KL_STATEMENT_REFUSED, true },
+	{ "declare", NULL, KL_STATEMENT_REFUSED, true },
+	{ "load", NULL, KL_STATEMENT_REFUSED, true },
+	{ "reset", NULL, KL_STATEMENT_REFUSED, true },
+	{ "discard", NULL, KL_STATEMENT_REFUSED, true },
 };
 
 /* Words that may hide a change or a lock inside a query. */
-static const char *const changing_words[] = {
-	"insert", "update", "delete", "merge", "into", "for", "call", NULL};
+static const char *const changing_words[] = { "insert", "update", "delete",
+					      "merge",	"into",	  "for",
+					      "call",	NULL };
 
 /* Words that stand before a parenthesis without being functions. */
 static const char *const grouping_words[] = {
@@ -92,7 +93,8 @@
 	"any",	  "all",     "some",   "union",	  "except", "intersect",
 	"having", "by",	     "over",   "then",	  "else",   "when",
 	"case",	  "join",    "with",   "lateral", "filter", "distinct",
-	"like",	  "between", "limit",  "offset",  NULL};
+	"like",	  "between", "limit",  "offset",  NULL
+};
 
 /* Functions known to have no side effects. */
 static const char *const pure_functions[] = {
@@ -100,7 +102,8 @@
 	"lower", "upper", "length",	"substring",  "abs",	 "round",
 	"now",	 "cast",  "extract",	"date_trunc", "nullif",	 "greatest",
 	"least", "trim",  "replace",	"concat",     "array",	 "row",
-	"floor", "ceil",  "string_agg", "array_agg",  "to_char", NULL};
+	"floor", "ceil",  "string_agg", "array_agg",  "to_char", NULL
+};
 
 void kl_classify(const char *text, const char *const *read_functions,
 		 kl_classified_t *out)
@@ -135,7 +138,7 @@
 static void classify_query(const char *rest, const char *const *functions,
 			   kl_classified_t *out)
 {
-	lexeme_t lexeme, before = {.kind = LEXEME_OTHER};
+	lexeme_t lexeme, before = { .kind = LEXEME_OTHER };
 
 	for (rest = next_lexeme(rest, &lexeme); lexeme.kind != LEXEME_END;
 	     before = lexeme, rest = next_lexeme(rest, &lexeme)) {
@@ -165,7 +168,7 @@
 static void classify_begin(const char *rest, const char *const *functions,
 			   kl_classified_t *out)
 {
-	lexeme_t lexeme, before = {.kind = LEXEME_OTHER};
+	lexeme_t lexeme, before = { .kind = LEXEME_OTHER };
 	(void)functions;
 
 	for (rest = next_lexeme(rest, &lexeme); lexeme.kind != LEXEME_END;
--- a/path/fair.c
+++ b/path/fair.c
@@ -46,7 +46,7 @@
 
 	if (!fair)
 		return;
-	CK_STAILQ_FOREACH_SAFE (lane, &fair->lanes, all, next)
+	CK_STAILQ_FOREACH_SAFE(lane, &fair->lanes, all, next)
 		free(lane);
 	kl_index_free(fair->index);
 	free(fair);
--- a/path/proof.c
+++ b/path/proof.c
@@ -11,8 +11,8 @@
 				       const kl_tally_t *tally);
 
 const kl_proof_t kl_proofs[KL_PROOF_COUNT] = {
-	[KL_PROOF_LEASE] = {"lease", false, lease_holds},
-	[KL_PROOF_MAJORITY] = {"majority", true, majority_holds},
+	[KL_PROOF_LEASE] = { "lease", false, lease_holds },
+	[KL_PROOF_MAJORITY] = { "majority", true, majority_holds },
 };
 
 /*
--- a/path/route.c
+++ b/path/route.c
@@ -107,7 +107,7 @@
 		route->reason = "write_lost";
 		return;
 	}
-	CK_STAILQ_FOREACH (upstream, &service->upstreams, link) {
+	CK_STAILQ_FOREACH(upstream, &service->upstreams, link) {
 		const kl_observation_t *seen = kl_health_of(
 			scene->health, ask->service, upstream->name.name);
 		uint32_t load;
--- a/peer/peer_codec.c
+++ b/peer/peer_codec.c
@@ -36,12 +36,12 @@
 static int code(XDR *xdr, kl_wire_message *wire);
 
 static const codec_row_t rows[KL_PEER_KIND_COUNT] = {
-	[KL_PEER_HELLO] = {encode_hello, decode_hello},
-	[KL_PEER_FETCH] = {encode_fetch, decode_fetch},
-	[KL_PEER_DELTA] = {encode_delta, decode_delta},
-	[KL_PEER_SUSPECT] = {encode_suspect, decode_suspect},
-	[KL_PEER_ASK] = {encode_ask, decode_ask},
-	[KL_PEER_GRANT] = {encode_grant, decode_grant},
+	[KL_PEER_HELLO] = { encode_hello, decode_hello },
+	[KL_PEER_FETCH] = { encode_fetch, decode_fetch },
+	[KL_PEER_DELTA] = { encode_delta, decode_delta },
+	[KL_PEER_SUSPECT] = { encode_suspect, decode_suspect },
+	[KL_PEER_ASK] = { encode_ask, decode_ask },
+	[KL_PEER_GRANT] = { encode_grant, decode_grant },
 };
 
 int kl_peer_encode(const kl_peer_message_t *message, const char *host,
@@ -178,12 +178,12 @@
 	out->since = message->delta.since;
 	out->revision = message->delta.revision;
 	out->more = message->delta.more;
-	CK_STAILQ_FOREACH (object, &message->delta.objects, link)
+	CK_STAILQ_FOREACH(object, &message->delta.objects, link)
 		count++;
 	out->objects.objects_val = calloc(count + 1, sizeof(kl_wire_object));
 	if (!out->objects.objects_val)
 		return;
-	CK_STAILQ_FOREACH (object, &message->delta.objects, link) {
+	CK_STAILQ_FOREACH(object, &message->delta.objects, link) {
 		kl_wire_object *entry =
 			&out->objects.objects_val[out->objects.objects_len++];
 
--- a/standin/database.c
+++ b/standin/database.c
@@ -21,14 +21,14 @@
 } fault_row_t;
 
 static const fault_row_t fault_rows[] = {
-	{"freeze", offsetof(faults_t, frozen)},
-	{"cut", offsetof(faults_t, cut)},
-	{"isolate", offsetof(faults_t, isolated)},
-	{"die_before", offsetof(faults_t, die_before)},
-	{"die_after", offsetof(faults_t, die_after)},
-	{"late_ms", offsetof(faults_t, late_ms)},
-	{"silent", offsetof(faults_t, silent)},
-	{"lag_ms", offsetof(faults_t, lag_ms)},
+	{ "freeze", offsetof(faults_t, frozen) },
+	{ "cut", offsetof(faults_t, cut) },
+	{ "isolate", offsetof(faults_t, isolated) },
+	{ "die_before", offsetof(faults_t, die_before) },
+	{ "die_after", offsetof(faults_t, die_after) },
+	{ "late_ms", offsetof(faults_t, late_ms) },
+	{ "silent", offsetof(faults_t, silent) },
+	{ "lag_ms", offsetof(faults_t, lag_ms) },
 };
 
 static void on_tick(evutil_socket_t fd, short what, void *arg);
@@ -40,31 +40,32 @@
 
 int main(int argc, char **argv)
 {
-	static group_t group = {.count = 3, .slots = 5};
+	static group_t group = { .count = 3, .slots = 5 };
 	static gchar *host, *names, *capture;
 	static gint port, admin, lag_ms;
 	static const GOptionEntry entries[] = {
-		{"host", 0, 0, G_OPTION_ARG_STRING, &host, "IP number", "HOST"},
-		{"names", 0, 0, G_OPTION_ARG_STRING, &names,
-		 "Databases, the primary first", "A,B,C"},
-		{"port", 0, 0, G_OPTION_ARG_INT, &port,
-		 "Port of the first; the others follow", "PORT"},
-		{"admin", 0, 0, G_OPTION_ARG_INT, &admin,
-		 "HTTP port for faults", "PORT"},
-		{"slots", 0, 0, G_OPTION_ARG_INT, &group.slots,
-		 "Statements executed at once", "N"},
-		{"exec-us", 0, 0, G_OPTION_ARG_INT, &group.exec_us,
-		 "Time of a statement", "US"},
-		{"connect-ms", 0, 0, G_OPTION_ARG_INT, &group.connect_ms,
-		 "Time of a new connection", "MS"},
-		{"lag-ms", 0, 0, G_OPTION_ARG_INT, &lag_ms, "Replication lag",
-		 "MS"},
-		{"capture", 0, 0, G_OPTION_ARG_FILENAME, &capture,
-		 "Write all received bytes to", "FILE"},
-		{NULL, 0, 0, 0, NULL, NULL, NULL},
+		{ "host", 0, 0, G_OPTION_ARG_STRING, &host, "IP number",
+		  "HOST" },
+		{ "names", 0, 0, G_OPTION_ARG_STRING, &names,
+		  "Databases, the primary first", "A,B,C" },
+		{ "port", 0, 0, G_OPTION_ARG_INT, &port,
+		  "Port of the first; the others follow", "PORT" },
+		{ "admin", 0, 0, G_OPTION_ARG_INT, &admin,
+		  "HTTP port for faults", "PORT" },
+		{ "slots", 0, 0, G_OPTION_ARG_INT, &group.slots,
+		  "Statements executed at once", "N" },
+		{ "exec-us", 0, 0, G_OPTION_ARG_INT, &group.exec_us,
+		  "Time of a statement", "US" },
+		{ "connect-ms", 0, 0, G_OPTION_ARG_INT, &group.connect_ms,
+		  "Time of a new connection", "MS" },
+		{ "lag-ms", 0, 0, G_OPTION_ARG_INT, &lag_ms, "Replication lag",
+		  "MS" },
+		{ "capture", 0, 0, G_OPTION_ARG_FILENAME, &capture,
+		  "Write all received bytes to", "FILE" },
+		{ NULL, 0, 0, 0, NULL, NULL, NULL },
 	};
 	GOptionContext *context = g_option_context_new(NULL);
-	struct timeval tick = {0, REPLICATE_US};
+	struct timeval tick = { 0, REPLICATE_US };
 	struct evhttp *http;
 
 	g_option_context_add_main_entries(context, entries, NULL);
@@ -186,12 +187,14 @@
 
 		evbuffer_add_printf(
 			body,
-			"%s %s term %llu sealed %llu position %u served %llu\n",
+			"%s %s term %llu sealed %llu position %u running %llu "
+			"served %llu\n",
 			database->name,
 			database->primary ? "primary" : "replica",
 			(unsigned long long)database->term,
 			(unsigned long long)database->sealed,
 			database->log->len,
+			(unsigned long long)database->running,
 			(unsigned long long)database->served);
 	}
 	reply(request, body);
--- a/standin/database_session.c
+++ b/standin/database_session.c
@@ -51,12 +51,12 @@
 static const char *rows_value(const void *rows, int row, int column,
 			      size_t *length);
 
-static const kl_rows_ops_t rows_ops = {rows_columns, rows_rows,	  rows_name,
-				       rows_type,    rows_format, rows_value};
+static const kl_rows_ops_t rows_ops = { rows_columns, rows_rows,   rows_name,
+					rows_type,    rows_format, rows_value };
 
 int standin_listen(database_t *database, const char *host)
 {
-	struct sockaddr_in address = {.sin_family = AF_INET};
+	struct sockaddr_in address = { .sin_family = AF_INET };
 
 	address.sin_port = htons(database->port);
 	inet_pton(AF_INET, host, &address.sin_addr);
@@ -80,7 +80,7 @@
 {
 	peer_t *peer, *next;
 
-	CK_LIST_FOREACH_SAFE (peer, &database->peers, link, next)
+	CK_LIST_FOREACH_SAFE(peer, &database->peers, link, next)
 		if (!peer->waiting)
 			step(peer);
 }
@@ -89,7 +89,7 @@
 {
 	peer_t *peer;
 
-	CK_LIST_FOREACH (peer, &database->peers, link)
+	CK_LIST_FOREACH(peer, &database->peers, link)
 		peer->silent = true;
 }
 
@@ -269,8 +269,8 @@
 
 static void wait_us(peer_t *peer, uint64_t us)
 {
-	struct timeval delay = {(time_t)(us / 1000000),
-				(suseconds_t)(us % 1000000)};
+	struct timeval delay = { (time_t)(us / 1000000),
+				 (suseconds_t)(us % 1000000) };
 
 	peer->waiting = true;
 	evtimer_add(peer->timer, &delay);
--- a/standin/database_sql.c
+++ b/standin/database_sql.c
@@ -56,27 +56,27 @@
 #define VALUE "'((?:[^']|'')*)'"
 
 static statement_t statements[] = {
-	{"^\\s*(?:begin|start transaction)( read only)?", run_begin, false,
-	 false, NULL},
-	{"^\\s*(?:commit|end)", run_commit, true, false, NULL},
-	{"^\\s*(?:rollback|abort)", run_rollback, false, false, NULL},
-	{"^\\s*insert into (\\w+)(?: ?\\(k, v\\))? values "
-	 "\\(" VALUE ", ?" VALUE "\\)",
-	 run_insert, true, false, NULL},
-	{"^\\s*update (\\w+) set v = v \\+ 1 where k = " VALUE, run_increment,
-	 true, false, NULL},
-	{"^\\s*update (\\w+) set v = " VALUE " where k = " VALUE, run_update,
-	 true, false, NULL},
-	{"^\\s*delete from (\\w+) where k = " VALUE, run_delete, true, false,
-	 NULL},
-	{"^\\s*select v from (\\w+) where k = " VALUE, run_select, false, false,
-	 NULL},
-	{"^\\s*select count\\(\\*\\) from (\\w+)", run_count, false, false,
-	 NULL},
-	{"^\\s*select (\\d+)\\s*$", run_constant, false, true, NULL},
-	{"^\\s*discard all", run_discard, false, true, NULL},
-	{"^\\s*select kl_(status|seal|promote|follow)\\((\\d+)\\)", run_control,
-	 false, true, NULL},
+	{ "^\\s*(?:begin|start transaction)( read only)?", run_begin, false,
+	  false, NULL },
+	{ "^\\s*(?:commit|end)", run_commit, true, false, NULL },
+	{ "^\\s*(?:rollback|abort)", run_rollback, false, false, NULL },
+	{ "^\\s*insert into (\\w+)(?: ?\\(k, v\\))? values "
+	  "\\(" VALUE ", ?" VALUE "\\)",
+	  run_insert, true, false, NULL },
+	{ "^\\s*update (\\w+) set v = v \\+ 1 where k = " VALUE, run_increment,
+	  true, false, NULL },
+	{ "^\\s*update (\\w+) set v = " VALUE " where k = " VALUE, run_update,
+	  true, false, NULL },
+	{ "^\\s*delete from (\\w+) where k = " VALUE, run_delete, true, false,
+	  NULL },
+	{ "^\\s*select v from (\\w+) where k = " VALUE, run_select, false,
+	  false, NULL },
+	{ "^\\s*select count\\(\\*\\) from (\\w+)", run_count, false, false,
+	  NULL },
+	{ "^\\s*select (\\d+)\\s*$", run_constant, false, true, NULL },
+	{ "^\\s*discard all", run_discard, false, true, NULL },
+	{ "^\\s*select kl_(status|seal|promote|follow)\\((\\d+)\\)",
+	  run_control, false, true, NULL },
 };
 
 bool standin_is_control(const char *text)
@@ -287,7 +287,8 @@
 static void run_control(database_t *database, transaction_t *transaction,
 			GMatchInfo *match, outcome_t *outcome)
 {
-	static const char names[4][32] = {"role", "term", "sealed", "position"};
+	static const char names[4][32] = { "role", "term", "sealed",
+					   "position" };
 	char *what = g_match_info_fetch(match, 1);
 	char *argument = g_match_info_fetch(match, 2);
 	uint64_t term = strtoull(argument, NULL, 10);
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -51,10 +51,10 @@
 static int lose;    /* so many updates take effect and are not answered */
 static int vm_lag_ms;
 
-static const fault_t faults[] = {{"down", &down},
-				 {"slow_ms", &slow_ms},
-				 {"lose", &lose},
-				 {"vm_lag_ms", &vm_lag_ms}};
+static const fault_t faults[] = { { "down", &down },
+				  { "slow_ms", &slow_ms },
+				  { "lose", &lose },
+				  { "vm_lag_ms", &vm_lag_ms } };
 
 static struct event_base *base;
 static CK_STAILQ_HEAD(, object) objects = CK_STAILQ_HEAD_INITIALIZER(objects);
@@ -90,9 +90,10 @@
 	static gchar *host = NULL;
 	static gint port;
 	static const GOptionEntry entries[] = {
-		{"host", 0, 0, G_OPTION_ARG_STRING, &host, "IP number", "HOST"},
-		{"port", 0, 0, G_OPTION_ARG_INT, &port, "TCP port", "PORT"},
-		{NULL, 0, 0, 0, NULL, NULL, NULL},
+		{ "host", 0, 0, G_OPTION_ARG_STRING, &host, "IP number",
+		  "HOST" },
+		{ "port", 0, 0, G_OPTION_ARG_INT, &port, "TCP port", "PORT" },
+		{ NULL, 0, 0, 0, NULL, NULL, NULL },
 	};
 	GOptionContext *context = g_option_context_new(NULL);
 	struct evhttp *http;
@@ -122,7 +123,7 @@
 {
 	const char *path =
 		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
-	struct timeval delay = {slow_ms / 1000, slow_ms % 1000 * 1000};
+	struct timeval delay = { slow_ms / 1000, slow_ms % 1000 * 1000 };
 	delayed_t *delayed;
 	(void)arg;
 
@@ -193,8 +194,8 @@
 static void watch(struct evhttp_request *request, const char *query)
 {
 	uint64_t timeout_ms = number(query, "timeout_ms");
-	struct timeval timeout = {(time_t)(timeout_ms / 1000),
-				  (suseconds_t)(timeout_ms % 1000 * 1000)};
+	struct timeval timeout = { (time_t)(timeout_ms / 1000),
+				   (suseconds_t)(timeout_ms % 1000 * 1000) };
 	watch_t *entry;
 
 	if (number(query, "since") < revision) {
@@ -278,7 +279,7 @@
 /* Changes the list of VMs, which shows it later. */
 static void vm(struct evhttp_request *request, const char *query)
 {
-	struct timeval lag = {vm_lag_ms / 1000, vm_lag_ms % 1000 * 1000};
+	struct timeval lag = { vm_lag_ms / 1000, vm_lag_ms % 1000 * 1000 };
 	delayed_t *entry = calloc(1, sizeof(*entry));
 	char *name = text(query, "name");
 	char *domain = text(query, "domain");
@@ -338,7 +339,7 @@
 	json_t *array = json_array();
 	const object_t *object;
 
-	CK_STAILQ_FOREACH (object, &objects, link) {
+	CK_STAILQ_FOREACH(object, &objects, link) {
 		if (object->version > since)
 			json_array_append_new(
 				array, json_pack("{s:s,s:I,s:s}", "name",
@@ -367,7 +368,7 @@
 {
 	watch_t *entry, *next;
 
-	CK_LIST_FOREACH_SAFE (entry, &watches, link, next)
+	CK_LIST_FOREACH_SAFE(entry, &watches, link, next)
 		end_watch(entry, true);
 }
 
--- a/tests/process/client.c
+++ b/tests/process/client.c
@@ -60,11 +60,11 @@
 	const char *name;
 	step_t run;
 } steps[] = {
-	{"connect", step_connect}, {"exec", step_exec},
-	{"send", step_send},	   {"wait", step_wait},
-	{"until", step_until},	   {"fails", step_fails},
-	{"writes", step_writes},   {"params", step_params},
-	{"token", step_token},	   {"close", step_close},
+	{ "connect", step_connect }, { "exec", step_exec },
+	{ "send", step_send },	     { "wait", step_wait },
+	{ "until", step_until },     { "fails", step_fails },
+	{ "writes", step_writes },   { "params", step_params },
+	{ "token", step_token },     { "close", step_close },
 };
 
 int main(void)
@@ -106,12 +106,14 @@
 	char *service = word(&rest);
 	char *key = word(&rest);
 	char options[1024] = "";
-	const char *names[] = {"hostaddr", "port",	 "user",
-			       "dbname",   "password",	 "sslmode",
-			       "options",  "gssencmode", "connect_timeout",
-			       NULL};
-	const char *values[] = {"127.0.0.1", port,    workspace, service, key,
-				"disable",   options, "disable", "10",	  NULL};
+	const char *names[] = { "hostaddr", "port",	  "user",
+				"dbname",   "password",	  "sslmode",
+				"options",  "gssencmode", "connect_timeout",
+				NULL };
+	const char *values[] = {
+		"127.0.0.1", port,    workspace, service, key,
+		"disable",   options, "disable", "10",	  NULL
+	};
 	client_t *client = client_of(name, true);
 
 	while (*rest) {
@@ -372,7 +374,7 @@
 
 static void pause_a_little(void)
 {
-	struct timespec pause = {0, PAUSE_MS * 1000000l};
+	struct timespec pause = { 0, PAUSE_MS * 1000000l };
 
 	nanosleep(&pause, NULL);
 }
--- a/tests/process/failover.sh
+++ b/tests/process/failover.sh
@@ -51,9 +51,6 @@
 status_of 3 | grep -E '"(term|primary|state)"' | head -3 | sed 's/ db[23]//; s/"db[23]"/"another"/'
 echo "the old primary comes back as a replica:"
 fault db1 cut 0
-await_status 1 '"failing": false' && for _ in $(seq 200); do
-	database_state | grep -q "^db1 replica term 2" && break
-	read -t 0.05 -r _ <>"$STAND/pause"
-done
+await_database "^db1 replica term 2"
 database_state | sed -n 's/^\(db1 [a-z]* term [0-9]*\) .*/\1/p'
 cat "$STAND/timing" >&2
--- a/tests/process/lib.bash
+++ b/tests/process/lib.bash
@@ -45,6 +45,19 @@
 		sed -n "s/^$2 //p"
 }
 
+# Waits until the state of the databases has a line like the pattern.
+await_database() {
+	local tries=1000
+	until database_state | grep -q "$1"; do
+		tries=$((tries - 1))
+		if [ $tries = 0 ]; then
+			echo "no database showed $1"
+			return 1
+		fi
+		read -t 0.01 -r _ <>"$STAND/pause" || true
+	done
+}
+
 # A caller that takes one step at a time, between other commands.
 caller_start() {
 	coproc CALLER { "$client" 2>>"$STAND/timing"; }
--- a/tests/script_run.c
+++ b/tests/script_run.c
@@ -62,38 +62,38 @@
 	int least;
 	step_t run;
 } steps[] = {
-	{"seed", 1, step_seed},
-	{"vm", 2, step_vm},
-	{"db", 3, step_db},
-	{"service", 2, step_service},
-	{"doc", 2, step_doc},
-	{"run", 1, step_run},
-	{"cut", 1, step_cut},
-	{"heal", 0, step_heal},
-	{"kill", 1, step_kill},
-	{"start", 1, step_start},
-	{"freeze", 1, step_freeze},
-	{"thaw", 1, step_thaw},
-	{"platform", 1, step_platform},
-	{"net", 2, step_net},
-	{"list", 2, step_list},
-	{"begin", 3, step_begin},
-	{"confirm", 1, step_confirm},
-	{"write", 2, step_write},
-	{"await", 2, step_await},
-	{"within", 3, step_within},
-	{"read", 3, step_read},
-	{"lag", 2, step_lag},
-	{"take", 3, step_take},
-	{"load", 3, step_load},
-	{"loads", 0, step_loads},
-	{"show", 2, step_show},
-	{"tune", 2, step_tune},
-	{"log", 1, step_log},
-	{"auth", 4, step_auth},
-	{"stop", 1, step_stop},
-	{"violations", 0, step_violations},
-	{"trap", 2, step_trap},
+	{ "seed", 1, step_seed },
+	{ "vm", 2, step_vm },
+	{ "db", 3, step_db },
+	{ "service", 2, step_service },
+	{ "doc", 2, step_doc },
+	{ "run", 1, step_run },
+	{ "cut", 1, step_cut },
+	{ "heal", 0, step_heal },
+	{ "kill", 1, step_kill },
+	{ "start", 1, step_start },
+	{ "freeze", 1, step_freeze },
+	{ "thaw", 1, step_thaw },
+	{ "platform", 1, step_platform },
+	{ "net", 2, step_net },
+	{ "list", 2, step_list },
+	{ "begin", 3, step_begin },
+	{ "confirm", 1, step_confirm },
+	{ "write", 2, step_write },
+	{ "await", 2, step_await },
+	{ "within", 3, step_within },
+	{ "read", 3, step_read },
+	{ "lag", 2, step_lag },
+	{ "take", 3, step_take },
+	{ "load", 3, step_load },
+	{ "loads", 0, step_loads },
+	{ "show", 2, step_show },
+	{ "tune", 2, step_tune },
+	{ "log", 1, step_log },
+	{ "auth", 4, step_auth },
+	{ "stop", 1, step_stop },
+	{ "violations", 0, step_violations },
+	{ "trap", 2, step_trap },
 };
 
 int main(int argc, char **argv)
@@ -105,7 +105,7 @@
 		return 2;
 	world = world_new(1);
 	while (fgets(line, sizeof(line), in)) {
-		char *words[WORDS] = {NULL};
+		char *words[WORDS] = { NULL };
 		char *save = NULL;
 		int count = 0;
 		bool known = false;
@@ -317,8 +317,8 @@
 static void step_write(char **words, int count)
 {
 	static const char id[] = "write";
-	char *begin[] = {words[0], words[1], (char *)id};
-	char *confirm[] = {(char *)id};
+	char *begin[] = { words[0], words[1], (char *)id };
+	char *confirm[] = { (char *)id };
 
 	(void)count;
 	for (guint i = 0; i < world->pendings->len; i++) {
@@ -362,7 +362,7 @@
 static bool holds(char **words, int count)
 {
 	vm_t *vm = world_vm_of(world, words[1]);
-	kl_scene_t scene = {0};
+	kl_scene_t scene = { 0 };
 	pending_t pending;
 	const char *proof;
 
@@ -425,7 +425,7 @@
 static void step_read(char **words, int count)
 {
 	vm_t *vm = world_vm_of(world, words[0]);
-	kl_route_ask_t ask = {.service = words[1], .read = true};
+	kl_route_ask_t ask = { .service = words[1], .read = true };
 	kl_scene_t scene;
 	kl_route_t route;
 	extern uint32_t script_load(const void *context, const char *name);
@@ -513,8 +513,8 @@
 
 	if (!strcmp(words[0], "group")) {
 		kl_group_t group = world_recorded(world, words[1]);
-		static const char *const states[] = {"stable", "fencing",
-						     "promoting"};
+		static const char *const states[] = { "stable", "fencing",
+						      "promoting" };
 
 		printf("term %llu %s primary %s\n",
 		       (unsigned long long)group.term, states[group.state],
@@ -579,7 +579,7 @@
 
 static void step_stop(char **words, int count)
 {
-	kl_event_t stop = {.kind = KL_EVENT_STOP};
+	kl_event_t stop = { .kind = KL_EVENT_STOP };
 	(void)count;
 
 	kl_node_step(&world_vm_of(world, words[0])->node, &stop);
--- a/tests/unit/codec.c
+++ b/tests/unit/codec.c
@@ -65,7 +65,7 @@
 
 static void peer_messages_survive_the_wire(void **state)
 {
-	kl_peer_message_t message = {.kind = KL_PEER_DELTA};
+	kl_peer_message_t message = { .kind = KL_PEER_DELTA };
 	kl_peer_message_t again;
 	char buffer[KL_DATAGRAM_MAX];
 	kl_object_t *object = kl_object_new("plan/gold", 7, "{\"rate\":1}");
@@ -94,7 +94,7 @@
 
 static void mangled_datagrams_are_refused_or_harmless(void **state)
 {
-	kl_peer_message_t message = {.kind = KL_PEER_ASK};
+	kl_peer_message_t message = { .kind = KL_PEER_ASK };
 	kl_peer_message_t again;
 	char buffer[KL_DATAGRAM_MAX];
 	GRand *random = g_rand_new_with_seed(20261204);
--- a/tests/unit/path.c
+++ b/tests/unit/path.c
@@ -58,7 +58,7 @@
 
 static void transactions_and_settings_are_told_apart(void **state)
 {
-	static const char *const functions[] = {"price_of", NULL};
+	static const char *const functions[] = { "price_of", NULL };
 	kl_classified_t out;
 	(void)state;
 
@@ -81,7 +81,7 @@
 
 static void tokens_are_bound_to_workspace_and_service(void **state)
 {
-	kl_token_t token = {KL_TOKEN_KNOWN, 3, 4711};
+	kl_token_t token = { KL_TOKEN_KNOWN, 3, 4711 };
 	kl_token_t again;
 	char text[KL_TOKEN_MAX];
 	(void)state;
@@ -108,9 +108,9 @@
 static void a_hot_workspace_waits_for_the_others(void **state)
 {
 	kl_fair_t *fair = kl_fair_new();
-	kl_waiter_t hot[50] = {0};
-	kl_waiter_t small[5] = {0};
-	int small_at[5] = {0};
+	kl_waiter_t hot[50] = { 0 };
+	kl_waiter_t small[5] = { 0 };
+	int small_at[5] = { 0 };
 	int got = 0;
 	(void)state;
 
@@ -136,8 +136,8 @@
 static void long_statements_are_charged_for(void **state)
 {
 	kl_fair_t *fair = kl_fair_new();
-	kl_waiter_t slow[40] = {0};
-	kl_waiter_t quick[40] = {0};
+	kl_waiter_t slow[40] = { 0 };
+	kl_waiter_t quick[40] = { 0 };
 	int quick_served = 0;
 	(void)state;
 
@@ -161,7 +161,7 @@
 static void removed_waiters_are_never_served(void **state)
 {
 	kl_fair_t *fair = kl_fair_new();
-	kl_waiter_t waiters[3] = {0};
+	kl_waiter_t waiters[3] = { 0 };
 	(void)state;
 
 	for (int i = 0; i < 3; i++)
--- a/tests/world.c
+++ b/tests/world.c
@@ -3,35 +3,7 @@
 #include <string.h>
 
 #include "control/group_record.h"
-#include "tests/world.h"
-
-#define PLATFORM_US 2000 /* one way */
-#define DATABASE_US 1000 /* one way */
-#define TIMEOUT_US 500000
-
-typedef enum happening_kind {
-	HAPPENING_PEER,
-	HAPPENING_PLATFORM_ASK,
-	HAPPENING_PLATFORM,
-	HAPPENING_DATABASE_ASK,
-	HAPPENING_DATABASE,
-} happening_kind_t;
-
-/* Something that arrives somewhere at its time. */
-typedef struct happening {
-	uint64_t at;
-	uint64_t order;
-	happening_kind_t kind;
-	vm_t *vm;
-	uint64_t incarnation; /* of the process that asked */
-	int from_side;
-	kl_peer_message_t peer;
-	kl_platform_call_t call;
-	char *body;
-	kl_platform_answer_t answer;
-	kl_object_list_t objects;
-	kl_database_answer_t database;
-} happening_t;
+#include "tests/world_internal.h"
 
 static void spring_trap(world_t *world, const char *name, const char *body);
 static uint64_t outlet_now(void *context);
@@ -41,28 +13,18 @@
 static void outlet_platform(void *context, const kl_platform_call_t *call);
 static void outlet_database(void *context, const kl_database_call_t *call);
 static void outlet_decided(void *context, const kl_decision_t *decision);
-static void happen(world_t *world, happening_t *happening, uint64_t in_us);
 static gint earlier(gconstpointer a, gconstpointer b, gpointer data);
 static void arrive(world_t *world, happening_t *happening);
-static void platform_asked(world_t *world, happening_t *happening);
-static void list_changed(world_t *world, uint64_t since,
-			 kl_object_list_t *list);
-static void database_asked(world_t *world, happening_t *happening);
-static void run_control(db_t *db, world_t *world,
-			const kl_database_call_t *call);
 static void step_vm(vm_t *vm, happening_t *happening);
 static void tick(world_t *world);
 static void run_load(load_t *load, uint64_t elapsed);
-static void replicate(world_t *world);
-static db_t *source_of(world_t *world, const char *service);
-static void follow(db_t *db, db_t *source);
 static void happening_free(happening_t *happening);
 static void copy_objects(kl_object_list_t *to, const kl_object_list_t *from);
 static size_t size_of(const kl_peer_message_t *message);
 
-static const kl_outlet_t outlet = {outlet_now,	    outlet_random,
-				   outlet_peer,	    outlet_platform,
-				   outlet_database, outlet_decided};
+static const kl_outlet_t outlet = { outlet_now,	     outlet_random,
+				    outlet_peer,     outlet_platform,
+				    outlet_database, outlet_decided };
 
 world_t *world_new(uint32_t seed)
 {
@@ -215,7 +177,7 @@
 	kl_name_set(db->name, name);
 	kl_name_set(db->domain, domain);
 	db->up = true;
-	db->primary = !source_of(world, service);
+	db->primary = !world_source_of(world, service);
 	db->term = 1;
 	db->sealed = 1;
 	db->log = g_array_new(FALSE, FALSE, sizeof(uint64_t));
@@ -352,7 +314,7 @@
 kl_group_t world_recorded(world_t *world, const char *service)
 {
 	char name[KL_NAME_MAX * 2];
-	kl_group_t group = {0};
+	kl_group_t group = { 0 };
 	const kl_object_t *object;
 
 	snprintf(name, sizeof(name), "group/%s", service);
@@ -386,7 +348,7 @@
 int world_begin(vm_t *vm, const char *service, const char *id,
 		pending_t *pending)
 {
-	kl_route_ask_t ask = {.service = service};
+	kl_route_ask_t ask = { .service = service };
 	kl_scene_t scene;
 	kl_route_t route;
 	db_t *db;
@@ -417,7 +379,7 @@
 {
 	vm_t *vm = pending->vm;
 	world_t *world = vm->world;
-	kl_tally_t tally = {0};
+	kl_tally_t tally = { 0 };
 	const kl_group_t *group;
 	kl_proof_state_t state = KL_PROOF_OPEN;
 	kl_scene_t scene;
@@ -499,7 +461,7 @@
 		if (message->kind == KL_PEER_DELTA)
 			copy_objects(&happening->peer.delta.objects,
 				     &message->delta.objects);
-		happen(world, happening, delay);
+		world_happen(world, happening, delay);
 	}
 }
 
@@ -516,7 +478,7 @@
 	happening->body = g_strdup(call->body);
 	CK_STAILQ_INIT(&happening->objects);
 	CK_STAILQ_INIT(&happening->peer.delta.objects);
-	happen(vm->world, happening, PLATFORM_US);
+	world_happen(vm->world, happening, PLATFORM_US);
 }
 
 static void outlet_database(void *context, const kl_database_call_t *call)
@@ -530,7 +492,7 @@
 	happening->database.call = *call;
 	CK_STAILQ_INIT(&happening->objects);
 	CK_STAILQ_INIT(&happening->peer.delta.objects);
-	happen(vm->world, happening, DATABASE_US);
+	world_happen(vm->world, happening, DATABASE_US);
 }
 
 static void outlet_decided(void *context, const kl_decision_t *decision)
@@ -548,7 +510,7 @@
 		(unsigned long long)decision->term);
 }
 
-static void happen(world_t *world, happening_t *happening, uint64_t in_us)
+void world_happen(world_t *world, happening_t *happening, uint64_t in_us)
 {
 	happening->at = world->now + in_us;
 	happening->order = world->order++;
@@ -575,10 +537,10 @@
 
 	switch (happening->kind) {
 	case HAPPENING_PLATFORM_ASK:
-		platform_asked(world, happening);
+		world_platform_asked(world, happening);
 		return;
 	case HAPPENING_DATABASE_ASK:
-		database_asked(world, happening);
+		world_database_asked(world, happening);
 		return;
 	case HAPPENING_PEER:
 		late |= !vm->up || vm->side != happening->from_side;
@@ -596,122 +558,11 @@
 	}
 }
 
-static void platform_asked(world_t *world, happening_t *happening)
-{
-	const kl_platform_call_t *call = &happening->call;
-	kl_platform_answer_t *answer = &happening->answer;
-	const kl_object_t *object =
-		g_hash_table_lookup(world->objects, call->name);
-	uint64_t delay = PLATFORM_US;
-
-	answer->op = call->op;
-	answer->owner = call->owner;
-	answer->asked_us = call->asked_us;
-	kl_name_set(answer->name, call->name);
-	happening->kind = HAPPENING_PLATFORM;
-	if (world->platform_down ||
-	    happening->vm->side != world->platform_side) {
-		answer->error = -KL_E_UNAVAILABLE;
-		happen(world, happening, TIMEOUT_US);
-		return;
-	}
-	if (call->op == KL_PLATFORM_PUT) {
-		world->writes++;
-		if ((object ? object->version : 0) != call->version) {
-			answer->error = -KL_E_CONFLICT;
-		} else {
-			world_put(world, call->name, happening->body);
-			if (world->lose > 0) {
-				world->lose--;
-				answer->error = -KL_E_UNAVAILABLE;
-				delay = TIMEOUT_US;
-			}
-		}
-	} else {
-		world->reads++;
-		/* A watch here looks again every so often. */
-		if (call->op == KL_PLATFORM_WATCH &&
-		    call->since >= world->revision &&
-		    world->now - call->asked_us < 10 * KL_SEC) {
-			happening->kind = HAPPENING_PLATFORM_ASK;
-			world->reads--;
-			happen(world, happening, 50 * KL_MS);
-			return;
-		}
-		list_changed(world, call->since, &happening->objects);
-	}
-	answer->revision = world->revision;
-	happen(world, happening, delay);
-}
-
-static void list_changed(world_t *world, uint64_t since, kl_object_list_t *list)
-{
-	GHashTableIter iterator;
-	gpointer value;
-
-	g_hash_table_iter_init(&iterator, world->objects);
-	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-		const kl_object_t *object = value;
-		kl_object_t *copy, *entry, *before = NULL;
-
-		if (object->version <= since)
-			continue;
-		copy = kl_object_new(object->name.name, object->version,
-				     object->body);
-		CK_STAILQ_FOREACH (entry, list, link) {
-			if (entry->version > copy->version)
-				break;
-			before = entry;
-		}
-		if (before)
-			CK_STAILQ_INSERT_AFTER(list, before, copy, link);
-		else
-			CK_STAILQ_INSERT_HEAD(list, copy, link);
-	}
-}
-
-static void database_asked(world_t *world, happening_t *happening)
-{
-	kl_database_answer_t *answer = &happening->database;
-	db_t *db = g_ptr_array_index(world->dbs, answer->call.port - 1u);
-
-	happening->kind = HAPPENING_DATABASE;
-	if (!db->up || db->side != happening->vm->side) {
-		answer->error = -KL_E_UNAVAILABLE;
-		happen(world, happening, TIMEOUT_US);
-		return;
-	}
-	run_control(db, world, &answer->call);
-	answer->primary = db->primary;
-	answer->term = db->term;
-	answer->sealed = db->sealed;
-	answer->position = db->log->len;
-	happen(world, happening, DATABASE_US);
-}
-
-static void run_control(db_t *db, world_t *world,
-			const kl_database_call_t *call)
-{
-	db_t *source = source_of(world, db->service);
-
-	if (call->op == KL_DATABASE_SEAL && call->term > db->sealed) {
-		db->sealed = call->term;
-	} else if (call->op == KL_DATABASE_PROMOTE &&
-		   call->term >= db->sealed && call->term >= db->term) {
-		db->primary = true;
-		db->term = call->term;
-		db->sealed = call->term;
-	} else if (call->op == KL_DATABASE_FOLLOW && source && source != db &&
-		   source->term == call->term && source->side == db->side) {
-		follow(db, source);
-	}
-}
-
 static void step_vm(vm_t *vm, happening_t *happening)
 {
-	kl_event_t event = {.peer = &happening->peer,
-			    .platform = &happening->answer,
-			    .database = &happening->database};
+	kl_event_t event = { .peer = &happening->peer,
+			     .platform = &happening->answer,
+			     .database = &happening->database };
 
 	happening->answer.objects = &happening->objects;
 	event.kind = happening->kind == HAPPENING_PEER ? KL_EVENT_PEER
@@ -724,10 +575,10 @@
 static void tick(world_t *world)
 {
 	uint64_t elapsed = world->now - world->ticked_us;
-	kl_event_t event = {.kind = KL_EVENT_TICK};
+	kl_event_t event = { .kind = KL_EVENT_TICK };
 
 	world->ticked_us = world->now;
-	replicate(world);
+	world_replicate(world);
 	for (guint i = 0; i < world->loads->len; i++)
 		run_load(g_ptr_array_index(world->loads, i), elapsed);
 	for (guint i = 0; i < world->vms->len; i++) {
@@ -743,7 +594,7 @@
 {
 	vm_t *vm = load->vm;
 	world_t *world = vm->world;
-	kl_event_t demand = {.kind = KL_EVENT_DEMAND};
+	kl_event_t demand = { .kind = KL_EVENT_DEMAND };
 	kl_scene_t scene;
 	kl_bucket_t *bucket;
 	uint64_t came;
@@ -780,63 +631,6 @@
 		kl_node_step(&vm->node, &demand);
 }
 
-static void replicate(world_t *world)
-{
-	for (guint i = 0; i < world->dbs->len; i++) {
-		db_t *db = g_ptr_array_index(world->dbs, i);
-		db_t *source = source_of(world, db->service);
-
-		if (!source || db == source || db->primary || !db->up ||
-		    !source->up || db->side != source->side ||
-		    db->sealed > source->term || db->term > source->term)
-			continue;
-		if (db->term < source->term)
-			follow(db, source);
-		while (db->log->len < source->log->len) {
-			guint next = db->log->len;
-			uint64_t at = g_array_index(source->at, uint64_t, next);
-
-			if (at + db->lag_us > world->now)
-				break;
-			g_array_append_val(
-				db->log,
-				g_array_index(source->log, uint64_t, next));
-			g_array_append_val(db->at, at);
-		}
-	}
-}
-
-static db_t *source_of(world_t *world, const char *service)
-{
-	db_t *best = NULL;
-
-	for (guint i = 0; i < world->dbs->len; i++) {
-		db_t *db = g_ptr_array_index(world->dbs, i);
-
-		if (!strcmp(db->service, service) && db->primary &&
-		    (!best || db->term > best->term))
-			best = db;
-	}
-	return best;
-}
-
-/* Drops what the source does not have. */
-static void follow(db_t *db, db_t *source)
-{
-	guint same = 0;
-
-	while (same < db->log->len && same < source->log->len &&
-	       g_array_index(db->log, uint64_t, same) ==
-		       g_array_index(source->log, uint64_t, same))
-		same++;
-	g_array_set_size(db->log, same);
-	g_array_set_size(db->at, same);
-	db->primary = false;
-	db->term = source->term;
-	if (db->sealed < db->term)
-		db->sealed = db->term;
-}
-
 static void happening_free(happening_t *happening)
 {
 	kl_object_list_clear(&happening->objects);
@@ -849,7 +643,7 @@
 {
 	const kl_object_t *object;
 
-	CK_STAILQ_FOREACH (object, from, link) {
+	CK_STAILQ_FOREACH(object, from, link) {
 		kl_object_t *copy = kl_object_new(
 			object->name.name, object->version, object->body);
 
@@ -865,7 +659,7 @@
 
 	if (message->kind != KL_PEER_DELTA)
 		return size;
-	CK_STAILQ_FOREACH (object, &message->delta.objects, link)
+	CK_STAILQ_FOREACH(object, &message->delta.objects, link)
 		size += 24 + strlen(object->name.name) + strlen(object->body);
 	return size;
 }
--- /dev/null
+++ b/tests/world_internal.h
@@ -0,0 +1,53 @@
+/**
+ * @file
+ * What the files of the fakes share.
+ */
+#ifndef KL_WORLD_INTERNAL_H
+#define KL_WORLD_INTERNAL_H
+
+#include "tests/world.h"
+
+#define PLATFORM_US 2000 /* one way */
+#define DATABASE_US 1000 /* one way */
+#define TIMEOUT_US 500000
+
+typedef enum happening_kind {
+	HAPPENING_PEER,
+	HAPPENING_PLATFORM_ASK,
+	HAPPENING_PLATFORM,
+	HAPPENING_DATABASE_ASK,
+	HAPPENING_DATABASE,
+} happening_kind_t;
+
+/* Something that arrives somewhere at its time. */
+typedef struct happening {
+	uint64_t at;
+	uint64_t order;
+	happening_kind_t kind;
+	vm_t *vm;
+	uint64_t incarnation; /* of the process that asked */
+	int from_side;
+	kl_peer_message_t peer;
+	kl_platform_call_t call;
+	char *body;
+	kl_platform_answer_t answer;
+	kl_object_list_t objects;
+	kl_database_answer_t database;
+} happening_t;
+
+/** The platform answers a call. */
+void world_platform_asked(world_t *world, happening_t *happening);
+
+/** A database answers a control call. */
+void world_database_asked(world_t *world, happening_t *happening);
+
+/** Replicas take what is due. */
+void world_replicate(world_t *world);
+
+/** The primary of the highest term. */
+db_t *world_source_of(world_t *world, const char *service);
+
+/** Let something arrive in so many microseconds. */
+void world_happen(world_t *world, happening_t *happening, uint64_t in_us);
+
+#endif
--- a/upstream/pq_link.c
+++ b/upstream/pq_link.c
@@ -69,12 +69,13 @@
 			  const kl_link_events_t *events, void *owner)
 {
 	char port[8];
-	const char *const names[] = {
-		"hostaddr", "port",	  "dbname",	      "user",
-		"sslmode",  "gssencmode", "application_name", NULL};
-	const char *const values[] = {target->host,  port,	"",
-				      target->user,  "disable", "disable",
-				      "kumquatloft", NULL};
+	const char *const names[] = { "hostaddr",	  "port",
+				      "dbname",		  "user",
+				      "sslmode",	  "gssencmode",
+				      "application_name", NULL };
+	const char *const values[] = { target->host,  port,	 "",
+				       target->user,  "disable", "disable",
+				       "kumquatloft", NULL };
 	const char *full[8];
 	kl_link_t *link = calloc(1, sizeof(*link));
 
