Probe databases where it matters: by a group's probers, or under traffic

Cause: every VM probed every database four times a second; with 5,300 of them that is 21,200 new connections a second from each node. Change: the probers always probe; another VM does while callers use the service there (told by its pools at most every 2 s, remembered for 15 s). Ruled out by reckoning: slower probes by all, which would lengthen detection and still grow with the number of databases.

--- a/bench/fleet.c
+++ b/bench/fleet.c
@@ -3,7 +3,8 @@
  *
  *   fleet spread VMS DOMAINS   time of a change to all, messages, calls
  *   fleet failover             gap in writes over seeds, with its parts
- *   fleet shares               wrongful refusals against static shares
+ *   fleet shares wrongful refusals against static shares
+ *   fleet probes calls of databases, without and with callers everywhere
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -30,6 +31,7 @@
 static void run_failover(const site_t *site);
 static void run_shares(const site_t *site, bool lend);
 static void run_neighbour(const site_t *site);
+static void run_probes(bool callers);
 static bool everywhere(world_t *world);
 static void move_demand(world_t *world, GRand *random, uint64_t total);
 static int compare(const void *a, const void *b);
@@ -42,6 +44,11 @@
 		run_spread(atoi(argv[2]), atoi(argv[3]));
 		return 0;
 	}
+	if (!strcmp(what, "probes")) {
+		run_probes(false);
+		run_probes(true);
+		return 0;
+	}
 	for (size_t i = 0; i < sizeof(sites) / sizeof(*sites); i++) {
 		if (!strcmp(what, "failover")) {
 			run_failover(&sites[i]);
@@ -50,8 +57,8 @@
 			run_shares(&sites[i], true);
 			run_neighbour(&sites[i]);
 		} else {
-			fprintf(stderr, "spread VMS DOMAINS, failover or "
-					"shares\n");
+			fprintf(stderr, "spread VMS DOMAINS, failover, "
+					"shares or probes\n");
 			return 2;
 		}
 	}
@@ -163,6 +170,42 @@
 	       (unsigned long long)fence[SEEDS - 1]);
 }
 
+/* 100 VMs before 108 databases: the letter's proportion. */
+static void run_probes(bool callers)
+{
+	world_t *world = build(3, 100, 16, false);
+	char service[32], name[32];
+	uint64_t calls = 0, most = 0;
+
+	world->quiet = !callers;
+	world->tick_us = 50 * KL_MS;
+	for (int s = 0; s < 36; s++) {
+		snprintf(service, sizeof(service), "s%d", s);
+		for (int i = 0; i < 3; i++) {
+			snprintf(name, sizeof(name), "s%dp%d", s, i);
+			world_db(world, service, name, "d0");
+		}
+		world_service(world, service, 30);
+	}
+	world_run(world, 10 * KL_SEC);
+	for (guint i = 0; i < world->vms->len; i++)
+		((vm_t *)g_ptr_array_index(world->vms, i))->database_calls = 0;
+	world_run(world, 10 * KL_SEC);
+	for (guint i = 0; i < world->vms->len; i++) {
+		vm_t *vm = g_ptr_array_index(world->vms, i);
+
+		calls += vm->database_calls;
+		if (vm->database_calls > most)
+			most = vm->database_calls;
+	}
+	printf("100 vms, 36 services of 3 databases, %s: database calls/s a "
+	       "vm mean %.1f worst %.1f\n",
+	       callers ? "callers of every service everywhere"
+		       : "probers alone",
+	       (double)calls / 1000, (double)most / 10);
+	world_free(world);
+}
+
 /* Four fifths of the plan, skewed over the VMs and moving every 2 s. */
 static void run_shares(const site_t *site, bool lend)
 {
--- a/control/control.c
+++ b/control/control.c
@@ -24,7 +24,7 @@
 				  kl_terms_step, kl_terms_destroy },
 	[KL_CONTROLLER_HEALTH] = { "health",
 				   EVENT(TICK) | EVENT(DATABASE) |
-					   EVENT(DEMAND),
+					   EVENT(DEMAND) | EVENT(INTEREST),
 				   SECTION(CONFIG), KL_SECTION_HEALTH,
 				   kl_health_create, kl_health_step,
 				   kl_health_destroy },
--- a/control/health.c
+++ b/control/health.c
@@ -7,10 +7,12 @@
 #include <string.h>
 
 #include "control/controllers.h"
+#include "control/prober.h"
 
-#define SAMPLES 64		/* remembered positions of a primary */
-#define DEMAND_US (500 * KL_MS) /* demand is remembered so long */
-#define ANSWER_US (600 * KL_MS) /* an answer this late is a failure */
+#define SAMPLES 64		  /* remembered positions of a primary */
+#define DEMAND_US (500 * KL_MS)	  /* demand is remembered so long */
+#define INTEREST_US (15 * KL_SEC) /* interest in a service lasts so long */
+#define ANSWER_US (600 * KL_MS)	  /* an answer this late is a failure */
 
 typedef struct sample {
 	uint64_t asked_us;
@@ -30,13 +32,27 @@
 	uint32_t next_sample;
 } target_t;
 
+/* A service: whether this VM watches over it, and whether callers use it. */
+typedef struct watched {
+	kl_named_t name;
+	CK_STAILQ_ENTRY(watched) link;
+	uint64_t interest_us; /* last told, or 0 */
+	uint64_t members;     /* version that the probers were chosen from */
+	bool prober;
+} watched_t;
+
 typedef struct health_state {
 	CK_STAILQ_HEAD(, target) targets;
+	CK_STAILQ_HEAD(, watched) services;
 	kl_index_t *index;
+	kl_index_t *service_index;
 	uint64_t demand_seen;
 	uint64_t demand_us;
 } health_state_t;
 
+static watched_t *watched_of(health_state_t *state, const char *service);
+static bool is_probed(kl_node_t *node, health_state_t *state,
+		      const char *service, uint64_t now);
 static target_t *target_of(health_state_t *state, const char *service,
 			   const char *upstream, bool create);
 static void probe(kl_node_t *node, target_t *target,
@@ -58,7 +74,9 @@
 	if (!state)
 		return -KL_E_NOMEM;
 	CK_STAILQ_INIT(&state->targets);
+	CK_STAILQ_INIT(&state->services);
 	state->index = kl_index_new(16);
+	state->service_index = kl_index_new(16);
 	node->state[KL_CONTROLLER_HEALTH] = state;
 	return 0;
 }
@@ -67,10 +85,14 @@
 {
 	health_state_t *state = node->state[KL_CONTROLLER_HEALTH];
 	target_t *target, *next;
+	watched_t *watched, *after;
 
 	CK_STAILQ_FOREACH_SAFE(target, &state->targets, link, next)
 		free(target);
+	CK_STAILQ_FOREACH_SAFE(watched, &state->services, link, after)
+		free(watched);
 	kl_index_free(state->index);
+	kl_index_free(state->service_index);
 	free(state);
 }
 
@@ -85,6 +107,12 @@
 			publish(node, state);
 		return;
 	}
+	if (event->kind == KL_EVENT_INTEREST) {
+		watched_t *watched = watched_of(state, event->service);
+
+		if (watched)
+			watched->interest_us = now;
+	}
 	if (node->demand != state->demand_seen) {
 		state->demand_seen = node->demand;
 		state->demand_us = now;
@@ -106,6 +134,8 @@
 	CK_STAILQ_FOREACH(target, &state->targets, link)
 		target->wanted = false;
 	CK_STAILQ_FOREACH(service, &config->services, link) {
+		if (!is_probed(node, state, service->name.name, now))
+			continue;
 		CK_STAILQ_FOREACH(upstream, &service->upstreams, link) {
 			target = target_of(state, service->name.name,
 					   upstream->name.name, true);
@@ -140,6 +170,42 @@
 		publish(node, state);
 }
 
+/*
+ * The group's probers always probe; other VMs only while callers use the
+ * service there, so that the cost follows the traffic.
+ */
+static bool is_probed(kl_node_t *node, health_state_t *state,
+		      const char *service, uint64_t now)
+{
+	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
+	watched_t *watched = watched_of(state, service);
+
+	if (!watched || !members)
+		return false;
+	if (watched->members != members->version) {
+		watched->members = members->version;
+		watched->prober = kl_prober_rank(node, members, service) >= 0;
+	}
+	return watched->prober || (watched->interest_us &&
+				   now - watched->interest_us < INTEREST_US);
+}
+
+static watched_t *watched_of(health_state_t *state, const char *service)
+{
+	watched_t *watched = kl_index_get(state->service_index, service);
+
+	if (watched)
+		return watched;
+	watched = calloc(1, sizeof(*watched));
+	if (!watched || kl_name_set(watched->name.name, service)) {
+		free(watched);
+		return NULL;
+	}
+	CK_STAILQ_INSERT_TAIL(&state->services, watched, link);
+	kl_index_put(state->service_index, &watched->name);
+	return watched;
+}
+
 static target_t *target_of(health_state_t *state, const char *service,
 			   const char *upstream, bool create)
 {
--- a/control/node.h
+++ b/control/node.h
@@ -40,6 +40,7 @@
 	KL_EVENT_PLATFORM, /**< an answer of the platform */
 	KL_EVENT_DATABASE, /**< an answer of a database */
 	KL_EVENT_DEMAND,   /**< a request waits: look now */
+	KL_EVENT_INTEREST, /**< callers use a service here */
 	KL_EVENT_STOP,	   /**< a planned stop begins */
 	KL_EVENT_COUNT
 } kl_event_kind_t;
@@ -113,6 +114,7 @@
 	const kl_peer_message_t *peer;
 	kl_platform_answer_t *platform;
 	const kl_database_answer_t *database;
+	const char *service; /**< interest */
 } kl_event_t;
 
 /** A decision, for the log. */
--- a/daemon/control_thread.c
+++ b/daemon/control_thread.c
@@ -39,6 +39,7 @@
 typedef struct answer_letter {
 	kl_letter_t letter;
 	kl_event_kind_t kind;
+	char service[KL_NAME_MAX];
 	kl_platform_answer_t platform;
 	kl_object_list_t objects;
 	kl_database_answer_t database;
@@ -56,7 +57,8 @@
 static void database_answered(void *context,
 			      const kl_database_answer_t *answer);
 static void open_answer(void *owner, kl_letter_t *letter);
-static void post_kind(kl_control_thread_t *control, kl_event_kind_t kind);
+static void post_kind(kl_control_thread_t *control, kl_event_kind_t kind,
+		      const char *service);
 static void on_tick(evutil_socket_t fd, short what, void *arg);
 static void on_datagram(evutil_socket_t fd, short what, void *arg);
 static int open_socket(kl_control_thread_t *control);
@@ -118,7 +120,7 @@
 	if (control->thread) {
 		event_base_loopexit(control->base, NULL);
 		/* Wakes a loop that sleeps in another thread. */
-		post_kind(control, KL_EVENT_TICK);
+		post_kind(control, KL_EVENT_TICK, "");
 		pthread_join(control->thread, NULL);
 	}
 	kl_platform_free(control->platform);
@@ -154,12 +156,18 @@
 	/* One letter is enough however many requests wait. */
 	if (ck_pr_fas_32(&control->demand_posted, 1))
 		return;
-	post_kind(control, KL_EVENT_DEMAND);
+	post_kind(control, KL_EVENT_DEMAND, "");
+}
+
+void kl_control_thread_interest(kl_control_thread_t *control,
+				const char *service)
+{
+	post_kind(control, KL_EVENT_INTEREST, service);
 }
 
 void kl_control_thread_stop(kl_control_thread_t *control)
 {
-	post_kind(control, KL_EVENT_STOP);
+	post_kind(control, KL_EVENT_STOP, "");
 }
 
 uint32_t kl_control_thread_slots(const kl_control_thread_t *control)
@@ -329,7 +337,8 @@
 	kl_inbox_post(control->inbox, &letter->letter);
 }
 
-static void post_kind(kl_control_thread_t *control, kl_event_kind_t kind)
+static void post_kind(kl_control_thread_t *control, kl_event_kind_t kind,
+		      const char *service)
 {
 	answer_letter_t *letter = calloc(1, sizeof(*letter));
 
@@ -337,6 +346,7 @@
 		return;
 	letter->letter.open = open_answer;
 	letter->kind = kind;
+	kl_name_set(letter->service, service);
 	CK_STAILQ_INIT(&letter->objects);
 	kl_inbox_post(control->inbox, &letter->letter);
 }
@@ -347,7 +357,8 @@
 	answer_letter_t *answer = (answer_letter_t *)letter;
 	kl_event_t event = { .kind = answer->kind,
 			     .platform = &answer->platform,
-			     .database = &answer->database };
+			     .database = &answer->database,
+			     .service = answer->service };
 
 	if (control) {
 		if (answer->kind == KL_EVENT_DEMAND) {
--- a/daemon/control_thread.h
+++ b/daemon/control_thread.h
@@ -19,6 +19,10 @@
 /** From any thread: a request waits for a position or for tokens. */
 void kl_control_thread_demand(kl_control_thread_t *control);
 
+/** From any thread: callers use a service on this VM. */
+void kl_control_thread_interest(kl_control_thread_t *control,
+				const char *service);
+
 /** From any thread: begin a planned stop. */
 void kl_control_thread_stop(kl_control_thread_t *control);
 
--- a/daemon/worker_internal.h
+++ b/daemon/worker_internal.h
@@ -116,6 +116,8 @@
 	uint32_t count;
 	uint32_t busy;
 	uint64_t refused_us; /**< the last try to connect failed then */
+	uint64_t used_us;    /**< when a statement last came */
+	uint64_t told_us;    /**< when the control thread last heard of it */
 	uint64_t average_us; /**< smoothed time of a statement */
 	kl_fair_t *fair;
 	CK_STAILQ_HEAD(, kl_lease) leases;
--- a/daemon/worker_pool.c
+++ b/daemon/worker_pool.c
@@ -7,6 +7,8 @@
 #define KEEPALIVE_US 2000000 /* an idle connection is asked this often */
 #define CHECK_US 1000000     /* and dropped if it stays silent so long */
 #define CONNECT_US 2000000   /* a connection attempt is given up */
+#define USED_US 10000000     /* a pool unused so long is of no interest */
+#define TELL_US 2000000	     /* between two words of interest */
 #define BACKOFF_US 100000    /* after a refused connection */
 
 static void start_lease(kl_pool_t *pool);
@@ -20,6 +22,7 @@
 static void lease_free(kl_lease_t *lease);
 static kl_request_t *request_of(kl_waiter_t *waiter);
 static bool too_late(const kl_pool_t *pool, const kl_request_t *request);
+static void tell_interest(kl_pool_t *pool, uint64_t now);
 static void check_leases(kl_pool_t *pool, uint64_t now);
 
 static const kl_link_events_t link_events = { on_ready, on_answered,
@@ -57,6 +60,7 @@
 		kl_answer_error(request, -KL_E_DEADLINE);
 		return;
 	}
+	pool->used_us = kl_clock_us();
 	request->stage = KL_STAGE_QUEUE;
 	if (kl_fair_push(pool->fair, request->session->workspace,
 			 &request->waiter)) {
@@ -164,6 +168,7 @@
 		pool->bound = service->connections / live;
 		if (!pool->bound)
 			pool->bound = 1;
+		tell_interest(pool, now);
 		check_leases(pool, now);
 		serve(pool);
 	}
@@ -179,6 +184,15 @@
 	free(pool);
 }
 
+/* The control side probes what is in use here. */
+static void tell_interest(kl_pool_t *pool, uint64_t now)
+{
+	if (now - pool->used_us > USED_US || now - pool->told_us < TELL_US)
+		return;
+	pool->told_us = now;
+	kl_control_thread_interest(pool->worker->all->control, pool->service);
+}
+
 static void check_leases(kl_pool_t *pool, uint64_t now)
 {
 	static const kl_query_t keepalive = { .text = "SELECT 1" };
--- a/daemon/worker_session.c
+++ b/daemon/worker_session.c
@@ -265,6 +265,7 @@
 		kl_session_end(session, error);
 		return;
 	}
+	kl_control_thread_interest(worker->all->control, session->service);
 	session->welcome = true;
 	session->ops->welcome(session->front, session->id, session->secret);
 }
--- a/tests/script_run.c
+++ b/tests/script_run.c
@@ -526,6 +526,10 @@
 		       db->primary ? "primary" : "replica",
 		       (unsigned long long)db->term,
 		       (unsigned long long)db->sealed, db->log->len);
+	} else if (!strcmp(words[0], "calls")) {
+		printf("%s\n",
+		       vm->database_calls ? "asks databases" : "asks none");
+		vm->database_calls = 0;
 	} else if (!strcmp(words[0], "slots")) {
 		printf("%u\n", kl_share_slots_held(&vm->node));
 	} else if (!strcmp(words[0], "config")) {
@@ -558,6 +562,8 @@
 		world->tuning.share_hold_us = us;
 	else if (!strcmp(words[0], "stale_after"))
 		world->path.stale_after_us = us;
+	else if (!strcmp(words[0], "quiet"))
+		world->quiet = us != 0;
 }
 
 static void step_log(char **words, int count)
--- a/tests/world.c
+++ b/tests/world.c
@@ -17,6 +17,7 @@
 static void arrive(world_t *world, happening_t *happening);
 static void step_vm(vm_t *vm, happening_t *happening);
 static void tick(world_t *world);
+static void tell_interest(world_t *world);
 static void run_load(load_t *load, uint64_t elapsed);
 static void happening_free(happening_t *happening);
 static void copy_objects(kl_object_list_t *to, const kl_object_list_t *from);
@@ -486,6 +487,7 @@
 	vm_t *vm = context;
 	happening_t *happening = g_new0(happening_t, 1);
 
+	vm->database_calls++;
 	happening->kind = HAPPENING_DATABASE_ASK;
 	happening->vm = vm;
 	happening->incarnation = vm->node.self.incarnation;
@@ -579,6 +581,10 @@
 
 	world->ticked_us = world->now;
 	world_replicate(world);
+	if (!world->quiet && world->now - world->interest_us >= KL_SEC) {
+		world->interest_us = world->now;
+		tell_interest(world);
+	}
 	for (guint i = 0; i < world->loads->len; i++)
 		run_load(g_ptr_array_index(world->loads, i), elapsed);
 	for (guint i = 0; i < world->vms->len; i++) {
@@ -589,6 +595,21 @@
 	}
 }
 
+/* Callers use every service on every VM. */
+static void tell_interest(world_t *world)
+{
+	for (guint i = 0; i < world->vms->len * world->dbs->len; i++) {
+		vm_t *vm = g_ptr_array_index(world->vms, i / world->dbs->len);
+		const db_t *db =
+			g_ptr_array_index(world->dbs, i % world->dbs->len);
+		kl_event_t event = { .kind = KL_EVENT_INTEREST,
+				     .service = db->service };
+
+		if (vm->up && !vm->frozen)
+			kl_node_step(&vm->node, &event);
+	}
+}
+
 /* As the worker does: what finds no tokens waits a while for some. */
 static void run_load(load_t *load, uint64_t elapsed)
 {
--- a/tests/world.h
+++ b/tests/world.h
@@ -29,6 +29,7 @@
 	uint64_t messages;
 	uint64_t message_bytes;
 	uint64_t calls; /* of the platform */
+	uint64_t database_calls;
 	int number;
 } vm_t;
 
@@ -97,6 +98,8 @@
 	char trap_state[KL_NAME_MAX]; /* when a record with this is stored */
 	char trap_name[KL_NAME_MAX];  /* this VM or database dies at once */
 	uint64_t admit_wait_us;
+	bool quiet; /* no VM has callers of the services */
+	uint64_t interest_us;
 	kl_tuning_t tuning; /* of VMs made from now on */
 	kl_path_settings_t path;
 	FILE *out; /* decisions, or NULL */
