Split the script runner and the fakes by job

Cause: tests/world.c (686 lines) and tests/script_run.c (617) held several jobs, and killing and starting stood twice.

--- a/tests/script_run.c
+++ b/tests/script_run.c
@@ -9,16 +9,15 @@
 
 #include "control/controllers.h"
 #include "kumquatloft/share.h"
-#include "tests/world.h"
+#include "tests/script.h"
 
 #define WORDS 16
 #define LINE 1024
-#define AWAIT_US (60 * KL_SEC)
 
 typedef void (*step_t)(char **words, int count);
 
-static world_t *world;
-static int failed;
+world_t *script_world;
+int script_failed;
 
 static void step_seed(char **words, int count);
 static void step_vm(char **words, int count);
@@ -38,24 +37,15 @@
 static void step_begin(char **words, int count);
 static void step_confirm(char **words, int count);
 static void step_write(char **words, int count);
-static void step_await(char **words, int count);
-static void step_within(char **words, int count);
-static void step_read(char **words, int count);
 static void step_lag(char **words, int count);
 static void step_take(char **words, int count);
 static void step_load(char **words, int count);
-static void step_loads(char **words, int count);
-static void step_show(char **words, int count);
 static void step_tune(char **words, int count);
 static void step_log(char **words, int count);
-static void step_auth(char **words, int count);
 static void step_stop(char **words, int count);
-static void step_violations(char **words, int count);
 static void step_trap(char **words, int count);
-static bool holds(char **words, int count);
+static void set_running(const char *name, bool running);
 static void set_side(const char *name, int side);
-static uint64_t number(const char *text);
-static const char *kind_name(int error);
 
 static const struct {
 	const char *name;
@@ -103,7 +93,7 @@
 
 	if (!in)
 		return 2;
-	world = world_new(1);
+	script_world = world_new(1);
 	while (fgets(line, sizeof(line), in)) {
 		char *words[WORDS] = { NULL };
 		char *save = NULL;
@@ -128,40 +118,40 @@
 		}
 		if (!known) {
 			printf("no such step\n");
-			failed = 1;
+			script_failed = 1;
 		}
 	}
-	if (world->violations)
+	if (script_world->violations)
 		printf("violations: %llu\n",
-		       (unsigned long long)world->violations);
-	world_free(world);
+		       (unsigned long long)script_world->violations);
+	world_free(script_world);
 	if (in != stdin)
 		fclose(in);
-	return failed;
+	return script_failed;
 }
 
 static void step_seed(char **words, int count)
 {
 	(void)count;
-	g_rand_set_seed(world->random, (guint32)number(words[0]));
+	g_rand_set_seed(script_world->random, (guint32)script_number(words[0]));
 }
 
 static void step_vm(char **words, int count)
 {
 	(void)count;
-	world_vm(world, words[0], words[1]);
+	world_vm(script_world, words[0], words[1]);
 }
 
 static void step_db(char **words, int count)
 {
 	(void)count;
-	world_db(world, words[0], words[1], words[2]);
+	world_db(script_world, words[0], words[1], words[2]);
 }
 
 static void step_service(char **words, int count)
 {
 	(void)count;
-	world_service(world, words[0], (int)number(words[1]));
+	world_service(script_world, words[0], (int)script_number(words[1]));
 }
 
 /* The words after the name are the document. */
@@ -172,14 +162,14 @@
 	for (int i = 1; i < count; i++)
 		g_string_append_printf(body, "%s%s", i > 1 ? " " : "",
 				       words[i]);
-	world_put(world, words[0], body->str);
+	world_put(script_world, words[0], body->str);
 	g_string_free(body, TRUE);
 }
 
 static void step_run(char **words, int count)
 {
 	(void)count;
-	world_run(world, number(words[0]) * KL_MS);
+	world_run(script_world, script_number(words[0]) * KL_MS);
 }
 
 /* Those named are cut off from all others, but not from each other. */
@@ -193,110 +183,113 @@
 {
 	(void)words;
 	(void)count;
-	for (guint i = 0; i < world->vms->len; i++)
-		((vm_t *)g_ptr_array_index(world->vms, i))->side = 0;
-	for (guint i = 0; i < world->dbs->len; i++)
-		((db_t *)g_ptr_array_index(world->dbs, i))->side = 0;
-	world->platform_side = 0;
+	for (guint i = 0; i < script_world->vms->len; i++)
+		((vm_t *)g_ptr_array_index(script_world->vms, i))->side = 0;
+	for (guint i = 0; i < script_world->dbs->len; i++)
+		((db_t *)g_ptr_array_index(script_world->dbs, i))->side = 0;
+	script_world->platform_side = 0;
 }
 
 static void set_side(const char *name, int side)
 {
-	vm_t *vm = world_vm_of(world, name);
-	db_t *db = world_db_of(world, name);
+	vm_t *vm = world_vm_of(script_world, name);
+	db_t *db = world_db_of(script_world, name);
 
 	if (vm)
 		vm->side = side;
 	if (db)
 		db->side = side;
 	if (!strcmp(name, "platform"))
-		world->platform_side = side;
+		script_world->platform_side = side;
 }
 
-static void step_kill(char **words, int count)
+static void set_running(const char *name, bool running)
 {
-	vm_t *vm = world_vm_of(world, words[0]);
-	db_t *db = world_db_of(world, words[0]);
-	(void)count;
+	vm_t *vm = world_vm_of(script_world, name);
+	db_t *db = world_db_of(script_world, name);
 
-	if (vm)
+	if (vm && running)
+		world_vm_start(vm);
+	else if (vm)
 		world_vm_kill(vm);
 	if (db)
-		db->up = false;
+		db->up = running;
 }
 
-static void step_start(char **words, int count)
+static void step_kill(char **words, int count)
 {
-	vm_t *vm = world_vm_of(world, words[0]);
-	db_t *db = world_db_of(world, words[0]);
 	(void)count;
+	set_running(words[0], false);
+}
 
-	if (vm)
-		world_vm_start(vm);
-	if (db)
-		db->up = true;
+static void step_start(char **words, int count)
+{
+	(void)count;
+	set_running(words[0], true);
 }
 
 static void step_freeze(char **words, int count)
 {
 	(void)count;
-	world_vm_of(world, words[0])->frozen = true;
+	world_vm_of(script_world, words[0])->frozen = true;
 }
 
 static void step_thaw(char **words, int count)
 {
 	(void)count;
-	world_vm_thaw(world_vm_of(world, words[0]));
+	world_vm_thaw(world_vm_of(script_world, words[0]));
 }
 
 static void step_platform(char **words, int count)
 {
 	if (!strcmp(words[0], "lose"))
-		world->lose = count > 1 ? (int)number(words[1]) : 1;
+		script_world->lose =
+			count > 1 ? (int)script_number(words[1]) : 1;
 	else
-		world->platform_down = !strcmp(words[0], "down");
+		script_world->platform_down = !strcmp(words[0], "down");
 }
 
 static void step_net(char **words, int count)
 {
 	(void)count;
 	if (!strcmp(words[0], "loss"))
-		world->loss_percent = (int)number(words[1]);
+		script_world->loss_percent = (int)script_number(words[1]);
 	else if (!strcmp(words[0], "double"))
-		world->double_percent = (int)number(words[1]);
+		script_world->double_percent = (int)script_number(words[1]);
 	else if (!strcmp(words[0], "jitter"))
-		world->jitter_us = number(words[1]) * KL_MS;
+		script_world->jitter_us = script_number(words[1]) * KL_MS;
 }
 
 static void step_list(char **words, int count)
 {
 	(void)count;
-	world_list_vm(world_vm_of(world, words[0]), words[1]);
+	world_list_vm(world_vm_of(script_world, words[0]), words[1]);
 }
 
 static void step_begin(char **words, int count)
 {
 	pending_t *pending = g_new0(pending_t, 1);
-	int error = world_begin(world_vm_of(world, words[0]), words[1],
+	int error = world_begin(world_vm_of(script_world, words[0]), words[1],
 				words[2], pending);
 	(void)count;
 
 	if (error) {
-		printf("%s: not run: %s\n", words[2], kind_name(error));
+		printf("%s: not run: %s\n", words[2], script_kind_name(error));
 		g_free(pending);
 		return;
 	}
 	printf("%s: run on %s in term %llu\n", words[2], pending->db->name,
 	       (unsigned long long)pending->term);
-	g_ptr_array_add(world->pendings, pending);
+	g_ptr_array_add(script_world->pendings, pending);
 }
 
 static void step_confirm(char **words, int count)
 {
 	(void)count;
-	for (guint i = 0; i < world->pendings->len; i++) {
-		pending_t *pending = g_ptr_array_index(world->pendings, i);
-		uint64_t violations = world->violations;
+	for (guint i = 0; i < script_world->pendings->len; i++) {
+		pending_t *pending =
+			g_ptr_array_index(script_world->pendings, i);
+		uint64_t violations = script_world->violations;
 		const char *proof = "";
 		int error;
 
@@ -304,10 +297,10 @@
 			continue;
 		error = world_confirm(pending, &proof);
 		if (error)
-			printf("%s: %s\n", words[0], kind_name(error));
+			printf("%s: %s\n", words[0], script_kind_name(error));
 		else
 			printf("%s: acknowledged by %s%s\n", words[0], proof,
-			       world->violations > violations
+			       script_world->violations > violations
 				       ? ", but the primary was replaced"
 				       : "");
 		return;
@@ -321,11 +314,12 @@
 	char *confirm[] = { (char *)id };
 
 	(void)count;
-	for (guint i = 0; i < world->pendings->len; i++) {
-		pending_t *pending = g_ptr_array_index(world->pendings, i);
+	for (guint i = 0; i < script_world->pendings->len; i++) {
+		pending_t *pending =
+			g_ptr_array_index(script_world->pendings, i);
 
 		if (!strcmp(pending->id, id)) {
-			g_ptr_array_remove_index(world->pendings, i);
+			g_ptr_array_remove_index(script_world->pendings, i);
 			break;
 		}
 	}
@@ -333,254 +327,50 @@
 	step_confirm(confirm, 1);
 }
 
-/* await CONDITION...: runs until it holds. */
-static void step_await(char **words, int count)
-{
-	uint64_t start = world->now;
-
-	while (!holds(words, count) && world->now - start < AWAIT_US)
-		world_run(world, 10 * KL_MS);
-	printf("%s\n", holds(words, count) ? "holds" : "never holds");
-}
-
-/* within MS CONDITION...: the same against a bound. */
-static void step_within(char **words, int count)
-{
-	uint64_t bound = number(words[0]) * KL_MS;
-	uint64_t start = world->now;
-	bool good;
-
-	while (!holds(words + 1, count - 1) && world->now - start < bound)
-		world_run(world, 10 * KL_MS);
-	good = holds(words + 1, count - 1);
-	printf("%s\n", good ? "in time" : "too late");
-	fprintf(stderr, "%s: %llu ms\n", words[1],
-		(unsigned long long)((world->now - start) / KL_MS));
-}
-
-/* Conditions: "writes VM SERVICE", "term SERVICE N", "revision VM", ... */
-static bool holds(char **words, int count)
-{
-	vm_t *vm = world_vm_of(world, words[1]);
-	kl_scene_t scene = { 0 };
-	pending_t pending;
-	const char *proof;
-
-	if (vm && vm->up)
-		world_scene(vm, &scene);
-	if (!strcmp(words[0], "writes"))
-		return !world_begin(vm, words[2], "probe", &pending) &&
-		       !world_confirm(&pending, &proof);
-	if (!strcmp(words[0], "term")) {
-		kl_group_t group = world_recorded(world, words[1]);
-
-		return group.state == KL_GROUP_STABLE &&
-		       group.term >= number(words[2]);
-	}
-	if (!strcmp(words[0], "revision")) {
-		for (guint i = 0; i < world->vms->len; i++) {
-			const kl_config_t *config;
-
-			vm = g_ptr_array_index(world->vms, i);
-			if (!vm->up || vm->frozen)
-				continue;
-			config = kl_node_get(&vm->node, KL_SECTION_CONFIG);
-			if (!config || config->revision < number(words[1]))
-				return false;
-		}
-		return true;
-	}
-	if (!strcmp(words[0], "current")) {
-		const kl_config_t *config = scene.config;
-
-		return config && config->revision == world->revision;
-	}
-	if (!strcmp(words[0], "everywhere")) {
-		for (guint i = 0; i < world->vms->len; i++) {
-			const kl_config_t *config;
-
-			vm = g_ptr_array_index(world->vms, i);
-			if (!vm->up || vm->frozen)
-				continue;
-			config = kl_node_get(&vm->node, KL_SECTION_CONFIG);
-			if (!config || config->revision < world->revision)
-				return false;
-		}
-		return true;
-	}
-	if (!strcmp(words[0], "phase"))
-		return scene.life &&
-		       scene.life->phase == (!strcmp(words[2], "draining")
-						     ? KL_PHASE_DRAINING
-						     : KL_PHASE_SERVING);
-	if (!strcmp(words[0], "slots"))
-		return kl_share_slots_held(&vm->node) == number(words[2]);
-	(void)count;
-	printf("no such condition\n");
-	failed = 1;
-	return true;
-}
-
-/* read VM SERVICE unknown|new|TERM.POSITION [age MS] [waited MS] */
-static void step_read(char **words, int count)
-{
-	vm_t *vm = world_vm_of(world, words[0]);
-	kl_route_ask_t ask = { .service = words[1], .read = true };
-	kl_scene_t scene;
-	kl_route_t route;
-	extern uint32_t script_load(const void *context, const char *name);
-
-	ask.load = script_load;
-	if (!strcmp(words[2], "new")) {
-		ask.token.state = KL_TOKEN_NEW;
-	} else if (strcmp(words[2], "unknown")) {
-		unsigned long long term = 0, position = 0;
-
-		sscanf(words[2], "%llu.%llu", &term, &position);
-		ask.token.state = KL_TOKEN_KNOWN;
-		ask.token.term = term;
-		ask.token.position = position;
-	}
-	for (int i = 3; i + 1 < count; i += 2) {
-		if (!strcmp(words[i], "age"))
-			ask.max_age_us = number(words[i + 1]) * KL_MS;
-		else
-			ask.waited_us = number(words[i + 1]) * KL_MS;
-	}
-	world_scene(vm, &scene);
-	kl_route(&scene, &world->path, &ask, &route);
-	if (route.verdict == KL_VERDICT_GO)
-		printf("%s %s\n", route.replica ? "replica" : "primary",
-		       route.reason);
-	else if (route.verdict == KL_VERDICT_WAIT)
-		printf("wait %s\n", route.reason);
-	else
-		printf("refused %s\n", kind_name(route.error));
-}
-
-uint32_t script_load(const void *context, const char *name);
-uint32_t script_load(const void *context, const char *name)
-{
-	(void)context;
-	(void)name;
-	return 0;
-}
-
 static void step_lag(char **words, int count)
 {
 	(void)count;
-	world_db_of(world, words[0])->lag_us = number(words[1]) * KL_MS;
+	world_db_of(script_world, words[0])->lag_us =
+		script_number(words[1]) * KL_MS;
 }
 
 static void step_take(char **words, int count)
 {
 	(void)count;
-	printf("admitted %llu\n",
-	       (unsigned long long)world_take(world_vm_of(world, words[0]),
-					      words[1], number(words[2])));
+	printf("admitted %llu\n", (unsigned long long)world_take(
+					  world_vm_of(script_world, words[0]),
+					  words[1], script_number(words[2])));
 }
 
 static void step_load(char **words, int count)
 {
 	(void)count;
-	world_load(world, world_vm_of(world, words[0]), words[1],
-		   number(words[2]));
-}
-
-/* loads: admitted and refused since the last time, over all VMs. */
-static void step_loads(char **words, int count)
-{
-	uint64_t admitted = 0, refused = 0;
-	(void)words;
-	(void)count;
-
-	for (guint i = 0; i < world->loads->len; i++) {
-		load_t *load = g_ptr_array_index(world->loads, i);
-
-		admitted += load->admitted;
-		refused += load->refused;
-		load->admitted = 0;
-		load->refused = 0;
-	}
-	printf("admitted %llu refused %llu\n", (unsigned long long)admitted,
-	       (unsigned long long)refused);
-}
-
-static void step_show(char **words, int count)
-{
-	vm_t *vm = world_vm_of(world, words[1]);
-	(void)count;
-
-	if (!strcmp(words[0], "group")) {
-		kl_group_t group = world_recorded(world, words[1]);
-		static const char *const states[] = { "stable", "fencing",
-						      "promoting" };
-
-		printf("term %llu %s primary %s\n",
-		       (unsigned long long)group.term, states[group.state],
-		       group.primary);
-	} else if (!strcmp(words[0], "db")) {
-		db_t *db = world_db_of(world, words[1]);
-
-		printf("%s term %llu sealed %llu position %u\n",
-		       db->primary ? "primary" : "replica",
-		       (unsigned long long)db->term,
-		       (unsigned long long)db->sealed, db->log->len);
-	} else if (!strcmp(words[0], "calls")) {
-		printf("%s\n",
-		       vm->database_calls ? "asks databases" : "asks none");
-		vm->database_calls = 0;
-	} else if (!strcmp(words[0], "slots")) {
-		printf("%u\n", kl_share_slots_held(&vm->node));
-	} else if (!strcmp(words[0], "config")) {
-		const kl_config_t *config =
-			kl_node_get(&vm->node, KL_SECTION_CONFIG);
-
-		printf("refused documents %u\n", config->refused);
-	} else if (!strcmp(words[0], "plan")) {
-		const kl_config_t *config =
-			kl_node_get(&vm->node, KL_SECTION_CONFIG);
-		const kl_plan_t *plan =
-			kl_index_get(config->plan_index, words[2]);
-
-		printf("rate %llu\n",
-		       (unsigned long long)(plan ? plan->rate : 0));
-	}
+	world_load(script_world, world_vm_of(script_world, words[0]), words[1],
+		   script_number(words[2]));
 }
 
 /* tune NAME MS: of VMs started from now on, but path_lease at once. */
 static void step_tune(char **words, int count)
 {
-	uint64_t us = number(words[1]) * KL_MS;
+	uint64_t us = script_number(words[1]) * KL_MS;
 	(void)count;
 
 	if (!strcmp(words[0], "lease"))
-		world->tuning.lease_us = us;
+		script_world->tuning.lease_us = us;
 	else if (!strcmp(words[0], "path_lease"))
-		world->path.lease_us = us;
+		script_world->path.lease_us = us;
 	else if (!strcmp(words[0], "hold"))
-		world->tuning.share_hold_us = us;
+		script_world->tuning.share_hold_us = us;
 	else if (!strcmp(words[0], "stale_after"))
-		world->path.stale_after_us = us;
+		script_world->path.stale_after_us = us;
 	else if (!strcmp(words[0], "quiet"))
-		world->quiet = us != 0;
+		script_world->quiet = us != 0;
 }
 
 static void step_log(char **words, int count)
 {
 	(void)count;
-	world->out = !strcmp(words[0], "on") ? stdout : NULL;
-}
-
-/* auth VM WORKSPACE SERVICE HASH */
-static void step_auth(char **words, int count)
-{
-	kl_scene_t scene;
-	(void)count;
-
-	world_scene(world_vm_of(world, words[0]), &scene);
-	printf("%s\n", kind_name(kl_authenticate(&scene, &world->path, words[3],
-						 words[1], words[2])));
+	script_world->out = !strcmp(words[0], "on") ? stdout : NULL;
 }
 
 static void step_stop(char **words, int count)
@@ -588,30 +378,23 @@
 	kl_event_t stop = { .kind = KL_EVENT_STOP };
 	(void)count;
 
-	kl_node_step(&world_vm_of(world, words[0])->node, &stop);
-}
-
-static void step_violations(char **words, int count)
-{
-	(void)words;
-	(void)count;
-	printf("%llu\n", (unsigned long long)world->violations);
+	kl_node_step(&world_vm_of(script_world, words[0])->node, &stop);
 }
 
 /* trap STATE NAME: it dies the moment a group's record shows the state. */
 static void step_trap(char **words, int count)
 {
 	(void)count;
-	kl_name_set(world->trap_state, words[0]);
-	kl_name_set(world->trap_name, words[1]);
+	kl_name_set(script_world->trap_state, words[0]);
+	kl_name_set(script_world->trap_name, words[1]);
 }
 
-static uint64_t number(const char *text)
+uint64_t script_number(const char *text)
 {
 	return strtoull(text, NULL, 10);
 }
 
-static const char *kind_name(int error)
+const char *script_kind_name(int error)
 {
 	return kl_answer_of(error)->name;
 }
--- a/tests/world.h
+++ b/tests/world.h
@@ -7,6 +7,7 @@
 #define KL_WORLD_H
 
 #include <glib.h>
+#include <stdio.h>
 
 #include "control/node.h"
 #include "path/path.h"
--- /dev/null
+++ b/tests/world_caller.c
@@ -0,0 +1,171 @@
+/* The fakes' callers: writes step by step, and offered load. */
+#include <string.h>
+
+#include "tests/world_internal.h"
+
+load_t *world_load(world_t *world, vm_t *vm, const char *workspace,
+		   uint64_t rate)
+{
+	load_t *load;
+
+	for (guint i = 0; i < world->loads->len; i++) {
+		load = g_ptr_array_index(world->loads, i);
+		if (load->vm == vm && !strcmp(load->workspace, workspace)) {
+			load->rate = rate;
+			return load;
+		}
+	}
+	load = g_new0(load_t, 1);
+	load->vm = vm;
+	load->rate = rate;
+	kl_name_set(load->workspace, workspace);
+	g_queue_init(&load->came);
+	g_ptr_array_add(world->loads, load);
+	return load;
+}
+
+uint64_t world_take(vm_t *vm, const char *workspace, uint64_t count)
+{
+	kl_scene_t scene;
+	kl_bucket_t *bucket;
+	uint64_t admitted = 0;
+
+	world_scene(vm, &scene);
+	bucket = scene.shares ? kl_index_get(scene.shares->index, workspace)
+			      : NULL;
+	if (!bucket)
+		return 0;
+	while (admitted < count && !kl_admit(&scene, bucket))
+		admitted++;
+	return admitted;
+}
+
+int world_begin(vm_t *vm, const char *service, const char *id,
+		pending_t *pending)
+{
+	kl_route_ask_t ask = { .service = service };
+	kl_scene_t scene;
+	kl_route_t route;
+	db_t *db;
+
+	memset(pending, 0, sizeof(*pending));
+	world_scene(vm, &scene);
+	kl_route(&scene, &vm->world->path, &ask, &route);
+	if (route.verdict != KL_VERDICT_GO)
+		return route.error ? route.error : -KL_E_NO_UPSTREAM;
+	db = world_db_of(vm->world, route.upstream->name.name);
+	if (!db->up || db->side != vm->side)
+		return -KL_E_NO_UPSTREAM;
+	if (!db->primary || db->sealed > db->term || db->term != route.term)
+		return -KL_E_NO_UPSTREAM;
+	pending->vm = vm;
+	pending->db = db;
+	pending->term = route.term;
+	pending->number = ++vm->world->next_write;
+	kl_name_set(pending->id, id);
+	kl_name_set(pending->service, service);
+	g_array_append_val(db->log, pending->number);
+	g_array_append_val(db->at, vm->world->now);
+	pending->position = db->log->len;
+	return 0;
+}
+
+int world_confirm(pending_t *pending, const char **proof)
+{
+	vm_t *vm = pending->vm;
+	world_t *world = vm->world;
+	kl_tally_t tally = { 0 };
+	const kl_group_t *group;
+	kl_proof_state_t state = KL_PROOF_OPEN;
+	kl_scene_t scene;
+
+	world_scene(vm, &scene);
+	group = world_group(vm, pending->service);
+	for (guint i = 0; i < world->dbs->len; i++) {
+		const db_t *db = g_ptr_array_index(world->dbs, i);
+
+		if (strcmp(db->service, pending->service))
+			continue;
+		tally.databases++;
+		if (!db->up || db->side != vm->side)
+			tally.silent++;
+		else if (db->sealed <= pending->term &&
+			 db->term <= pending->term)
+			tally.accept++;
+		else
+			tally.refuse++;
+	}
+	for (int i = 0; i < KL_PROOF_COUNT && state == KL_PROOF_OPEN; i++) {
+		*proof = kl_proofs[i].name;
+		state = kl_proofs[i].holds(&scene, &world->path, group,
+					   pending->term, &tally);
+	}
+	if (state != KL_PROOF_HOLDS)
+		return -KL_E_REPLACED;
+	/* The check: nobody may serve a later term already. */
+	for (guint i = 0; i < world->dbs->len; i++) {
+		const db_t *db = g_ptr_array_index(world->dbs, i);
+
+		if (!strcmp(db->service, pending->service) && db->primary &&
+		    db->term > pending->term)
+			world->violations++;
+	}
+	return 0;
+}
+
+/* As the worker does: what finds no tokens waits a while for some. */
+void world_run_load(load_t *load, uint64_t elapsed)
+{
+	vm_t *vm = load->vm;
+	world_t *world = vm->world;
+	kl_event_t demand = { .kind = KL_EVENT_DEMAND };
+	kl_scene_t scene;
+	kl_bucket_t *bucket;
+	uint64_t came;
+
+	if (!vm->up || vm->frozen)
+		return;
+	load->owed_us += elapsed * load->rate;
+	came = load->owed_us / KL_SEC;
+	load->owed_us %= KL_SEC;
+	world_scene(vm, &scene);
+	bucket = scene.shares
+			 ? kl_index_get(scene.shares->index, load->workspace)
+			 : NULL;
+	while (came--) {
+		if (bucket)
+			bucket->asked++;
+		g_queue_push_tail(&load->came,
+				  GUINT_TO_POINTER(world->now / KL_MS));
+	}
+	while (load->came.length && bucket && !kl_admit(&scene, bucket)) {
+		g_queue_pop_head(&load->came);
+		load->admitted++;
+	}
+	while (load->came.length &&
+	       world->now / KL_MS - GPOINTER_TO_UINT(
+					    g_queue_peek_head(&load->came)) >=
+		       world->admit_wait_us / KL_MS) {
+		g_queue_pop_head(&load->came);
+		load->refused++;
+	}
+	if (bucket)
+		bucket->waiting = load->came.length;
+	if (load->came.length)
+		kl_node_step(&vm->node, &demand);
+}
+
+/* Callers use every service on every VM. */
+void world_tell_interest(world_t *world)
+{
+	for (guint i = 0; i < world->vms->len * world->dbs->len; i++) {
+		vm_t *vm = g_ptr_array_index(world->vms, i / world->dbs->len);
+		const db_t *db =
+			g_ptr_array_index(world->dbs, i % world->dbs->len);
+		kl_event_t event = { .kind = KL_EVENT_INTEREST,
+				     .service = db->service };
+
+		if (vm->up && !vm->frozen)
+			kl_node_step(&vm->node, &event);
+	}
+}
--- a/tests/world_internal.h
+++ b/tests/world_internal.h
@@ -50,4 +50,10 @@
 /** Let something arrive in so many microseconds. */
 void world_happen(world_t *world, happening_t *happening, uint64_t in_us);
 
+/** Callers of one workspace come, wait and are refused. */
+void world_run_load(load_t *load, uint64_t elapsed);
+
+/** Callers use every service on every VM. */
+void world_tell_interest(world_t *world);
+
 #endif
