Drop a check that asserted nothing and a field that nobody read

Borrowers sent the tokens they wanted and no lender looked at them: the field leaves the header and the wire. The number of VMs that ask the platform per domain stood in two files that had to agree. An answer without results was looked at before its first result.

--- a/control/member.c
+++ b/control/member.c
@@ -10,7 +10,6 @@
 
 #define REFRESH_US (400 * KL_MS)
 #define SILENT_US (60 * KL_SEC) /* an unlisted VM is forgotten after this */
-#define ROOTS 2			/* VMs that ask the platform per domain */
 
 typedef struct known {
 	kl_named_t name;
@@ -218,7 +217,7 @@
 		if (strcmp(member->domain, node->self.domain))
 			continue;
 		if (!strcmp(member->name.name, node->self.vm))
-			members->watcher = position < ROOTS;
+			members->watcher = position < KL_ROOTS;
 		position++;
 	}
 	state->changed = false;
--- a/control/node.h
+++ b/control/node.h
@@ -19,6 +19,7 @@
 #define KL_MS 1000ull	  /**< microseconds */
 #define KL_SEC 1000000ull /**< microseconds */
 #define KL_PROBERS 5	  /**< VMs that watch over one group */
+#define KL_ROOTS 2	  /**< VMs of a domain that ask the platform for it */
 
 /** The controllers, in the order in which data flows. */
 typedef enum kl_controller_id {
--- a/control/share_lease.c
+++ b/control/share_lease.c
@@ -190,7 +190,6 @@
 	ask->asked_us = now_us;
 	ask->held = loan->sequence;
 	ask->want = want;
-	ask->want_tokens = (int64_t)share->backlog * KL_TOKENS_ONE;
 	return true;
 }
 
--- a/control/sync.c
+++ b/control/sync.c
@@ -13,7 +13,6 @@
 #define WATCH_US (20 * KL_SEC)	     /* a watch this old is given up */
 #define FETCH_US (200 * KL_MS)	     /* between two fetches */
 #define FANOUT 4		     /* children in a failure domain's tree */
-#define ROOTS 2			     /* VMs that ask the platform per domain */
 
 typedef struct sync {
 	uint64_t revision;
@@ -305,11 +304,11 @@
 		return;
 	}
 	position = domain_position(node, members, NULL, &count);
-	if (position >= ROOTS) {
+	if (position >= KL_ROOTS) {
 		const kl_member_t *table[count + 1];
 
 		domain_position(node, members, table, &count);
-		parent = table[(position - ROOTS) / FANOUT];
+		parent = table[(position - KL_ROOTS) / FANOUT];
 		send_hello(node, sync, parent->name.name, parent->host,
 			   parent->port, 0, true);
 	}
@@ -338,7 +337,7 @@
 	const kl_member_t *table[count + 1];
 	domain_position(node, members, table, &count);
 	for (uint32_t i = 0; i < FANOUT; i++) {
-		uint32_t child = ROOTS + position * FANOUT + i;
+		uint32_t child = KL_ROOTS + position * FANOUT + i;
 
 		if (child < count)
 			send_hello(node, sync, table[child]->name.name,
--- a/daemon/worker_run.c
+++ b/daemon/worker_run.c
@@ -81,6 +81,7 @@
 		session->pinned = NULL;
 		request->wrote = !failed && !read && !request->replica &&
 				 !(before != 'I' && session->read_only) &&
+				 count &&
 				 strcmp(results[count - 1].tag, "ROLLBACK");
 		request->needs_proof =
 			request->wrote ||
--- a/include/kumquatloft/share.h
+++ b/include/kumquatloft/share.h
@@ -36,10 +36,9 @@
 
 /** A borrower's question. */
 typedef struct kl_loan_ask {
-	uint64_t asked_us;   /**< borrower's clock at sending */
-	uint64_t held;	     /**< sequence of the grant held, or 0 */
-	uint64_t want;	     /**< share wanted from this lender in all */
-	int64_t want_tokens; /**< tokens wanted along with it */
+	uint64_t asked_us; /**< borrower's clock at sending */
+	uint64_t held;	   /**< sequence of the grant held, or 0 */
+	uint64_t want;	   /**< share wanted from this lender in all */
 } kl_loan_ask_t;
 
 /** A lender's answer. */
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -32,7 +32,6 @@
 	unsigned hyper asked_us;
 	unsigned hyper held;
 	unsigned hyper want;
-	hyper want_tokens;
 };
 
 struct kl_wire_grant {
--- a/peer/peer_codec.c
+++ b/peer/peer_codec.c
@@ -231,7 +231,6 @@
 	out->asked_us = message->ask.asked_us;
 	out->held = message->ask.held;
 	out->want = message->ask.want;
-	out->want_tokens = message->ask.want_tokens;
 }
 
 static void decode_ask(kl_peer_message_t *message, const kl_wire_message *wire)
@@ -241,7 +240,6 @@
 	message->ask.asked_us = in->asked_us;
 	message->ask.held = in->held;
 	message->ask.want = in->want;
-	message->ask.want_tokens = in->want_tokens;
 }
 
 static void encode_grant(const kl_peer_message_t *message,
--- a/peer/peer_wire.h
+++ b/peer/peer_wire.h
@@ -51,7 +51,6 @@
 	u_quad_t asked_us;
 	u_quad_t held;
 	u_quad_t want;
-	quad_t want_tokens;
 };
 typedef struct kl_wire_ask kl_wire_ask;
 
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -69,8 +69,6 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->want))
 		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->want_tokens))
-		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/script_look.c
+++ b/tests/script_look.c
@@ -36,7 +36,7 @@
 		(unsigned long long)((script_world->now - start) / KL_MS));
 }
 
-/* Conditions: "writes VM SERVICE", "term SERVICE N", "revision VM", ... */
+/* Conditions: docs/DEVELOPERS.md lists them. */
 static bool holds(char **words, int count)
 {
 	vm_t *vm = world_vm_of(script_world, words[1]);
@@ -55,25 +55,6 @@
 		return group.state == KL_GROUP_STABLE &&
 		       group.term >= script_number(words[2]);
 	}
-	if (!strcmp(words[0], "revision")) {
-		for (guint i = 0; i < script_world->vms->len; i++) {
-			const kl_config_t *config;
-
-			vm = g_ptr_array_index(script_world->vms, i);
-			if (!vm->up || vm->frozen)
-				continue;
-			config = kl_node_get(&vm->node, KL_SECTION_CONFIG);
-			if (!config ||
-			    config->revision < script_number(words[1]))
-				return false;
-		}
-		return true;
-	}
-	if (!strcmp(words[0], "current")) {
-		const kl_config_t *config = scene.config;
-
-		return config && config->revision == script_world->revision;
-	}
 	if (!strcmp(words[0], "everywhere")) {
 		for (guint i = 0; i < script_world->vms->len; i++) {
 			const kl_config_t *config;
