--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 	$(BUILD)/kl-standin-platform $(BUILD)/kl-standin-database
 
 all: $(PROGRAMS) $(BUILD)/tests/script_run $(BENCH_PROGRAMS) $(PROCESS_PROGRAMS) $(BUILD)/examples/lend
+all-daemon: $(BUILD)/kumquatloftd
 unit: $(UNIT_PROGRAMS)
 property: $(PROPERTY_PROGRAMS)
 
@@ -94,6 +95,6 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all unit property install clean
+.PHONY: all all-daemon unit property install clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/board/kind.c
+++ b/board/kind.c
@@ -57,6 +57,20 @@
 	[KL_E_TIMEOUT] = { "timeout", "57014", "no answer in time", false },
 	[KL_E_NOMEM] = { "no_memory", "53200", "out of memory; not run", true },
 	[KL_E_INTERNAL] = { "internal", "XX000", "internal error", false },
+	[KL_E_LAGGING] = { "lagging", "57P03",
+			   "the replica lacks what the read must see; not run",
+			   true },
+	[KL_E_MISROUTED] = { "misrouted", "57P03",
+			     "another database answers at this address; "
+			     "not run",
+			     true },
+	[KL_E_NO_STATEMENT] = { "no_statement", "26000",
+				"no prepared statement of this name; not run",
+				true },
+	[KL_E_ABORTED] = { "aborted", "40001",
+			   "the connection is lost and the transaction rolled "
+			   "back; not kept",
+			   true },
 };
 
 const kl_answer_t *kl_answer_of(int error)
--- a/board/sections.c
+++ b/board/sections.c
@@ -74,11 +74,13 @@
 	CK_STAILQ_INIT(&config->plans);
 	CK_STAILQ_INIT(&config->workspaces);
 	CK_STAILQ_INIT(&config->services);
+	CK_STAILQ_INIT(&config->routes);
 	CK_STAILQ_INIT(&config->marks);
 	CK_STAILQ_INIT(&config->keys);
 	config->plan_index = kl_index_new(expected);
 	config->workspace_index = kl_index_new(expected);
 	config->service_index = kl_index_new(expected);
+	config->route_index = kl_index_new(expected);
 	config->key_index = kl_index_new(expected);
 	config->mark_index = kl_index_new(8);
 	return config;
@@ -197,10 +199,12 @@
 		free(key);
 	free_list(&config->workspaces, kl_workspace_t);
 	free_list(&config->plans, kl_plan_t);
+	free_list(&config->routes, kl_route_rule_t);
 	free_list(&config->marks, kl_mark_t);
 	kl_index_free(config->plan_index);
 	kl_index_free(config->workspace_index);
 	kl_index_free(config->service_index);
+	kl_index_free(config->route_index);
 	kl_index_free(config->key_index);
 	kl_index_free(config->mark_index);
 	free(config);
--- a/board/sections.h
+++ b/board/sections.h
@@ -17,7 +17,20 @@
 
 #define KL_HOST_MAX 48 /**< longest IP number as text, with its zero */
 #define KL_KEY_HASH 24 /**< bytes of a key's hash */
-#define KL_HISTORY 16  /**< newest terms kept of a group's history */
+/**
+ * Feeds of the platform's service: sets of objects that are listed and watched
+ * together.  A service with one list for everything uses the first one only.
+ */
+typedef enum kl_feed {
+	KL_FEED_TERMS,	   /**< records of groups; confirms the leases */
+	KL_FEED_RECORDS,   /**< VMs and owned parts */
+	KL_FEED_CONFIG,	   /**< what operators wrote */
+	KL_FEED_UPSTREAMS, /**< databases, as they register themselves */
+	KL_FEED_MARKS,	   /**< failure domains that are taken out */
+	KL_FEED_COUNT
+} kl_feed_t;
+
+#define KL_HISTORY 16 /**< newest terms kept of a group's history */
 
 /** When the platform last confirmed the revision this node holds. */
 typedef struct kl_fresh {
@@ -31,7 +44,8 @@
 	kl_named_t name;
 	CK_STAILQ_ENTRY(kl_object) link;
 	uint64_t version; /**< revision of its last change */
-	char *body;	  /**< JSON text; empty for a removed object */
+	kl_feed_t feed;
+	char *body; /**< JSON text; "null" for a removed object */
 } kl_object_t;
 
 typedef CK_STAILQ_HEAD(kl_object_list, kl_object) kl_object_list_t;
@@ -39,7 +53,8 @@
 /** Every object of the platform that concerns this system. */
 typedef struct kl_objects {
 	kl_snapshot_t base;
-	uint64_t revision;
+	uint64_t revision;	       /**< sum of the feeds' ones */
+	uint64_t feeds[KL_FEED_COUNT]; /**< revision held of each feed */
 	kl_object_list_t list;
 	kl_index_t *index;
 } kl_objects_t;
@@ -83,6 +98,7 @@
 	char domain[KL_NAME_MAX];
 	uint16_t port;
 	bool leaving; /**< itself or its failure domain is marked */
+	bool primary; /**< it registered itself as primary */
 	struct kl_service *service;
 } kl_upstream_t;
 
@@ -97,6 +113,27 @@
 	char open_workspace[KL_NAME_MAX]; /**< whose plan open callers use */
 } kl_service_t;
 
+/** What reads on a route must see. */
+typedef enum kl_route_kind {
+	KL_ROUTE_PRIMARY, /**< every acknowledged write */
+	KL_ROUTE_AGED,	  /**< every write older than the stated age */
+	KL_ROUTE_SESSION, /**< the same, and the session's own writes */
+	KL_ROUTE_KIND_COUNT
+} kl_route_kind_t;
+
+/** What callers name as their database, and how it is served. */
+typedef struct kl_route_rule {
+	kl_named_t name;
+	CK_STAILQ_ENTRY(kl_route_rule) link;
+	char service[KL_NAME_MAX];
+	kl_route_kind_t kind;
+	bool open;	     /**< no key is asked for */
+	uint32_t max_age_ms; /**< of the data that a read sees */
+	uint32_t timeout_ms; /**< of one statement */
+	uint32_t target_ms;  /**< latency objective of an operation */
+	uint32_t priority;   /**< 0 is the highest */
+} kl_route_rule_t;
+
 /** A VM, failure domain or upstream that operators marked as leaving. */
 typedef struct kl_mark {
 	kl_named_t name; /**< "vm/NAME", "domain/NAME" or "upstream/NAME" */
@@ -108,14 +145,17 @@
 	kl_snapshot_t base;
 	uint64_t revision;
 	uint32_t refused; /**< documents whose last good form stays */
+	uint32_t transaction_idle_ms; /**< an idle one is ended, 0: never */
 	CK_STAILQ_HEAD(, kl_plan) plans;
 	CK_STAILQ_HEAD(, kl_workspace) workspaces;
 	CK_STAILQ_HEAD(, kl_service) services;
+	CK_STAILQ_HEAD(, kl_route_rule) routes;
 	CK_STAILQ_HEAD(, kl_mark) marks;
 	CK_STAILQ_HEAD(, kl_key) keys;
 	kl_index_t *plan_index;
 	kl_index_t *workspace_index;
 	kl_index_t *service_index;
+	kl_index_t *route_index;
 	kl_index_t *key_index;
 	kl_index_t *mark_index;
 } kl_config_t;
--- a/control/config.c
+++ b/control/config.c
@@ -7,12 +7,14 @@
 #include <string.h>
 
 #include "control/controllers.h"
+#include "control/document.h"
 #include "control/object_name.h"
 
 typedef struct document {
 	kl_named_t name;
 	CK_STAILQ_ENTRY(document) link;
 	uint64_t version;
+	char *body; /* as it was last taken in */
 	bool bad;
 	json_t *good;
 } document_t;
@@ -22,12 +24,6 @@
 	kl_index_t *index;
 } config_state_t;
 
-typedef struct document_kind {
-	const char *prefix;
-	bool (*check)(json_t *json);
-	void (*build)(kl_config_t *config, const char *name, json_t *json);
-} document_kind_t;
-
 static bool check_plan(json_t *json);
 static bool check_workspace(json_t *json);
 static bool check_service(json_t *json);
@@ -37,18 +33,21 @@
 			    json_t *json);
 static void build_service(kl_config_t *config, const char *name, json_t *json);
 static void build_mark(kl_config_t *config, const char *name, json_t *json);
-static const document_kind_t *kind_of(const char *name);
+static const kl_document_kind_t *kind_of(const char *name);
 static void take_document(kl_node_t *node, config_state_t *state,
 			  const kl_object_t *object,
-			  const document_kind_t *kind);
+			  const kl_document_kind_t *kind);
 static kl_config_t *build(config_state_t *state, uint64_t revision);
 
 /* In the order of building: workspaces name plans, marks touch upstreams. */
-static const document_kind_t kinds[] = {
+static const kl_document_kind_t kinds[] = {
 	{ "plan/", check_plan, build_plan },
 	{ "workspace/", check_workspace, build_workspace },
 	{ "mark/", check_mark, build_mark },
 	{ "service/", check_service, build_service },
+	{ "upstream/", kl_upstream_check, kl_upstream_build },
+	{ "route/", kl_route_check, kl_route_build },
+	{ "limit/", kl_limit_check, kl_limit_build },
 };
 
 #define KINDS (sizeof(kinds) / sizeof(kinds[0]))
@@ -72,6 +71,7 @@
 
 	CK_STAILQ_FOREACH_SAFE(document, &state->documents, link, next) {
 		json_decref(document->good);
+		free(document->body);
 		free(document);
 	}
 	kl_index_free(state->index);
@@ -87,7 +87,7 @@
 	(void)event;
 
 	CK_STAILQ_FOREACH(object, &objects->list, link) {
-		const document_kind_t *kind = kind_of(object->name.name);
+		const kl_document_kind_t *kind = kind_of(object->name.name);
 
 		if (kind)
 			take_document(node, state, object, kind);
@@ -99,7 +99,7 @@
 
 bool kl_document_check(const char *name, const char *body)
 {
-	const document_kind_t *kind = kind_of(name);
+	const kl_document_kind_t *kind = kind_of(name);
 	json_t *json = json_loads(body, JSON_DECODE_ANY, NULL);
 	bool good = json && (json_is_null(json) || (kind && kind->check(json)));
 
@@ -109,7 +109,7 @@
 
 static void take_document(kl_node_t *node, config_state_t *state,
 			  const kl_object_t *object,
-			  const document_kind_t *kind)
+			  const kl_document_kind_t *kind)
 {
 	document_t *document = kl_index_get(state->index, object->name.name);
 	json_t *json;
@@ -125,6 +125,10 @@
 		kl_index_put(state->index, &document->name);
 	}
 	document->version = object->version;
+	if (document->body && !strcmp(document->body, object->body))
+		return;
+	free(document->body);
+	document->body = strdup(object->body);
 	json = json_loads(object->body, JSON_DECODE_ANY, NULL);
 	document->bad = !json || !(json_is_null(json) || kind->check(json));
 	if (document->bad) {
@@ -169,7 +173,7 @@
 	return config;
 }
 
-static const document_kind_t *kind_of(const char *name)
+static const kl_document_kind_t *kind_of(const char *name)
 {
 	for (size_t i = 0; i < KINDS; i++)
 		if (!strncmp(name, kinds[i].prefix, strlen(kinds[i].prefix)))
@@ -220,8 +224,8 @@
 	if (json_unpack_ex(json, NULL, JSON_STRICT, "{s:o,s:i,s?s}",
 			   "upstreams", &upstreams, "connections", &connections,
 			   "open", &open) ||
-	    !json_is_array(upstreams) || !json_array_size(upstreams) ||
-	    connections < 1 || (open && strlen(open) >= KL_NAME_MAX))
+	    !json_is_array(upstreams) || connections < 1 ||
+	    (open && strlen(open) >= KL_NAME_MAX))
 		return false;
 	json_array_foreach(upstreams, i, upstream) {
 		if (json_unpack_ex(upstream, NULL, JSON_STRICT,
--- a/control/control.c
+++ b/control/control.c
@@ -15,7 +15,8 @@
 	[KL_CONTROLLER_CONFIG] = { "config", 0, SECTION(OBJECTS),
 				   KL_SECTION_CONFIG, kl_config_create,
 				   kl_config_step, kl_config_destroy },
-	[KL_CONTROLLER_MEMBER] = { "member", EVENT(TICK) | EVENT(PEER),
+	[KL_CONTROLLER_MEMBER] = { "member",
+				   EVENT(TICK) | EVENT(PEER) | EVENT(STOP),
 				   SECTION(OBJECTS) | SECTION(CONFIG),
 				   KL_SECTION_MEMBERS, kl_member_create,
 				   kl_member_step, kl_member_destroy },
@@ -33,6 +34,12 @@
 					     EVENT(DATABASE),
 				     SECTION(TERMS), -1, kl_failover_create,
 				     kl_failover_step, kl_failover_destroy },
+	[KL_CONTROLLER_PROMOTE] = { "promote",
+				    EVENT(TICK) | EVENT(PEER) |
+					    EVENT(DATABASE) | EVENT(PLATFORM) |
+					    EVENT(TRAFFIC),
+				    SECTION(TERMS), -1, kl_promote_create,
+				    kl_promote_step, kl_promote_destroy },
 	[KL_CONTROLLER_SHARE] = { "share",
 				  EVENT(TICK) | EVENT(PEER) | EVENT(DEMAND) |
 					  EVENT(STOP),
@@ -56,6 +63,7 @@
 	tuning->share_hold_us = 600 * KL_SEC;
 	tuning->catch_up_us = 2 * KL_SEC;
 	tuning->slots = 24;
+	tuning->feeds = 1;
 }
 
 uint64_t kl_fence_us(const kl_tuning_t *tuning)
--- a/control/controllers.h
+++ b/control/controllers.h
@@ -10,6 +10,12 @@
 int kl_sync_create(kl_node_t *node);
 void kl_sync_step(kl_node_t *node, const kl_event_t *event);
 void kl_sync_destroy(kl_node_t *node);
+/** Ask for the whole of a feed with the next tick. */
+void kl_sync_want_list(kl_node_t *node, kl_feed_t feed);
+/** When the last whole list of a feed that came was asked for, or 0. */
+uint64_t kl_sync_listed_us(const kl_node_t *node, kl_feed_t feed);
+/** Greet one VM at once. */
+void kl_sync_hello(kl_node_t *node, const kl_member_t *member);
 
 int kl_config_create(kl_node_t *node);
 void kl_config_step(kl_node_t *node, const kl_event_t *event);
@@ -31,6 +37,10 @@
 void kl_failover_step(kl_node_t *node, const kl_event_t *event);
 void kl_failover_destroy(kl_node_t *node);
 
+int kl_promote_create(kl_node_t *node);
+void kl_promote_step(kl_node_t *node, const kl_event_t *event);
+void kl_promote_destroy(kl_node_t *node);
+
 int kl_share_create(kl_node_t *node);
 void kl_share_step(kl_node_t *node, const kl_event_t *event);
 void kl_share_destroy(kl_node_t *node);
--- /dev/null
+++ b/control/document_route.c
@@ -0,0 +1,122 @@
+/* Documents of routes, of databases that register themselves, of limits. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/document.h"
+
+static const char *const route_kinds[KL_ROUTE_KIND_COUNT] = {
+	[KL_ROUTE_PRIMARY] = "primary",
+	[KL_ROUTE_AGED] = "aged",
+	[KL_ROUTE_SESSION] = "session",
+};
+
+static int route_kind(const char *name);
+
+bool kl_upstream_check(json_t *json)
+{
+	const char *service, *host, *domain;
+	int port, leaving, primary;
+
+	return !json_unpack_ex(json, NULL, JSON_STRICT,
+			       "{s:s,s:s,s:i,s:s,s:b,s:b}", "service", &service,
+			       "host", &host, "port", &port, "domain", &domain,
+			       "leaving", &leaving, "primary", &primary) &&
+	       strlen(service) < KL_NAME_MAX && strlen(host) < KL_HOST_MAX &&
+	       strlen(domain) < KL_NAME_MAX && port > 0 && port <= 65535;
+}
+
+void kl_upstream_build(kl_config_t *config, const char *name, json_t *json)
+{
+	kl_upstream_t *upstream;
+	kl_service_t *service;
+	const char *of, *host, *domain;
+	int port, leaving, primary;
+
+	json_unpack(json, "{s:s,s:s,s:i,s:s,s:b,s:b}", "service", &of, "host",
+		    &host, "port", &port, "domain", &domain, "leaving",
+		    &leaving, "primary", &primary);
+	service = kl_index_get(config->service_index, of);
+	if (!service)
+		return;
+	upstream = calloc(1, sizeof(*upstream));
+	if (!upstream)
+		return;
+	kl_name_set(upstream->name.name, name);
+	memcpy(upstream->host, host, strlen(host) + 1);
+	kl_name_set(upstream->domain, domain);
+	upstream->port = (uint16_t)port;
+	upstream->primary = primary;
+	upstream->leaving = leaving ||
+			    kl_config_marked(config, "upstream", name) ||
+			    kl_config_marked(config, "domain", domain) ||
+			    kl_config_marked(config, "databases", domain);
+	upstream->service = service;
+	service->upstream_count++;
+	CK_STAILQ_INSERT_TAIL(&service->upstreams, upstream, link);
+}
+
+bool kl_route_check(json_t *json)
+{
+	const char *service, *kind;
+	int open, age, timeout, target, priority;
+
+	return !json_unpack_ex(json, NULL, JSON_STRICT,
+			       "{s:s,s:s,s:b,s:i,s:i,s:i,s:i}", "service",
+			       &service, "kind", &kind, "open", &open,
+			       "max_age_ms", &age, "timeout_ms", &timeout,
+			       "target_ms", &target, "priority", &priority) &&
+	       strlen(service) < KL_NAME_MAX &&
+	       route_kind(kind) < KL_ROUTE_KIND_COUNT && age >= 0 &&
+	       timeout >= 0 && target >= 0 && priority >= 0;
+}
+
+void kl_route_build(kl_config_t *config, const char *name, json_t *json)
+{
+	kl_route_rule_t *route = calloc(1, sizeof(*route));
+	const char *service, *kind;
+	int open, age, timeout, target, priority;
+
+	if (!route)
+		return;
+	json_unpack(json, "{s:s,s:s,s:b,s:i,s:i,s:i,s:i}", "service", &service,
+		    "kind", &kind, "open", &open, "max_age_ms", &age,
+		    "timeout_ms", &timeout, "target_ms", &target, "priority",
+		    &priority);
+	kl_name_set(route->name.name, name);
+	kl_name_set(route->service, service);
+	route->kind = route_kind(kind);
+	route->open = open;
+	route->max_age_ms = (uint32_t)age;
+	route->timeout_ms = (uint32_t)timeout;
+	route->target_ms = (uint32_t)target;
+	route->priority = (uint32_t)priority;
+	CK_STAILQ_INSERT_TAIL(&config->routes, route, link);
+	kl_index_put(config->route_index, &route->name);
+}
+
+bool kl_limit_check(json_t *json)
+{
+	int idle;
+
+	return !json_unpack_ex(json, NULL, JSON_STRICT, "{s:i}",
+			       "transaction_idle_ms", &idle) &&
+	       idle >= 0;
+}
+
+void kl_limit_build(kl_config_t *config, const char *name, json_t *json)
+{
+	int idle;
+	(void)name;
+
+	json_unpack(json, "{s:i}", "transaction_idle_ms", &idle);
+	config->transaction_idle_ms = (uint32_t)idle;
+}
+
+static int route_kind(const char *name)
+{
+	int kind = 0;
+
+	while (kind < KL_ROUTE_KIND_COUNT && strcmp(name, route_kinds[kind]))
+		kind++;
+	return kind;
+}
--- a/control/drain.c
+++ b/control/drain.c
@@ -53,7 +53,8 @@
 
 	if (state->stopping)
 		return KL_PHASE_DRAINING;
-	if (!config)
+	if (!config ||
+	    (node->tuning.feeds > 1 && CK_STAILQ_EMPTY(&config->services)))
 		return KL_PHASE_STARTING;
 	if (kl_config_marked(config, "vm", node->self.vm) ||
 	    kl_config_marked(config, "domain", node->self.domain))
--- a/control/failover.c
+++ b/control/failover.c
@@ -80,6 +80,8 @@
 			.health = kl_node_get(node, KL_SECTION_HEALTH),
 			.now = kl_node_now(node) };
 
+	if (node->tuning.platform_promotes)
+		return;
 	if (event->kind == KL_EVENT_PEER) {
 		if (event->peer->kind != KL_PEER_SUSPECT)
 			return;
--- a/control/health.c
+++ b/control/health.c
@@ -101,6 +101,9 @@
 	health_state_t *state = node->state[KL_CONTROLLER_HEALTH];
 	uint64_t now = kl_node_now(node);
 
+	/* There requests themselves tell of the databases. */
+	if (node->tuning.platform_promotes)
+		return;
 	if (event->kind == KL_EVENT_DATABASE) {
 		if (event->database->call.owner == KL_CONTROLLER_HEALTH &&
 		    answered(state, event->database, now))
--- a/control/member.c
+++ b/control/member.c
@@ -3,19 +3,22 @@
  * was heard from peers.
  */
 #include <jansson.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "control/controllers.h"
 
 #define REFRESH_US (400 * KL_MS)
-#define SILENT_US (60 * KL_SEC) /* an unlisted VM is forgotten after this */
+#define REGISTER_US (500 * KL_MS) /* between two updates of the own record */
+#define SILENT_US (60 * KL_SEC)	  /* an unlisted VM is forgotten after this */
 
 typedef struct known {
 	kl_named_t name;
 	CK_STAILQ_ENTRY(known) link;
 	kl_member_t member;
 	uint64_t version; /* of the list's object, 0 if only heard */
+	char host_listed[KL_HOST_MAX];
 } known_t;
 
 typedef struct member_state {
@@ -26,9 +29,14 @@
 	uint64_t revision;
 	uint64_t forgot_us;
 	uint64_t published;
+	uint64_t registered_us; /* own record last written */
+	bool stopping;
+	bool left; /* written as leaving */
 	bool changed;
 } member_state_t;
 
+static void keep_registered(kl_node_t *node, member_state_t *state,
+			    const kl_event_t *event, uint64_t now);
 static known_t *known_of(member_state_t *state, const char *name);
 static void take_list(member_state_t *state, const kl_objects_t *objects);
 static void take_entry(known_t *known, const kl_object_t *object);
@@ -89,6 +97,47 @@
 	}
 	if (state->changed)
 		publish(node, state);
+	if (node->tuning.feeds > 1)
+		keep_registered(node, state, event, now);
+}
+
+/* Where the platform lists no VMs they write their own records. */
+static void keep_registered(kl_node_t *node, member_state_t *state,
+			    const kl_event_t *event, uint64_t now)
+{
+	bool listed = kl_sync_listed_us(node, KL_FEED_RECORDS) != 0;
+	const known_t *self = kl_index_get(state->index, state->self);
+	kl_platform_call_t call = { .op = KL_PLATFORM_PUT,
+				    .owner = KL_CONTROLLER_MEMBER,
+				    .asked_us = now };
+	json_t *json;
+	char *body;
+
+	state->stopping |= event->kind == KL_EVENT_STOP;
+	if (!listed || (now - state->registered_us < REGISTER_US &&
+			!(state->stopping && !state->left)))
+		return;
+	if (!self ||
+	    (self->member.listed && self->member.leaving == state->stopping &&
+	     self->member.port == node->self.port &&
+	     !strcmp(self->host_listed, node->self.host)))
+		return;
+	state->registered_us = now;
+	state->left = state->stopping;
+	json = json_pack("{s:s,s:s,s:i,s:s}", "domain", node->self.domain,
+			 "host", node->self.host, "port", node->self.port,
+			 "state", state->stopping ? "leaving" : "ready");
+	body = json_dumps(json, JSON_COMPACT);
+	json_decref(json);
+	if (!body)
+		return;
+	if (snprintf(call.name, sizeof(call.name), "vm/%s", node->self.vm) <
+	    (int)sizeof(call.name)) {
+		call.version = self->member.listed ? self->version : 0;
+		call.body = body;
+		node->outlet->platform(node->context, &call);
+	}
+	free(body);
 }
 
 static known_t *known_of(member_state_t *state, const char *name)
@@ -141,11 +190,13 @@
 	known->member.listed = false;
 	known->member.leaving = false;
 	known->member.heard_us = 0;
+	known->host_listed[0] = '\0';
 	if (!json_unpack(json, "{s:s,s:s,s:i,s:s}", "domain", &domain, "host",
 			 &host, "port", &port, "state", &state) &&
 	    strlen(host) < KL_HOST_MAX &&
 	    !kl_name_set(known->member.domain, domain)) {
 		memcpy(known->member.host, host, strlen(host) + 1);
+		memcpy(known->host_listed, host, strlen(host) + 1);
 		known->member.port = (uint16_t)port;
 		known->member.listed = true;
 		known->member.leaving = !strcmp(state, "leaving");
--- a/control/node.h
+++ b/control/node.h
@@ -29,6 +29,7 @@
 	KL_CONTROLLER_TERMS,
 	KL_CONTROLLER_HEALTH,
 	KL_CONTROLLER_FAILOVER,
+	KL_CONTROLLER_PROMOTE,
 	KL_CONTROLLER_SHARE,
 	KL_CONTROLLER_DRAIN,
 	KL_CONTROLLER_COUNT
@@ -43,15 +44,17 @@
 	KL_EVENT_DEMAND,   /**< a request waits: look now */
 	KL_EVENT_INTEREST, /**< callers use a service here */
 	KL_EVENT_STOP,	   /**< a planned stop begins */
+	KL_EVENT_TRAFFIC,  /**< what requests met at an upstream */
 	KL_EVENT_COUNT
 } kl_event_kind_t;
 
 /** Calls of the platform's object API. */
 typedef enum kl_platform_op {
-	KL_PLATFORM_LIST,  /**< objects changed since a revision, at once */
-	KL_PLATFORM_WATCH, /**< the same, waiting for a change */
-	KL_PLATFORM_PUT,   /**< conditional update */
-	KL_PLATFORM_GET,   /**< one object */
+	KL_PLATFORM_LIST,    /**< objects changed since a revision, at once */
+	KL_PLATFORM_WATCH,   /**< the same, waiting for a change */
+	KL_PLATFORM_PUT,     /**< conditional update */
+	KL_PLATFORM_GET,     /**< one object */
+	KL_PLATFORM_PROMOTE, /**< name a service's next primary */
 	KL_PLATFORM_OP_COUNT
 } kl_platform_op_t;
 
@@ -60,17 +63,24 @@
 	kl_platform_op_t op;
 	kl_controller_id_t owner; /**< whom the answer goes to */
 	uint64_t asked_us;
+	kl_feed_t feed;		/**< list, watch */
 	uint64_t since;		/**< list, watch: revision held */
-	char name[KL_NAME_MAX]; /**< put, get */
-	uint64_t version;	/**< put: 0 to create */
-	const char *body;	/**< put: JSON text */
+	char name[KL_NAME_MAX]; /**< put, get; promote: the service */
+	uint64_t version;	/**< put: 0 to create; promote: the term */
+	const char *body;	/**< put: JSON text; promote: the upstream */
 } kl_platform_call_t;
 
 /** The platform's answer. */
 typedef struct kl_platform_answer {
 	kl_platform_op_t op;
 	kl_controller_id_t owner;
-	int error; /**< 0, -KL_E_CONFLICT, -KL_E_UNAVAILABLE: unknown outcome */
+	/**
+	 * 0, -KL_E_CONFLICT, -KL_E_STALE_CONFIG for a history that is gone, or
+	 * -KL_E_UNAVAILABLE for an unknown outcome.
+	 */
+	int error;
+	kl_feed_t feed;
+	bool whole; /**< the objects are all there are in the feed */
 	uint64_t asked_us;
 	uint64_t revision;
 	char name[KL_NAME_MAX];
@@ -107,8 +117,17 @@
 	uint64_t term;	   /**< it serves */
 	uint64_t sealed;   /**< lowest term it still accepts */
 	uint64_t position; /**< end of its log */
+	uint64_t log_term; /**< in which that position was written */
 } kl_database_answer_t;
 
+/** What requests met at an upstream. */
+typedef struct kl_traffic {
+	const char *service;
+	const char *upstream;
+	uint64_t failing_us; /**< since when all fail, or 0 */
+	bool refused;	     /**< it refuses connections */
+} kl_traffic_t;
+
 /** One thing that happened. */
 typedef struct kl_event {
 	kl_event_kind_t kind;
@@ -116,11 +135,13 @@
 	kl_platform_answer_t *platform;
 	const kl_database_answer_t *database;
 	const char *service; /**< interest */
+	const kl_traffic_t *traffic;
 } kl_event_t;
 
 /** A decision, for the log. */
 typedef struct kl_decision {
 	const char *what;
+	const char *request; /**< the caller's name for it, or NULL */
 	const char *workspace;
 	const char *service;
 	const char *upstream;
@@ -161,6 +182,8 @@
 	uint64_t share_hold_us; /**< owned parts stay usable unconfirmed */
 	uint64_t catch_up_us;	/**< a planned change waits for replicas */
 	uint32_t slots;		/**< owned parts of every limit */
+	uint32_t feeds;		/**< of the platform's service in use */
+	bool platform_promotes; /**< databases don't take promotion calls */
 } kl_tuning_t;
 
 /** Seeds: peers to ask before any list is known. */
--- a/control/peer_message.h
+++ b/control/peer_message.h
@@ -33,17 +33,25 @@
 	char host[KL_HOST_MAX];
 	uint16_t port;
 	bool wants_answer;
-	uint64_t ping_us;  /**< sender's clock now */
-	uint64_t echo_us;  /**< receiver's clock in the message answered */
-	uint64_t revision; /**< held */
-	uint64_t age_us;   /**< of the confirmation, or KL_AGE_NEVER */
+	uint64_t ping_us; /**< sender's clock now */
+	uint64_t echo_us; /**< receiver's clock in the message answered */
+	uint64_t revisions[KL_FEED_COUNT]; /**< held of each feed */
+	uint64_t age_us; /**< of the confirmation, or KL_AGE_NEVER */
 } kl_peer_hello_t;
 
+/** A question for the objects that changed since a revision. */
+typedef struct kl_peer_fetch {
+	kl_feed_t feed;
+	uint64_t since;
+	uint32_t skip; /**< objects that came already */
+} kl_peer_fetch_t;
+
 /** Objects changed since a revision, oldest first. */
 typedef struct kl_peer_delta {
-	uint64_t since;
+	kl_peer_fetch_t asked;
 	uint64_t revision; /**< complete up to here if !more */
 	bool more;
+	bool whole; /**< all objects of the feed, not just changed ones */
 	kl_object_list_t objects;
 } kl_peer_delta_t;
 
@@ -52,7 +60,7 @@
 	kl_peer_kind_t kind;
 	char from[KL_NAME_MAX];
 	kl_peer_hello_t hello;
-	uint64_t since; /**< fetch */
+	kl_peer_fetch_t fetch;
 	kl_peer_delta_t delta;
 	char subject[KL_NAME_MAX]; /**< suspect: service; loans: workspace */
 	uint64_t term;		   /**< suspect */
--- /dev/null
+++ b/control/promote.c
@@ -0,0 +1,506 @@
+/*
+ * Changes a group's primary where the platform promotes databases.  The record
+ * in the platform's service is the only memory, as in the failover controller:
+ *
+ *   STABLE(T) -> FENCING(T+1) -> PROMOTING(T+1, candidate) -> STABLE(T+1)
+ *
+ * A primary can't be sealed here.  The fence is over when every VM that is
+ * registered has said that it knows the record, or when all leases that are
+ * older than it have run out.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/controllers.h"
+#include "control/group_record.h"
+#include "control/promote_internal.h"
+
+#define RANK_US (150 * KL_MS) /* lower ranks start later */
+#define CREATE_RANK_US (500 * KL_MS)
+#define TAKEOVER_US (1500 * KL_MS) /* a silent promoter is replaced */
+#define CANDIDATE_US (5 * KL_SEC)  /* a silent candidate is given up */
+#define REFUSED_US (250 * KL_MS)   /* a primary that refuses is suspected */
+#define MISSING_US (2500 * KL_MS)  /* one that is not registered */
+#define SETTLE_US (120 * KL_MS)	   /* what was sent before the fence ends */
+#define CURRENT_US (1 * KL_SEC)	   /* a record confirmed this lately is used */
+#define ASK_US (100 * KL_MS)	   /* between two questions to databases */
+#define STEPDOWN_US (500 * KL_MS)  /* between two orders to step down */
+
+typedef struct promote_state {
+	CK_STAILQ_HEAD(, kl_promotion) list;
+	kl_index_t *index;
+	kl_acks_t acks;
+} promote_state_t;
+
+static void step_stable(kl_promote_view_t *view);
+static void step_fencing(kl_promote_view_t *view);
+static void step_promoting(kl_promote_view_t *view);
+static void take_event(kl_node_t *node, promote_state_t *state,
+		       const kl_event_t *event, uint64_t now);
+static void take_traffic(kl_promotion_t *promotion,
+			 const kl_traffic_t *traffic);
+static void take_status(kl_promotion_t *promotion,
+			const kl_database_answer_t *answer, uint64_t now);
+static void take_promoted(kl_promotion_t *promotion,
+			  const kl_platform_answer_t *answer);
+static void create_record(kl_promote_view_t *view);
+static bool primary_fails(kl_promote_view_t *view);
+static bool primary_leaves(const kl_promote_view_t *view);
+static bool acting(const kl_promote_view_t *view, uint64_t after_us);
+static void win_term(kl_promote_view_t *view, const char *reason);
+static void send_promotion(kl_promote_view_t *view);
+static void check_suspect(kl_promote_view_t *view);
+static void step_down_strays(kl_promote_view_t *view);
+static void write_record(kl_promote_view_t *view, kl_group_t *group,
+			 const char *what, const char *reason);
+static kl_promotion_t *promotion_of(promote_state_t *state,
+				    const char *service);
+
+static void (*const steps[KL_GROUP_STATE_COUNT])(kl_promote_view_t *view) = {
+	[KL_GROUP_STABLE] = step_stable,
+	[KL_GROUP_FENCING] = step_fencing,
+	[KL_GROUP_PROMOTING] = step_promoting,
+};
+
+int kl_promote_create(kl_node_t *node)
+{
+	promote_state_t *state = calloc(1, sizeof(*state));
+
+	if (!state)
+		return -KL_E_NOMEM;
+	CK_STAILQ_INIT(&state->list);
+	CK_STAILQ_INIT(&state->acks);
+	state->index = kl_index_new(16);
+	node->state[KL_CONTROLLER_PROMOTE] = state;
+	return 0;
+}
+
+void kl_promote_destroy(kl_node_t *node)
+{
+	promote_state_t *state = node->state[KL_CONTROLLER_PROMOTE];
+	kl_promotion_t *promotion, *next;
+	suspicion_t *suspicion, *after;
+
+	CK_STAILQ_FOREACH_SAFE(promotion, &state->list, link, next) {
+		CK_STAILQ_FOREACH_SAFE(suspicion, &promotion->change.suspicions,
+				       link, after)
+			free(suspicion);
+		free(promotion);
+	}
+	kl_acks_clear(&state->acks);
+	kl_index_free(state->index);
+	free(state);
+}
+
+void kl_promote_step(kl_node_t *node, const kl_event_t *event)
+{
+	promote_state_t *state = node->state[KL_CONTROLLER_PROMOTE];
+	const kl_config_t *config = kl_node_get(node, KL_SECTION_CONFIG);
+	const kl_terms_t *terms = kl_node_get(node, KL_SECTION_TERMS);
+	kl_promote_view_t view = { .base = { .node = node,
+					     .members = kl_node_get(
+						     node, KL_SECTION_MEMBERS),
+					     .now = kl_node_now(node) },
+				   .acks = &state->acks };
+
+	if (!node->tuning.platform_promotes)
+		return;
+	take_event(node, state, event, view.base.now);
+	if (!config || !terms || !view.base.members)
+		return;
+	CK_STAILQ_FOREACH(view.base.service, &config->services, link) {
+		const char *name = view.base.service->name.name;
+		kl_promotion_t *promotion = promotion_of(state, name);
+
+		view.promotion = promotion;
+		view.base.group = kl_index_get(terms->index, name);
+		if (!promotion)
+			continue;
+		view.base.change = &promotion->change;
+		kl_failover_choose_probers(&view.base);
+		if (!view.base.group) {
+			create_record(&view);
+			continue;
+		}
+		if (promotion->change.version != view.base.group->version)
+			kl_promotion_begin(promotion, view.base.group);
+		steps[view.base.group->state](&view);
+	}
+}
+
+static void take_event(kl_node_t *node, promote_state_t *state,
+		       const kl_event_t *event, uint64_t now)
+{
+	const kl_peer_message_t *peer = event->peer;
+
+	switch (event->kind) {
+	case KL_EVENT_PEER:
+		if (peer->kind == KL_PEER_HELLO)
+			kl_acks_note(&state->acks, peer, now);
+		else if (peer->kind == KL_PEER_SUSPECT)
+			kl_failover_note(
+				&promotion_of(state, peer->subject)->change,
+				peer->from, peer->term, now);
+		break;
+	case KL_EVENT_TRAFFIC:
+		take_traffic(promotion_of(state, event->traffic->service),
+			     event->traffic);
+		break;
+	case KL_EVENT_DATABASE:
+		if (event->database->call.owner == KL_CONTROLLER_PROMOTE)
+			take_status(promotion_of(state,
+						 event->database->call.service),
+				    event->database, now);
+		break;
+	case KL_EVENT_PLATFORM:
+		if (event->platform->op == KL_PLATFORM_PROMOTE)
+			take_promoted(
+				promotion_of(state, event->platform->name),
+				event->platform);
+		break;
+	default:
+		break;
+	}
+	(void)node;
+}
+
+static void take_traffic(kl_promotion_t *promotion, const kl_traffic_t *traffic)
+{
+	if (!promotion)
+		return;
+	if (traffic->failing_us) {
+		kl_name_set(promotion->failing, traffic->upstream);
+		promotion->failing_us = traffic->failing_us;
+		promotion->refused = traffic->refused;
+	} else if (!strcmp(promotion->failing, traffic->upstream)) {
+		promotion->failing[0] = '\0';
+	}
+}
+
+static void take_status(kl_promotion_t *promotion,
+			const kl_database_answer_t *answer, uint64_t now)
+{
+	const kl_database_call_t *call = &answer->call;
+	kl_traffic_t seen = { .service = call->service,
+			      .upstream = call->upstream };
+
+	if (!promotion)
+		return;
+	if (call->fresh) {
+		/* A check of the primary that others suspect. */
+		if (answer->error == -KL_E_CONNECTIONS)
+			return;
+		if (answer->error) {
+			seen.refused = answer->error == -KL_E_UPSTREAM;
+			seen.failing_us =
+				!strcmp(promotion->failing, call->upstream)
+					? promotion->failing_us
+					: now;
+		}
+		take_traffic(promotion, &seen);
+		return;
+	}
+	if (!answer->error)
+		kl_promotion_reply(promotion, answer);
+}
+
+static void take_promoted(kl_promotion_t *promotion,
+			  const kl_platform_answer_t *answer)
+{
+	if (!promotion || answer->asked_us != promotion->called_us)
+		return;
+	if (!answer->error)
+		promotion->promoted = true;
+	if (answer->error == -KL_E_CONFLICT)
+		promotion->not_running = true;
+}
+
+/* The first record names the database that registered itself as primary. */
+static void create_record(kl_promote_view_t *view)
+{
+	const kl_upstream_t *upstream, *first = NULL;
+	kl_group_t group = { .state = KL_GROUP_STABLE, .term = 1 };
+	kl_promotion_t *promotion = view->promotion;
+
+	CK_STAILQ_FOREACH(upstream, &view->base.service->upstreams, link) {
+		if (upstream->primary && !first)
+			first = upstream;
+	}
+	if (!first || view->base.rank < 0) {
+		promotion->change.suspect_us = 0;
+		return;
+	}
+	if (!promotion->change.suspect_us)
+		promotion->change.suspect_us = view->base.now;
+	if (view->base.now - promotion->change.suspect_us <
+	    (uint64_t)view->base.rank * CREATE_RANK_US)
+		return;
+	group.name = view->base.service->name;
+	group.primary[0] = '\0';
+	kl_name_set(group.primary, first->name.name);
+	write_record(view, &group, "group_recorded", "registered");
+}
+
+static void step_stable(kl_promote_view_t *view)
+{
+	change_t *change = &view->promotion->change;
+	bool fails = primary_fails(view);
+	bool leaves = primary_leaves(view);
+
+	step_down_strays(view);
+	if (fails)
+		kl_failover_suspect(&view->base);
+	else
+		check_suspect(view);
+	if (view->base.rank < 0)
+		return;
+	if (!(fails && kl_failover_quorum(&view->base)) && !leaves) {
+		change->suspect_us = 0;
+		return;
+	}
+	if (!change->suspect_us)
+		change->suspect_us = view->base.now;
+	if (view->base.now - change->suspect_us <
+	    (uint64_t)view->base.rank * RANK_US)
+		return;
+	win_term(view, fails ? "primary_fails" : "primary_leaves");
+}
+
+static void win_term(kl_promote_view_t *view, const char *reason)
+{
+	kl_group_t next = *view->base.group;
+
+	next.term++;
+	next.state = KL_GROUP_FENCING;
+	memcpy(next.promoter, view->base.node->self.vm, KL_NAME_MAX);
+	write_record(view, &next, "term_won", reason);
+}
+
+static void step_fencing(kl_promote_view_t *view)
+{
+	const kl_tuning_t *tuning = &view->base.node->tuning;
+	kl_promotion_t *promotion = view->promotion;
+	uint64_t now = view->base.now;
+	const char *best;
+	kl_group_t next;
+
+	if (!acting(view, kl_fence_us(tuning) + tuning->catch_up_us))
+		return;
+	if (now - promotion->change.sent_us >= ASK_US) {
+		promotion->change.sent_us = now;
+		kl_promotion_ask_all(view);
+	}
+	if (!promotion->fenced_us) {
+		if (!kl_fence_over(view))
+			return;
+		promotion->fenced_us = now;
+	}
+	best = kl_promotion_choose(view, promotion->fenced_us + SETTLE_US);
+	if (!best)
+		return;
+	next = *view->base.group;
+	next.state = KL_GROUP_PROMOTING;
+	kl_name_set(next.primary, best);
+	memcpy(next.promoter, view->base.node->self.vm, KL_NAME_MAX);
+	write_record(view, &next, "candidate_chosen", "highest_position");
+}
+
+static void step_promoting(kl_promote_view_t *view)
+{
+	kl_promotion_t *promotion = view->promotion;
+	const kl_group_t *group = view->base.group;
+	kl_group_t next = *group;
+	uint64_t now = view->base.now;
+	const kl_promotion_reply_t *reply;
+
+	if (!acting(view, TAKEOVER_US))
+		return;
+	if (strcmp(group->promoter, view->base.node->self.vm)) {
+		/* Another holder's orders carry another term. */
+		next.term++;
+		memcpy(next.promoter, view->base.node->self.vm, KL_NAME_MAX);
+		write_record(view, &next, "promotion_taken_up", "silent");
+		return;
+	}
+	reply = kl_promotion_reply_of(promotion, group->primary);
+	if (promotion->promoted && reply && reply->primary) {
+		promotion->leads_term = reply->term;
+		next.state = KL_GROUP_STABLE;
+		write_record(view, &next, "promoted", "leads");
+		return;
+	}
+	if (promotion->not_running || now - group->seen_us > CANDIDATE_US) {
+		kl_name_set(promotion->avoid, group->primary);
+		win_term(view, "candidate_silent");
+		return;
+	}
+	if (now - promotion->change.sent_us < ASK_US)
+		return;
+	promotion->change.sent_us = now;
+	if (promotion->promoted)
+		kl_promotion_ask(view, group->primary, false);
+	else
+		send_promotion(view);
+}
+
+/* Only with a record that is known to be current: an old term is no order. */
+static void send_promotion(kl_promote_view_t *view)
+{
+	const kl_fresh_t *fresh =
+		kl_node_get(view->base.node, KL_SECTION_FRESH);
+	const kl_group_t *group = view->base.group;
+	kl_platform_call_t call = { .op = KL_PLATFORM_PROMOTE,
+				    .owner = KL_CONTROLLER_PROMOTE,
+				    .asked_us = view->base.now,
+				    .version = group->term,
+				    .body = group->primary };
+
+	if (!fresh || view->base.now - fresh->confirmed_us > CURRENT_US ||
+	    (view->promotion->called_us &&
+	     view->base.now - view->promotion->called_us < RETRY_US))
+		return;
+	view->promotion->called_us = view->base.now;
+	memcpy(call.name, group->name.name, KL_NAME_MAX);
+	view->base.node->outlet->platform(view->base.node->context, &call);
+}
+
+/* The promoter acts; others take up its work in the order of their ranks. */
+static bool acting(const kl_promote_view_t *view, uint64_t after_us)
+{
+	uint64_t since = view->base.now - view->base.group->seen_us;
+
+	if (!strcmp(view->base.group->promoter, view->base.node->self.vm))
+		return true;
+	return view->base.rank >= 0 &&
+	       since > after_us + TAKEOVER_US +
+			       (uint64_t)view->base.rank * RANK_US;
+}
+
+static bool primary_fails(kl_promote_view_t *view)
+{
+	kl_promotion_t *promotion = view->promotion;
+	const char *primary = view->base.group->primary;
+	const kl_fresh_t *fresh =
+		kl_node_get(view->base.node, KL_SECTION_FRESH);
+	uint64_t now = view->base.now;
+
+	if (kl_service_upstream(view->base.service, primary)) {
+		promotion->missing_us = 0;
+	} else if (!fresh || now - fresh->confirmed_us > CURRENT_US) {
+		/* The registry may have lost it while it was away. */
+		promotion->missing_us = now;
+	} else {
+		if (!promotion->missing_us)
+			promotion->missing_us = now;
+		if (now - promotion->missing_us > MISSING_US)
+			return true;
+	}
+	return !strcmp(promotion->failing, primary) &&
+	       now - promotion->failing_us >=
+		       (promotion->refused
+				? REFUSED_US
+				: view->base.node->tuning.suspect_us);
+}
+
+static bool primary_leaves(const kl_promote_view_t *view)
+{
+	const kl_service_t *service = view->base.service;
+	const kl_upstream_t *upstream =
+		kl_service_upstream(service, view->base.group->primary);
+
+	if (!upstream || !upstream->leaving)
+		return false;
+	CK_STAILQ_FOREACH(upstream, &service->upstreams, link) {
+		if (!upstream->leaving)
+			return true;
+	}
+	return false;
+}
+
+/* A prober without traffic of its own looks when another one suspects. */
+static void check_suspect(kl_promote_view_t *view)
+{
+	const suspicion_t *suspicion;
+	change_t *change = &view->promotion->change;
+
+	if (view->base.rank < 0 || view->base.now - change->sent_us < RETRY_US)
+		return;
+	CK_STAILQ_FOREACH(suspicion, &change->suspicions, link) {
+		if (suspicion->term != view->base.group->term ||
+		    view->base.now - suspicion->heard_us > KL_SEC)
+			continue;
+		change->sent_us = view->base.now;
+		kl_promotion_ask(view, view->base.group->primary, true);
+		return;
+	}
+}
+
+/* A replaced primary that came back is told so by the VM that replaced it. */
+static void step_down_strays(kl_promote_view_t *view)
+{
+	const kl_upstream_t *upstream;
+	kl_promotion_t *promotion = view->promotion;
+
+	if (!promotion->leads_term ||
+	    strcmp(view->base.group->promoter, view->base.node->self.vm) ||
+	    view->base.now - promotion->down_us < STEPDOWN_US)
+		return;
+	promotion->down_us = view->base.now;
+	CK_STAILQ_FOREACH(upstream, &view->base.service->upstreams, link) {
+		if (!upstream->primary ||
+		    !strcmp(upstream->name.name, view->base.group->primary))
+			continue;
+		kl_promotion_order(view, upstream, KL_DATABASE_FOLLOW,
+				   promotion->leads_term);
+	}
+}
+
+static void write_record(kl_promote_view_t *view, kl_group_t *group,
+			 const char *what, const char *reason)
+{
+	kl_node_t *node = view->base.node;
+	change_t *change = &view->promotion->change;
+	kl_platform_call_t call = { .op = KL_PLATFORM_PUT,
+				    .owner = KL_CONTROLLER_PROMOTE,
+				    .asked_us = view->base.now,
+				    .version = group->version };
+	kl_decision_t decision = { .what = what,
+				   .service = group->name.name,
+				   .upstream = group->primary,
+				   .reason = reason,
+				   .term = group->term };
+	char *body;
+
+	if (change->write_us && view->base.now - change->write_us < RETRY_US)
+		return;
+	change->write_us = view->base.now;
+	body = kl_group_encode(group);
+	if (!body)
+		return;
+	if (snprintf(call.name, sizeof(call.name), "group/%s",
+		     group->name.name) < (int)sizeof(call.name)) {
+		call.body = body;
+		node->outlet->decided(node->context, &decision);
+		node->outlet->platform(node->context, &call);
+		kl_sync_want_list(node, KL_FEED_RECORDS);
+	}
+	free(body);
+}
+
+static kl_promotion_t *promotion_of(promote_state_t *state, const char *service)
+{
+	kl_promotion_t *promotion = kl_index_get(state->index, service);
+
+	if (promotion)
+		return promotion;
+	promotion = calloc(1, sizeof(*promotion));
+	if (!promotion || kl_name_set(promotion->change.name.name, service)) {
+		free(promotion);
+		return NULL;
+	}
+	CK_STAILQ_INIT(&promotion->change.suspicions);
+	CK_STAILQ_INSERT_TAIL(&state->list, promotion, link);
+	kl_index_put(state->index, &promotion->change.name);
+	return promotion;
+}
--- a/control/sync.c
+++ b/control/sync.c
@@ -3,68 +3,55 @@
  * domain or hears from peers, never installs a lower revision, and knows how
  * old the last confirmation is.
  */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "control/controllers.h"
+#include "control/sync_internal.h"
 
 #define SELF_SERVE_US (1500 * KL_MS) /* unconfirmed so long: ask oneself */
 #define ANSWER_US (1 * KL_SEC)	     /* an answer this late is given up */
 #define WATCH_US (20 * KL_SEC)	     /* a watch this old is given up */
-#define FETCH_US (200 * KL_MS)	     /* between two fetches */
-#define FANOUT 4		     /* children in a failure domain's tree */
-
-typedef struct sync {
-	uint64_t revision;
-	uint64_t confirmed_us;
-	bool confirmed;
-	uint64_t list_us; /* when the outstanding list was asked, or 0 */
-	uint64_t next_list_us;
-	uint64_t watch_us; /* when the outstanding watch was asked, or 0 */
-	uint64_t hello_us;
-	uint64_t fetch_us;
-	char fetch_from[KL_NAME_MAX];
-	kl_object_list_t pending; /* of an unfinished fetch */
-	uint64_t pending_since;
-} sync_t;
-
-static void ask_platform(kl_node_t *node, sync_t *sync, uint64_t now);
-static void platform_answered(kl_node_t *node, sync_t *sync,
+#define FEED_WATCH_US (4 * KL_SEC)   /* the same, with several feeds */
+#define RETRY_US (300 * KL_MS)	     /* after a list that failed */
+
+static void ask_for_all(kl_node_t *node, kl_sync_t *sync, uint64_t now);
+static void ask_for_feeds(kl_node_t *node, kl_sync_t *sync, uint64_t now);
+static void ask(kl_node_t *node, const kl_feed_state_t *feed,
+		kl_platform_op_t op, kl_feed_t number, uint64_t now);
+static void platform_answered(kl_node_t *node, kl_sync_t *sync,
 			      kl_platform_answer_t *answer);
-static void hello_came(kl_node_t *node, sync_t *sync,
-		       const kl_peer_message_t *message);
-static void fetch_came(kl_node_t *node, sync_t *sync,
-		       const kl_peer_message_t *message);
-static void delta_came(kl_node_t *node, sync_t *sync,
-		       const kl_peer_message_t *message);
-static void send_fetch(kl_node_t *node, sync_t *sync, const char *vm,
-		       const char *host, uint16_t port, uint64_t since);
-static void send_hello(kl_node_t *node, const sync_t *sync, const char *vm,
-		       const char *host, uint16_t port, uint64_t echo_us,
-		       bool wants_answer);
-static void greet(kl_node_t *node, sync_t *sync);
-static void spread(kl_node_t *node, const sync_t *sync);
-static bool install(kl_node_t *node, sync_t *sync, kl_object_list_t *changed,
-		    uint64_t revision);
-static void confirm(kl_node_t *node, sync_t *sync, uint64_t asked_us);
-static uint32_t domain_position(const kl_node_t *node,
-				const kl_members_t *members,
-				const kl_member_t **table, uint32_t *count);
+static bool starved(const kl_sync_t *sync, uint64_t now);
+static uint64_t newest(const kl_feed_state_t *feed,
+		       const kl_object_list_t *objects);
+static uint64_t registered_since(const kl_node_t *node, kl_sync_t *sync);
+static bool is_news(const kl_objects_t *old, const kl_feed_news_t *news);
+static kl_index_t *index_newest(const kl_feed_news_t *news, size_t count);
+static void keep_old(const kl_objects_t *old, kl_objects_t *objects,
+		     const kl_feed_news_t *news, kl_index_t *newer,
+		     kl_feed_state_t *feed);
+static void take_new(kl_objects_t *objects, const kl_feed_news_t *news,
+		     kl_index_t *newer);
+static void give_up_late(const kl_node_t *node, kl_feed_state_t *feed,
+			 uint64_t now);
 
 int kl_sync_create(kl_node_t *node)
 {
-	sync_t *sync = calloc(1, sizeof(*sync));
+	kl_sync_t *sync = calloc(1, sizeof(*sync));
 
 	if (!sync)
 		return -KL_E_NOMEM;
 	CK_STAILQ_INIT(&sync->pending);
+	for (uint32_t i = 0; node->tuning.feeds > 1 && i < KL_FEED_COUNT; i++)
+		sync->feeds[i].wants_list = true;
 	node->state[KL_CONTROLLER_SYNC] = sync;
 	return 0;
 }
 
 void kl_sync_destroy(kl_node_t *node)
 {
-	sync_t *sync = node->state[KL_CONTROLLER_SYNC];
+	kl_sync_t *sync = node->state[KL_CONTROLLER_SYNC];
 
 	kl_object_list_clear(&sync->pending);
 	free(sync);
@@ -72,15 +59,18 @@
 
 void kl_sync_step(kl_node_t *node, const kl_event_t *event)
 {
-	sync_t *sync = node->state[KL_CONTROLLER_SYNC];
+	kl_sync_t *sync = node->state[KL_CONTROLLER_SYNC];
 	uint64_t now = kl_node_now(node);
 
 	switch (event->kind) {
 	case KL_EVENT_TICK:
-		ask_platform(node, sync, now);
+		if (node->tuning.feeds > 1)
+			ask_for_feeds(node, sync, now);
+		else
+			ask_for_all(node, sync, now);
 		if (now - sync->hello_us >= node->tuning.hello_us) {
 			sync->hello_us = now;
-			greet(node, sync);
+			kl_sync_greet(node, sync);
 		}
 		break;
 	case KL_EVENT_PLATFORM:
@@ -89,358 +79,333 @@
 		break;
 	case KL_EVENT_PEER:
 		if (event->peer->kind == KL_PEER_HELLO)
-			hello_came(node, sync, event->peer);
+			kl_sync_hello_came(node, sync, event->peer);
 		else if (event->peer->kind == KL_PEER_FETCH)
-			fetch_came(node, sync, event->peer);
+			kl_sync_fetch_came(node, sync, event->peer);
 		else if (event->peer->kind == KL_PEER_DELTA)
-			delta_came(node, sync, event->peer);
+			kl_sync_delta_came(node, sync, event->peer);
 		break;
 	default:
 		break;
 	}
 }
 
-static void ask_platform(kl_node_t *node, sync_t *sync, uint64_t now)
+void kl_sync_want_list(kl_node_t *node, kl_feed_t feed)
 {
-	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
-	bool watcher = !members || members->watcher;
-	bool starved =
-		!sync->confirmed || now - sync->confirmed_us > SELF_SERVE_US;
-	kl_platform_call_t call = { .owner = KL_CONTROLLER_SYNC,
-				    .asked_us = now,
-				    .since = sync->revision };
-
-	if (sync->list_us && now - sync->list_us > ANSWER_US)
-		sync->list_us = 0;
-	if (sync->watch_us && now - sync->watch_us > WATCH_US)
-		sync->watch_us = 0;
-	if ((watcher || starved) && !sync->list_us &&
-	    now >= sync->next_list_us) {
-		sync->list_us = now;
-		sync->next_list_us = now + node->tuning.confirm_us;
-		/* Those who merely starve must not come all at once. */
-		if (!watcher)
-			sync->next_list_us +=
-				kl_node_random(node) % (2 * SELF_SERVE_US);
-		call.op = KL_PLATFORM_LIST;
-		node->outlet->platform(node->context, &call);
-	}
-	if (watcher && !sync->watch_us && sync->confirmed) {
-		sync->watch_us = now;
-		call.op = KL_PLATFORM_WATCH;
-		node->outlet->platform(node->context, &call);
-	}
+	kl_sync_t *sync = node->state[KL_CONTROLLER_SYNC];
+
+	sync->feeds[feed].wants_list = true;
 }
 
-static void platform_answered(kl_node_t *node, sync_t *sync,
-			      kl_platform_answer_t *answer)
+uint64_t kl_sync_listed_us(const kl_node_t *node, kl_feed_t feed)
 {
-	if (answer->op == KL_PLATFORM_LIST && answer->asked_us == sync->list_us)
-		sync->list_us = 0;
-	if (answer->op == KL_PLATFORM_WATCH &&
-	    answer->asked_us == sync->watch_us) {
-		sync->watch_us = 0;
-		/* A refused watch is asked again with the next list. */
-		if (answer->error)
-			sync->watch_us =
-				kl_node_now(node) - WATCH_US + ANSWER_US;
-	}
-	if (answer->error)
-		return;
-	if (install(node, sync, answer->objects, answer->revision))
-		spread(node, sync);
-	/* The answer proves its revision; holding less proves nothing. */
-	if (sync->revision >= answer->revision)
-		confirm(node, sync, answer->asked_us);
+	const kl_sync_t *sync = node->state[KL_CONTROLLER_SYNC];
+
+	return sync->feeds[feed].listed_us;
 }
 
-static void hello_came(kl_node_t *node, sync_t *sync,
-		       const kl_peer_message_t *message)
+/* One list for everything. */
+static void ask_for_all(kl_node_t *node, kl_sync_t *sync, uint64_t now)
 {
-	const kl_peer_hello_t *hello = &message->hello;
-	uint64_t now = kl_node_now(node);
+	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
+	kl_feed_state_t *feed = &sync->feeds[KL_FEED_TERMS];
+	bool watcher = !members || members->watcher;
 
-	if (hello->wants_answer)
-		send_hello(node, sync, message->from, hello->host, hello->port,
-			   hello->ping_us, false);
-	if (hello->revision > sync->revision &&
-	    now - sync->fetch_us >= FETCH_US)
-		send_fetch(node, sync, message->from, hello->host, hello->port,
-			   sync->revision);
-	/*
-	 * The age counts from this VM's own question: however late the answer
-	 * is, the confirmation is no older than that.
-	 */
-	if (hello->echo_us && hello->echo_us <= now &&
-	    hello->age_us < hello->echo_us && hello->revision == sync->revision)
-		confirm(node, sync, hello->echo_us - hello->age_us);
+	give_up_late(node, feed, now);
+	if ((watcher || starved(sync, now)) && !feed->list_us &&
+	    now >= feed->next_list_us) {
+		feed->list_us = now;
+		feed->next_list_us = now + node->tuning.confirm_us;
+		/* Those who merely starve must not come all at once. */
+		if (!watcher)
+			feed->next_list_us +=
+				kl_node_random(node) % (2 * SELF_SERVE_US);
+		ask(node, feed, KL_PLATFORM_LIST, KL_FEED_TERMS, now);
+	}
+	if (watcher && !feed->watch_us && sync->confirmed) {
+		feed->watch_us = now;
+		ask(node, feed, KL_PLATFORM_WATCH, KL_FEED_TERMS, now);
+	}
 }
 
-static void fetch_came(kl_node_t *node, sync_t *sync,
-		       const kl_peer_message_t *message)
+/*
+ * A list for each feed.  The one of the terms is asked for over and over: a
+ * watch that brings nothing doesn't prove that there is nothing.
+ */
+static void ask_for_feeds(kl_node_t *node, kl_sync_t *sync, uint64_t now)
 {
-	const kl_objects_t *objects = kl_node_get(node, KL_SECTION_OBJECTS);
-	kl_peer_message_t reply = { .kind = KL_PEER_DELTA };
-	const kl_object_t *object;
-	size_t bytes = 0;
+	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
+	bool watcher = !members || members->watcher;
 
-	if (!objects)
-		return;
-	memcpy(reply.from, node->self.vm, sizeof(reply.from));
-	reply.delta.since = message->since;
-	reply.delta.revision = sync->revision;
-	CK_STAILQ_INIT(&reply.delta.objects);
-	/* The list is kept in the order of versions. */
-	CK_STAILQ_FOREACH(object, &objects->list, link) {
-		kl_object_t *copy;
+	for (uint32_t i = 0; i < KL_FEED_COUNT; i++) {
+		kl_feed_state_t *feed = &sync->feeds[i];
+		bool due = feed->wants_list || i == KL_FEED_TERMS;
 
-		if (object->version <= message->since)
+		give_up_late(node, feed, now);
+		if (!watcher && !starved(sync, now) && !feed->wants_list)
 			continue;
-		bytes += strlen(object->body) + KL_NAME_MAX;
-		if (bytes > KL_DELTA_BYTES &&
-		    !CK_STAILQ_EMPTY(&reply.delta.objects)) {
-			reply.delta.more = true;
-			break;
+		if (due && !feed->list_us && now >= feed->next_list_us) {
+			feed->list_us = now;
+			feed->next_list_us =
+				now + (i == KL_FEED_TERMS
+					       ? node->tuning.confirm_us
+					       : RETRY_US);
+			if (!watcher)
+				feed->next_list_us += kl_node_random(node) %
+						      (2 * SELF_SERVE_US);
+			ask(node, feed, KL_PLATFORM_LIST, i, now);
+		}
+		if (feed->known && !feed->wants_list && !feed->watch_us) {
+			feed->watch_us = now;
+			ask(node, feed, KL_PLATFORM_WATCH, i, now);
 		}
-		copy = kl_object_new(object->name.name, object->version,
-				     object->body);
-		if (!copy)
-			break;
-		CK_STAILQ_INSERT_TAIL(&reply.delta.objects, copy, link);
-		reply.delta.revision = object->version;
 	}
-	if (!reply.delta.more)
-		reply.delta.revision = sync->revision;
-	node->outlet->peer(node->context, message->from, message->hello.host,
-			   message->hello.port, &reply);
-	kl_object_list_clear(&reply.delta.objects);
 }
 
-static void delta_came(kl_node_t *node, sync_t *sync,
-		       const kl_peer_message_t *message)
+static void give_up_late(const kl_node_t *node, kl_feed_state_t *feed,
+			 uint64_t now)
 {
-	const kl_peer_delta_t *delta = &message->delta;
-	const kl_object_t *object;
-
-	if (strcmp(message->from, sync->fetch_from) ||
-	    delta->since != sync->pending_since ||
-	    delta->revision <= sync->revision)
-		return;
-	CK_STAILQ_FOREACH(object, &delta->objects, link) {
-		kl_object_t *copy = kl_object_new(
-			object->name.name, object->version, object->body);
+	uint64_t watch = node->tuning.feeds > 1 ? FEED_WATCH_US : WATCH_US;
 
-		if (!copy)
-			return;
-		CK_STAILQ_INSERT_TAIL(&sync->pending, copy, link);
-	}
-	if (delta->more) {
-		send_fetch(node, sync, message->from, message->hello.host,
-			   message->hello.port, delta->revision);
-		return;
-	}
-	sync->fetch_us = 0;
-	sync->fetch_from[0] = '\0';
-	if (install(node, sync, &sync->pending, delta->revision))
-		spread(node, sync);
-	kl_object_list_clear(&sync->pending);
+	if (feed->list_us && now - feed->list_us > ANSWER_US)
+		feed->list_us = 0;
+	if (feed->watch_us && now - feed->watch_us > watch)
+		feed->watch_us = 0;
 }
 
-static void send_fetch(kl_node_t *node, sync_t *sync, const char *vm,
-		       const char *host, uint16_t port, uint64_t since)
+static bool starved(const kl_sync_t *sync, uint64_t now)
 {
-	kl_peer_message_t message = { .kind = KL_PEER_FETCH, .since = since };
-
-	if (since == sync->revision)
-		kl_object_list_clear(&sync->pending);
-	sync->fetch_us = kl_node_now(node);
-	sync->pending_since = since;
-	memcpy(sync->fetch_from, vm, sizeof(sync->fetch_from));
-	memcpy(message.from, node->self.vm, sizeof(message.from));
-	memcpy(message.hello.host, node->self.host, sizeof(node->self.host));
-	message.hello.port = node->self.port;
-	node->outlet->peer(node->context, vm, host, port, &message);
+	return !sync->confirmed || now - sync->confirmed_us > SELF_SERVE_US;
 }
 
-static void send_hello(kl_node_t *node, const sync_t *sync, const char *vm,
-		       const char *host, uint16_t port, uint64_t echo_us,
-		       bool wants_answer)
+static void ask(kl_node_t *node, const kl_feed_state_t *feed,
+		kl_platform_op_t op, kl_feed_t number, uint64_t now)
 {
-	kl_peer_message_t message = { .kind = KL_PEER_HELLO };
-	kl_peer_hello_t *hello = &message.hello;
-	uint64_t now = kl_node_now(node);
+	bool whole = node->tuning.feeds > 1 && op == KL_PLATFORM_LIST;
+	kl_platform_call_t call = { .op = op,
+				    .owner = KL_CONTROLLER_SYNC,
+				    .asked_us = now,
+				    .feed = number,
+				    .since = whole ? 0 : feed->watch_from };
 
-	memcpy(message.from, node->self.vm, sizeof(message.from));
-	memcpy(hello->domain, node->self.domain, sizeof(hello->domain));
-	memcpy(hello->host, node->self.host, sizeof(hello->host));
-	hello->port = node->self.port;
-	hello->incarnation = node->self.incarnation;
-	hello->wants_answer = wants_answer;
-	hello->ping_us = now;
-	hello->echo_us = echo_us;
-	hello->revision = sync->revision;
-	hello->age_us =
-		sync->confirmed ? now - sync->confirmed_us : KL_AGE_NEVER;
-	node->outlet->peer(node->context, vm, host, port, &message);
+	node->outlet->platform(node->context, &call);
 }
 
-/* Asks the parent in the domain's tree, and one VM of the whole fleet. */
-static void greet(kl_node_t *node, sync_t *sync)
+static void platform_answered(kl_node_t *node, kl_sync_t *sync,
+			      kl_platform_answer_t *answer)
 {
-	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
-	const kl_member_t *member;
-	const kl_member_t *parent = NULL;
-	kl_seed_t *seed;
-	uint32_t pick, position = 0, count;
-
-	if (!members || members->count < 2) {
-		CK_SLIST_FOREACH(seed, &node->seeds, link)
-		{
-			if (seed->port != node->self.port ||
-			    strcmp(seed->host, node->self.host))
-				send_hello(node, sync, "", seed->host,
-					   seed->port, 0, true);
-		}
-		return;
-	}
-	position = domain_position(node, members, NULL, &count);
-	if (position >= KL_ROOTS) {
-		const kl_member_t *table[count + 1];
-
-		domain_position(node, members, table, &count);
-		parent = table[(position - KL_ROOTS) / FANOUT];
-		send_hello(node, sync, parent->name.name, parent->host,
-			   parent->port, 0, true);
-	}
-	pick = kl_node_random(node) % members->count;
-	CK_STAILQ_FOREACH(member, &members->list, link) {
-		if (pick--)
-			continue;
-		if (strcmp(member->name.name, node->self.vm) &&
-		    member != parent)
-			send_hello(node, sync, member->name.name, member->host,
-				   member->port, 0, true);
-		break;
+	kl_feed_state_t *feed = &sync->feeds[answer->feed];
+	uint64_t watch = node->tuning.feeds > 1 ? FEED_WATCH_US : WATCH_US;
+	kl_feed_news_t news = { .feed = answer->feed,
+				.changed = answer->objects,
+				.upto = answer->revision,
+				.whole = answer->whole };
+
+	if (answer->op == KL_PLATFORM_LIST && answer->asked_us == feed->list_us)
+		feed->list_us = 0;
+	if (answer->op == KL_PLATFORM_WATCH &&
+	    answer->asked_us == feed->watch_us) {
+		feed->watch_us = 0;
+		/* A refused watch is asked again with the next list. */
+		if (answer->error)
+			feed->watch_us = kl_node_now(node) - watch + ANSWER_US;
 	}
-}
-
-/* Tells the children and a few others at once that there is news. */
-static void spread(kl_node_t *node, const sync_t *sync)
-{
-	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
-	const kl_member_t *member;
-	uint32_t position, count, index = 0;
-
-	if (!members || members->count < 2)
+	if (answer->error == -KL_E_STALE_CONFIG)
+		feed->wants_list = true;
+	if (answer->error)
 		return;
-	position = domain_position(node, members, NULL, &count);
-	const kl_member_t *table[count + 1];
-	domain_position(node, members, table, &count);
-	for (uint32_t i = 0; i < FANOUT; i++) {
-		uint32_t child = KL_ROOTS + position * FANOUT + i;
-
-		if (child < count)
-			send_hello(node, sync, table[child]->name.name,
-				   table[child]->host, table[child]->port, 0,
-				   false);
-	}
-	uint32_t first = kl_node_random(node) % members->count;
-	CK_STAILQ_FOREACH(member, &members->list, link) {
-		if ((index++ == first || index == first + 1) &&
-		    strcmp(member->name.name, node->self.vm))
-			send_hello(node, sync, member->name.name, member->host,
-				   member->port, 0, false);
+	if (answer->op == KL_PLATFORM_LIST) {
+		feed->wants_list = false;
+		if (answer->whole)
+			feed->listed_us = answer->asked_us;
 	}
+	if (answer->revision > feed->watch_from)
+		feed->watch_from = answer->revision;
+	news.revision = answer->revision;
+	if (node->tuning.feeds > 1)
+		news.revision = newest(feed, answer->objects);
+	if (kl_sync_install(node, sync, &news))
+		kl_sync_spread(node, sync);
+	/* The answer proves its revision; holding less proves nothing. */
+	if (answer->feed == KL_FEED_TERMS &&
+	    (answer->whole || feed->revision >= answer->revision))
+		kl_sync_confirm(node, sync, answer->asked_us);
 }
 
-/* This VM's place among the listed VMs of its domain, in order of names. */
-static uint32_t domain_position(const kl_node_t *node,
-				const kl_members_t *members,
-				const kl_member_t **table, uint32_t *count)
+/*
+ * With several feeds a feed's revision is that of its newest object: the
+ * platform's own one rises with changes of other feeds too, and VMs that hold
+ * the same would not see that they do.
+ */
+static uint64_t newest(const kl_feed_state_t *feed,
+		       const kl_object_list_t *objects)
 {
-	const kl_member_t *member;
-	uint32_t position = 0;
+	uint64_t revision = feed->revision;
+	const kl_object_t *object;
 
-	*count = 0;
-	CK_STAILQ_FOREACH(member, &members->list, link) {
-		if (strcmp(member->domain, node->self.domain))
-			continue;
-		if (!strcmp(member->name.name, node->self.vm))
-			position = *count;
-		if (table)
-			table[*count] = member;
-		(*count)++;
+	CK_STAILQ_FOREACH(object, objects, link) {
+		if (object->version > revision)
+			revision = object->version;
 	}
-	return position;
+	return revision;
 }
 
-/* Publishes a new set of objects; true if the revision rose. */
-static bool install(kl_node_t *node, sync_t *sync, kl_object_list_t *changed,
-		    uint64_t revision)
+bool kl_sync_install(kl_node_t *node, kl_sync_t *sync,
+		     const kl_feed_news_t *news)
 {
 	const kl_objects_t *old = kl_node_get(node, KL_SECTION_OBJECTS);
-	kl_objects_t *new;
-	const kl_object_t *object;
-	kl_object_t *entry, *copy;
+	kl_feed_state_t *feed = &sync->feeds[news->feed];
+	kl_index_t *newer;
+	kl_objects_t *objects;
 	size_t count = 64;
+	const kl_object_t *object;
 
-	if (revision <= sync->revision && old)
+	if (feed->known &&
+	    (node->tuning.feeds > 1 ? !is_news(old, news)
+				    : news->revision <= feed->revision))
 		return false;
 	if (old) {
 		CK_STAILQ_FOREACH(object, &old->list, link)
 			count++;
 	}
-	new = kl_objects_new(count);
-	if (!new || !new->index)
+	objects = kl_objects_new(count);
+	if (!objects || !objects->index)
+		return false;
+	feed->revision = news->revision;
+	if (!feed->known)
+		feed->since_whole = news->whole ? news->revision : 0;
+	feed->known = true;
+	newer = index_newest(news, count);
+	if (old)
+		keep_old(old, objects, news, newer, feed);
+	take_new(objects, news, newer);
+	kl_index_free(newer);
+	for (int i = 0; i < KL_FEED_COUNT; i++) {
+		objects->feeds[i] = sync->feeds[i].revision;
+		objects->revision += sync->feeds[i].revision;
+	}
+	kl_node_publish(node, KL_SECTION_OBJECTS, &objects->base);
+	return true;
+}
+
+static bool is_news(const kl_objects_t *old, const kl_feed_news_t *news)
+{
+	const kl_object_t *object;
+	uint32_t had = 0, has = 0;
+
+	CK_STAILQ_FOREACH(object, news->changed, link) {
+		const kl_object_t *held =
+			kl_index_get(old->index, object->name.name);
+
+		if (!held || held->version < object->version)
+			return true;
+		has += strcmp(object->body, "null") != 0;
+	}
+	if (!news->whole)
 		return false;
-	new->revision = revision;
+	CK_STAILQ_FOREACH(object, &old->list, link)
+		had += object->feed == news->feed &&
+		       object->version <= news->upto &&
+		       strcmp(object->body, "null");
+	return had > has;
+}
+
+static kl_index_t *index_newest(const kl_feed_news_t *news, size_t count)
+{
 	kl_index_t *newer = kl_index_new(count);
-	CK_STAILQ_FOREACH(entry, changed, link) {
+	kl_object_t *entry;
+
+	CK_STAILQ_FOREACH(entry, news->changed, link) {
 		kl_object_t *other = kl_index_get(newer, entry->name.name);
 
+		entry->feed = news->feed;
 		if (other && other->version < entry->version)
 			kl_index_remove(newer, entry->name.name);
 		if (!other || other->version < entry->version)
 			kl_index_put(newer, &entry->name);
 	}
-	if (old) {
-		CK_STAILQ_FOREACH(object, &old->list, link) {
-			const kl_object_t *other =
-				kl_index_get(newer, object->name.name);
-
-			if (other && other->version > object->version)
-				continue;
-			copy = kl_object_new(object->name.name, object->version,
-					     object->body);
-			CK_STAILQ_INSERT_TAIL(&new->list, copy, link);
-			kl_index_put(new->index, &copy->name);
-		}
+	return newer;
+}
+
+/* Copies what stays; what a whole list lacks is marked as removed. */
+static void keep_old(const kl_objects_t *old, kl_objects_t *objects,
+		     const kl_feed_news_t *news, kl_index_t *newer,
+		     kl_feed_state_t *feed)
+{
+	const kl_object_t *object;
+
+	CK_STAILQ_FOREACH(object, &old->list, link) {
+		const kl_object_t *other =
+			kl_index_get(newer, object->name.name);
+		bool gone = news->whole && object->feed == news->feed &&
+			    !other && object->version <= news->upto &&
+			    strcmp(object->body, "null");
+		kl_object_t *copy;
+
+		if (other && other->version > object->version)
+			continue;
+		copy = kl_object_new(object->name.name,
+				     gone ? news->upto : object->version,
+				     gone ? "null" : object->body);
+		if (!copy)
+			continue;
+		if (copy->version > feed->revision &&
+		    object->feed == news->feed)
+			feed->revision = copy->version;
+		copy->feed = object->feed;
+		CK_STAILQ_INSERT_TAIL(&objects->list, copy, link);
+		kl_index_put(objects->index, &copy->name);
 	}
-	while ((entry = CK_STAILQ_FIRST(changed))) {
-		CK_STAILQ_REMOVE_HEAD(changed, link);
+}
+
+static void take_new(kl_objects_t *objects, const kl_feed_news_t *news,
+		     kl_index_t *newer)
+{
+	kl_object_t *entry;
+
+	while ((entry = CK_STAILQ_FIRST(news->changed))) {
+		CK_STAILQ_REMOVE_HEAD(news->changed, link);
 		if (kl_index_get(newer, entry->name.name) != entry ||
-		    kl_index_get(new->index, entry->name.name)) {
+		    kl_index_get(objects->index, entry->name.name)) {
 			kl_object_free(entry);
 			continue;
 		}
-		CK_STAILQ_INSERT_TAIL(&new->list, entry, link);
-		kl_index_put(new->index, &entry->name);
+		CK_STAILQ_INSERT_TAIL(&objects->list, entry, link);
+		kl_index_put(objects->index, &entry->name);
 	}
-	kl_index_free(newer);
-	sync->revision = revision;
-	kl_node_publish(node, KL_SECTION_OBJECTS, &new->base);
-	return true;
 }
 
-static void confirm(kl_node_t *node, sync_t *sync, uint64_t asked_us)
+/*
+ * With several feeds a promoter counts on the VMs that are registered: what
+ * was confirmed before this VM was one of them is of no use.
+ */
+void kl_sync_confirm(kl_node_t *node, kl_sync_t *sync, uint64_t asked_us)
 {
 	kl_fresh_t *fresh;
 
 	if (sync->confirmed && asked_us <= sync->confirmed_us)
 		return;
+	if (node->tuning.feeds > 1 && asked_us < registered_since(node, sync))
+		return;
 	sync->confirmed = true;
 	sync->confirmed_us = asked_us;
-	fresh = kl_fresh_new(sync->revision, asked_us);
+	fresh = kl_fresh_new(sync->feeds[KL_FEED_TERMS].revision, asked_us);
 	if (fresh)
 		kl_node_publish(node, KL_SECTION_FRESH, &fresh->base);
 }
+
+static uint64_t registered_since(const kl_node_t *node, kl_sync_t *sync)
+{
+	const kl_objects_t *objects = kl_node_get(node, KL_SECTION_OBJECTS);
+	const kl_object_t *own;
+	char name[2 * KL_NAME_MAX];
+
+	if (sync->registered_us)
+		return sync->registered_us;
+	snprintf(name, sizeof(name), "vm/%s", node->self.vm);
+	own = objects ? kl_index_get(objects->index, name) : NULL;
+	if (!own || !strcmp(own->body, "null"))
+		return UINT64_MAX;
+	sync->registered_us = kl_node_now(node);
+	return sync->registered_us;
+}
--- /dev/null
+++ b/control/sync_peer.c
@@ -0,0 +1,295 @@
+/* What VMs tell each other of the objects that they hold. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/controllers.h"
+#include "control/sync_internal.h"
+
+#define FETCH_US (200 * KL_MS) /* between two fetches */
+#define FANOUT 4	       /* children in a failure domain's tree */
+
+static bool has_news(const kl_peer_hello_t *hello, const kl_sync_t *sync,
+		     kl_feed_t *feed);
+static void send_fetch(kl_node_t *node, kl_sync_t *sync, const char *vm,
+		       const char *host, uint16_t port);
+static void start_fetch(kl_node_t *node, kl_sync_t *sync, const char *vm,
+			const char *host, uint16_t port, kl_feed_t feed);
+static void send_hello(kl_node_t *node, const kl_sync_t *sync, const char *vm,
+		       const char *host, uint16_t port, uint64_t echo_us,
+		       bool wants_answer);
+static uint32_t domain_position(const kl_node_t *node,
+				const kl_members_t *members,
+				const kl_member_t **table, uint32_t *count);
+
+void kl_sync_hello_came(kl_node_t *node, kl_sync_t *sync,
+			const kl_peer_message_t *message)
+{
+	const kl_peer_hello_t *hello = &message->hello;
+	uint64_t now = kl_node_now(node);
+	kl_feed_t feed;
+
+	if (hello->wants_answer)
+		send_hello(node, sync, message->from, hello->host, hello->port,
+			   hello->ping_us, false);
+	if (has_news(hello, sync, &feed) && now - sync->fetch_us >= FETCH_US)
+		start_fetch(node, sync, message->from, hello->host, hello->port,
+			    feed);
+	/*
+	 * The age counts from this VM's own question: however late the answer
+	 * is, the confirmation is no older than that.
+	 */
+	if (hello->echo_us && hello->echo_us <= now &&
+	    hello->age_us < hello->echo_us &&
+	    hello->revisions[KL_FEED_TERMS] ==
+		    sync->feeds[KL_FEED_TERMS].revision)
+		kl_sync_confirm(node, sync, hello->echo_us - hello->age_us);
+}
+
+void kl_sync_hello(kl_node_t *node, const kl_member_t *member)
+{
+	send_hello(node, node->state[KL_CONTROLLER_SYNC], member->name.name,
+		   member->host, member->port, 0, true);
+}
+
+static bool has_news(const kl_peer_hello_t *hello, const kl_sync_t *sync,
+		     kl_feed_t *feed)
+{
+	for (int i = 0; i < KL_FEED_COUNT; i++) {
+		if (hello->revisions[i] <= sync->feeds[i].revision)
+			continue;
+		*feed = i;
+		return true;
+	}
+	return false;
+}
+
+void kl_sync_fetch_came(kl_node_t *node, kl_sync_t *sync,
+			const kl_peer_message_t *message)
+{
+	const kl_objects_t *objects = kl_node_get(node, KL_SECTION_OBJECTS);
+	const kl_peer_fetch_t *fetch = &message->fetch;
+	const kl_feed_state_t *feed = &sync->feeds[fetch->feed];
+	kl_peer_message_t reply = { .kind = KL_PEER_DELTA };
+	const kl_object_t *object;
+	uint64_t since = fetch->since;
+	uint32_t skip = fetch->skip;
+	size_t bytes = 0;
+
+	if (!objects)
+		return;
+	memcpy(reply.from, node->self.vm, sizeof(reply.from));
+	memcpy(reply.hello.host, node->self.host, sizeof(node->self.host));
+	reply.hello.port = node->self.port;
+	reply.delta.asked = *fetch;
+	reply.delta.revision = feed->revision;
+	reply.delta.whole = since < feed->since_whole;
+	if (reply.delta.whole)
+		since = 0;
+	CK_STAILQ_INIT(&reply.delta.objects);
+	CK_STAILQ_FOREACH(object, &objects->list, link) {
+		kl_object_t *copy;
+
+		if (object->feed != fetch->feed || object->version <= since)
+			continue;
+		if (skip) {
+			skip--;
+			continue;
+		}
+		bytes += strlen(object->body) + KL_NAME_MAX;
+		if (bytes > KL_DELTA_BYTES &&
+		    !CK_STAILQ_EMPTY(&reply.delta.objects)) {
+			reply.delta.more = true;
+			break;
+		}
+		copy = kl_object_new(object->name.name, object->version,
+				     object->body);
+		if (!copy)
+			break;
+		CK_STAILQ_INSERT_TAIL(&reply.delta.objects, copy, link);
+	}
+	node->outlet->peer(node->context, message->from, message->hello.host,
+			   message->hello.port, &reply);
+	kl_object_list_clear(&reply.delta.objects);
+}
+
+void kl_sync_delta_came(kl_node_t *node, kl_sync_t *sync,
+			const kl_peer_message_t *message)
+{
+	const kl_peer_delta_t *delta = &message->delta;
+	const kl_peer_fetch_t *asked = &delta->asked;
+	const kl_object_t *object;
+	kl_feed_news_t news;
+
+	if (strcmp(message->from, sync->fetch_from) ||
+	    asked->feed != sync->fetch.feed ||
+	    asked->since != sync->fetch.since ||
+	    asked->skip != sync->fetch.skip ||
+	    delta->revision <= sync->feeds[asked->feed].revision)
+		return;
+	if (sync->fetch_revision && sync->fetch_revision != delta->revision) {
+		/* The sender went on meanwhile: begin again. */
+		start_fetch(node, sync, message->from, message->hello.host,
+			    message->hello.port, asked->feed);
+		return;
+	}
+	sync->fetch_revision = delta->revision;
+	CK_STAILQ_FOREACH(object, &delta->objects, link) {
+		kl_object_t *copy = kl_object_new(
+			object->name.name, object->version, object->body);
+
+		if (!copy)
+			return;
+		CK_STAILQ_INSERT_TAIL(&sync->pending, copy, link);
+		sync->fetch.skip++;
+	}
+	if (delta->more) {
+		send_fetch(node, sync, message->from, message->hello.host,
+			   message->hello.port);
+		return;
+	}
+	sync->fetch_us = 0;
+	sync->fetch_from[0] = '\0';
+	news.upto = news.revision = delta->revision;
+	news.feed = asked->feed;
+	news.changed = &sync->pending;
+	news.whole = delta->whole;
+	if (kl_sync_install(node, sync, &news))
+		kl_sync_spread(node, sync);
+	kl_object_list_clear(&sync->pending);
+}
+
+static void start_fetch(kl_node_t *node, kl_sync_t *sync, const char *vm,
+			const char *host, uint16_t port, kl_feed_t feed)
+{
+	kl_object_list_clear(&sync->pending);
+	sync->fetch.feed = feed;
+	sync->fetch.since = sync->feeds[feed].revision;
+	sync->fetch.skip = 0;
+	sync->fetch_revision = 0;
+	send_fetch(node, sync, vm, host, port);
+}
+
+static void send_fetch(kl_node_t *node, kl_sync_t *sync, const char *vm,
+		       const char *host, uint16_t port)
+{
+	kl_peer_message_t message = { .kind = KL_PEER_FETCH,
+				      .fetch = sync->fetch };
+
+	sync->fetch_us = kl_node_now(node);
+	memcpy(sync->fetch_from, vm, sizeof(sync->fetch_from));
+	memcpy(message.from, node->self.vm, sizeof(message.from));
+	memcpy(message.hello.host, node->self.host, sizeof(node->self.host));
+	message.hello.port = node->self.port;
+	node->outlet->peer(node->context, vm, host, port, &message);
+}
+
+static void send_hello(kl_node_t *node, const kl_sync_t *sync, const char *vm,
+		       const char *host, uint16_t port, uint64_t echo_us,
+		       bool wants_answer)
+{
+	kl_peer_message_t message = { .kind = KL_PEER_HELLO };
+	kl_peer_hello_t *hello = &message.hello;
+	uint64_t now = kl_node_now(node);
+
+	memcpy(message.from, node->self.vm, sizeof(message.from));
+	memcpy(hello->domain, node->self.domain, sizeof(hello->domain));
+	memcpy(hello->host, node->self.host, sizeof(hello->host));
+	hello->port = node->self.port;
+	hello->incarnation = node->self.incarnation;
+	hello->wants_answer = wants_answer;
+	hello->ping_us = now;
+	hello->echo_us = echo_us;
+	for (int i = 0; i < KL_FEED_COUNT; i++)
+		hello->revisions[i] = sync->feeds[i].revision;
+	hello->age_us =
+		sync->confirmed ? now - sync->confirmed_us : KL_AGE_NEVER;
+	node->outlet->peer(node->context, vm, host, port, &message);
+}
+
+void kl_sync_greet(kl_node_t *node, kl_sync_t *sync)
+{
+	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
+	const kl_member_t *member;
+	const kl_member_t *parent = NULL;
+	kl_seed_t *seed;
+	uint32_t pick, position = 0, count;
+
+	if (!members || members->count < 2) {
+		CK_SLIST_FOREACH(seed, &node->seeds, link)
+		{
+			if (seed->port != node->self.port ||
+			    strcmp(seed->host, node->self.host))
+				send_hello(node, sync, "", seed->host,
+					   seed->port, 0, true);
+		}
+		return;
+	}
+	position = domain_position(node, members, NULL, &count);
+	if (position >= KL_ROOTS) {
+		const kl_member_t *table[count + 1];
+
+		domain_position(node, members, table, &count);
+		parent = table[(position - KL_ROOTS) / FANOUT];
+		send_hello(node, sync, parent->name.name, parent->host,
+			   parent->port, 0, true);
+	}
+	pick = kl_node_random(node) % members->count;
+	CK_STAILQ_FOREACH(member, &members->list, link) {
+		if (pick--)
+			continue;
+		if (strcmp(member->name.name, node->self.vm) &&
+		    member != parent)
+			send_hello(node, sync, member->name.name, member->host,
+				   member->port, 0, true);
+		break;
+	}
+}
+
+void kl_sync_spread(kl_node_t *node, const kl_sync_t *sync)
+{
+	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
+	const kl_member_t *member;
+	uint32_t position, count, index = 0;
+
+	if (!members || members->count < 2)
+		return;
+	position = domain_position(node, members, NULL, &count);
+	const kl_member_t *table[count + 1];
+	domain_position(node, members, table, &count);
+	for (uint32_t i = 0; i < FANOUT; i++) {
+		uint32_t child = KL_ROOTS + position * FANOUT + i;
+
+		if (child < count)
+			send_hello(node, sync, table[child]->name.name,
+				   table[child]->host, table[child]->port, 0,
+				   false);
+	}
+	uint32_t first = kl_node_random(node) % members->count;
+	CK_STAILQ_FOREACH(member, &members->list, link) {
+		if ((index++ == first || index == first + 1) &&
+		    strcmp(member->name.name, node->self.vm))
+			send_hello(node, sync, member->name.name, member->host,
+				   member->port, 0, false);
+	}
+}
+
+/* This VM's place among the listed VMs of its domain, in order of names. */
+static uint32_t domain_position(const kl_node_t *node,
+				const kl_members_t *members,
+				const kl_member_t **table, uint32_t *count)
+{
+	const kl_member_t *member;
+	uint32_t position = 0;
+
+	*count = 0;
+	CK_STAILQ_FOREACH(member, &members->list, link) {
+		if (strcmp(member->domain, node->self.domain))
+			continue;
+		if (!strcmp(member->name.name, node->self.vm))
+			position = *count;
+		if (table)
+			table[*count] = member;
+		(*count)++;
+	}
+	return position;
+}
--- a/control/terms.c
+++ b/control/terms.c
@@ -28,7 +28,7 @@
 
 	if (!terms)
 		return;
-	terms->revision = objects->revision;
+	terms->revision = objects->feeds[KL_FEED_TERMS];
 	CK_STAILQ_FOREACH(object, &objects->list, link) {
 		const char *name = object->name.name;
 		const kl_group_t *before;
--- a/daemon/control_thread.c
+++ b/daemon/control_thread.c
@@ -19,6 +19,7 @@
 #include "platform/http.h"
 
 #define TICK_US 10000
+#define CALM_TICK_US 25000 /* where requests tell of the databases */
 
 struct kl_control_thread {
 	kl_node_t node;
@@ -40,6 +41,8 @@
 	kl_letter_t letter;
 	kl_event_kind_t kind;
 	char service[KL_NAME_MAX];
+	char upstream[KL_NAME_MAX];
+	kl_traffic_t traffic;
 	kl_platform_answer_t platform;
 	kl_object_list_t objects;
 	kl_database_answer_t database;
@@ -53,6 +56,7 @@
 static void outlet_platform(void *context, const kl_platform_call_t *call);
 static void outlet_database(void *context, const kl_database_call_t *call);
 static void outlet_decided(void *context, const kl_decision_t *decision);
+static void log_platform_error(const kl_platform_answer_t *answer);
 static void platform_answered(void *context, kl_platform_answer_t *answer);
 static void database_answered(void *context,
 			      const kl_database_answer_t *answer);
@@ -76,7 +80,12 @@
 
 kl_control_thread_t *kl_control_thread_new(const kl_settings_t *settings)
 {
-	struct timeval tick = { 0, TICK_US };
+	bool line = !strcmp(settings->front, "line");
+	struct timeval tick = { 0, line ? CALM_TICK_US : TICK_US };
+	kl_platform_service_t service = {
+		kl_platform_format(settings->platform_format),
+		{ settings->platform, settings->promoter, settings->vm }
+	};
 	kl_control_thread_t *control = calloc(1, sizeof(*control));
 
 	if (!control)
@@ -89,13 +98,18 @@
 	if (open_socket(control) || kl_node_start(&control->node))
 		goto fail;
 	control->platform =
-		kl_platform_new(settings->platform, platform_answered, control);
-	control->databases =
-		kl_database_caller_new(control->base, settings->upstream_user,
-				       database_answered, control);
+		kl_platform_new(&service, platform_answered, control);
+	control->databases = kl_database_caller_new(
+		control->base, line ? &kl_control_line : &kl_control_pq,
+		settings->upstream_user, database_answered, control);
 	control->status =
 		kl_status_new(control->base, settings->host,
 			      (uint16_t)settings->status_port, &control->node);
+	if (settings->ready_port && control->status &&
+	    kl_status_ready(control->status, settings->host,
+			    (uint16_t)settings->ready_port,
+			    settings->ready_path))
+		goto fail;
 	if (!control->platform || !control->databases || !control->status)
 		goto fail;
 	control->tick =
@@ -165,6 +179,24 @@
 	post_kind(control, KL_EVENT_INTEREST, service);
 }
 
+void kl_control_thread_traffic(kl_control_thread_t *control,
+			       const kl_traffic_t *traffic)
+{
+	answer_letter_t *letter = calloc(1, sizeof(*letter));
+
+	if (!letter)
+		return;
+	letter->letter.open = open_answer;
+	letter->kind = KL_EVENT_TRAFFIC;
+	kl_name_set(letter->service, traffic->service);
+	kl_name_set(letter->upstream, traffic->upstream);
+	letter->traffic = *traffic;
+	letter->traffic.service = letter->service;
+	letter->traffic.upstream = letter->upstream;
+	CK_STAILQ_INIT(&letter->objects);
+	kl_inbox_post(control->inbox, &letter->letter);
+}
+
 void kl_control_thread_stop(kl_control_thread_t *control)
 {
 	post_kind(control, KL_EVENT_STOP, "");
@@ -206,6 +238,10 @@
 	tuning->suspect_us = settings->suspect_ms * KL_MS;
 	tuning->share_hold_us = settings->share_hold_s * KL_SEC;
 	tuning->slots = settings->slots;
+	if (strcmp(settings->platform_format, "native")) {
+		tuning->feeds = KL_FEED_COUNT;
+		tuning->platform_promotes = true;
+	}
 	CK_SLIST_INIT(&node->seeds);
 	for (uint32_t i = 0; i < settings->peers_count; i++) {
 		kl_seed_t *seed = calloc(1, sizeof(*seed));
@@ -304,6 +340,25 @@
 	kl_log_decision(decision);
 }
 
+static void log_platform_error(const kl_platform_answer_t *answer)
+{
+	static const char *const calls[KL_PLATFORM_OP_COUNT] = {
+		[KL_PLATFORM_LIST] = "platform_list_failed",
+		[KL_PLATFORM_WATCH] = "platform_watch_failed",
+		[KL_PLATFORM_PUT] = "platform_put_failed",
+		[KL_PLATFORM_GET] = "platform_get_failed",
+		[KL_PLATFORM_PROMOTE] = "platform_promote_failed",
+	};
+	kl_decision_t decision = { .what = calls[answer->op],
+				   .service = answer->name,
+				   .reason = kl_answer_of(answer->error)->name,
+				   .position = answer->feed,
+				   .age_us = kl_clock_us() -
+					     answer->asked_us };
+
+	kl_log_decision(&decision);
+}
+
 static void platform_answered(void *context, kl_platform_answer_t *answer)
 {
 	kl_control_thread_t *control = context;
@@ -311,6 +366,8 @@
 
 	if (answer->error == -KL_E_UNAVAILABLE)
 		kl_count(KL_COUNTER_PLATFORM_ERRORS, 1);
+	if (answer->error)
+		log_platform_error(answer);
 	if (!letter)
 		return;
 	letter->letter.open = open_answer;
@@ -358,7 +415,8 @@
 	kl_event_t event = { .kind = answer->kind,
 			     .platform = &answer->platform,
 			     .database = &answer->database,
-			     .service = answer->service };
+			     .service = answer->service,
+			     .traffic = &answer->traffic };
 
 	if (control) {
 		if (answer->kind == KL_EVENT_DEMAND) {
--- a/daemon/database_call.c
+++ b/daemon/database_call.c
@@ -2,8 +2,6 @@
 #include <string.h>
 
 #include "daemon/database_call.h"
-#include "upstream/control_query.h"
-#include "upstream/link.h"
 
 #define TIMEOUT_US 500000 /* of connecting and answering together */
 
@@ -12,7 +10,7 @@
 	CK_STAILQ_ENTRY(line) link;
 	kl_database_caller_t *caller;
 	kl_database_call_t call;
-	kl_link_t *connection;
+	kl_control_t *connection;
 	struct event *timer;
 	bool kept;
 	bool ready;
@@ -21,6 +19,7 @@
 
 struct kl_database_caller {
 	struct event_base *base;
+	const kl_control_ops_t *ops;
 	const char *user;
 	void (*answered)(void *context, const kl_database_answer_t *answer);
 	void *context;
@@ -33,18 +32,17 @@
 			 const kl_database_call_t *call);
 static void ask(line_t *line);
 static void on_ready(void *owner);
-static void on_answered(void *owner, const kl_link_result_t *results,
-			int count);
-static void on_broken(void *owner);
+static void on_answered(void *owner, const kl_control_state_t *state);
+static void on_broken(void *owner, int error);
 static void on_timeout(evutil_socket_t fd, short what, void *arg);
-static void fail(line_t *line);
+static void fail(line_t *line, int error);
 static void line_free(line_t *line);
 
-static const kl_link_events_t link_events = { on_ready, on_answered,
-					      on_broken };
+static const kl_control_events_t control_events = { on_ready, on_answered,
+						    on_broken };
 
 kl_database_caller_t *kl_database_caller_new(
-	struct event_base *base, const char *user,
+	struct event_base *base, const kl_control_ops_t *ops, const char *user,
 	void (*answered)(void *context, const kl_database_answer_t *answer),
 	void *context)
 {
@@ -53,6 +51,7 @@
 	if (!caller)
 		return NULL;
 	caller->base = base;
+	caller->ops = ops;
 	caller->user = user;
 	caller->answered = answered;
 	caller->context = context;
@@ -113,16 +112,14 @@
 static line_t *open_line(kl_database_caller_t *caller,
 			 const kl_database_call_t *call)
 {
-	kl_link_target_t target = { call->host, call->port, call->service,
-				    caller->user };
 	line_t *line = calloc(1, sizeof(*line));
 
 	if (!line)
 		return NULL;
 	line->caller = caller;
 	line->kept = !call->fresh;
-	line->connection =
-		kl_link_pq.open(caller->base, &target, &link_events, line);
+	line->connection = caller->ops->open(caller->base, call, caller->user,
+					     &control_events, line);
 	if (!line->connection) {
 		free(line);
 		return NULL;
@@ -134,12 +131,8 @@
 
 static void ask(line_t *line)
 {
-	char text[KL_CONTROL_QUERY_MAX];
-	kl_query_t query = { .text = text };
-
-	kl_control_query(line->call.op, line->call.term, text);
-	if (kl_link_pq.send(line->connection, &query))
-		fail(line);
+	if (line->caller->ops->ask(line->connection, &line->call))
+		fail(line, -KL_E_UNAVAILABLE);
 }
 
 static void on_ready(void *owner)
@@ -150,7 +143,7 @@
 	ask(line);
 }
 
-static void on_answered(void *owner, const kl_link_result_t *results, int count)
+static void on_answered(void *owner, const kl_control_state_t *state)
 {
 	line_t *line = owner;
 	kl_database_caller_t *caller = line->caller;
@@ -158,29 +151,33 @@
 
 	evtimer_del(line->timer);
 	line->busy = false;
-	kl_control_answer(results, count, &answer);
+	answer.error = state->error;
+	answer.primary = state->primary;
+	answer.term = state->term;
+	answer.sealed = state->sealed;
+	answer.log_term = state->received.term;
+	answer.position = state->received.number;
 	if (!line->kept)
 		line_free(line);
 	caller->answered(caller->context, &answer);
 }
 
-static void on_broken(void *owner)
+static void on_broken(void *owner, int error)
 {
-	fail(owner);
+	fail(owner, error);
 }
 
 static void on_timeout(evutil_socket_t fd, short what, void *arg)
 {
 	(void)fd;
 	(void)what;
-	fail(arg);
+	fail(arg, -KL_E_UNAVAILABLE);
 }
 
-static void fail(line_t *line)
+static void fail(line_t *line, int error)
 {
 	kl_database_caller_t *caller = line->caller;
-	kl_database_answer_t answer = { .call = line->call,
-					.error = -KL_E_UNAVAILABLE };
+	kl_database_answer_t answer = { .call = line->call, .error = error };
 	bool busy = line->busy;
 
 	line_free(line);
@@ -191,7 +188,7 @@
 static void line_free(line_t *line)
 {
 	CK_STAILQ_REMOVE(&line->caller->lines, line, line, link);
-	kl_link_pq.close(line->connection);
+	line->caller->ops->close(line->connection);
 	event_free(line->timer);
 	free(line);
 }
--- a/daemon/database_call.h
+++ b/daemon/database_call.h
@@ -9,12 +9,13 @@
 #include <event2/event.h>
 
 #include "control/node.h"
+#include "upstream/control.h"
 
 typedef struct kl_database_caller kl_database_caller_t;
 
 /** @param answered called on the loop for each call, in time or not */
 kl_database_caller_t *kl_database_caller_new(
-	struct event_base *base, const char *user,
+	struct event_base *base, const kl_control_ops_t *ops, const char *user,
 	void (*answered)(void *context, const kl_database_answer_t *answer),
 	void *context);
 void kl_database_caller_free(kl_database_caller_t *caller);
--- a/daemon/log.h
+++ b/daemon/log.h
@@ -8,7 +8,7 @@
 #include "control/node.h"
 
 /** Set up the log of this process. @param vm named in each line */
-void kl_log_open(const char *vm);
+void kl_log_open(const char *vm, uint32_t lines);
 void kl_log_close(void);
 
 /** Write a decision's line.  Never give it a key or a statement's text. */
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -6,9 +6,12 @@
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 #include <time.h>
 
 #include "daemon/control_thread.h"
+#include "daemon/line_worker.h"
 #include "daemon/log.h"
 #include "daemon/settings.h"
 #include "daemon/worker.h"
@@ -16,11 +19,25 @@
 #define EXIT_OK 0
 #define EXIT_FAILED 1
 #define EXIT_USAGE 2
+#define SETTINGS_VARIABLE "KUMQUATLOFT_CONFIG"
 #define RELEASE_MS 1500 /* to give the owned parts back at the end */
 
-static int serve(const kl_settings_t *settings);
+/* The threads that serve callers, whatever these speak. */
+typedef struct server {
+	kl_workers_t *workers;
+	kl_line_worker_t *line;
+} server_t;
+
+static int serve(const kl_settings_t *settings, const char *path);
+static int server_start(server_t *server, const kl_settings_t *settings,
+			kl_control_thread_t *control);
+static void server_drain(const server_t *server);
+static uint64_t server_sessions(const server_t *server);
+static void server_free(server_t *server);
+static void wait_for_stop(const sigset_t *signals, const char *path);
+static void reload(const char *path);
 static void drain(const kl_settings_t *settings, kl_control_thread_t *control,
-		  kl_workers_t *workers, const sigset_t *signals);
+		  const server_t *server, const sigset_t *signals);
 static bool wait_a_moment(const sigset_t *signals);
 
 int main(int argc, char **argv)
@@ -48,6 +65,8 @@
 		g_error_free(error);
 		goto out;
 	}
+	if (!path)
+		path = g_strdup(getenv(SETTINGS_VARIABLE));
 	if (!path) {
 		fprintf(stderr, "--settings is missing\n");
 		goto out;
@@ -55,7 +74,7 @@
 	settings = kl_settings_load(path);
 	if (!settings)
 		goto out;
-	status = check ? EXIT_OK : serve(settings);
+	status = check ? EXIT_OK : serve(settings, path);
 out:
 	if (settings)
 		kl_settings_free(settings);
@@ -64,36 +83,34 @@
 	return status;
 }
 
-static int serve(const kl_settings_t *settings)
+static int serve(const kl_settings_t *settings, const char *path)
 {
 	kl_control_thread_t *control = NULL;
-	kl_workers_t *workers = NULL;
+	server_t server = { NULL, NULL };
 	int status = EXIT_FAILED;
 	sigset_t signals;
-	int number;
 
 	/* Every thread inherits the mask; signals are taken by sigwait. */
 	sigemptyset(&signals);
 	sigaddset(&signals, SIGTERM);
 	sigaddset(&signals, SIGINT);
+	sigaddset(&signals, SIGHUP);
 	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_ALL) ||
 	    evthread_use_pthreads())
 		return EXIT_FAILED;
-	kl_log_open(settings->vm);
+	kl_log_open(settings->vm, settings->log_lines);
 	control = kl_control_thread_new(settings);
-	if (!control)
-		goto out;
-	workers = kl_workers_new(settings, control);
-	if (!workers)
+	if (!control || server_start(&server, settings, control))
 		goto out;
 	kl_log_text("started", settings->domain);
-	sigwait(&signals, &number);
-	drain(settings, control, workers, &signals);
+	wait_for_stop(&signals, path);
+	sigdelset(&signals, SIGHUP);
+	drain(settings, control, &server, &signals);
 	status = EXIT_OK;
 out:
-	kl_workers_free(workers);
+	server_free(&server);
 	kl_control_thread_free(control);
 	kl_log_text("stopped", "");
 	kl_log_close();
@@ -101,18 +118,71 @@
 	return status;
 }
 
+static int server_start(server_t *server, const kl_settings_t *settings,
+			kl_control_thread_t *control)
+{
+	if (!strcmp(settings->front, "line"))
+		server->line = kl_line_worker_new(settings, control);
+	else
+		server->workers = kl_workers_new(settings, control);
+	return server->line || server->workers ? 0 : -KL_E_UNAVAILABLE;
+}
+
+static void server_drain(const server_t *server)
+{
+	if (server->line)
+		kl_line_worker_drain(server->line);
+	else
+		kl_workers_drain(server->workers);
+}
+
+static uint64_t server_sessions(const server_t *server)
+{
+	return server->line ? kl_line_worker_sessions(server->line)
+			    : kl_workers_sessions(server->workers);
+}
+
+static void server_free(server_t *server)
+{
+	kl_workers_free(server->workers);
+	kl_line_worker_free(server->line);
+}
+
+static void wait_for_stop(const sigset_t *signals, const char *path)
+{
+	int number;
+
+	while (!sigwait(signals, &number) && number == SIGHUP)
+		reload(path);
+}
+
+/* Settings name this VM and its addresses: a change of them asks for a start.
+ */
+static void reload(const char *path)
+{
+	kl_settings_t *settings = kl_settings_load(path);
+
+	kl_log_text("reload", settings
+				      ? "the settings are good; they hold from "
+					"the next start on"
+				      : "the settings are bad and not used");
+	if (settings)
+		kl_settings_free(settings);
+}
+
 /* A second signal ends the wait; so does drain_ms. */
 static void drain(const kl_settings_t *settings, kl_control_thread_t *control,
-		  kl_workers_t *workers, const sigset_t *signals)
+		  const server_t *server, const sigset_t *signals)
 {
-	uint64_t now = kl_clock_us();
-	uint64_t until = now + settings->drain_ms * KL_MS;
+	uint64_t until = kl_clock_us() + settings->drain_ms * KL_MS;
 	bool again = false;
 
-	kl_workers_drain(workers);
+	server_drain(server);
 	kl_control_thread_stop(control);
-	while (!again && kl_workers_sessions(workers) && kl_clock_us() < until)
+	/* At least one turn: sessions are counted by the serving threads. */
+	do {
 		again = wait_a_moment(signals);
+	} while (!again && server_sessions(server) && kl_clock_us() < until);
 	until = kl_clock_us() + RELEASE_MS * KL_MS;
 	while (!again && kl_control_thread_slots(control) &&
 	       kl_clock_us() < until)
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "daemon/settings.h"
+#include "platform/format.h"
 
 #define FIELD(member) offsetof(kl_settings_t, member)
 #define NUMBERS (sizeof(numbers) / sizeof(numbers[0]))
@@ -37,14 +38,23 @@
 	{ "stale_after_ms", FIELD(stale_after_ms), 0, 86400000, 0 },
 	{ "share_hold_s", FIELD(share_hold_s), 5, 86400, 600 },
 	{ "slots", FIELD(slots), 1, 4096, 24 },
+	{ "ready_port", FIELD(ready_port), 0, 65535, 0 },
+	{ "transaction_grace_ms", FIELD(transaction_grace_ms), 100, 3600000,
+	  15000 },
+	{ "connect_ms", FIELD(connect_ms), 50, 10000, 500 },
+	{ "log_lines", FIELD(log_lines), 1, 100000, 50 },
 };
 
 static void on_message(cyaml_log_t level, void *context, const char *format,
 		       va_list args);
+static int take_port(const char *path, const char *name, const char *text,
+		     uint32_t *port);
 static uint32_t *number_at(kl_settings_t *settings, size_t offset);
 static int check(kl_settings_t *settings, const char *path);
 static int line_of(const char *path, const char *name);
 static int complain(const char *path, const char *name, const char *expected);
+static void default_text(char **text, const char *usual);
+static int check_choices(const kl_settings_t *settings, const char *path);
 static int check_ip(const char *path, const char *name, const char *text);
 
 static const cyaml_schema_field_t peer_fields[] = {
@@ -76,12 +86,20 @@
 	CYAML_FIELD_STRING_PTR("platform", CYAML_FLAG_POINTER, kl_settings_t,
 			       platform, 1, 200),
 	TEXT(upstream_user, CYAML_FLAG_OPTIONAL),
+	TEXT(platform_format, CYAML_FLAG_OPTIONAL),
+	CYAML_FIELD_STRING_PTR("promoter",
+			       CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+			       kl_settings_t, promoter, 1, 200),
+	TEXT(front, CYAML_FLAG_OPTIONAL),
+	TEXT(listen, CYAML_FLAG_OPTIONAL),
+	TEXT(ready, CYAML_FLAG_OPTIONAL),
+	TEXT(ready_path, CYAML_FLAG_OPTIONAL),
 	CYAML_FIELD_SEQUENCE("peers", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
 			     kl_settings_t, peers, &peer_schema, 0, 64),
 	CYAML_FIELD_SEQUENCE(
 		"read_functions", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
 		kl_settings_t, read_functions, &function_schema, 0, 256),
-	NUMBER(listen_port, CYAML_FLAG_DEFAULT),
+	NUMBER(listen_port, CYAML_FLAG_OPTIONAL),
 	NUMBER(peer_port, CYAML_FLAG_DEFAULT),
 	NUMBER(status_port, CYAML_FLAG_DEFAULT),
 	NUMBER(workers, CYAML_FLAG_OPTIONAL),
@@ -97,6 +115,10 @@
 	NUMBER(stale_after_ms, CYAML_FLAG_OPTIONAL),
 	NUMBER(share_hold_s, CYAML_FLAG_OPTIONAL),
 	NUMBER(slots, CYAML_FLAG_OPTIONAL),
+	NUMBER(ready_port, CYAML_FLAG_OPTIONAL),
+	NUMBER(transaction_grace_ms, CYAML_FLAG_OPTIONAL),
+	NUMBER(connect_ms, CYAML_FLAG_OPTIONAL),
+	NUMBER(log_lines, CYAML_FLAG_OPTIONAL),
 	CYAML_FIELD_END
 };
 
@@ -125,11 +147,35 @@
 		kl_settings_free(settings);
 		return NULL;
 	}
-	if (!settings->upstream_user)
-		settings->upstream_user = strdup("kumquatloft");
+	default_text(&settings->upstream_user, "kumquatloft");
+	default_text(&settings->platform_format, "native");
+	default_text(&settings->front, "postgresql");
+	default_text(&settings->ready_path, "/ready");
+	if (check_choices(settings, path)) {
+		kl_settings_free(settings);
+		return NULL;
+	}
 	return settings;
 }
 
+static void default_text(char **text, const char *usual)
+{
+	if (!*text)
+		*text = strdup(usual);
+}
+
+static int check_choices(const kl_settings_t *settings, const char *path)
+{
+	int bad = 0;
+
+	if (!kl_platform_format(settings->platform_format))
+		bad |= complain(path, "platform_format", "native or objects");
+	if (strcmp(settings->front, "postgresql") &&
+	    strcmp(settings->front, "line"))
+		bad |= complain(path, "front", "postgresql or line");
+	return bad;
+}
+
 void kl_settings_free(kl_settings_t *settings)
 {
 	cyaml_free(&config, &schema, settings, 0);
@@ -140,6 +186,9 @@
 	char expected[80];
 	int bad = 0;
 
+	bad |= take_port(path, "listen", settings->listen,
+			 &settings->listen_port);
+	bad |= take_port(path, "ready", settings->ready, &settings->ready_port);
 	for (size_t i = 0; i < NUMBERS; i++) {
 		const number_row_t *row = &numbers[i];
 		uint32_t *value = number_at(settings, row->offset);
@@ -165,6 +214,22 @@
 	return bad;
 }
 
+/* The port of IP:PORT, where that is given. */
+static int take_port(const char *path, const char *name, const char *text,
+		     uint32_t *port)
+{
+	const char *colon = text ? strrchr(text, ':') : NULL;
+	char *end = NULL;
+	unsigned long value = colon ? strtoul(colon + 1, &end, 10) : 0;
+
+	if (!text)
+		return 0;
+	if (!value || *end || value > 65535)
+		return complain(path, name, "IP:PORT");
+	*port = (uint32_t)value;
+	return 0;
+}
+
 static uint32_t *number_at(kl_settings_t *settings, size_t offset)
 {
 	return (uint32_t *)((char *)settings + offset);
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -18,10 +18,16 @@
 	char *vm;
 	char *domain;
 	char *host;
+	char *listen; /**< IP:PORT, in place of listen_port */
+	char *ready;  /**< IP:PORT, in place of ready_port */
 	uint32_t listen_port;
 	uint32_t peer_port;
 	uint32_t status_port;
 	char *platform;
+	char *platform_format;
+	char *promoter;
+	char *front;
+	char *ready_path;
 	char *upstream_user;
 	kl_settings_peer_t *peers;
 	uint32_t peers_count;
@@ -40,6 +46,10 @@
 	uint32_t stale_after_ms;
 	uint32_t share_hold_s;
 	uint32_t slots;
+	uint32_t ready_port;
+	uint32_t transaction_grace_ms;
+	uint32_t connect_ms;
+	uint32_t log_lines;
 } kl_settings_t;
 
 /**
--- a/daemon/status.c
+++ b/daemon/status.c
@@ -11,12 +11,15 @@
 #include "daemon/status.h"
 
 struct kl_status {
+	struct event_base *base;
 	struct evhttp *http;
+	struct evhttp *ready; /* on an address of its own, or NULL */
 	kl_node_t *node;
 };
 
 static void on_metrics(struct evhttp_request *request, void *arg);
 static void on_status(struct evhttp_request *request, void *arg);
+static void on_ready(struct evhttp_request *request, void *arg);
 static json_t *describe(kl_node_t *node);
 static json_t *describe_groups(const kl_terms_t *terms);
 static json_t *describe_upstreams(const kl_health_t *health, uint64_t now);
@@ -32,6 +35,7 @@
 	if (!status)
 		return NULL;
 	status->node = node;
+	status->base = base;
 	status->http = evhttp_new(base);
 	if (!status->http || evhttp_bind_socket(status->http, host, port)) {
 		kl_log_text("start_failed", "the status port is not free");
@@ -43,10 +47,39 @@
 	return status;
 }
 
+int kl_status_ready(kl_status_t *status, const char *host, uint16_t port,
+		    const char *path)
+{
+	status->ready = evhttp_new(status->base);
+	if (!status->ready || evhttp_bind_socket(status->ready, host, port)) {
+		kl_log_text("start_failed", "the ready port is not free");
+		return -KL_E_UNAVAILABLE;
+	}
+	evhttp_set_cb(status->ready, path, on_ready, status);
+	return 0;
+}
+
+/* Ready for requests: configured, holding its part of the plans, staying. */
+static void on_ready(struct evhttp_request *request, void *arg)
+{
+	kl_status_t *status = arg;
+	const kl_life_t *life;
+	bool ready;
+
+	kl_read_begin(status->node->reader);
+	life = kl_node_get(status->node, KL_SECTION_LIFE);
+	ready = life && life->phase == KL_PHASE_SERVING &&
+		kl_node_get(status->node, KL_SECTION_TERMS);
+	kl_read_end(status->node->reader);
+	evhttp_send_reply(request, ready ? 200 : 503, NULL, NULL);
+}
+
 void kl_status_free(kl_status_t *status)
 {
 	if (!status)
 		return;
+	if (status->ready)
+		evhttp_free(status->ready);
 	if (status->http)
 		evhttp_free(status->http);
 	free(status);
--- a/daemon/status.h
+++ b/daemon/status.h
@@ -14,6 +14,10 @@
 /** Serve on the control thread's loop. @return NULL if the port is taken */
 kl_status_t *kl_status_new(struct event_base *base, const char *host,
 			   uint16_t port, kl_node_t *node);
+/** Serve the readiness probe. @return 0 or a negative kind */
+int kl_status_ready(kl_status_t *status, const char *host, uint16_t port,
+		    const char *path);
+
 void kl_status_free(kl_status_t *status);
 
 #endif
--- a/daemon/worker_prove.c
+++ b/daemon/worker_prove.c
@@ -53,8 +53,8 @@
 	prover->worker = worker;
 	CK_STAILQ_INIT(&prover->rounds);
 	prover->caller = kl_database_caller_new(
-		worker->base, worker->all->settings->upstream_user, on_answer,
-		prover);
+		worker->base, &kl_control_pq,
+		worker->all->settings->upstream_user, on_answer, prover);
 	return prover;
 }
 
--- /dev/null
+++ b/front/engine_front.h
@@ -0,0 +1,46 @@
+/**
+ * @file
+ * A front end of the engine: what callers speak, behind a table of function
+ * pointers.  It encodes and decodes; it decides nothing.
+ */
+#ifndef KL_ENGINE_FRONT_H
+#define KL_ENGINE_FRONT_H
+
+#include <event2/event.h>
+
+#include "path/engine.h"
+
+typedef struct kl_engine_front kl_engine_front_t;
+
+/** What a front end tells its owner. */
+typedef struct kl_engine_front_events {
+	void (*login)(void *owner, kl_engine_front_t *front,
+		      const char *database, const char *key);
+	void (*command)(void *owner, kl_engine_front_t *front,
+			const kl_command_t *command);
+	/** The caller is gone; the front end is freed after this. */
+	void (*closed)(void *owner, kl_engine_front_t *front);
+} kl_engine_front_events_t;
+
+/** What can be told to a front end. */
+typedef struct kl_engine_front_ops {
+	const char *name;
+	kl_engine_front_t *(*open)(struct event_base *base, int socket,
+				   const kl_engine_front_events_t *events,
+				   void *owner);
+	void (*welcome)(kl_engine_front_t *front);
+	void (*result)(kl_engine_front_t *front, const kl_outcome_t *outcome);
+	void (*done)(kl_engine_front_t *front, char state);
+	void (*refuse)(kl_engine_front_t *front, int error, char state);
+	/** Send what is buffered, then close; closed() is not called. */
+	void (*end)(kl_engine_front_t *front, int error);
+} kl_engine_front_ops_t;
+
+/** Keep a value with a front end, and get it back. */
+void kl_engine_front_set(kl_engine_front_t *front, void *caller);
+void *kl_engine_front_get(const kl_engine_front_t *front);
+
+/** Lines of words. */
+extern const kl_engine_front_ops_t kl_front_line;
+
+#endif
--- a/include/kumquatloft/kind.h
+++ b/include/kumquatloft/kind.h
@@ -36,6 +36,10 @@
 	KL_E_TIMEOUT,
 	KL_E_NOMEM,
 	KL_E_INTERNAL,
+	KL_E_LAGGING,
+	KL_E_MISROUTED,
+	KL_E_NO_STATEMENT,
+	KL_E_ABORTED,
 	KL_KIND_COUNT
 } kl_kind_t;
 
--- /dev/null
+++ b/path/engine_caller.c
@@ -0,0 +1,505 @@
+/* A caller's session: logged in, told apart by statement and state, waits. */
+#include <ck_pr.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "path/engine_internal.h"
+
+#define WAIT_TARGETS 2 /* latency objectives that one may wait */
+#define WAIT_LEAST_US (400 * KL_MS)
+
+typedef void (*handler_t)(kl_caller_t *caller, const kl_command_t *command);
+
+static void begin(kl_caller_t *caller, const kl_command_t *command);
+static void go_on(kl_caller_t *caller, const kl_command_t *command);
+static void end_failed(kl_caller_t *caller, const kl_command_t *command);
+static void keep(kl_caller_t *caller, const kl_command_t *command);
+static void nothing(kl_caller_t *caller, const kl_command_t *command);
+static void malformed(kl_caller_t *caller, const kl_command_t *command);
+static int log_in(kl_caller_t *caller, const char *key);
+static int check_access(const kl_caller_t *caller, const char **workspace);
+static int take_route(kl_caller_t *caller);
+static int take_prepared(kl_caller_t *caller, const kl_command_t *command);
+static void take_since(kl_caller_t *caller);
+static void admit(kl_caller_t *caller);
+static void stop_counting(kl_caller_t *caller);
+static void finish(kl_caller_t *caller);
+static bool ends_session(int error);
+
+/* What a statement does in a session that is idle, in a transaction, or in a
+ * transaction that failed. */
+static const handler_t handlers[KL_VERB_COUNT][3] = {
+	[KL_VERB_BEGIN] = { begin, malformed, malformed },
+	[KL_VERB_BEGIN_READ] = { begin, malformed, malformed },
+	[KL_VERB_COMMIT] = { malformed, go_on, end_failed },
+	[KL_VERB_ROLLBACK] = { nothing, go_on, end_failed },
+	[KL_VERB_READ] = { begin, go_on, malformed },
+	[KL_VERB_WRITE] = { begin, go_on, malformed },
+	[KL_VERB_SET] = { keep, keep, malformed },
+	[KL_VERB_PREPARE] = { keep, keep, malformed },
+	[KL_VERB_EXECUTE] = { begin, go_on, malformed },
+	[KL_VERB_DEALLOCATE] = { keep, keep, malformed },
+	[KL_VERB_UNKNOWN] = { malformed, malformed, malformed },
+};
+
+kl_caller_t *kl_caller_new(kl_engine_t *engine, void *front,
+			   const char *database, const char *key,
+			   uint64_t now_us)
+{
+	kl_caller_t *caller = calloc(1, sizeof(*caller));
+	int error;
+
+	if (!caller)
+		return NULL;
+	kl_engine_enter(engine, now_us);
+	caller->engine = engine;
+	caller->front = front;
+	caller->number = ++engine->numbers;
+	caller->transaction = 'I';
+	caller->idle_us = now_us;
+	kl_state_init(&caller->state);
+	CK_LIST_INSERT_HEAD(&engine->list, caller, link);
+	engine->callers++;
+	error = kl_name_set(caller->database, database) ? -KL_E_NOT_FOUND
+							: log_in(caller, key);
+	if (error) {
+		kl_decision_t refused = { .what = "login_refused",
+					  .service = caller->database,
+					  .reason = kl_answer_of(error)->name };
+
+		engine->ops->decided(engine->context, &refused);
+		kl_caller_end(caller, error);
+		caller = NULL;
+	} else {
+		engine->ops->welcome(engine->context, front);
+	}
+	kl_engine_leave(engine);
+	return caller;
+}
+
+static int log_in(kl_caller_t *caller, const char *key)
+{
+	const kl_scene_t *scene = &caller->engine->scene;
+	const char *workspace;
+	int error;
+
+	if (!scene->config || !scene->terms)
+		return -KL_E_STALE_CONFIG;
+	if (*key)
+		kl_key_hash(key, caller->key_hash);
+	error = check_access(caller, &workspace);
+	if (!error)
+		kl_name_set(caller->workspace, workspace);
+	return error;
+}
+
+/* Whose the key is now, and whether the route asks for one. */
+static int check_access(const kl_caller_t *caller, const char **workspace)
+{
+	const kl_config_t *config = caller->engine->scene.config;
+	const kl_route_rule_t *route;
+	const kl_key_t *key;
+
+	*workspace = "-";
+	if (!config)
+		return -KL_E_STALE_CONFIG;
+	route = kl_index_get(config->route_index, caller->database);
+	if (!route)
+		return -KL_E_NOT_FOUND;
+	key = kl_index_get(config->key_index, caller->key_hash);
+	if (key && !key->withdrawn)
+		*workspace = key->workspace->name.name;
+	else if (!route->open)
+		return -KL_E_AUTH;
+	return 0;
+}
+
+void kl_caller_command(kl_caller_t *caller, const kl_command_t *command,
+		       uint64_t now_us)
+{
+	kl_engine_t *engine = caller->engine;
+	kl_run_t *run = &caller->run;
+	int state = caller->transaction == 'I'	 ? 0
+		    : caller->transaction == 'T' ? 1
+						 : 2;
+
+	kl_engine_enter(engine, now_us);
+	memset(run, 0, sizeof(*run));
+	run->id = strdup(command->id);
+	run->text = strdup(command->text);
+	run->verb = command->verb;
+	run->came_us = now_us;
+	run->stage = KL_RUN_ROUTE;
+	if (run->id && run->text)
+		handlers[command->verb][state](caller, command);
+	else
+		kl_caller_end(caller, -KL_E_NOMEM);
+	kl_engine_leave(engine);
+}
+
+void kl_caller_gone(kl_caller_t *caller, uint64_t now_us)
+{
+	kl_engine_t *engine = caller->engine;
+
+	kl_engine_enter(engine, now_us);
+	caller->front = NULL;
+	kl_caller_end(caller, 0);
+	kl_engine_leave(engine);
+}
+
+/* The first statement of an operation. */
+static void begin(kl_caller_t *caller, const kl_command_t *command)
+{
+	kl_run_t *run = &caller->run;
+	const char *workspace;
+	uint64_t wait;
+	int error = take_route(caller);
+
+	if (!error)
+		error = check_access(caller, &workspace);
+	/* A key that was given to another workspace is another key. */
+	if (!error && strcmp(workspace, caller->workspace))
+		error = -KL_E_AUTH;
+	if (!error)
+		error = take_prepared(caller, command);
+	if (error) {
+		kl_caller_refuse(caller, error);
+		return;
+	}
+	wait = caller->route.target_us * WAIT_TARGETS;
+	if (wait < WAIT_LEAST_US)
+		wait = WAIT_LEAST_US;
+	if (wait > caller->route.timeout_us)
+		wait = caller->route.timeout_us;
+	run->wait_until_us = run->came_us + wait;
+	run->deadline_us = run->came_us + caller->route.timeout_us;
+	caller->wrote = false;
+	caller->reads_only = command->verb == KL_VERB_BEGIN_READ;
+	if (!kl_caller_needs_primary(caller))
+		take_since(caller);
+	admit(caller);
+}
+
+static int take_route(kl_caller_t *caller)
+{
+	const kl_engine_t *engine = caller->engine;
+	kl_terms_of_route_t *mine = &caller->route;
+	const kl_route_rule_t *route;
+
+	if (!engine->scene.config)
+		return -KL_E_STALE_CONFIG;
+	route = kl_index_get(engine->scene.config->route_index,
+			     caller->database);
+	if (!route)
+		return -KL_E_NOT_FOUND;
+	memcpy(mine->service, route->service, KL_NAME_MAX);
+	mine->kind = route->kind;
+	mine->max_age_us = route->max_age_ms * KL_MS;
+	mine->target_us = route->target_ms * KL_MS;
+	mine->timeout_us = route->timeout_ms ? route->timeout_ms * KL_MS
+					     : engine->settings.statement_us;
+	return 0;
+}
+
+static int take_prepared(kl_caller_t *caller, const kl_command_t *command)
+{
+	const kl_state_entry_t *prepared;
+
+	caller->run.writes = command->verb == KL_VERB_WRITE;
+	if (command->verb != KL_VERB_EXECUTE)
+		return 0;
+	prepared = kl_state_prepared(&caller->state, command->name);
+	if (!prepared)
+		return -KL_E_NO_STATEMENT;
+	caller->run.writes = prepared->writes;
+	return 0;
+}
+
+bool kl_caller_needs_primary(const kl_caller_t *caller)
+{
+	return caller->route.kind == KL_ROUTE_PRIMARY || caller->run.writes ||
+	       caller->run.verb == KL_VERB_BEGIN;
+}
+
+/* The position that a replica must hold; none if it is not known. */
+static void take_since(kl_caller_t *caller)
+{
+	kl_run_t *run = &caller->run;
+	kl_cluster_t *cluster =
+		kl_cluster_of(caller->engine, caller->route.service);
+	uint64_t age = caller->route.max_age_us;
+
+	if (!cluster ||
+	    !kl_points_since(&cluster->points,
+			     run->came_us > age ? run->came_us - age : 0,
+			     &run->since))
+		return;
+	if (caller->route.kind != KL_ROUTE_SESSION ||
+	    strcmp(caller->written_at, caller->route.service))
+		return;
+	/* What a replaced primary wrote is there from the new term's start. */
+	if (caller->written.term < cluster->newest_term.term) {
+		if (kl_position_compare(run->since, cluster->newest_term) < 0)
+			run->since = cluster->newest_term;
+	} else if (kl_position_compare(run->since, caller->written) < 0) {
+		run->since = caller->written;
+	}
+}
+
+static void admit(kl_caller_t *caller)
+{
+	kl_engine_t *engine = caller->engine;
+	kl_bucket_t *bucket = kl_caller_bucket(caller);
+
+	if (bucket && !caller->run.counted)
+		ck_pr_inc_64(&bucket->asked);
+	if (bucket && kl_admit(&engine->scene, bucket)) {
+		uint64_t until =
+			caller->run.came_us + engine->settings.admit_wait_us;
+
+		if (engine->now >= until) {
+			ck_pr_inc_64(&bucket->refused);
+			kl_caller_refuse(caller, -KL_E_RATE);
+			return;
+		}
+		if (!caller->run.counted)
+			ck_pr_inc_64(&bucket->waiting);
+		caller->run.counted = true;
+		kl_caller_wait(caller, KL_RUN_TOKENS);
+		engine->ops->demand(engine->context);
+		return;
+	}
+	stop_counting(caller);
+	engine->counts.admitted++;
+	kl_caller_route(caller);
+}
+
+static void stop_counting(kl_caller_t *caller)
+{
+	kl_bucket_t *bucket = kl_caller_bucket(caller);
+
+	if (caller->run.counted && bucket && ck_pr_load_64(&bucket->waiting))
+		ck_pr_dec_64(&bucket->waiting);
+	caller->run.counted = false;
+}
+
+kl_bucket_t *kl_caller_bucket(const kl_caller_t *caller)
+{
+	const kl_shares_t *shares = caller->engine->scene.shares;
+
+	return shares ? kl_index_get(shares->index, caller->workspace) : NULL;
+}
+
+void kl_caller_route(kl_caller_t *caller)
+{
+	kl_run_t *run = &caller->run;
+	kl_engine_t *engine = caller->engine;
+	kl_place_t *place = NULL;
+
+	if (engine->now >= run->retry_us)
+		place = kl_place_choose(caller);
+	if (!place) {
+		if (engine->now >= run->wait_until_us)
+			kl_caller_refuse(caller, run->last_error
+							 ? run->last_error
+							 : -KL_E_NO_UPSTREAM);
+		else
+			kl_caller_wait(caller, KL_RUN_ROUTE);
+		return;
+	}
+	kl_place_enqueue(place, caller);
+	kl_place_serve(place);
+}
+
+void kl_caller_wait(kl_caller_t *caller, kl_run_stage_t stage)
+{
+	caller->run.stage = stage;
+	if (caller->looks)
+		return;
+	caller->looks = true;
+	CK_LIST_INSERT_HEAD(&caller->engine->waiting, caller, looked_at);
+}
+
+void kl_caller_look_again(kl_caller_t *caller)
+{
+	if (caller->run.stage == KL_RUN_TOKENS)
+		admit(caller);
+	else if (caller->run.stage == KL_RUN_ROUTE)
+		kl_caller_route(caller);
+}
+
+/* A further statement of a transaction. */
+static void go_on(kl_caller_t *caller, const kl_command_t *command)
+{
+	kl_run_t *run = &caller->run;
+	const char *workspace;
+	int error = check_access(caller, &workspace);
+
+	if (!error && strcmp(workspace, caller->workspace))
+		error = -KL_E_AUTH;
+	/* Of a route that was dropped the transaction may end. */
+	if (error == -KL_E_NOT_FOUND)
+		error = 0;
+	if (!error && !caller->channel) {
+		caller->transaction = 'E';
+		error = -KL_E_ABORTED;
+		if (command->verb == KL_VERB_ROLLBACK) {
+			caller->transaction = 'I';
+			kl_caller_done(caller);
+			return;
+		}
+		if (command->verb == KL_VERB_COMMIT)
+			caller->transaction = 'I';
+	}
+	if (!error) {
+		error = take_prepared(caller, command);
+		if (error) {
+			/* Never to be committed by a later statement. */
+			kl_channel_abandon(caller->channel, true);
+			caller->transaction = 'E';
+		}
+	}
+	if (error) {
+		kl_caller_refuse(caller, error);
+		return;
+	}
+	run->place = caller->channel->place;
+	run->deadline_us = run->came_us + caller->route.timeout_us;
+	kl_run_on(caller, caller->channel);
+}
+
+/* COMMIT or ROLLBACK of a transaction that failed. */
+static void end_failed(kl_caller_t *caller, const kl_command_t *command)
+{
+	kl_run_t *run = &caller->run;
+
+	if (caller->channel) {
+		run->place = caller->channel->place;
+		run->deadline_us = run->came_us + caller->route.timeout_us;
+		kl_run_on(caller, caller->channel);
+		return;
+	}
+	caller->transaction = 'I';
+	if (command->verb == KL_VERB_ROLLBACK)
+		kl_caller_done(caller);
+	else
+		kl_caller_refuse(caller, -KL_E_ABORTED);
+}
+
+/* Session state is kept here and carried over when it is needed. */
+static void keep(kl_caller_t *caller, const kl_command_t *command)
+{
+	int error;
+
+	if (command->verb == KL_VERB_DEALLOCATE)
+		error = kl_state_drop(&caller->state, command->name);
+	else
+		error = kl_state_set(
+			&caller->state,
+			command->verb == KL_VERB_SET ? KL_STATE_VALUE
+						     : KL_STATE_PREPARED,
+			command->name, command->writes, command->text);
+	if (error)
+		kl_caller_refuse(caller, error);
+	else
+		kl_caller_done(caller);
+}
+
+static void nothing(kl_caller_t *caller, const kl_command_t *command)
+{
+	(void)command;
+	kl_caller_done(caller);
+}
+
+static void malformed(kl_caller_t *caller, const kl_command_t *command)
+{
+	(void)command;
+	kl_caller_refuse(caller, -KL_E_PROTOCOL);
+}
+
+void kl_caller_refuse(kl_caller_t *caller, int error)
+{
+	kl_engine_t *engine = caller->engine;
+	kl_run_t *run = &caller->run;
+	kl_decision_t refused = { .what = "refused",
+				  .request = run->id,
+				  .workspace = caller->workspace,
+				  .service = caller->route.service,
+				  .upstream =
+					  run->place ? run->place->name : "",
+				  .reason = kl_answer_of(error)->name,
+				  .position = run->since.number,
+				  .age_us = engine->now - run->came_us };
+
+	if (error == -KL_E_RATE)
+		engine->counts.refused_rate++;
+	else if (kl_answer_of(error)->not_run)
+		engine->counts.refused_other++;
+	else
+		engine->counts.unknown++;
+	engine->ops->decided(engine->context, &refused);
+	finish(caller);
+	if (ends_session(error)) {
+		kl_caller_end(caller, error);
+		return;
+	}
+	engine->ops->refuse(engine->context, caller->front, error,
+			    caller->transaction);
+}
+
+void kl_caller_done(kl_caller_t *caller)
+{
+	kl_engine_t *engine = caller->engine;
+
+	finish(caller);
+	engine->ops->done(engine->context, caller->front, caller->transaction);
+}
+
+void kl_caller_pass(kl_caller_t *caller, const kl_outcome_t *outcome)
+{
+	kl_engine_t *engine = caller->engine;
+
+	finish(caller);
+	engine->ops->result(engine->context, caller->front, outcome);
+}
+
+static void finish(kl_caller_t *caller)
+{
+	kl_run_t *run = &caller->run;
+
+	stop_counting(caller);
+	if (caller->looks)
+		CK_LIST_REMOVE(caller, looked_at);
+	caller->looks = false;
+	if (run->stage == KL_RUN_CHANNEL)
+		kl_place_dequeue(caller);
+	run->stage = KL_RUN_NONE;
+	caller->idle_us = caller->engine->now;
+	free(run->id);
+	free(run->text);
+	run->id = NULL;
+	run->text = NULL;
+}
+
+void kl_caller_end(kl_caller_t *caller, int error)
+{
+	kl_engine_t *engine = caller->engine;
+	bool sent = caller->run.stage == KL_RUN_SENT ||
+		    caller->run.stage == KL_RUN_SETUP;
+
+	finish(caller);
+	if (caller->channel)
+		kl_channel_abandon(caller->channel,
+				   !sent || caller->transaction != 'I');
+	if (caller->front)
+		engine->ops->end(engine->context, caller->front, error);
+	kl_state_clear(&caller->state);
+	CK_LIST_REMOVE(caller, link);
+	engine->callers--;
+	free(caller);
+}
+
+static bool ends_session(int error)
+{
+	return error == -KL_E_AUTH || error == -KL_E_KEY_WITHDRAWN;
+}
--- /dev/null
+++ b/path/engine_channel.c
@@ -0,0 +1,339 @@
+/* Pooled connections, lent to statements; each belongs to one workspace. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "path/engine_internal.h"
+
+#define ASK_US (500 * KL_MS)	/* a question is given up after this */
+#define ABANDON_US (3 * KL_SEC) /* so is what a caller left behind */
+#define FRESH_US (400 * KL_MS)	/* the primary is asked this often */
+#define USED_US (10 * KL_SEC)	/* a group unused so long isn't asked */
+#define IDLE_US (20 * KL_SEC)	/* an unused connection is closed */
+#define SURPLUS_US (2 * KL_SEC) /* one above an even part is */
+#define BACKOFF_US (30 * KL_MS) /* after a refused connection */
+
+static kl_channel_t *open_channel(kl_place_t *place, const char *workspace);
+static kl_channel_t *oldest_idle(const kl_place_t *place);
+static uint32_t opening(const kl_place_t *place, const char *workspace);
+static void channel_free(kl_channel_t *channel);
+static void tidy_place(kl_place_t *place);
+static void ask_primary(kl_engine_t *engine, kl_cluster_t *cluster);
+static bool overdue(const kl_channel_t *channel, uint64_t now);
+
+kl_channel_t *kl_channel_idle(const kl_place_t *place, const char *workspace)
+{
+	kl_channel_t *channel, *best = NULL;
+
+	CK_STAILQ_FOREACH(channel, &place->channels, link) {
+		if (channel->stage != KL_CHANNEL_IDLE ||
+		    strcmp(channel->workspace, workspace))
+			continue;
+		/* The one used last: the others may then be closed. */
+		if (!best || channel->since_us > best->since_us)
+			best = channel;
+	}
+	return best;
+}
+
+void kl_place_enqueue(kl_place_t *place, kl_caller_t *caller)
+{
+	caller->run.stage = KL_RUN_CHANNEL;
+	caller->run.place = place;
+	place->waiting++;
+	CK_STAILQ_INSERT_TAIL(&place->queue, caller, queued);
+}
+
+void kl_place_dequeue(kl_caller_t *caller)
+{
+	kl_place_t *place = caller->run.place;
+
+	place->waiting--;
+	CK_STAILQ_REMOVE(&place->queue, caller, kl_caller, queued);
+}
+
+/* Gives connections to those that wait, and opens what is lacking. */
+void kl_place_serve(kl_place_t *place)
+{
+	uint64_t now = place->cluster->engine->now;
+	kl_caller_t *caller, *next;
+	uint32_t want = 0;
+
+	CK_STAILQ_FOREACH_SAFE(caller, &place->queue, queued, next) {
+		kl_channel_t *channel =
+			kl_channel_idle(place, caller->workspace);
+
+		if (channel) {
+			kl_place_dequeue(caller);
+			channel->stage = KL_CHANNEL_LEASED;
+			kl_run_on(caller, channel);
+			/* The queue may have changed under this. */
+			next = CK_STAILQ_FIRST(&place->queue);
+			want = 0;
+			continue;
+		}
+		want++;
+		if (opening(place, caller->workspace) >= want ||
+		    now - place->refused_us < BACKOFF_US)
+			continue;
+		if (place->open >= place->cap) {
+			channel = oldest_idle(place);
+			if (!channel)
+				continue;
+			kl_channel_drop(channel);
+		}
+		open_channel(place, caller->workspace);
+	}
+}
+
+static uint32_t opening(const kl_place_t *place, const char *workspace)
+{
+	const kl_channel_t *channel;
+	uint32_t count = 0;
+
+	CK_STAILQ_FOREACH(channel, &place->channels, link)
+		count += channel->stage == KL_CHANNEL_OPENING &&
+			 !strcmp(channel->workspace, workspace);
+	return count;
+}
+
+static kl_channel_t *oldest_idle(const kl_place_t *place)
+{
+	kl_channel_t *channel, *oldest = NULL;
+
+	CK_STAILQ_FOREACH(channel, &place->channels, link) {
+		if (channel->stage == KL_CHANNEL_IDLE &&
+		    (!oldest || channel->since_us < oldest->since_us))
+			oldest = channel;
+	}
+	return oldest;
+}
+
+static kl_channel_t *open_channel(kl_place_t *place, const char *workspace)
+{
+	kl_engine_t *engine = place->cluster->engine;
+	kl_channel_t *channel = calloc(1, sizeof(*channel));
+	kl_channel_target_t target = { place->host, place->port,
+				       place->cluster->name, place->name,
+				       workspace };
+
+	if (!channel)
+		return NULL;
+	channel->place = place;
+	channel->since_us = engine->now;
+	kl_name_set(channel->workspace, workspace);
+	channel->handle = engine->ops->open(engine->context, &target, channel);
+	if (!channel->handle) {
+		free(channel);
+		place->refused_us = engine->now;
+		return NULL;
+	}
+	engine->counts.opened++;
+	place->open++;
+	CK_STAILQ_INSERT_TAIL(&place->channels, channel, link);
+	return channel;
+}
+
+int kl_channel_send(kl_channel_t *channel, const kl_dispatch_t *dispatch)
+{
+	kl_engine_t *engine = channel->place->cluster->engine;
+
+	return engine->ops->send(engine->context, channel->handle, dispatch);
+}
+
+void kl_channel_release(kl_channel_t *channel)
+{
+	channel->caller = NULL;
+	channel->stage = KL_CHANNEL_IDLE;
+	channel->since_us = channel->place->cluster->engine->now;
+	if (!channel->place->present)
+		kl_channel_drop(channel);
+	else
+		kl_place_serve(channel->place);
+}
+
+/* A caller leaves it: what it began is rolled back, what runs ends unheard. */
+void kl_channel_abandon(kl_channel_t *channel, bool open_transaction)
+{
+	if (channel->caller) {
+		if (channel->caller->run.stage == KL_RUN_SENT)
+			channel->place->running--;
+		channel->caller->channel = NULL;
+	}
+	channel->caller = NULL;
+	channel->proven = false;
+	channel->since_us = channel->place->cluster->engine->now;
+	if (open_transaction) {
+		kl_channel_drop(channel);
+		return;
+	}
+	channel->stage = KL_CHANNEL_ASKING;
+}
+
+void kl_channel_drop(kl_channel_t *channel)
+{
+	kl_engine_t *engine = channel->place->cluster->engine;
+
+	engine->counts.dropped++;
+	engine->ops->close(engine->context, channel->handle);
+	channel_free(channel);
+}
+
+static void channel_free(kl_channel_t *channel)
+{
+	kl_place_t *place = channel->place;
+
+	if (channel->caller)
+		channel->caller->channel = NULL;
+	CK_STAILQ_REMOVE(&place->channels, channel, kl_channel, link);
+	place->open--;
+	free(channel);
+}
+
+void kl_channel_ready(kl_channel_t *channel, kl_position_t position,
+		      uint64_t now_us)
+{
+	kl_engine_t *engine = channel->place->cluster->engine;
+
+	kl_engine_enter(engine, now_us);
+	kl_place_answered(channel->place, channel, position);
+	kl_channel_release(channel);
+	kl_engine_leave(engine);
+}
+
+void kl_channel_answered(kl_channel_t *channel, const kl_outcome_t *outcome,
+			 uint64_t now_us)
+{
+	kl_engine_t *engine = channel->place->cluster->engine;
+	kl_caller_t *caller = channel->caller;
+
+	kl_engine_enter(engine, now_us);
+	kl_place_answered(channel->place, channel, outcome->position);
+	if (channel->setups)
+		channel->setups--;
+	if (caller && caller->run.stage != KL_RUN_NONE) {
+		kl_run_answered(caller, outcome);
+	} else if (!caller && !channel->setups) {
+		if (outcome->state == 'I')
+			kl_channel_release(channel);
+		else
+			kl_channel_drop(channel);
+	}
+	kl_engine_leave(engine);
+}
+
+void kl_channel_lost(kl_channel_t *channel, int error, uint64_t now_us)
+{
+	kl_place_t *place = channel->place;
+	kl_engine_t *engine = place->cluster->engine;
+	kl_caller_t *caller = channel->caller;
+	bool opened = channel->stage != KL_CHANNEL_OPENING;
+
+	kl_engine_enter(engine, now_us);
+	engine->counts.dropped++;
+	if (error == -KL_E_CONNECTIONS)
+		place->refused_us = now_us;
+	else if (!opened || channel->stage != KL_CHANNEL_IDLE)
+		kl_place_bad(place, !opened && error == -KL_E_UPSTREAM);
+	channel_free(channel);
+	if (caller)
+		kl_run_lost(caller);
+	else if (!opened && error != -KL_E_CONNECTIONS)
+		place->refused_us = now_us;
+	kl_engine_leave(engine);
+}
+
+void kl_channels_tidy(kl_engine_t *engine)
+{
+	kl_cluster_t *cluster;
+	kl_place_t *place;
+
+	CK_STAILQ_FOREACH(cluster, &engine->clusters, link) {
+		CK_STAILQ_FOREACH(place, &cluster->places, link)
+			tidy_place(place);
+		ask_primary(engine, cluster);
+	}
+}
+
+static void tidy_place(kl_place_t *place)
+{
+	uint64_t now = place->cluster->engine->now;
+	kl_channel_t *channel, *next;
+	kl_caller_t *caller, *after;
+
+	CK_STAILQ_FOREACH_SAFE(channel, &place->channels, link, next) {
+		uint64_t since = now - channel->since_us;
+		bool idle = channel->stage == KL_CHANNEL_IDLE;
+
+		if (overdue(channel, now)) {
+			kl_place_bad(place, false);
+			if (channel->stage == KL_CHANNEL_OPENING)
+				place->refused_us = now;
+			kl_channel_drop(channel);
+		} else if (idle && (!place->present || since > IDLE_US ||
+				    (since > SURPLUS_US &&
+				     place->open > place->fair_cap))) {
+			kl_channel_drop(channel);
+		}
+	}
+	/* What waits at a place that fails may find another one. */
+	if (place->failing_us || !place->present) {
+		CK_STAILQ_FOREACH_SAFE(caller, &place->queue, queued, after) {
+			kl_place_dequeue(caller);
+			caller->run.avoid = place;
+			caller->run.place = NULL;
+			kl_caller_wait(caller, KL_RUN_ROUTE);
+		}
+	}
+	if (!CK_STAILQ_EMPTY(&place->queue))
+		kl_place_serve(place);
+}
+
+static bool overdue(const kl_channel_t *channel, uint64_t now)
+{
+	const kl_engine_t *engine = channel->place->cluster->engine;
+	uint64_t since = now - channel->since_us;
+
+	if (channel->stage == KL_CHANNEL_OPENING)
+		return since > engine->settings.connect_us;
+	if (channel->stage == KL_CHANNEL_ASKING)
+		return since > (channel->proven ? ASK_US : ABANDON_US);
+	return false;
+}
+
+/* Keeps what is known of the primary fresh where no traffic does. */
+static void ask_primary(kl_engine_t *engine, kl_cluster_t *cluster)
+{
+	static const kl_dispatch_t status = { .kind = KL_DISPATCH_STATUS };
+	const kl_group_t *group = kl_engine_group(engine, cluster->name);
+	kl_place_t *place;
+	kl_channel_t *channel;
+
+	if (!cluster->used_us || engine->now - cluster->used_us > USED_US ||
+	    !kl_engine_proven(engine, group) ||
+	    engine->now - kl_points_newest(&cluster->points) < FRESH_US)
+		return;
+	place = kl_place_of(cluster, group->primary);
+	if (!place || !place->present)
+		return;
+	CK_STAILQ_FOREACH(channel, &place->channels, link) {
+		if (channel->stage == KL_CHANNEL_ASKING ||
+		    channel->stage == KL_CHANNEL_OPENING)
+			return;
+	}
+	channel = oldest_idle(place);
+	if (!channel) {
+		if (place->open < place->cap &&
+		    engine->now - place->refused_us > BACKOFF_US)
+			open_channel(place, cluster->workspace);
+		return;
+	}
+	if (kl_channel_send(channel, &status)) {
+		kl_channel_drop(channel);
+		return;
+	}
+	channel->stage = KL_CHANNEL_ASKING;
+	channel->setups = 1;
+	channel->proven = true;
+	channel->sent_us = engine->now;
+	channel->since_us = engine->now;
+}
--- /dev/null
+++ b/path/engine_place.c
@@ -0,0 +1,313 @@
+/* What requests find at the upstreams, and which of them is chosen. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "path/engine_internal.h"
+
+#define GONE_US (3 * KL_SEC)	/* an unlisted one is used that long */
+#define LEAVING_US (4 * KL_SEC) /* a leaving primary is used that long */
+#define LAG_US (60 * KL_MS)	/* a lagging one isn't asked again before */
+#define KNOWN_US (30 * KL_MS)	/* a position this old has moved on */
+#define RETRY_US (250 * KL_MS)	/* a failing one is tried this often */
+#define CAP_EXTRA 3		/* connections above an even part */
+#define COST_STATEMENT 4	/* of one statement in progress there */
+#define COST_CONNECT 3		/* of a new connection */
+#define COST_DISTANCE 2		/* of another failure domain */
+#define COST_PRIMARY 3		/* reads leave it to the writes */
+#define COST_DOUBT 5		/* it may lack the position */
+
+static void take_service(kl_engine_t *engine, const kl_service_t *service,
+			 uint32_t live);
+static void take_upstream(kl_cluster_t *cluster, const kl_upstream_t *upstream,
+			  uint32_t connections, uint32_t live);
+static void take_group(kl_engine_t *engine, kl_cluster_t *cluster);
+static void look_for_gone(kl_engine_t *engine, kl_cluster_t *cluster);
+static bool usable(const kl_place_t *place, uint64_t now);
+static kl_place_t *primary(const kl_caller_t *caller, kl_cluster_t *cluster,
+			   const kl_group_t *group);
+static int64_t cost(const kl_caller_t *caller, const kl_place_t *place,
+		    bool leads);
+static bool tell(kl_place_t *place);
+
+void kl_places_refresh(kl_engine_t *engine)
+{
+	const kl_config_t *config = engine->scene.config;
+	const kl_members_t *members = engine->scene.members;
+	uint32_t live = members && members->live ? members->live : 1;
+	const kl_service_t *service;
+	kl_cluster_t *cluster;
+
+	engine->seen_config = config;
+	engine->seen_terms = engine->scene.terms;
+	engine->seen_members = members;
+	if (config) {
+		CK_STAILQ_FOREACH(service, &config->services, link)
+			take_service(engine, service, live);
+	}
+	CK_STAILQ_FOREACH(cluster, &engine->clusters, link) {
+		look_for_gone(engine, cluster);
+		take_group(engine, cluster);
+	}
+}
+
+kl_cluster_t *kl_cluster_of(kl_engine_t *engine, const char *service)
+{
+	kl_cluster_t *cluster;
+
+	CK_STAILQ_FOREACH(cluster, &engine->clusters, link) {
+		if (!strcmp(cluster->name, service))
+			return cluster;
+	}
+	return NULL;
+}
+
+kl_place_t *kl_place_of(kl_cluster_t *cluster, const char *name)
+{
+	kl_place_t *place;
+
+	CK_STAILQ_FOREACH(place, &cluster->places, link) {
+		if (!strcmp(place->name, name))
+			return place;
+	}
+	return NULL;
+}
+
+static void take_service(kl_engine_t *engine, const kl_service_t *service,
+			 uint32_t live)
+{
+	kl_cluster_t *cluster = kl_cluster_of(engine, service->name.name);
+	const kl_upstream_t *upstream;
+
+	if (!cluster) {
+		cluster = calloc(1, sizeof(*cluster));
+		if (!cluster)
+			return;
+		cluster->engine = engine;
+		memcpy(cluster->name, service->name.name, KL_NAME_MAX);
+		CK_STAILQ_INIT(&cluster->places);
+		CK_STAILQ_INSERT_TAIL(&engine->clusters, cluster, link);
+	}
+	CK_STAILQ_FOREACH(upstream, &service->upstreams, link)
+		take_upstream(cluster, upstream, service->connections, live);
+}
+
+static void take_upstream(kl_cluster_t *cluster, const kl_upstream_t *upstream,
+			  uint32_t connections, uint32_t live)
+{
+	uint64_t now = cluster->engine->now;
+	kl_place_t *place = kl_place_of(cluster, upstream->name.name);
+
+	if (!place) {
+		place = calloc(1, sizeof(*place));
+		if (!place)
+			return;
+		place->cluster = cluster;
+		memcpy(place->name, upstream->name.name, KL_NAME_MAX);
+		CK_STAILQ_INIT(&place->channels);
+		CK_STAILQ_INIT(&place->queue);
+		CK_STAILQ_INSERT_TAIL(&cluster->places, place, link);
+	}
+	memcpy(place->host, upstream->host, KL_HOST_MAX);
+	memcpy(place->domain, upstream->domain, KL_NAME_MAX);
+	place->port = upstream->port;
+	place->present = true;
+	place->gone_us = 0;
+	if (!upstream->leaving)
+		place->leaving_us = 0;
+	else if (!place->leaving_us)
+		place->leaving_us = now;
+	place->leaving = upstream->leaving;
+	place->fair_cap = (connections + live - 1) / live;
+	place->cap = place->fair_cap + CAP_EXTRA;
+}
+
+static void look_for_gone(kl_engine_t *engine, kl_cluster_t *cluster)
+{
+	const kl_config_t *config = engine->scene.config;
+	const kl_service_t *service =
+		config ? kl_index_get(config->service_index, cluster->name)
+		       : NULL;
+	kl_place_t *place;
+
+	CK_STAILQ_FOREACH(place, &cluster->places, link) {
+		if (service && kl_service_upstream(service, place->name))
+			continue;
+		/* The registry may have forgotten it while it was away. */
+		if (!place->gone_us)
+			place->gone_us = engine->now;
+		if (engine->now - place->gone_us > GONE_US)
+			place->present = false;
+	}
+}
+
+static void take_group(kl_engine_t *engine, kl_cluster_t *cluster)
+{
+	const kl_group_t *group = kl_engine_group(engine, cluster->name);
+
+	if (!group || group->version == cluster->version)
+		return;
+	cluster->version = group->version;
+	kl_points_clear(&cluster->points);
+}
+
+void kl_places_free(kl_engine_t *engine)
+{
+	kl_cluster_t *cluster;
+	kl_place_t *place;
+
+	while ((cluster = CK_STAILQ_FIRST(&engine->clusters))) {
+		CK_STAILQ_REMOVE_HEAD(&engine->clusters, link);
+		while ((place = CK_STAILQ_FIRST(&cluster->places))) {
+			CK_STAILQ_REMOVE_HEAD(&cluster->places, link);
+			while (!CK_STAILQ_EMPTY(&place->channels))
+				kl_channel_drop(
+					CK_STAILQ_FIRST(&place->channels));
+			free(place);
+		}
+		free(cluster);
+	}
+}
+
+void kl_place_good(kl_place_t *place)
+{
+	bool failed = place->failing_us != 0;
+
+	place->failing_us = 0;
+	place->refuses = false;
+	if (failed)
+		tell(place);
+}
+
+void kl_place_bad(kl_place_t *place, bool refuses)
+{
+	uint64_t now = place->cluster->engine->now;
+
+	if (!place->failing_us)
+		place->failing_us = now;
+	place->refuses |= refuses;
+	place->tried_us = now;
+	tell(place);
+}
+
+static bool tell(kl_place_t *place)
+{
+	kl_engine_t *engine = place->cluster->engine;
+	kl_traffic_t traffic = { .service = place->cluster->name,
+				 .upstream = place->name,
+				 .failing_us = place->failing_us,
+				 .refused = place->refuses };
+
+	place->told_us = engine->now;
+	engine->ops->traffic(engine->context, &traffic);
+	return true;
+}
+
+/* Each answer says how far the database's log goes. */
+void kl_place_answered(kl_place_t *place, const kl_channel_t *channel,
+		       kl_position_t position)
+{
+	kl_cluster_t *cluster = place->cluster;
+	kl_engine_t *engine = cluster->engine;
+	const kl_group_t *group = kl_engine_group(engine, cluster->name);
+
+	kl_place_good(place);
+	if (!position.term)
+		return;
+	if (kl_position_compare(place->position, position) < 0 ||
+	    channel->sent_us > place->position_us) {
+		place->position = position;
+		place->position_us = engine->now;
+	}
+	if (position.term > cluster->newest_term.term)
+		cluster->newest_term = position;
+	if (channel->proven && group && group->state == KL_GROUP_STABLE &&
+	    group->version == cluster->version &&
+	    !strcmp(group->primary, place->name))
+		kl_points_add(&cluster->points, position, channel->sent_us);
+}
+
+kl_place_t *kl_place_choose(const kl_caller_t *caller)
+{
+	kl_engine_t *engine = caller->engine;
+	kl_cluster_t *cluster = kl_cluster_of(engine, caller->route.service);
+	const kl_group_t *group;
+	kl_place_t *place, *lead, *best = NULL;
+	int64_t least = INT64_MAX;
+
+	if (!cluster)
+		return NULL;
+	cluster->used_us = engine->now;
+	memcpy(cluster->workspace, caller->workspace, KL_NAME_MAX);
+	group = kl_engine_group(engine, caller->route.service);
+	lead = primary(caller, cluster, group);
+	if (kl_caller_needs_primary(caller) || !caller->run.since.term)
+		return lead;
+	CK_STAILQ_FOREACH(place, &cluster->places, link) {
+		int64_t price;
+
+		if (place == lead) {
+			price = cost(caller, place, true);
+		} else {
+			if (!usable(place, engine->now) || place->leaving ||
+			    (group && !strcmp(group->primary, place->name)))
+				continue;
+			if (kl_position_compare(place->position,
+						caller->run.since) < 0 &&
+			    engine->now - place->lagging_us < LAG_US)
+				continue;
+			price = cost(caller, place, false);
+		}
+		if (place == caller->run.avoid)
+			price += 4 * COST_STATEMENT;
+		if (price >= least)
+			continue;
+		least = price;
+		best = place;
+	}
+	return best;
+}
+
+/* The primary, if it is proven to be the only one. */
+static kl_place_t *primary(const kl_caller_t *caller, kl_cluster_t *cluster,
+			   const kl_group_t *group)
+{
+	kl_engine_t *engine = caller->engine;
+	kl_place_t *place;
+
+	if (!kl_engine_proven(engine, group))
+		return NULL;
+	place = kl_place_of(cluster, group->primary);
+	if (!place || !usable(place, engine->now))
+		return NULL;
+	if (place->leaving && engine->now - place->leaving_us > LEAVING_US)
+		return NULL;
+	return place;
+}
+
+static bool usable(const kl_place_t *place, uint64_t now)
+{
+	return place->present &&
+	       (!place->failing_us || now - place->tried_us > RETRY_US);
+}
+
+static int64_t cost(const kl_caller_t *caller, const kl_place_t *place,
+		    bool leads)
+{
+	const kl_engine_t *engine = caller->engine;
+	int64_t sum =
+		(int64_t)(place->running + place->waiting) * COST_STATEMENT;
+
+	if (!kl_channel_idle(place, caller->workspace))
+		sum += COST_CONNECT;
+	if (strcmp(place->domain, engine->settings.path.domain))
+		sum += COST_DISTANCE;
+	if (leads)
+		return sum + COST_PRIMARY;
+	if (kl_position_compare(place->position, caller->run.since) < 0)
+		sum += engine->now - place->position_us > KNOWN_US
+			       ? COST_DOUBT / 2
+			       : COST_DOUBT;
+	if (place->failing_us)
+		sum += 2 * COST_STATEMENT;
+	return sum;
+}
--- /dev/null
+++ b/path/position.h
@@ -0,0 +1,54 @@
+/**
+ * @file
+ * Positions in a group's log, and what is known of the primary's over time.
+ */
+#ifndef KL_POSITION_H
+#define KL_POSITION_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** A place in the log; term 0 stands for none. */
+typedef struct kl_position {
+	uint64_t term;
+	uint64_t number; /**< of the last commit */
+} kl_position_t;
+
+/** Compare two positions. @return below, at or above 0 */
+int kl_position_compare(kl_position_t a, kl_position_t b);
+
+#define KL_POINTS 64 /**< kept of one group */
+
+/** The primary's log reached this position before the question was asked. */
+typedef struct kl_point {
+	kl_position_t position;
+	uint64_t asked_us;
+} kl_point_t;
+
+/** What was seen of one group's primary, oldest first. */
+typedef struct kl_points {
+	kl_point_t table[KL_POINTS];
+	uint32_t first;
+	uint32_t count;
+} kl_points_t;
+
+/** Note a position that the proven primary answered with. */
+void kl_points_add(kl_points_t *points, kl_position_t position,
+		   uint64_t asked_us);
+
+/** Forget all: the primary was replaced. */
+void kl_points_clear(kl_points_t *points);
+
+/**
+ * Find the lowest position that holds every commit acknowledged before a
+ * time.
+ *
+ * @return whether one is known
+ */
+bool kl_points_since(const kl_points_t *points, uint64_t time_us,
+		     kl_position_t *position);
+
+/** When the newest point was asked for. @return 0 if there is none */
+uint64_t kl_points_newest(const kl_points_t *points);
+
+#endif
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -4,6 +4,7 @@
 const KL_WIRE_HOST = 47;
 const KL_WIRE_BODY = 49152;
 const KL_WIRE_OBJECTS = 256;
+const KL_WIRE_FEEDS = 8;
 
 struct kl_wire_hello {
 	unsigned hyper incarnation;
@@ -11,10 +12,16 @@
 	bool wants_answer;
 	unsigned hyper ping_us;
 	unsigned hyper echo_us;
-	unsigned hyper revision;
+	unsigned hyper revisions<KL_WIRE_FEEDS>;
 	unsigned hyper age_us;
 };
 
+struct kl_wire_fetch {
+	unsigned int feed;
+	unsigned hyper since;
+	unsigned int skip;
+};
+
 struct kl_wire_object {
 	string name<KL_WIRE_NAME>;
 	unsigned hyper changed;
@@ -22,9 +29,10 @@
 };
 
 struct kl_wire_delta {
-	unsigned hyper since;
+	kl_wire_fetch asked;
 	unsigned hyper revision;
 	bool more;
+	bool whole;
 	kl_wire_object objects<KL_WIRE_OBJECTS>;
 };
 
@@ -46,7 +54,7 @@
 case 0:
 	kl_wire_hello hello;
 case 1:
-	unsigned hyper since;
+	kl_wire_fetch fetch;
 case 2:
 	kl_wire_delta delta;
 case 3:
--- a/peer/peer_codec.c
+++ b/peer/peer_codec.c
@@ -15,6 +15,8 @@
 			 kl_wire_message *wire);
 static void decode_hello(kl_peer_message_t *message,
 			 const kl_wire_message *wire);
+static void fill_fetch(kl_wire_fetch *out, const kl_peer_fetch_t *fetch);
+static void take_fetch(kl_peer_fetch_t *fetch, const kl_wire_fetch *in);
 static void encode_fetch(const kl_peer_message_t *message,
 			 kl_wire_message *wire);
 static void decode_fetch(kl_peer_message_t *message,
@@ -137,7 +139,8 @@
 	out->wants_answer = hello->wants_answer;
 	out->ping_us = hello->ping_us;
 	out->echo_us = hello->echo_us;
-	out->revision = hello->revision;
+	out->revisions.revisions_len = KL_FEED_COUNT;
+	out->revisions.revisions_val = (u_quad_t *)hello->revisions;
 	out->age_us = hello->age_us;
 }
 
@@ -152,20 +155,36 @@
 	hello->wants_answer = in->wants_answer;
 	hello->ping_us = in->ping_us;
 	hello->echo_us = in->echo_us;
-	hello->revision = in->revision;
+	for (u_int i = 0; i < in->revisions.revisions_len && i < KL_FEED_COUNT;
+	     i++)
+		hello->revisions[i] = in->revisions.revisions_val[i];
 	hello->age_us = in->age_us;
 }
 
+static void fill_fetch(kl_wire_fetch *out, const kl_peer_fetch_t *fetch)
+{
+	out->feed = fetch->feed;
+	out->since = fetch->since;
+	out->skip = fetch->skip;
+}
+
+static void take_fetch(kl_peer_fetch_t *fetch, const kl_wire_fetch *in)
+{
+	fetch->feed = in->feed < KL_FEED_COUNT ? in->feed : KL_FEED_TERMS;
+	fetch->since = in->since;
+	fetch->skip = in->skip;
+}
+
 static void encode_fetch(const kl_peer_message_t *message,
 			 kl_wire_message *wire)
 {
-	wire->body.kl_wire_body_u.since = message->since;
+	fill_fetch(&wire->body.kl_wire_body_u.fetch, &message->fetch);
 }
 
 static void decode_fetch(kl_peer_message_t *message,
 			 const kl_wire_message *wire)
 {
-	message->since = wire->body.kl_wire_body_u.since;
+	take_fetch(&message->fetch, &wire->body.kl_wire_body_u.fetch);
 }
 
 static void encode_delta(const kl_peer_message_t *message,
@@ -175,9 +194,10 @@
 	const kl_object_t *object;
 	u_int count = 0;
 
-	out->since = message->delta.since;
+	fill_fetch(&out->asked, &message->delta.asked);
 	out->revision = message->delta.revision;
 	out->more = message->delta.more;
+	out->whole = message->delta.whole;
 	CK_STAILQ_FOREACH(object, &message->delta.objects, link)
 		count++;
 	out->objects.objects_val = calloc(count + 1, sizeof(kl_wire_object));
@@ -198,9 +218,10 @@
 {
 	const kl_wire_delta *in = &wire->body.kl_wire_body_u.delta;
 
-	message->delta.since = in->since;
+	take_fetch(&message->delta.asked, &in->asked);
 	message->delta.revision = in->revision;
 	message->delta.more = in->more;
+	message->delta.whole = in->whole;
 	for (u_int i = 0; i < in->objects.objects_len; i++) {
 		const kl_wire_object *entry = &in->objects.objects_val[i];
 		kl_object_t *object =
--- a/peer/peer_wire.h
+++ b/peer/peer_wire.h
@@ -17,6 +17,7 @@
 #define KL_WIRE_HOST 47
 #define KL_WIRE_BODY 49152
 #define KL_WIRE_OBJECTS 256
+#define KL_WIRE_FEEDS 8
 
 struct kl_wire_hello {
 	u_quad_t incarnation;
@@ -24,11 +25,21 @@
 	bool_t wants_answer;
 	u_quad_t ping_us;
 	u_quad_t echo_us;
-	u_quad_t revision;
+	struct {
+		u_int revisions_len;
+		u_quad_t *revisions_val;
+	} revisions;
 	u_quad_t age_us;
 };
 typedef struct kl_wire_hello kl_wire_hello;
 
+struct kl_wire_fetch {
+	u_int feed;
+	u_quad_t since;
+	u_int skip;
+};
+typedef struct kl_wire_fetch kl_wire_fetch;
+
 struct kl_wire_object {
 	char *name;
 	u_quad_t changed;
@@ -37,9 +48,10 @@
 typedef struct kl_wire_object kl_wire_object;
 
 struct kl_wire_delta {
-	u_quad_t since;
+	kl_wire_fetch asked;
 	u_quad_t revision;
 	bool_t more;
+	bool_t whole;
 	struct {
 		u_int objects_len;
 		kl_wire_object *objects_val;
@@ -67,7 +79,7 @@
 	u_int kind;
 	union {
 		kl_wire_hello hello;
-		u_quad_t since;
+		kl_wire_fetch fetch;
 		kl_wire_delta delta;
 		u_quad_t term;
 		kl_wire_ask ask;
@@ -105,6 +117,7 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_kl_wire_hello (XDR *, kl_wire_hello*);
+extern  bool_t xdr_kl_wire_fetch (XDR *, kl_wire_fetch*);
 extern  bool_t xdr_kl_wire_object (XDR *, kl_wire_object*);
 extern  bool_t xdr_kl_wire_delta (XDR *, kl_wire_delta*);
 extern  bool_t xdr_kl_wire_ask (XDR *, kl_wire_ask*);
@@ -114,6 +127,7 @@
 
 #else /* K&R C */
 extern bool_t xdr_kl_wire_hello ();
+extern bool_t xdr_kl_wire_fetch ();
 extern bool_t xdr_kl_wire_object ();
 extern bool_t xdr_kl_wire_delta ();
 extern bool_t xdr_kl_wire_ask ();
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -20,13 +20,28 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->echo_us))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+	 if (!xdr_array (xdrs, (char **)&objp->revisions.revisions_val, (u_int *) &objp->revisions.revisions_len, KL_WIRE_FEEDS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->age_us))
 		 return FALSE;
 	return TRUE;
 }
 
+bool_t
+xdr_kl_wire_fetch (XDR *xdrs, kl_wire_fetch *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->feed))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->since))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->skip))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_kl_wire_object (XDR *xdrs, kl_wire_object *objp)
 {
@@ -46,12 +61,14 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->since))
+	 if (!xdr_kl_wire_fetch (xdrs, &objp->asked))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->more))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->whole))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->objects.objects_val, (u_int *) &objp->objects.objects_len, KL_WIRE_OBJECTS,
 		sizeof (kl_wire_object), (xdrproc_t) xdr_kl_wire_object))
 		 return FALSE;
@@ -103,7 +120,7 @@
 			 return FALSE;
 		break;
 	case 1:
-		 if (!xdr_u_quad_t (xdrs, &objp->kl_wire_body_u.since))
+		 if (!xdr_kl_wire_fetch (xdrs, &objp->kl_wire_body_u.fetch))
 			 return FALSE;
 		break;
 	case 2:
--- a/scripts/stand.sh
+++ b/scripts/stand.sh
@@ -87,7 +87,7 @@
 YAML
 	vm_list "$1" "$2" "$3" live
 	"$BUILD/kumquatloftd" --settings "$STAND/$1.yaml" \
-		2>>"$STAND/$1.log" &
+		>>"$STAND/$1.log" 2>&1 &
 	PIDS="$PIDS $!"
 	eval "PID_$1=$!"
 }
--- a/tests/unit/codec.c
+++ b/tests/unit/codec.c
@@ -73,7 +73,7 @@
 	(void)state;
 
 	strcpy(message.from, "a1");
-	message.delta.since = 3;
+	message.delta.asked.since = 3;
 	message.delta.revision = 9;
 	CK_STAILQ_INIT(&message.delta.objects);
 	CK_STAILQ_INSERT_TAIL(&message.delta.objects, object, link);
