Borrow by the mean where few statements come; share connections by the database's word

Cause 1: a part of a plan was asked for by the busiest 100 ms window; where a workspace sends a few statements a second that is chance, and VMs took parts from each other at 1,200 messages a second and VM. Cause 2: idle workspaces had their turn every 200 ms of a 25 ms tick while tokens hold 100 ms. Cause 3: each VM opened an even part of the connections and three more, rounded up; 18,529 were over the databases' cap.

--- a/control/share.c
+++ b/control/share.c
@@ -10,7 +10,7 @@
 #include "control/slot.h"
 
 #define BALANCE_US (200 * KL_MS)
-#define IDLE_TURNS 8 /* steps in which every idle workspace has its turn */
+#define IDLE_TURNS 4 /* steps in which every idle workspace has its turn */
 #define LENDERS 3    /* asked in one step for one workspace */
 
 typedef struct account {
--- a/control/share_lease.c
+++ b/control/share_lease.c
@@ -11,6 +11,9 @@
 #define FORGET_US 10000000ull /* a peer not heard of is forgotten */
 #define DEMAND_US 100000ull   /* width of a window of the demand seen */
 #define WINDOWS 2	      /* the highest of so many windows counts */
+#define SMOOTH 8	      /* windows that the mean demand reaches back */
+#define RISE_LEAST 2	      /* statements that are a rise above the mean */
+#define SPARSE 3	      /* statements a window: below, chance rules */
 #define VALID_US 100000ull    /* tokens are spendable this long per tick */
 #define GRANTS 8	      /* unacknowledged ones of one borrower */
 #define HEADROOM_PERCENT 110  /* share wanted over the demand seen */
@@ -51,6 +54,7 @@
 	uint64_t minted_us;
 	uint64_t remainder;	  /* of minting, below one token */
 	uint64_t recent[WINDOWS]; /* statements a second, newest last */
+	uint64_t mean; /* thousandths of a statement a second */
 	uint64_t came;
 	uint64_t demand_us;
 	uint64_t backlog;
@@ -155,6 +159,9 @@
 	memmove(share->recent, share->recent + 1,
 		sizeof(share->recent) - sizeof(share->recent[0]));
 	share->recent[WINDOWS - 1] = share->came * 1000000 / elapsed;
+	share->mean = (share->mean * (SMOOTH - 1) +
+		       share->recent[WINDOWS - 1] * 1000) /
+		      SMOOTH;
 	share->came = 0;
 	share->demand_us = now_us;
 }
@@ -400,15 +407,27 @@
 	return share->now_us < share->owned_until_us ? share->owned : 0;
 }
 
-/* A short lull should not give all away. */
+/*
+ * The most that came lately: a short lull should not give all away.  Where few
+ * statements come, many in one window are mostly chance, and asking for as
+ * much all the time would take the part of others: there the mean counts, but
+ * for a rise that is more than chance.
+ */
 static uint64_t demand_of(const kl_share_t *share)
 {
-	uint64_t most = 0;
+	uint64_t usual = share->mean * DEMAND_US / 1000000; /* thousandths */
+	uint64_t most = 0, count, rise;
 
 	for (int i = 0; i < WINDOWS; i++)
 		if (share->recent[i] > most)
 			most = share->recent[i];
-	return most;
+	count = most * DEMAND_US / 1000000;
+	rise = count * 1000 > usual ? count * 1000 - usual : 0;
+	if (usual >= SPARSE * 1000)
+		return most;
+	if (rise > RISE_LEAST * 1000 && rise * rise > 9000 * usual)
+		return most;
+	return (share->mean + 500) / 1000;
 }
 
 static uint64_t needed(const kl_share_t *share)
--- a/daemon/control_thread.c
+++ b/daemon/control_thread.c
@@ -19,7 +19,7 @@
 #include "platform/http.h"
 
 #define TICK_US 10000
-#define CALM_TICK_US 25000 /* where requests tell of the databases */
+#define CALM_TICK_US 20000 /* where requests tell of the databases */
 
 struct kl_control_thread {
 	kl_node_t node;
--- a/daemon/database_call.c
+++ b/daemon/database_call.c
@@ -3,6 +3,7 @@
 
 #include "daemon/database_call.h"
 
+#define KEPT_S 5	  /* an unused connection is closed */
 #define TIMEOUT_US 500000 /* of connecting and answering together */
 
 /* A connection and the call that runs on it. */
@@ -145,11 +146,12 @@
 
 static void on_answered(void *owner, const kl_control_state_t *state)
 {
+	static const struct timeval kept = { KEPT_S, 0 };
 	line_t *line = owner;
 	kl_database_caller_t *caller = line->caller;
 	kl_database_answer_t answer = { .call = line->call };
 
-	evtimer_del(line->timer);
+	evtimer_add(line->timer, &kept);
 	line->busy = false;
 	answer.error = state->error;
 	answer.primary = state->primary;
--- a/path/engine_channel.c
+++ b/path/engine_channel.c
@@ -4,16 +4,20 @@
 
 #include "path/engine_internal.h"
 
-#define ASK_US (500 * KL_MS)	/* a question is given up after this */
-#define ABANDON_US (3 * KL_SEC) /* so is what a caller left behind */
-#define FRESH_US (400 * KL_MS)	/* the primary is asked this often */
-#define USED_US (10 * KL_SEC)	/* a group unused so long isn't asked */
-#define IDLE_US (20 * KL_SEC)	/* an unused connection is closed */
-#define SURPLUS_US (2 * KL_SEC) /* one above an even part is */
-#define BACKOFF_US (30 * KL_MS) /* after a refused connection */
+#define ASK_US (500 * KL_MS)	 /* a question is given up after this */
+#define ABANDON_US (3 * KL_SEC)	 /* so is what a caller left behind */
+#define FRESH_US (400 * KL_MS)	 /* the primary is asked this often */
+#define USED_US (10 * KL_SEC)	 /* a group unused so long isn't asked */
+#define IDLE_US (20 * KL_SEC)	 /* an unused connection is closed */
+#define SURPLUS_US (400 * KL_MS) /* one above an even part is */
+#define GROW_US (150 * KL_MS)	 /* between two steps above that part */
+#define LIMIT_US (1500 * KL_MS)	 /* none after the database had too many */
+#define BACKOFF_US (30 * KL_MS)	 /* after a refused connection */
 
 static kl_channel_t *open_channel(kl_place_t *place, const char *workspace);
 static kl_channel_t *oldest_idle(const kl_place_t *place);
+static bool make_room(kl_place_t *place);
+static void give_back(kl_place_t *place);
 static uint32_t opening(const kl_place_t *place, const char *workspace);
 static void channel_free(kl_channel_t *channel);
 static void tidy_place(kl_place_t *place);
@@ -75,16 +79,41 @@
 		if (opening(place, caller->workspace) >= want ||
 		    now - place->refused_us < BACKOFF_US)
 			continue;
-		if (place->open >= place->cap) {
-			channel = oldest_idle(place);
-			if (!channel)
-				continue;
-			kl_channel_drop(channel);
-		}
+		if (place->open >= place->cap && !make_room(place))
+			continue;
 		open_channel(place, caller->workspace);
 	}
 }
 
+/*
+ * Closes what another workspace left idle, or takes one more than this VM's
+ * even part: others may not need theirs, and the database says when they do.
+ */
+static bool make_room(kl_place_t *place)
+{
+	uint64_t now = place->cluster->engine->now;
+	kl_channel_t *channel = oldest_idle(place);
+
+	if (channel) {
+		kl_channel_drop(channel);
+		return true;
+	}
+	if (place->cap >= place->most || now - place->grown_us < GROW_US ||
+	    now - place->limited_us < LIMIT_US)
+		return false;
+	place->grown_us = now;
+	place->cap++;
+	return true;
+}
+
+/* The database has too many: back to what this VM has now. */
+static void give_back(kl_place_t *place)
+{
+	place->limited_us = place->cluster->engine->now;
+	place->refused_us = place->limited_us;
+	place->cap = place->open > 1 ? place->open : 1;
+}
+
 static uint32_t opening(const kl_place_t *place, const char *workspace)
 {
 	const kl_channel_t *channel;
@@ -230,11 +259,12 @@
 
 	kl_engine_enter(engine, now_us);
 	engine->counts.dropped++;
-	if (error == -KL_E_CONNECTIONS)
-		place->refused_us = now_us;
-	else if (!opened || channel->stage != KL_CHANNEL_IDLE)
+	if (error != -KL_E_CONNECTIONS &&
+	    (!opened || channel->stage != KL_CHANNEL_IDLE))
 		kl_place_bad(place, !opened && error == -KL_E_UPSTREAM);
 	channel_free(channel);
+	if (error == -KL_E_CONNECTIONS)
+		give_back(place);
 	if (caller)
 		kl_run_lost(caller);
 	else if (!opened && error != -KL_E_CONNECTIONS)
@@ -271,10 +301,15 @@
 			kl_channel_drop(channel);
 		} else if (idle && (!place->present || since > IDLE_US ||
 				    (since > SURPLUS_US &&
-				     place->open > place->fair_cap))) {
+				     place->open > place->part))) {
 			kl_channel_drop(channel);
 		}
 	}
+	if (place->cap > place->part && CK_STAILQ_EMPTY(&place->queue) &&
+	    place->open < place->cap)
+		place->cap--;
+	if (place->cap < place->part && now - place->limited_us > LIMIT_US)
+		place->cap = place->part;
 	/* What waits at a place that fails may find another one. */
 	if (place->failing_us || !place->present) {
 		CK_STAILQ_FOREACH_SAFE(caller, &place->queue, queued, after) {
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -49,8 +49,11 @@
 	uint64_t gone_us; /**< no longer registered since then, or 0 */
 	bool leaving;
 	uint64_t leaving_us; /**< since when, or 0 */
-	uint32_t cap;	     /**< connections that this VM may open */
-	uint32_t fair_cap;   /**< the same, if every VM has as many */
+	uint32_t cap;	     /**< connections that this VM may open now */
+	uint32_t part;	     /**< the same, if every VM has as many */
+	uint32_t most;	     /**< if every other VM has the least */
+	uint64_t grown_us;   /**< when the cap last changed */
+	uint64_t limited_us; /**< the database had too many then */
 	uint32_t open;
 	uint32_t running;     /**< statements sent and not answered */
 	uint32_t waiting;     /**< statements that wait for a connection */
--- a/path/engine_place.c
+++ b/path/engine_place.c
@@ -9,7 +9,7 @@
 #define LAG_US (60 * KL_MS)	/* a lagging one isn't asked again before */
 #define KNOWN_US (30 * KL_MS)	/* a position this old has moved on */
 #define RETRY_US (250 * KL_MS)	/* a failing one is tried this often */
-#define CAP_EXTRA 3		/* connections above an even part */
+#define LEAST 2			/* connections that every VM may have */
 #define COST_STATEMENT 4	/* of one statement in progress there */
 #define COST_CONNECT 3		/* of a new connection */
 #define COST_DISTANCE 2		/* of another failure domain */
@@ -117,8 +117,12 @@
 	else if (!place->leaving_us)
 		place->leaving_us = now;
 	place->leaving = upstream->leaving;
-	place->fair_cap = (connections + live - 1) / live;
-	place->cap = place->fair_cap + CAP_EXTRA;
+	place->part = connections / live > LEAST ? connections / live : LEAST;
+	place->most = connections > LEAST * live
+			      ? connections - LEAST * (live - 1)
+			      : LEAST;
+	if (place->cap < place->part)
+		place->cap = place->part;
 }
 
 static void look_for_gone(kl_engine_t *engine, kl_cluster_t *cluster)
