Return faster after a restart; serve what the balancer still sends at a stop

Cause 1: after all VMs lost power requests were refused for their rate until 1.7 s after the start: an inherited part settled for 1.2 s from its record and began without tokens. Loans now last 0.6 s, a part that a VM's own earlier process held settles 0.7 s from the start of the process, and begins with what nobody minted for it while the process was down (down_ms).

--- a/control/control.c
+++ b/control/control.c
@@ -64,6 +64,7 @@
 	tuning->catch_up_us = 2 * KL_SEC;
 	tuning->slots = 24;
 	tuning->feeds = 1;
+	tuning->roots = 2;
 }
 
 uint64_t kl_fence_us(const kl_tuning_t *tuning)
--- a/control/member.c
+++ b/control/member.c
@@ -268,7 +268,7 @@
 		if (strcmp(member->domain, node->self.domain))
 			continue;
 		if (!strcmp(member->name.name, node->self.vm))
-			members->watcher = position < KL_ROOTS;
+			members->watcher = position < node->tuning.roots;
 		position++;
 	}
 	state->changed = false;
--- a/control/node.h
+++ b/control/node.h
@@ -19,7 +19,6 @@
 #define KL_MS 1000ull	  /**< microseconds */
 #define KL_SEC 1000000ull /**< microseconds */
 #define KL_PROBERS 5	  /**< VMs that watch over one group */
-#define KL_ROOTS 2	  /**< VMs of a domain that ask the platform for it */
 
 /** The controllers, in the order in which data flows. */
 typedef enum kl_controller_id {
@@ -180,9 +179,12 @@
 	uint64_t position_us;	/**< between position probes under demand */
 	uint64_t suspect_us;	/**< failing this long is suspicious */
 	uint64_t share_hold_us; /**< owned parts stay usable unconfirmed */
-	uint64_t catch_up_us;	/**< a planned change waits for replicas */
-	uint32_t slots;		/**< owned parts of every limit */
-	uint32_t feeds;		/**< of the platform's service in use */
+	uint64_t down_us;     /**< a process is down at least so long before the
+				    next one starts at its address */
+	uint64_t catch_up_us; /**< a planned change waits for replicas */
+	uint32_t slots;	      /**< owned parts of every limit */
+	uint32_t roots; /**< VMs of a domain that ask the platform for it */
+	uint32_t feeds; /**< of the platform's service in use */
 	bool platform_promotes; /**< databases don't take promotion calls */
 } kl_tuning_t;
 
--- a/control/share.c
+++ b/control/share.c
@@ -21,6 +21,7 @@
 	uint64_t asked;
 	uint32_t cursor;
 	bool wanted;
+	bool credited; /* with what its part missed while it was down */
 } account_t;
 
 typedef CK_STAILQ_HEAD(account_list, account) account_list_t;
@@ -255,6 +256,13 @@
 
 	kl_share_tick(account->share, now);
 	kl_share_own(account->share, owned, until);
+	if (owned && !account->credited) {
+		account->credited = true;
+		kl_share_credit(
+			account->share,
+			kl_slots_inherited(state->slots, KL_SHARE_WHOLE),
+			node->tuning.down_us);
+	}
 	kl_share_demand(account->share, now, asked - account->asked, waiting);
 	account->asked = asked;
 	ask_lenders(node, state, account, now);
--- a/control/share_lease.c
+++ b/control/share_lease.c
@@ -4,9 +4,10 @@
 
 #include "kumquatloft/share.h"
 
-#define LOAN_US 1000000ull    /* life of a loan, from the question */
-#define LENDER_US 1100000ull  /* the lender's longer view, for drift */
-#define RENEW_US 500000ull    /* a loan this close to its end is renewed */
+#define LOAN_US 600000ull     /* life of a loan, from the question */
+#define LENDER_US 660000ull   /* the lender's longer view, for drift */
+#define RENEW_US 300000ull    /* a loan this close to its end is renewed */
+#define MINT_US 1000000ull    /* the longest time that is minted for at once */
 #define ASK_US 20000ull	      /* between two questions to one lender */
 #define FORGET_US 10000000ull /* a peer not heard of is forgotten */
 #define DEMAND_US 100000ull   /* width of a window of the demand seen */
@@ -54,7 +55,7 @@
 	uint64_t minted_us;
 	uint64_t remainder;	  /* of minting, below one token */
 	uint64_t recent[WINDOWS]; /* statements a second, newest last */
-	uint64_t mean; /* thousandths of a statement a second */
+	uint64_t mean;		  /* thousandths of a statement a second */
 	uint64_t came;
 	uint64_t demand_us;
 	uint64_t backlog;
@@ -123,6 +124,14 @@
 	set_validity(share);
 }
 
+void kl_share_credit(kl_share_t *share, uint64_t part, uint64_t down_us)
+{
+	/* rate * 1000 tokens * part / whole * us / 1e6 */
+	uint64_t tokens = share->rate * part / 1000 * down_us / 1000000;
+
+	share->ops->put(share->purse, (int64_t)tokens, cap_of(share));
+}
+
 void kl_share_tick(kl_share_t *share, uint64_t now_us)
 {
 	uint64_t elapsed, minted, held, lent = lent_sum(share);
@@ -136,8 +145,8 @@
 	held = owned_now(share);
 	held = (held > lent ? held - lent : 0) + borrowed_sum(share);
 	elapsed = now_us - share->minted_us;
-	if (elapsed > LOAN_US)
-		elapsed = LOAN_US;
+	if (elapsed > MINT_US)
+		elapsed = MINT_US;
 	/* rate * 1000 tokens * share / whole * us / 1e6 */
 	minted = share->rate * held / 1000 * elapsed + share->remainder;
 	share->remainder = minted % 1000000;
--- a/control/slot.c
+++ b/control/slot.c
@@ -7,10 +7,10 @@
 #include "control/slot.h"
 
 #define PREFIX "slot/"
-#define RETRY_US (400 * KL_MS)	 /* between two updates of one slot */
-#define SETTLE_US (1200 * KL_MS) /* the former owner's loans run out */
-#define ABSENT_US (5 * KL_SEC)	 /* unlisted so long: revoked */
-#define UPDATES 3		 /* conditional updates of one round */
+#define RETRY_US (400 * KL_MS)	/* between two updates of one slot */
+#define SETTLE_US (700 * KL_MS) /* the former owner's loans run out */
+#define ABSENT_US (5 * KL_SEC)	/* unlisted so long: revoked */
+#define UPDATES 3		/* conditional updates of one round */
 
 typedef struct slot {
 	char owner[KL_NAME_MAX];
@@ -20,6 +20,7 @@
 	bool revoked;
 	uint64_t version;
 	uint64_t seen_us;   /* when this state was first seen */
+	bool inherited;	    /* from an earlier process at this address */
 	uint64_t dropped;   /* version given up; not used up to it */
 	uint64_t write_us;  /* last conditional update */
 	uint64_t absent_us; /* owner first seen unlisted, or 0 */
@@ -30,7 +31,8 @@
 	slot_t *table;
 	char self[KL_NAME_MAX];
 	uint64_t incarnation;
-	uint64_t revision; /* of the objects read */
+	uint64_t started_us; /* of this process */
+	uint64_t revision;   /* of the objects read */
 };
 
 static bool decode(slot_t *slot, const char *body);
@@ -76,10 +78,13 @@
 	if (!objects || objects->revision == slots->revision)
 		return;
 	slots->revision = objects->revision;
+	if (!slots->started_us)
+		slots->started_us = kl_node_now(node);
 	for (uint32_t i = 0; i < slots->count; i++) {
 		char name[KL_NAME_MAX];
 		const kl_object_t *object;
 		slot_t *slot = &slots->table[i];
+		bool earlier;
 
 		snprintf(name, sizeof(name), PREFIX "%u", i);
 		object = kl_index_get(objects->index, name);
@@ -89,8 +94,10 @@
 		slot->seen_us = kl_node_now(node);
 		slot->absent_us = 0;
 		slot->write_us = 0;
+		earlier = is_free(node, slot, slot->seen_us) && slot->owner[0];
 		if (!decode(slot, object->body))
 			slot->owner[0] = '\0';
+		slot->inherited = earlier && mine(slots, slot);
 	}
 }
 
@@ -103,12 +110,26 @@
 	for (uint32_t i = 0; i < slots->count; i++) {
 		const slot_t *slot = &slots->table[i];
 
+		/* An earlier process here lent nothing after this one began. */
+		uint64_t since =
+			slot->inherited ? slots->started_us : slot->seen_us;
+
 		usable += mine(slots, slot) && !slot->revoked &&
-			  now - slot->seen_us >= SETTLE_US;
+			  now - since >= SETTLE_US;
 	}
 	return slots->count ? whole * usable / slots->count : 0;
 }
 
+uint64_t kl_slots_inherited(const kl_slots_t *slots, uint64_t whole)
+{
+	uint32_t inherited = 0;
+
+	for (uint32_t i = 0; i < slots->count; i++)
+		inherited += mine(slots, &slots->table[i]) &&
+			     slots->table[i].inherited;
+	return whole * inherited / slots->count;
+}
+
 uint32_t kl_slots_held(const kl_slots_t *slots)
 {
 	return owned_by(slots, slots->self);
--- a/control/slot.h
+++ b/control/slot.h
@@ -24,6 +24,9 @@
 uint64_t kl_slots_part(const kl_node_t *node, const kl_slots_t *slots,
 		       uint64_t whole);
 
+/** The part of a whole that an earlier process at this address owned. */
+uint64_t kl_slots_inherited(const kl_slots_t *slots, uint64_t whole);
+
 /** Slots that are recorded as this VM's, usable or not. */
 uint32_t kl_slots_held(const kl_slots_t *slots);
 
--- a/control/sync.c
+++ b/control/sync.c
@@ -13,7 +13,7 @@
 #define SELF_SERVE_US (1500 * KL_MS) /* unconfirmed so long: ask oneself */
 #define ANSWER_US (1 * KL_SEC)	     /* an answer this late is given up */
 #define WATCH_US (20 * KL_SEC)	     /* a watch this old is given up */
-#define FEED_WATCH_US (4 * KL_SEC)   /* the same, with several feeds */
+#define FEED_WATCH_US (12 * KL_SEC)  /* the same, with several feeds */
 #define RETRY_US (300 * KL_MS)	     /* after a list that failed */
 
 static void ask_for_all(kl_node_t *node, kl_sync_t *sync, uint64_t now);
--- a/control/sync_peer.c
+++ b/control/sync_peer.c
@@ -225,11 +225,11 @@
 		return;
 	}
 	position = domain_position(node, members, NULL, &count);
-	if (position >= KL_ROOTS) {
+	if (position >= node->tuning.roots) {
 		const kl_member_t *table[count + 1];
 
 		domain_position(node, members, table, &count);
-		parent = table[(position - KL_ROOTS) / FANOUT];
+		parent = table[(position - node->tuning.roots) / FANOUT];
 		send_hello(node, sync, parent->name.name, parent->host,
 			   parent->port, 0, true);
 	}
@@ -257,7 +257,7 @@
 	const kl_member_t *table[count + 1];
 	domain_position(node, members, table, &count);
 	for (uint32_t i = 0; i < FANOUT; i++) {
-		uint32_t child = KL_ROOTS + position * FANOUT + i;
+		uint32_t child = node->tuning.roots + position * FANOUT + i;
 
 		if (child < count)
 			send_hello(node, sync, table[child]->name.name,
--- a/daemon/control_thread.c
+++ b/daemon/control_thread.c
@@ -238,8 +238,10 @@
 	tuning->suspect_us = settings->suspect_ms * KL_MS;
 	tuning->share_hold_us = settings->share_hold_s * KL_SEC;
 	tuning->slots = settings->slots;
+	tuning->down_us = settings->down_ms * KL_MS;
 	if (strcmp(settings->platform_format, "native")) {
 		tuning->feeds = KL_FEED_COUNT;
+		tuning->roots = 1;
 		tuning->platform_promotes = true;
 	}
 	CK_SLIST_INIT(&node->seeds);
@@ -353,8 +355,7 @@
 				   .service = answer->name,
 				   .reason = kl_answer_of(answer->error)->name,
 				   .position = answer->feed,
-				   .age_us = kl_clock_us() -
-					     answer->asked_us };
+				   .age_us = kl_clock_us() - answer->asked_us };
 
 	kl_log_decision(&decision);
 }
--- a/daemon/line_worker.c
+++ b/daemon/line_worker.c
@@ -64,6 +64,7 @@
 static void do_result(void *context, void *front, const kl_outcome_t *outcome);
 static void do_done(void *context, void *front, char state);
 static void do_refuse(void *context, void *front, int error, char state);
+static bool do_quiet(void *context, void *front);
 static void do_end(void *context, void *front, int error);
 static void *do_open(void *context, const kl_channel_target_t *target,
 		     kl_channel_t *channel);
@@ -85,6 +86,7 @@
 	.result = do_result,
 	.done = do_done,
 	.refuse = do_refuse,
+	.quiet = do_quiet,
 	.end = do_end,
 	.open = do_open,
 	.send = do_send,
@@ -346,6 +348,12 @@
 	kl_front_line.refuse(front, error, state);
 }
 
+static bool do_quiet(void *context, void *front)
+{
+	(void)context;
+	return kl_front_line.quiet(front);
+}
+
 static void do_end(void *context, void *front, int error)
 {
 	(void)context;
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -174,15 +174,22 @@
 static void drain(const kl_settings_t *settings, kl_control_thread_t *control,
 		  const server_t *server, const sigset_t *signals)
 {
-	uint64_t until = kl_clock_us() + settings->drain_ms * KL_MS;
+	uint64_t now = kl_clock_us();
+	uint64_t least = now + settings->drain_least_ms * KL_MS;
+	uint64_t until = now + settings->drain_ms * KL_MS;
 	bool again = false;
 
 	server_drain(server);
 	kl_control_thread_stop(control);
-	/* At least one turn: sessions are counted by the serving threads. */
+	/*
+	 * At least one turn: sessions are counted by the serving threads.  A
+	 * balancer goes on sending callers until it has seen the probe fail.
+	 */
 	do {
 		again = wait_a_moment(signals);
-	} while (!again && server_sessions(server) && kl_clock_us() < until);
+		now = kl_clock_us();
+	} while (!again && now < until &&
+		 (server_sessions(server) || now < least));
 	until = kl_clock_us() + RELEASE_MS * KL_MS;
 	while (!again && kl_control_thread_slots(control) &&
 	       kl_clock_us() < until)
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -43,6 +43,8 @@
 	  15000 },
 	{ "connect_ms", FIELD(connect_ms), 50, 10000, 500 },
 	{ "log_lines", FIELD(log_lines), 1, 100000, 50 },
+	{ "down_ms", FIELD(down_ms), 0, 60000, 0 },
+	{ "drain_least_ms", FIELD(drain_least_ms), 0, 60000, 0 },
 };
 
 static void on_message(cyaml_log_t level, void *context, const char *format,
@@ -119,6 +121,8 @@
 	NUMBER(transaction_grace_ms, CYAML_FLAG_OPTIONAL),
 	NUMBER(connect_ms, CYAML_FLAG_OPTIONAL),
 	NUMBER(log_lines, CYAML_FLAG_OPTIONAL),
+	NUMBER(down_ms, CYAML_FLAG_OPTIONAL),
+	NUMBER(drain_least_ms, CYAML_FLAG_OPTIONAL),
 	CYAML_FIELD_END
 };
 
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -50,6 +50,8 @@
 	uint32_t transaction_grace_ms;
 	uint32_t connect_ms;
 	uint32_t log_lines;
+	uint32_t drain_least_ms;
+	uint32_t down_ms;
 } kl_settings_t;
 
 /**
--- a/front/engine_front.h
+++ b/front/engine_front.h
@@ -32,6 +32,8 @@
 	void (*result)(kl_engine_front_t *front, const kl_outcome_t *outcome);
 	void (*done)(kl_engine_front_t *front, char state);
 	void (*refuse)(kl_engine_front_t *front, int error, char state);
+	/** Whether nothing that the caller sent is left to be looked at. */
+	bool (*quiet)(const kl_engine_front_t *front);
 	/** Send what is buffered, then close; closed() is not called. */
 	void (*end)(kl_engine_front_t *front, int error);
 } kl_engine_front_ops_t;
--- a/include/kumquatloft/share.h
+++ b/include/kumquatloft/share.h
@@ -75,6 +75,13 @@
  */
 void kl_share_own(kl_share_t *share, uint64_t owned, uint64_t until_us);
 
+/**
+ * Add what nobody minted for a part while its owner was down.
+ *
+ * @param part of KL_SHARE_WHOLE
+ */
+void kl_share_credit(kl_share_t *share, uint64_t part, uint64_t down_us);
+
 /** Let time pass: loans run out, tokens are minted. */
 void kl_share_tick(kl_share_t *share, uint64_t now_us);
 
--- a/path/engine.c
+++ b/path/engine.c
@@ -154,6 +154,8 @@
 
 	if (!engine->drain_until_us)
 		return false;
-	return caller->transaction == 'I' ||
-	       engine->now >= engine->drain_until_us;
+	if (engine->now >= engine->drain_until_us)
+		return true;
+	return caller->transaction == 'I' &&
+	       engine->ops->quiet(engine->context, caller->front);
 }
--- a/path/engine.h
+++ b/path/engine.h
@@ -85,6 +85,8 @@
 	void (*done)(void *context, void *front, char state);
 	/** An error, after which the session goes on. */
 	void (*refuse)(void *context, void *front, int error, char state);
+	/** Whether nothing that the caller sent is left to be looked at. */
+	bool (*quiet)(void *context, void *front);
 	/** The session ends, with an error if it is not 0. */
 	void (*end)(void *context, void *front, int error);
 	/** @return a connection's handle, or NULL */
--- a/path/engine_caller.c
+++ b/path/engine_caller.c
@@ -81,6 +81,7 @@
 {
 	const kl_scene_t *scene = &caller->engine->scene;
 	const char *workspace;
+	kl_bucket_t *bucket;
 	int error;
 
 	if (!scene->config || !scene->terms)
@@ -90,6 +91,11 @@
 	error = check_access(caller, &workspace);
 	if (!error)
 		kl_name_set(caller->workspace, workspace);
+	bucket = error ? NULL : kl_caller_bucket(caller);
+	/* Counted, so that the parts of the plan are kept while it is open. */
+	caller->counted = bucket != NULL;
+	if (bucket)
+		ck_pr_inc_64(&bucket->sessions);
 	return error;
 }
 
@@ -484,6 +490,7 @@
 void kl_caller_end(kl_caller_t *caller, int error)
 {
 	kl_engine_t *engine = caller->engine;
+	kl_bucket_t *bucket;
 	bool sent = caller->run.stage == KL_RUN_SENT ||
 		    caller->run.stage == KL_RUN_SETUP;
 
@@ -493,6 +500,9 @@
 				   !sent || caller->transaction != 'I');
 	if (caller->front)
 		engine->ops->end(engine->context, caller->front, error);
+	bucket = caller->counted ? kl_caller_bucket(caller) : NULL;
+	if (bucket && ck_pr_load_64(&bucket->sessions))
+		kl_leave_session(bucket);
 	kl_state_clear(&caller->state);
 	CK_LIST_REMOVE(caller, link);
 	engine->callers--;
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -117,6 +117,7 @@
 	char workspace[KL_NAME_MAX];
 	char key_hash[2 * KL_KEY_HASH + 1];
 	kl_session_state_t state;
+	bool counted; /**< among its workspace's sessions */
 	char transaction;
 	bool reads_only;	/**< the open transaction */
 	bool wrote;		/**< the open transaction */
