--- a/daemon/line_worker.c
+++ b/daemon/line_worker.c
@@ -41,6 +41,7 @@
 static void set_tick(kl_line_worker_t *worker);
 static void tell_counts(kl_line_worker_t *worker);
 static void open_drain(void *owner, kl_letter_t *letter);
+static void open_refuse(void *owner, kl_letter_t *letter);
 static void open_exit(void *owner, kl_letter_t *letter);
 static void post(kl_line_worker_t *worker,
 		 void (*open)(void *owner, kl_letter_t *letter));
@@ -157,6 +158,11 @@
 	post(worker, open_drain);
 }
 
+void kl_line_worker_refuse(kl_line_worker_t *worker)
+{
+	post(worker, open_refuse);
+}
+
 uint64_t kl_line_worker_sessions(const kl_line_worker_t *worker)
 {
 	return ck_pr_load_64(&worker->sessions);
@@ -267,6 +273,17 @@
 	ck_pr_store_64(&worker->sessions, kl_engine_callers(worker->engine));
 }
 
+static void open_refuse(void *owner, kl_letter_t *letter)
+{
+	kl_line_worker_t *worker = owner;
+
+	free(letter);
+	if (!worker || !worker->listener)
+		return;
+	evconnlistener_free(worker->listener);
+	worker->listener = NULL;
+}
+
 static void open_exit(void *owner, kl_letter_t *letter)
 {
 	kl_line_worker_t *worker = owner;
--- a/daemon/line_worker.h
+++ b/daemon/line_worker.h
@@ -17,6 +17,9 @@
 /** Begin a planned stop: idle sessions end, open transactions go on. */
 void kl_line_worker_drain(kl_line_worker_t *worker);
 
+/** Accept no more callers. */
+void kl_line_worker_refuse(kl_line_worker_t *worker);
+
 /** Sessions that are still open. */
 uint64_t kl_line_worker_sessions(const kl_line_worker_t *worker);
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -20,7 +20,7 @@
 #define EXIT_FAILED 1
 #define EXIT_USAGE 2
 #define SETTINGS_VARIABLE "KUMQUATLOFT_CONFIG"
-#define RELEASE_MS 1500 /* to give the owned parts back at the end */
+#define RELEASE_MS 900 /* to give the owned parts back at the end */
 
 /* The threads that serve callers, whatever these speak. */
 typedef struct server {
@@ -32,6 +32,7 @@
 static int server_start(server_t *server, const kl_settings_t *settings,
 			kl_control_thread_t *control);
 static void server_drain(const server_t *server);
+static void server_refuse(const server_t *server);
 static uint64_t server_sessions(const server_t *server);
 static void server_free(server_t *server);
 static void wait_for_stop(const sigset_t *signals, const char *path);
@@ -136,6 +137,13 @@
 		kl_workers_drain(server->workers);
 }
 
+/* From here on no caller is accepted. */
+static void server_refuse(const server_t *server)
+{
+	if (server->line)
+		kl_line_worker_refuse(server->line);
+}
+
 static uint64_t server_sessions(const server_t *server)
 {
 	return server->line ? kl_line_worker_sessions(server->line)
@@ -177,7 +185,7 @@
 	uint64_t now = kl_clock_us();
 	uint64_t least = now + settings->drain_least_ms * KL_MS;
 	uint64_t until = now + settings->drain_ms * KL_MS;
-	bool again = false;
+	bool again = false, refused = false;
 
 	server_drain(server);
 	kl_control_thread_stop(control);
@@ -188,6 +196,10 @@
 	do {
 		again = wait_a_moment(signals);
 		now = kl_clock_us();
+		if (now >= least && !refused) {
+			server_refuse(server);
+			refused = true;
+		}
 	} while (!again && now < until &&
 		 (server_sessions(server) || now < least));
 	until = kl_clock_us() + RELEASE_MS * KL_MS;
--- a/path/engine.c
+++ b/path/engine.c
@@ -3,10 +3,13 @@
 
 #include "path/engine_internal.h"
 
-#define TIDY_US (50 * KL_MS) /* between two looks at deadlines and links */
+#define TIDY_US (50 * KL_MS)	/* between two looks at deadlines and links */
+#define REFUSE_US (300 * KL_MS) /* after transactions: nothing waits any more \
+				 */
 
 static void look_at_waiting(kl_engine_t *engine);
 static void look_at_callers(kl_engine_t *engine);
+static bool waits_in_vain(const kl_caller_t *caller);
 static bool ends_now(const kl_caller_t *caller);
 
 kl_engine_t *kl_engine_new(const kl_engine_settings_t *settings,
@@ -75,6 +78,7 @@
 {
 	kl_engine_enter(engine, now_us);
 	engine->drain_until_us = transactions_until_us;
+	engine->refuse_from_us = transactions_until_us + REFUSE_US;
 	look_at_callers(engine);
 	kl_engine_leave(engine);
 }
@@ -137,7 +141,9 @@
 	CK_LIST_FOREACH_SAFE(caller, &engine->list, link, next) {
 		bool resting = caller->run.stage == KL_RUN_NONE;
 
-		if (!resting)
+		if (waits_in_vain(caller))
+			kl_caller_refuse(caller, -KL_E_DRAINING);
+		else if (!resting)
 			kl_run_overdue(caller);
 		else if (ends_now(caller))
 			kl_caller_end(caller, 0);
@@ -147,6 +153,18 @@
 	}
 }
 
+/* What has not been sent when this process is about to end never will be. */
+static bool waits_in_vain(const kl_caller_t *caller)
+{
+	const kl_engine_t *engine = caller->engine;
+	kl_run_stage_t stage = caller->run.stage;
+
+	return engine->refuse_from_us &&
+	       engine->now >= engine->refuse_from_us &&
+	       (stage == KL_RUN_TOKENS || stage == KL_RUN_ROUTE ||
+		stage == KL_RUN_CHANNEL);
+}
+
 /* At a planned stop: at once, or when the transaction's time is over. */
 static bool ends_now(const kl_caller_t *caller)
 {
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -160,6 +160,7 @@
 	uint64_t numbers;
 	uint64_t tidied_us;
 	uint64_t drain_until_us; /**< transactions end then; 0: no stop */
+	uint64_t refuse_from_us; /**< what waits then is refused; 0: no stop */
 	uint32_t callers;
 	kl_engine_counts_t counts;
 	CK_LIST_HEAD(, kl_caller) list;
