--- a/control/share_lease.c
+++ b/control/share_lease.c
@@ -9,6 +9,7 @@
 #define RENEW_US 300000ull    /* a loan this close to its end is renewed */
 #define MINT_US 1000000ull    /* the longest time that is minted for at once */
 #define ASK_US 20000ull	      /* between two questions to one lender */
+#define PAUSE_US 300000ull    /* the longest one between two questions */
 #define FORGET_US 10000000ull /* a peer not heard of is forgotten */
 #define DEMAND_US 100000ull   /* width of a window of the demand seen */
 #define WINDOWS 2	      /* the highest of so many windows counts */
@@ -34,6 +35,7 @@
 	uint64_t sequence;
 
 	uint64_t asked_us;
+	uint64_t pause_us;	/* borrower: before it is asked for more */
 	uint64_t touched_us;	/* own clock, of the last message */
 	bool owes_receipt;	/* borrower: the lender still counts more */
 	uint64_t pending;	/* borrower: asked for and not answered yet */
@@ -75,6 +77,7 @@
 static uint64_t owned_now(const kl_share_t *share);
 static void prune(loan_list_t *list, uint64_t now_us);
 static uint64_t demand_of(const kl_share_t *share);
+static bool is_sparse(const kl_share_t *share);
 static uint64_t needed(const kl_share_t *share);
 static int64_t cap_of(const kl_share_t *share);
 static void set_validity(kl_share_t *share);
@@ -187,6 +190,7 @@
 	bool ending = want && held && loan->until_us < now_us + RENEW_US;
 	bool surplus = want < held / 2;
 	bool owed = loan && loan->owes_receipt;
+	uint64_t pause = ASK_US;
 
 	/*
 	 * More than is held; or the same once more before it ends; or less,
@@ -194,7 +198,14 @@
 	 */
 	if (want <= held && !ending && !surplus && !owed)
 		return false;
-	if (loan && now_us - loan->asked_us < ASK_US)
+	/*
+	 * One that had no more to lend is asked less and less often, where few
+	 * statements wait for the answer.
+	 */
+	if (loan && is_sparse(share) && want > held && !ending && !owed &&
+	    loan->pause_us > pause)
+		pause = loan->pause_us;
+	if (loan && now_us - loan->asked_us < pause)
 		return false;
 	loan = loan_of(&share->borrowed, lender, true, now_us);
 	if (!loan)
@@ -274,6 +285,10 @@
 	loan = loan_of(&share->borrowed, lender, true, now_us);
 	if (!loan || grant->sequence <= loan->sequence)
 		return;
+	if (grant->share > loan->share)
+		loan->pause_us = ASK_US;
+	else if (loan->pause_us < PAUSE_US)
+		loan->pause_us = 2 * loan->pause_us + ASK_US;
 	loan->pending = 0;
 	loan->touched_us = now_us;
 	loan->owes_receipt = grant->share < loan->share;
@@ -432,13 +447,19 @@
 			most = share->recent[i];
 	count = most * DEMAND_US / 1000000;
 	rise = count * 1000 > usual ? count * 1000 - usual : 0;
-	if (usual >= SPARSE * 1000)
+	if (!is_sparse(share))
 		return most;
 	if (rise > RISE_LEAST * 1000 && rise * rise > 9000 * usual)
 		return most;
 	return (share->mean + 500) / 1000;
 }
 
+/* Whether so few statements come that chance rules their number. */
+static bool is_sparse(const kl_share_t *share)
+{
+	return share->mean * DEMAND_US / 1000000 < SPARSE * 1000;
+}
+
 static uint64_t needed(const kl_share_t *share)
 {
 	uint64_t demand = demand_of(share);
