Take VMs that are gone off the list, so that they hold up no fence

VMs now watch each other, one for each; one silent for 5 s is marked as gone, and a promoter goes without its word once the lease that it may still hold has run out. Registrations moved to the feed that confirms the leases: a confirmation counts only if the same list names this VM. Weighed: registrations that are renewed (a write a VM every few seconds, told to all askers); removing the record at once (a promoter that just started would not wait for the lease).

--- a/board/sections.h
+++ b/board/sections.h
@@ -22,8 +22,8 @@
  * together.  A service with one list for everything uses the first one only.
  */
 typedef enum kl_feed {
-	KL_FEED_TERMS,	   /**< records of groups; confirms the leases */
-	KL_FEED_RECORDS,   /**< VMs and owned parts */
+	KL_FEED_TERMS,	   /**< records of groups, VMs; confirms the leases */
+	KL_FEED_RECORDS,   /**< owned parts */
 	KL_FEED_CONFIG,	   /**< what operators wrote */
 	KL_FEED_UPSTREAMS, /**< databases, as they register themselves */
 	KL_FEED_MARKS,	   /**< failure domains that are taken out */
@@ -204,6 +204,7 @@
 	char host[KL_HOST_MAX];
 	uint16_t port;	   /**< peers' UDP port */
 	bool listed;	   /**< the platform lists it */
+	uint64_t gone_us;  /**< it was taken off the list then, or 0 */
 	bool leaving;	   /**< listed as leaving, or marked */
 	uint64_t heard_us; /**< last message from it when published */
 } kl_member_t;
--- a/control/member.c
+++ b/control/member.c
@@ -8,10 +8,16 @@
 #include <string.h>
 
 #include "control/controllers.h"
+#include "control/prober.h"
 
 #define REFRESH_US (400 * KL_MS)
 #define REGISTER_US (500 * KL_MS) /* between two updates of the own record */
-#define SILENT_US (60 * KL_SEC)	  /* an unlisted VM is forgotten after this */
+#define WATCH_US (400 * KL_MS)	  /* between two looks at the others */
+#define ASK_US (1500 * KL_MS)	  /* a VM silent that long is asked */
+#define HEARD_US (2500 * KL_MS)	  /* one heard in that time is in touch */
+#define GONE_US (5 * KL_SEC)	/* one silent that long is taken off the list */
+#define FORGET_US (30 * KL_SEC) /* then its record is kept that long */
+#define SILENT_US (60 * KL_SEC) /* an unlisted VM is forgotten after this */
 
 typedef struct known {
 	kl_named_t name;
@@ -30,6 +36,7 @@
 	uint64_t forgot_us;
 	uint64_t published;
 	uint64_t registered_us; /* own record last written */
+	uint64_t watched_us;
 	bool stopping;
 	bool left; /* written as leaving */
 	bool changed;
@@ -37,9 +44,13 @@
 
 static void keep_registered(kl_node_t *node, member_state_t *state,
 			    const kl_event_t *event, uint64_t now);
+static void write_record(kl_node_t *node, const known_t *known,
+			 const char *status);
+static void watch_others(kl_node_t *node, member_state_t *state, uint64_t now);
 static known_t *known_of(member_state_t *state, const char *name);
-static void take_list(member_state_t *state, const kl_objects_t *objects);
-static void take_entry(known_t *known, const kl_object_t *object);
+static void take_list(member_state_t *state, const kl_objects_t *objects,
+		      uint64_t now);
+static void take_entry(known_t *known, const kl_object_t *object, uint64_t now);
 static void take_hello(member_state_t *state, const kl_peer_message_t *message,
 		       uint64_t now);
 static void forget(member_state_t *state, uint64_t now);
@@ -89,7 +100,7 @@
 	if (objects && objects->revision != state->revision) {
 		state->revision = objects->revision;
 		state->changed = true; /* marks may have changed as well */
-		take_list(state, objects);
+		take_list(state, objects, now);
 	}
 	if (now - state->forgot_us >= REFRESH_US) {
 		state->forgot_us = now;
@@ -97,21 +108,55 @@
 	}
 	if (state->changed)
 		publish(node, state);
-	if (node->tuning.feeds > 1)
+	if (node->tuning.feeds > 1) {
 		keep_registered(node, state, event, now);
+		watch_others(node, state, now);
+	}
+}
+
+/*
+ * Each VM is watched by one other.  One that is silent is asked, and taken off
+ * the list if it stays silent, but not by a VM that may itself be cut off.
+ */
+static void watch_others(kl_node_t *node, member_state_t *state, uint64_t now)
+{
+	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
+	uint32_t heard = 0, others = 0;
+	known_t *known;
+
+	if (now - state->watched_us < WATCH_US || !members)
+		return;
+	state->watched_us = now;
+	CK_STAILQ_FOREACH(known, &state->list, link) {
+		if (!known->member.listed ||
+		    !strcmp(known->name.name, state->self))
+			continue;
+		others++;
+		heard += now - known->member.heard_us < HEARD_US;
+	}
+	CK_STAILQ_FOREACH(known, &state->list, link) {
+		uint64_t silent = now - known->member.heard_us;
+
+		if (!strcmp(known->name.name, state->self) ||
+		    kl_prober_rank(node, members, known->name.name) != 0)
+			continue;
+		if (known->member.gone_us &&
+		    now - known->member.gone_us > FORGET_US)
+			write_record(node, known, NULL);
+		else if (known->member.listed && silent > GONE_US &&
+			 2 * heard >= others)
+			write_record(node, known, "gone");
+		else if (known->member.listed && silent > ASK_US)
+			kl_sync_hello(node, &known->member);
+	}
 }
 
 /* Where the platform lists no VMs they write their own records. */
 static void keep_registered(kl_node_t *node, member_state_t *state,
 			    const kl_event_t *event, uint64_t now)
 {
-	bool listed = kl_sync_listed_us(node, KL_FEED_RECORDS) != 0;
+	bool listed = kl_sync_listed_us(node, KL_FEED_TERMS) != 0;
 	const known_t *self = kl_index_get(state->index, state->self);
-	kl_platform_call_t call = { .op = KL_PLATFORM_PUT,
-				    .owner = KL_CONTROLLER_MEMBER,
-				    .asked_us = now };
-	json_t *json;
-	char *body;
 
 	state->stopping |= event->kind == KL_EVENT_STOP;
 	if (!listed || (now - state->registered_us < REGISTER_US &&
@@ -124,17 +169,30 @@
 		return;
 	state->registered_us = now;
 	state->left = state->stopping;
-	json = json_pack("{s:s,s:s,s:i,s:s}", "domain", node->self.domain,
-			 "host", node->self.host, "port", node->self.port,
-			 "state", state->stopping ? "leaving" : "ready");
-	body = json_dumps(json, JSON_COMPACT);
+	write_record(node, self, state->stopping ? "leaving" : "ready");
+}
+
+/* NULL removes the record. */
+static void write_record(kl_node_t *node, const known_t *known,
+			 const char *status)
+{
+	bool self = !strcmp(known->name.name, node->self.vm);
+	const kl_member_t *member = &known->member;
+	kl_platform_call_t call = { .op = KL_PLATFORM_PUT,
+				    .owner = KL_CONTROLLER_MEMBER,
+				    .asked_us = kl_node_now(node),
+				    .version = known->version };
+	json_t *json = json_pack("{s:s,s:s,s:i,s:s}", "domain",
+				 self ? node->self.domain : member->domain,
+				 "host", self ? node->self.host : member->host,
+				 "port", self ? node->self.port : member->port,
+				 "state", status ? status : "");
+	char *body = json_dumps(json, JSON_COMPACT);
+
 	json_decref(json);
-	if (!body)
-		return;
-	if (snprintf(call.name, sizeof(call.name), "vm/%s", node->self.vm) <
-	    (int)sizeof(call.name)) {
-		call.version = self->member.listed ? self->version : 0;
-		call.body = body;
+	if (body && snprintf(call.name, sizeof(call.name), "vm/%s",
+			     known->name.name) < (int)sizeof(call.name)) {
+		call.body = status ? body : "null";
 		node->outlet->platform(node->context, &call);
 	}
 	free(body);
@@ -159,7 +217,8 @@
 	return known;
 }
 
-static void take_list(member_state_t *state, const kl_objects_t *objects)
+static void take_list(member_state_t *state, const kl_objects_t *objects,
+		      uint64_t now)
 {
 	const kl_object_t *object;
 
@@ -176,12 +235,12 @@
 		if (!known || known->version == object->version)
 			continue;
 		known->version = object->version;
-		take_entry(known, object);
+		take_entry(known, object, now);
 		state->changed = true;
 	}
 }
 
-static void take_entry(known_t *known, const kl_object_t *object)
+static void take_entry(known_t *known, const kl_object_t *object, uint64_t now)
 {
 	json_t *json = json_loads(object->body, JSON_DECODE_ANY, NULL);
 	const char *domain, *host, *state;
@@ -198,8 +257,10 @@
 		memcpy(known->member.host, host, strlen(host) + 1);
 		memcpy(known->host_listed, host, strlen(host) + 1);
 		known->member.port = (uint16_t)port;
-		known->member.listed = true;
+		known->member.listed = strcmp(state, "gone") != 0;
 		known->member.leaving = !strcmp(state, "leaving");
+		known->member.gone_us = known->member.listed ? 0 : now;
+		known->member.heard_us = now;
 	}
 	json_decref(json);
 }
--- a/control/promote.c
+++ b/control/promote.c
@@ -483,7 +483,6 @@
 		call.body = body;
 		node->outlet->decided(node->context, &decision);
 		node->outlet->platform(node->context, &call);
-		kl_sync_want_list(node, KL_FEED_RECORDS);
 	}
 	free(body);
 }
--- a/control/promote_choose.c
+++ b/control/promote_choose.c
@@ -59,13 +59,14 @@
 
 	if (view->base.now - group->seen_us >= kl_fence_us(&node->tuning))
 		return true;
-	/* Who registered before the record was written must be in the list. */
-	if (kl_sync_listed_us(node, KL_FEED_RECORDS) < group->seen_us) {
-		kl_sync_want_list(node, KL_FEED_RECORDS);
-		return false;
-	}
+	/* Who registered before the record was written is in the same feed. */
 	CK_STAILQ_FOREACH(member, &view->base.members->list, link) {
-		if (!member->listed || knows(view, member))
+		bool gone =
+			member->gone_us && view->base.now - member->gone_us >=
+						   kl_fence_us(&node->tuning);
+
+		if ((!member->listed && !member->gone_us) || gone ||
+		    knows(view, member))
 			continue;
 		over = false;
 		if (greet)
--- a/control/sync.c
+++ b/control/sync.c
@@ -3,7 +3,6 @@
  * domain or hears from peers, never installs a lower revision, and knows how
  * old the last confirmation is.
  */
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -394,18 +393,18 @@
 		kl_node_publish(node, KL_SECTION_FRESH, &fresh->base);
 }
 
+/* Since when this VM's record stands; it may be taken off and put back. */
 static uint64_t registered_since(const kl_node_t *node, kl_sync_t *sync)
 {
-	const kl_objects_t *objects = kl_node_get(node, KL_SECTION_OBJECTS);
-	const kl_object_t *own;
-	char name[2 * KL_NAME_MAX];
-
-	if (sync->registered_us)
-		return sync->registered_us;
-	snprintf(name, sizeof(name), "vm/%s", node->self.vm);
-	own = objects ? kl_index_get(objects->index, name) : NULL;
-	if (!own || !strcmp(own->body, "null"))
+	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
+	const kl_member_t *self =
+		members ? kl_index_get(members->index, node->self.vm) : NULL;
+
+	if (!self || !self->listed) {
+		sync->registered_us = 0;
 		return UINT64_MAX;
-	sync->registered_us = kl_node_now(node);
+	}
+	if (!sync->registered_us)
+		sync->registered_us = kl_node_now(node);
 	return sync->registered_us;
 }
