--- a/path/engine.c
+++ b/path/engine.c
@@ -3,9 +3,10 @@
 
 #include "path/engine_internal.h"
 
-#define TIDY_US (50 * KL_MS)	/* between two looks at deadlines and links */
-#define REFUSE_US (300 * KL_MS) /* after transactions: nothing waits any more \
-				 */
+#define TIDY_US (50 * KL_MS) /* between two looks at deadlines and links */
+#define REFUSE_US                                                   \
+	(300 * KL_MS) /* after transactions: nothing waits any more \
+		       */
 
 static void look_at_waiting(kl_engine_t *engine);
 static void look_at_callers(kl_engine_t *engine);
--- a/path/engine_caller.c
+++ b/path/engine_caller.c
@@ -7,6 +7,7 @@
 
 #define WAIT_TARGETS 2 /* latency objectives that one may wait */
 #define WAIT_LEAST_US (400 * KL_MS)
+#define QUEUE_LEAST_US (250 * KL_MS)
 
 typedef void (*handler_t)(kl_caller_t *caller, const kl_command_t *command);
 
@@ -178,6 +179,11 @@
 	if (wait > caller->route.timeout_us)
 		wait = caller->route.timeout_us;
 	run->wait_until_us = run->came_us + wait;
+	/* In a queue what is late already would make others late. */
+	wait = caller->route.target_us > QUEUE_LEAST_US
+		       ? caller->route.target_us
+		       : QUEUE_LEAST_US;
+	run->queue_until_us = run->came_us + wait;
 	run->deadline_us = run->came_us + caller->route.timeout_us;
 	caller->wrote = false;
 	caller->reads_only = command->verb == KL_VERB_BEGIN_READ;
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -91,7 +91,8 @@
 	bool writes;
 	bool on_primary; /**< it was sent to the primary of the record */
 	uint64_t came_us;
-	uint64_t wait_until_us; /**< not sent by then: refused */
+	uint64_t wait_until_us;	 /**< not sent by then: refused */
+	uint64_t queue_until_us; /**< no connection by then: refused */
 	uint64_t deadline_us;
 	uint64_t retry_us; /**< not tried again before */
 	uint64_t sent_us;
--- a/path/engine_run.c
+++ b/path/engine_run.c
@@ -304,7 +304,8 @@
 	kl_run_t *run = &caller->run;
 	char before = caller->transaction;
 
-	if (run->stage == KL_RUN_CHANNEL && engine->now >= run->wait_until_us) {
+	if (run->stage == KL_RUN_CHANNEL &&
+	    engine->now >= run->queue_until_us) {
 		kl_caller_refuse(caller, -KL_E_DEADLINE);
 		return;
 	}
