After a common restart use inherited parts at once

Cause: for 0.7 s after all VMs lost power every request was refused for its rate, while inherited parts waited for loans that nobody could hold. VMs tell each other how long they have been up; if every other one began after this VM's earlier process had ended, nothing is waited for.

--- a/control/control.c
+++ b/control/control.c
@@ -83,6 +83,7 @@
 	node->reader = kl_reader_new(node->board);
 	if (!node->reader)
 		return -KL_E_NOMEM;
+	node->started_us = kl_node_now(node);
 	for (int i = 0; i < KL_CONTROLLER_COUNT && !error; i++)
 		error = kl_controllers[i].create(node);
 	return error;
--- a/control/node.h
+++ b/control/node.h
@@ -206,7 +206,8 @@
 	void *context;
 	kl_board_t *board;
 	kl_reader_t *reader;
-	uint64_t demand;  /**< bumped by workers that wait for a position */
+	uint64_t started_us; /**< when this process began */
+	uint64_t demand;     /**< bumped by workers that wait for a position */
 	uint64_t written; /**< sections published since the last event, bits */
 	void *state[KL_CONTROLLER_COUNT];
 } kl_node_t;
--- a/control/share.c
+++ b/control/share.c
@@ -97,10 +97,17 @@
 	uint64_t now = kl_node_now(node);
 	uint64_t owned, until;
 
-	if (event->kind == KL_EVENT_PEER) {
+	if (event->kind == KL_EVENT_PEER &&
+	    event->peer->kind != KL_PEER_HELLO) {
 		loan_message(node, state, event->peer);
 		return;
 	}
+	if (event->kind == KL_EVENT_PEER) {
+		kl_slots_heard(node, state->slots, event->peer->from,
+			       event->peer->hello.uptime_us);
+		return;
+	}
+	kl_slots_settle(node, state->slots);
 	kl_slots_read(node, state->slots);
 	if (now - state->balanced_us >= BALANCE_US) {
 		state->balanced_us = now;
--- a/control/slot.c
+++ b/control/slot.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "control/controllers.h"
 #include "control/prober.h"
 #include "control/slot.h"
 
@@ -10,7 +11,9 @@
 #define RETRY_US (400 * KL_MS)	/* between two updates of one slot */
 #define SETTLE_US (700 * KL_MS) /* the former owner's loans run out */
 #define ABSENT_US (5 * KL_SEC)	/* unlisted so long: revoked */
-#define UPDATES 3		/* conditional updates of one round */
+#define ASK_US (60 * KL_MS) /* between two questions for the others' uptime */
+#define ASKED_MAX 64	    /* VMs; more are not asked */
+#define UPDATES 3	    /* conditional updates of one round */
 
 typedef struct slot {
 	char owner[KL_NAME_MAX];
@@ -26,13 +29,22 @@
 	uint64_t absent_us; /* owner first seen unlisted, or 0 */
 } slot_t;
 
+/* A VM whose process began after the one before this process had ended. */
+typedef struct newcomer {
+	CK_STAILQ_ENTRY(newcomer) link;
+	char vm[KL_NAME_MAX];
+} newcomer_t;
+
 struct kl_slots {
 	uint32_t count;
 	slot_t *table;
 	char self[KL_NAME_MAX];
 	uint64_t incarnation;
 	uint64_t started_us; /* of this process */
-	uint64_t revision;   /* of the objects read */
+	bool clean; /* nobody can hold a loan of the process before this one */
+	CK_STAILQ_HEAD(, newcomer) newcomers;
+	uint64_t revision; /* of the objects read */
+	uint64_t asked_us; /* the others' uptime */
 };
 
 static bool decode(slot_t *slot, const char *body);
@@ -42,6 +54,7 @@
 static bool is_free(const kl_node_t *node, const slot_t *slot, uint64_t now);
 static void revoke_absent(kl_node_t *node, kl_slots_t *slots,
 			  const kl_members_t *members, uint64_t now);
+static bool is_newcomer(const kl_slots_t *slots, const char *vm);
 static uint32_t owned_by(const kl_slots_t *slots, const char *vm);
 static bool someone_lacks(const kl_slots_t *slots, const kl_members_t *members,
 			  uint32_t floor);
@@ -53,6 +66,7 @@
 	if (!slots)
 		return NULL;
 	slots->count = count ? count : 1;
+	CK_STAILQ_INIT(&slots->newcomers);
 	slots->table = calloc(slots->count, sizeof(*slots->table));
 	if (!slots->table) {
 		free(slots);
@@ -63,8 +77,12 @@
 
 void kl_slots_free(kl_slots_t *slots)
 {
+	newcomer_t *newcomer, *next;
+
 	if (!slots)
 		return;
+	CK_STAILQ_FOREACH_SAFE(newcomer, &slots->newcomers, link, next)
+		free(newcomer);
 	free(slots->table);
 	free(slots);
 }
@@ -115,11 +133,64 @@
 			slot->inherited ? slots->started_us : slot->seen_us;
 
 		usable += mine(slots, slot) && !slot->revoked &&
-			  now - since >= SETTLE_US;
+			  ((slot->inherited && slots->clean) ||
+			   now - since >= SETTLE_US);
 	}
 	return slots->count ? whole * usable / slots->count : 0;
 }
 
+void kl_slots_heard(kl_node_t *node, kl_slots_t *slots, const char *vm,
+		    uint64_t uptime_us)
+{
+	uint64_t own = kl_node_now(node) - node->started_us;
+	newcomer_t *newcomer;
+
+	if (slots->clean || own > SETTLE_US || !node->tuning.down_us ||
+	    uptime_us >= own + node->tuning.down_us || is_newcomer(slots, vm))
+		return;
+	newcomer = calloc(1, sizeof(*newcomer));
+	if (!newcomer)
+		return;
+	kl_name_set(newcomer->vm, vm);
+	CK_STAILQ_INSERT_TAIL(&slots->newcomers, newcomer, link);
+}
+
+void kl_slots_settle(kl_node_t *node, kl_slots_t *slots)
+{
+	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
+	uint64_t now = kl_node_now(node);
+	const kl_member_t *member;
+	bool clean = true, ask = now - slots->asked_us >= ASK_US;
+
+	if (slots->clean || !node->tuning.down_us || !members ||
+	    now - node->started_us > SETTLE_US || members->count < 2 ||
+	    members->count > ASKED_MAX)
+		return;
+	CK_STAILQ_FOREACH(member, &members->list, link) {
+		if (!member->listed ||
+		    !strcmp(member->name.name, node->self.vm) ||
+		    is_newcomer(slots, member->name.name))
+			continue;
+		clean = false;
+		if (ask)
+			kl_sync_hello(node, member);
+	}
+	if (ask)
+		slots->asked_us = now;
+	slots->clean = clean;
+}
+
+static bool is_newcomer(const kl_slots_t *slots, const char *vm)
+{
+	const newcomer_t *newcomer;
+
+	CK_STAILQ_FOREACH(newcomer, &slots->newcomers, link) {
+		if (!strcmp(newcomer->vm, vm))
+			return true;
+	}
+	return false;
+}
+
 uint64_t kl_slots_inherited(const kl_slots_t *slots, uint64_t whole)
 {
 	uint32_t inherited = 0;
--- a/control/slot.h
+++ b/control/slot.h
@@ -24,6 +24,16 @@
 uint64_t kl_slots_part(const kl_node_t *node, const kl_slots_t *slots,
 		       uint64_t whole);
 
+/** Note how long another VM's process has been up. */
+void kl_slots_heard(kl_node_t *node, kl_slots_t *slots, const char *vm,
+		    uint64_t uptime_us);
+
+/**
+ * After a restart of all VMs at once nobody holds a loan of an earlier process,
+ * and inherited parts need not wait for them to run out: find out.
+ */
+void kl_slots_settle(kl_node_t *node, kl_slots_t *slots);
+
 /** The part of a whole that an earlier process at this address owned. */
 uint64_t kl_slots_inherited(const kl_slots_t *slots, uint64_t whole);
 
--- a/control/sync.c
+++ b/control/sync.c
@@ -14,6 +14,9 @@
 #define WATCH_US (20 * KL_SEC)	     /* a watch this old is given up */
 #define FEED_WATCH_US (12 * KL_SEC)  /* the same, with several feeds */
 #define RETRY_US (300 * KL_MS)	     /* after a list that failed */
+#define START_US                                                     \
+	(120 * KL_MS) /* between lists before the first confirmation \
+		       */
 
 static void ask_for_all(kl_node_t *node, kl_sync_t *sync, uint64_t now);
 static void ask_for_feeds(kl_node_t *node, kl_sync_t *sync, uint64_t now);
@@ -32,6 +35,8 @@
 		     kl_feed_state_t *feed);
 static void take_new(kl_objects_t *objects, const kl_feed_news_t *news,
 		     kl_index_t *newer);
+static uint64_t list_pause(const kl_node_t *node, const kl_sync_t *sync,
+			   kl_feed_t feed);
 static void give_up_late(const kl_node_t *node, kl_feed_state_t *feed,
 			 uint64_t now);
 
@@ -145,10 +150,7 @@
 			continue;
 		if (due && !feed->list_us && now >= feed->next_list_us) {
 			feed->list_us = now;
-			feed->next_list_us =
-				now + (i == KL_FEED_TERMS
-					       ? node->tuning.confirm_us
-					       : RETRY_US);
+			feed->next_list_us = now + list_pause(node, sync, i);
 			if (!watcher)
 				feed->next_list_us += kl_node_random(node) %
 						      (2 * SELF_SERVE_US);
@@ -161,6 +163,15 @@
 	}
 }
 
+static uint64_t list_pause(const kl_node_t *node, const kl_sync_t *sync,
+			   kl_feed_t feed)
+{
+	if (feed != KL_FEED_TERMS)
+		return RETRY_US;
+	/* A fresh VM serves nothing on a primary before it is confirmed. */
+	return sync->confirmed ? node->tuning.confirm_us : START_US;
+}
+
 static void give_up_late(const kl_node_t *node, kl_feed_state_t *feed,
 			 uint64_t now)
 {
--- a/path/engine_place.c
+++ b/path/engine_place.c
@@ -12,7 +12,7 @@
 #define LEAST 2			/* connections that every VM may have */
 #define COST_STATEMENT 4	/* of one statement in progress there */
 #define COST_CONNECT 3		/* of a new connection */
-#define COST_DISTANCE 2		/* of another failure domain */
+#define COST_DISTANCE 4		/* of another failure domain */
 #define COST_PRIMARY 3		/* reads leave it to the writes */
 #define COST_DOUBT 5		/* it may lack the position */
 
