--- a/path/engine_caller.c
+++ b/path/engine_caller.c
@@ -5,7 +5,8 @@
 
 #include "path/engine_internal.h"
 
-#define WAIT_TARGETS 2 /* latency objectives that one may wait */
+#define WAIT_TARGETS 2	      /* latency objectives that one may wait */
+#define LOGIN_US (1 * KL_SEC) /* a login waits for a configuration */
 #define WAIT_LEAST_US (400 * KL_MS)
 #define QUEUE_LEAST_US (250 * KL_MS)
 
@@ -17,7 +18,9 @@
 static void keep(kl_caller_t *caller, const kl_command_t *command);
 static void nothing(kl_caller_t *caller, const kl_command_t *command);
 static void malformed(kl_caller_t *caller, const kl_command_t *command);
-static int log_in(kl_caller_t *caller, const char *key);
+static int log_in(kl_caller_t *caller);
+static bool answer_login(kl_caller_t *caller, int error);
+static bool is_configured(const kl_engine_t *engine);
 static int check_access(const kl_caller_t *caller, const char **workspace);
 static int take_route(kl_caller_t *caller);
 static int take_prepared(kl_caller_t *caller, const kl_command_t *command);
@@ -61,24 +64,48 @@
 	kl_state_init(&caller->state);
 	CK_LIST_INSERT_HEAD(&engine->list, caller, link);
 	engine->callers++;
+	if (*key)
+		kl_key_hash(key, caller->key_hash);
 	error = kl_name_set(caller->database, database) ? -KL_E_NOT_FOUND
-							: log_in(caller, key);
-	if (error) {
-		kl_decision_t refused = { .what = "login_refused",
-					  .service = caller->database,
-					  .reason = kl_answer_of(error)->name };
-
-		engine->ops->decided(engine->context, &refused);
-		kl_caller_end(caller, error);
+							: log_in(caller);
+	if (answer_login(caller, error))
 		caller = NULL;
-	} else {
-		engine->ops->welcome(engine->context, front);
-	}
 	kl_engine_leave(engine);
 	return caller;
 }
 
-static int log_in(kl_caller_t *caller, const char *key)
+/* Whether the caller is gone. */
+static bool answer_login(kl_caller_t *caller, int error)
+{
+	kl_engine_t *engine = caller->engine;
+	kl_decision_t refused = { .what = "login_refused",
+				  .service = caller->database,
+				  .reason = kl_answer_of(error)->name };
+
+	if (error && !is_configured(engine) &&
+	    engine->now - caller->idle_us < LOGIN_US) {
+		kl_caller_wait(caller, KL_RUN_LOGIN);
+		return false;
+	}
+	caller->run.stage = KL_RUN_NONE;
+	if (!error) {
+		engine->ops->welcome(engine->context, caller->front);
+		return false;
+	}
+	engine->ops->decided(engine->context, &refused);
+	kl_caller_end(caller, error);
+	return true;
+}
+
+/* A process that has just begun knows no configuration yet. */
+static bool is_configured(const kl_engine_t *engine)
+{
+	const kl_life_t *life = engine->scene.life;
+
+	return life && life->phase != KL_PHASE_STARTING && engine->scene.terms;
+}
+
+static int log_in(kl_caller_t *caller)
 {
 	const kl_scene_t *scene = &caller->engine->scene;
 	const char *workspace;
@@ -87,8 +114,6 @@
 
 	if (!scene->config || !scene->terms)
 		return -KL_E_STALE_CONFIG;
-	if (*key)
-		kl_key_hash(key, caller->key_hash);
 	error = check_access(caller, &workspace);
 	if (!error)
 		kl_name_set(caller->workspace, workspace);
@@ -334,7 +359,9 @@
 
 void kl_caller_look_again(kl_caller_t *caller)
 {
-	if (caller->run.stage == KL_RUN_TOKENS)
+	if (caller->run.stage == KL_RUN_LOGIN)
+		answer_login(caller, log_in(caller));
+	else if (caller->run.stage == KL_RUN_TOKENS)
 		admit(caller);
 	else if (caller->run.stage == KL_RUN_ROUTE)
 		kl_caller_route(caller);
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -11,6 +11,7 @@
 /** Where a caller's statement stands. */
 typedef enum kl_run_stage {
 	KL_RUN_NONE,
+	KL_RUN_LOGIN,	/**< waits for a configuration to check it by */
 	KL_RUN_TOKENS,	/**< waits for tokens */
 	KL_RUN_ROUTE,	/**< waits for an upstream that fits */
 	KL_RUN_CHANNEL, /**< waits for a connection */
