Bound what runs at a database by its answers; test the engine by scripts

A replica that went silent held its reads to their deadline (silent_link).

Now: a window of statements, narrower when the database's queue uses half of an objective; the newest first where the queue is long; a question to a database that is doubted, and reads moved away from one that does not answer.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 PROGRAMS = $(BUILD)/kumquatloftd $(BUILD)/kumquatctl \
 	$(BUILD)/kl-standin-platform $(BUILD)/kl-standin-database
 
-all: $(PROGRAMS) $(BUILD)/tests/script_run $(BENCH_PROGRAMS) $(PROCESS_PROGRAMS) $(BUILD)/examples/lend
+all: $(PROGRAMS) $(BUILD)/tests/script_run $(BUILD)/tests/engine_run $(BENCH_PROGRAMS) $(PROCESS_PROGRAMS) $(BUILD)/examples/lend
 all-daemon: $(BUILD)/kumquatloftd
 unit: $(UNIT_PROGRAMS)
 property: $(PROPERTY_PROGRAMS)
@@ -56,6 +56,8 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(BUILD)/tests/script_run: $(call objects,tests/script_run.c tests/script_look.c tests/world.c tests/world_fake.c tests/world_caller.c) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+$(BUILD)/tests/engine_run: $(call objects,tests/engine_run.c tests/engine_model.c) $(IO_LIBRARY) $(LIBRARY)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(UNIT_PROGRAMS): %: %.o $(BUILD)/daemon/inbox.o $(BUILD)/daemon/settings.o $(IO_LIBRARY) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS) -lcmocka
 $(PROPERTY_PROGRAMS): %: %.o $(BUILD)/tests/world.o $(BUILD)/tests/world_fake.o $(BUILD)/tests/world_caller.o $(IO_LIBRARY) $(LIBRARY)
--- a/path/engine_channel.c
+++ b/path/engine_channel.c
@@ -12,9 +12,12 @@
 #define SURPLUS_US (400 * KL_MS) /* one above an even part is */
 #define GROW_US (150 * KL_MS)	 /* between two steps above that part */
 #define LIMIT_US (1500 * KL_MS)	 /* none after the database had too many */
-#define BACKOFF_US (30 * KL_MS)	 /* after a refused connection */
+#define PRESSED_PART 4 /* of its objective that one may wait in order */
+#define BACKOFF_US (30 * KL_MS) /* after a refused connection */
 
 static kl_channel_t *open_channel(kl_place_t *place, const char *workspace);
+static void lend_idle(kl_place_t *place);
+static bool is_pressed(const kl_place_t *place);
 static kl_channel_t *oldest_idle(const kl_place_t *place);
 static bool make_room(kl_place_t *place);
 static void give_back(kl_place_t *place);
@@ -22,6 +25,8 @@
 static void channel_free(kl_channel_t *channel);
 static void tidy_place(kl_place_t *place);
 static void ask_primary(kl_engine_t *engine, kl_cluster_t *cluster);
+static void ask_place(kl_place_t *place, bool proven);
+static void move_reads(kl_place_t *place);
 static bool overdue(const kl_channel_t *channel, uint64_t now);
 
 kl_channel_t *kl_channel_idle(const kl_place_t *place, const char *workspace)
@@ -55,6 +60,42 @@
 	CK_STAILQ_REMOVE(&place->queue, caller, kl_caller, queued);
 }
 
+/*
+ * Gives idle connections to those that wait.  Where the queue is long the one
+ * that came last goes first: it can still be in time, while those that waited
+ * long would make all that follow late.
+ */
+static void lend_idle(kl_place_t *place)
+{
+	kl_caller_t *caller, *chosen;
+	kl_channel_t *channel;
+
+	while (place->running < place->window) {
+		chosen = NULL;
+		CK_STAILQ_FOREACH(caller, &place->queue, queued) {
+			if (!kl_channel_idle(place, caller->workspace))
+				continue;
+			chosen = caller;
+			if (!is_pressed(place))
+				break;
+		}
+		if (!chosen)
+			return;
+		channel = kl_channel_idle(place, chosen->workspace);
+		kl_place_dequeue(chosen);
+		channel->stage = KL_CHANNEL_LEASED;
+		kl_run_on(chosen, channel);
+	}
+}
+
+static bool is_pressed(const kl_place_t *place)
+{
+	const kl_caller_t *oldest = CK_STAILQ_FIRST(&place->queue);
+
+	return oldest && place->cluster->engine->now - oldest->run.came_us >
+				 oldest->route.target_us / PRESSED_PART;
+}
+
 /* Gives connections to those that wait, and opens what is lacking. */
 void kl_place_serve(kl_place_t *place)
 {
@@ -62,21 +103,11 @@
 	kl_caller_t *caller, *next;
 	uint32_t want = 0;
 
+	lend_idle(place);
 	CK_STAILQ_FOREACH_SAFE(caller, &place->queue, queued, next) {
-		kl_channel_t *channel =
-			kl_channel_idle(place, caller->workspace);
-
-		if (channel) {
-			kl_place_dequeue(caller);
-			channel->stage = KL_CHANNEL_LEASED;
-			kl_run_on(caller, channel);
-			/* The queue may have changed under this. */
-			next = CK_STAILQ_FIRST(&place->queue);
-			want = 0;
-			continue;
-		}
 		want++;
 		if (opening(place, caller->workspace) >= want ||
+		    place->running + want > place->window ||
 		    now - place->refused_us < BACKOFF_US)
 			continue;
 		if (place->open >= place->cap && !make_room(place))
@@ -185,7 +216,7 @@
 {
 	if (channel->caller) {
 		if (channel->caller->run.stage == KL_RUN_SENT)
-			channel->place->running--;
+			kl_place_done(channel->place);
 		channel->caller->channel = NULL;
 	}
 	channel->caller = NULL;
@@ -196,6 +227,7 @@
 		return;
 	}
 	channel->stage = KL_CHANNEL_ASKING;
+	channel->asks = false;
 }
 
 void kl_channel_drop(kl_channel_t *channel)
@@ -259,9 +291,11 @@
 
 	kl_engine_enter(engine, now_us);
 	engine->counts.dropped++;
-	if (error != -KL_E_CONNECTIONS &&
-	    (!opened || channel->stage != KL_CHANNEL_IDLE))
-		kl_place_bad(place, !opened && error == -KL_E_UPSTREAM);
+	/* Of one that worked only this connection is known to be lost. */
+	if (error != -KL_E_CONNECTIONS && !opened)
+		kl_place_bad(place, error == -KL_E_UPSTREAM, now_us);
+	else if (opened)
+		place->doubted = true;
 	channel_free(channel);
 	if (error == -KL_E_CONNECTIONS)
 		give_back(place);
@@ -295,9 +329,11 @@
 		bool idle = channel->stage == KL_CHANNEL_IDLE;
 
 		if (overdue(channel, now)) {
-			kl_place_bad(place, false);
 			if (channel->stage == KL_CHANNEL_OPENING)
 				place->refused_us = now;
+			if (channel->stage == KL_CHANNEL_OPENING ||
+			    channel->asks)
+				kl_place_bad(place, false, channel->since_us);
 			kl_channel_drop(channel);
 		} else if (idle && (!place->present || since > IDLE_US ||
 				    (since > SURPLUS_US &&
@@ -305,6 +341,10 @@
 			kl_channel_drop(channel);
 		}
 	}
+	if (place->failing_us)
+		move_reads(place);
+	if (place->present && (place->doubted || kl_place_stalled(place)))
+		ask_place(place, false);
 	if (place->cap > place->part && CK_STAILQ_EMPTY(&place->queue) &&
 	    place->open < place->cap)
 		place->cap--;
@@ -331,35 +371,42 @@
 	if (channel->stage == KL_CHANNEL_OPENING)
 		return since > engine->settings.connect_us;
 	if (channel->stage == KL_CHANNEL_ASKING)
-		return since > (channel->proven ? ASK_US : ABANDON_US);
+		return since > (channel->asks ? ASK_US : ABANDON_US);
 	return false;
 }
 
 /* Keeps what is known of the primary fresh where no traffic does. */
 static void ask_primary(kl_engine_t *engine, kl_cluster_t *cluster)
 {
-	static const kl_dispatch_t status = { .kind = KL_DISPATCH_STATUS };
 	const kl_group_t *group = kl_engine_group(engine, cluster->name);
 	kl_place_t *place;
-	kl_channel_t *channel;
 
 	if (!cluster->used_us || engine->now - cluster->used_us > USED_US ||
 	    !kl_engine_proven(engine, group) ||
 	    engine->now - kl_points_newest(&cluster->points) < FRESH_US)
 		return;
 	place = kl_place_of(cluster, group->primary);
-	if (!place || !place->present)
-		return;
+	if (place && place->present)
+		ask_place(place, true);
+}
+
+/* One question at a time; its answer, or its silence, tells of the place. */
+static void ask_place(kl_place_t *place, bool proven)
+{
+	static const kl_dispatch_t status = { .kind = KL_DISPATCH_STATUS };
+	kl_engine_t *engine = place->cluster->engine;
+	kl_channel_t *channel;
+
 	CK_STAILQ_FOREACH(channel, &place->channels, link) {
-		if (channel->stage == KL_CHANNEL_ASKING ||
+		if ((channel->stage == KL_CHANNEL_ASKING && channel->asks) ||
 		    channel->stage == KL_CHANNEL_OPENING)
 			return;
 	}
 	channel = oldest_idle(place);
 	if (!channel) {
-		if (place->open < place->cap &&
+		if ((place->open < place->cap || place->doubted) &&
 		    engine->now - place->refused_us > BACKOFF_US)
-			open_channel(place, cluster->workspace);
+			open_channel(place, place->cluster->workspace);
 		return;
 	}
 	if (kl_channel_send(channel, &status)) {
@@ -367,8 +414,24 @@
 		return;
 	}
 	channel->stage = KL_CHANNEL_ASKING;
+	channel->asks = true;
 	channel->setups = 1;
-	channel->proven = true;
+	channel->proven = proven;
 	channel->sent_us = engine->now;
 	channel->since_us = engine->now;
 }
+
+/* What runs at a place that fails and does no harm twice runs elsewhere. */
+static void move_reads(kl_place_t *place)
+{
+	kl_channel_t *channel, *next;
+
+	CK_STAILQ_FOREACH_SAFE(channel, &place->channels, link, next) {
+		kl_caller_t *caller = channel->caller;
+
+		if (!caller || caller->transaction != 'I' ||
+		    caller->run.stage != KL_RUN_SENT || caller->run.writes)
+			continue;
+		kl_run_lost(caller);
+	}
+}
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -56,15 +56,21 @@
 	uint64_t grown_us;   /**< when the cap last changed */
 	uint64_t limited_us; /**< the database had too many then */
 	uint32_t open;
-	uint32_t running;     /**< statements sent and not answered */
-	uint32_t waiting;     /**< statements that wait for a connection */
-	uint64_t refused_us;  /**< a connection was refused then */
-	uint64_t failing_us;  /**< since when all fails, or 0 */
-	uint64_t tried_us;    /**< last failure */
-	uint64_t told_us;     /**< failing: when last told of */
-	bool refuses;	      /**< nobody listens there */
-	uint64_t lagging_us;  /**< it lacked a position then */
-	uint64_t position_us; /**< when the position was heard */
+	uint32_t running;	 /**< statements sent and not answered */
+	uint32_t window;	 /**< statements that may run at once */
+	uint32_t window_answers; /**< since the window last grew */
+	uint64_t latency_us;	 /**< smoothed, of a statement */
+	uint64_t narrowed_us;	 /**< when the window last shrank */
+	uint64_t progress_us;	 /**< last answer, or first of what runs */
+	bool doubted;		 /**< an answer is overdue: to be asked */
+	uint32_t waiting;	 /**< statements that wait for a connection */
+	uint64_t refused_us;	 /**< a connection was refused then */
+	uint64_t failing_us;	 /**< since when all fails, or 0 */
+	uint64_t tried_us;	 /**< last failure */
+	uint64_t told_us;	 /**< failing: when last told of */
+	bool refuses;		 /**< nobody listens there */
+	uint64_t lagging_us;	 /**< it lacked a position then */
+	uint64_t position_us;	 /**< when the position was heard */
 	kl_position_t position;
 	CK_STAILQ_HEAD(, kl_channel) channels;
 	CK_STAILQ_HEAD(, kl_caller) queue; /**< in the order of coming */
@@ -142,6 +148,7 @@
 	kl_caller_t *caller;
 	uint64_t since_us; /**< of the stage */
 	uint64_t sent_us;  /**< of the outstanding statement */
+	bool asks;	   /**< ASKING for the position, not ending unheard */
 	bool proven;	   /**< the primary's lease held when it was sent */
 	uint32_t setups;   /**< answers that belong to no caller's statement */
 	uint64_t holder;   /**< number of the session whose state it has */
@@ -201,7 +208,14 @@
 kl_cluster_t *kl_cluster_of(kl_engine_t *engine, const char *service);
 kl_place_t *kl_place_of(kl_cluster_t *cluster, const char *name);
 void kl_place_good(kl_place_t *place);
-void kl_place_bad(kl_place_t *place, bool refuses);
+void kl_place_bad(kl_place_t *place, bool refuses, uint64_t since_us);
+/** Count a statement in, and out again. */
+void kl_place_sent(kl_place_t *place);
+void kl_place_done(kl_place_t *place);
+/** Take in how long a statement took, beside its latency objective. */
+void kl_place_took(kl_place_t *place, uint64_t took_us, uint64_t target_us);
+/** Whether nothing was answered for long although something runs. */
+bool kl_place_stalled(const kl_place_t *place);
 void kl_place_answered(kl_place_t *place, const kl_channel_t *channel,
 		       kl_position_t position);
 /** Choose where a statement runs. @return NULL if nothing fits now */
--- a/path/engine_place.c
+++ b/path/engine_place.c
@@ -9,12 +9,17 @@
 #define LAG_US (60 * KL_MS)	/* a lagging one isn't asked again before */
 #define KNOWN_US (30 * KL_MS)	/* a position this old has moved on */
 #define RETRY_US (250 * KL_MS)	/* a failing one is tried this often */
-#define LEAST 2			/* connections that every VM may have */
-#define COST_STATEMENT 4	/* of one statement in progress there */
-#define COST_CONNECT 3		/* of a new connection */
-#define COST_DISTANCE 4		/* of another failure domain */
-#define COST_PRIMARY 3		/* reads leave it to the writes */
-#define COST_DOUBT 5		/* it may lack the position */
+#define WINDOW_FIRST 8 /* statements at once, before anything is known */
+#define WINDOW_LEAST 2
+#define WINDOW_MOST 64
+#define NARROW_PART 2	       /* of an objective that a statement may take */
+#define STALL_US (300 * KL_MS) /* without any answer */
+#define LEAST 2		       /* connections that every VM may have */
+#define COST_STATEMENT 4       /* of one statement in progress there */
+#define COST_CONNECT 3	       /* of a new connection */
+#define COST_DISTANCE 4	       /* of another failure domain */
+#define COST_PRIMARY 3	       /* reads leave it to the writes */
+#define COST_DOUBT 5	       /* it may lack the position */
 
 static void take_service(kl_engine_t *engine, const kl_service_t *service,
 			 uint32_t live);
@@ -103,6 +108,7 @@
 			return;
 		place->cluster = cluster;
 		memcpy(place->name, upstream->name.name, KL_NAME_MAX);
+		place->window = WINDOW_FIRST;
 		CK_STAILQ_INIT(&place->channels);
 		CK_STAILQ_INIT(&place->queue);
 		CK_STAILQ_INSERT_TAIL(&cluster->places, place, link);
@@ -123,6 +129,8 @@
 			      : LEAST;
 	if (place->cap < place->part)
 		place->cap = place->part;
+	if (place->cap > place->most)
+		place->cap = place->most;
 }
 
 static void look_for_gone(kl_engine_t *engine, kl_cluster_t *cluster)
@@ -172,22 +180,68 @@
 	}
 }
 
+void kl_place_sent(kl_place_t *place)
+{
+	if (!place->running)
+		place->progress_us = place->cluster->engine->now;
+	place->running++;
+}
+
+void kl_place_done(kl_place_t *place)
+{
+	place->running--;
+}
+
+/*
+ * The window of statements that run at once: wider while answers come well
+ * within their objective, narrower when the database's own queue uses half of
+ * it up.
+ */
+void kl_place_took(kl_place_t *place, uint64_t took_us, uint64_t target_us)
+{
+	uint64_t now = place->cluster->engine->now;
+
+	place->latency_us = (7 * place->latency_us + took_us) / 8;
+	if (place->latency_us > target_us / NARROW_PART) {
+		if (now - place->narrowed_us < place->latency_us)
+			return;
+		place->narrowed_us = now;
+		place->window -= place->window / 8 + 1;
+		if (place->window < WINDOW_LEAST)
+			place->window = WINDOW_LEAST;
+		place->window_answers = 0;
+	} else if (++place->window_answers >= place->window &&
+		   place->window < WINDOW_MOST) {
+		place->window_answers = 0;
+		place->window++;
+	}
+}
+
+bool kl_place_stalled(const kl_place_t *place)
+{
+	return place->running &&
+	       place->cluster->engine->now - place->progress_us > STALL_US;
+}
+
 void kl_place_good(kl_place_t *place)
 {
 	bool failed = place->failing_us != 0;
 
+	place->progress_us = place->cluster->engine->now;
+	place->doubted = false;
+
 	place->failing_us = 0;
 	place->refuses = false;
 	if (failed)
 		tell(place);
 }
 
-void kl_place_bad(kl_place_t *place, bool refuses)
+void kl_place_bad(kl_place_t *place, bool refuses, uint64_t since_us)
 {
 	uint64_t now = place->cluster->engine->now;
 
 	if (!place->failing_us)
-		place->failing_us = now;
+		place->failing_us = since_us;
 	place->refuses |= refuses;
 	place->tried_us = now;
 	tell(place);
@@ -311,7 +365,7 @@
 		sum += engine->now - place->position_us > KNOWN_US
 			       ? COST_DOUBT / 2
 			       : COST_DOUBT;
-	if (place->failing_us)
-		sum += 2 * COST_STATEMENT;
+	if (place->failing_us || place->doubted || kl_place_stalled(place))
+		sum += 4 * COST_STATEMENT;
 	return sum;
 }
--- a/path/engine_run.c
+++ b/path/engine_run.c
@@ -34,6 +34,8 @@
 static bool still_leads(const kl_caller_t *caller);
 static void end_unknown(kl_caller_t *caller);
 static void take_transaction(kl_caller_t *caller, const kl_outcome_t *outcome);
+static void wait_longer(kl_caller_t *caller);
+static uint64_t queue_until(const kl_caller_t *caller);
 static void log_route(const kl_caller_t *caller);
 
 void kl_run_on(kl_caller_t *caller, kl_channel_t *channel)
@@ -117,7 +119,7 @@
 		kl_run_lost(caller);
 		return;
 	}
-	run->place->running++;
+	kl_place_sent(run->place);
 	if (caller->transaction == 'I')
 		log_route(caller);
 }
@@ -136,7 +138,9 @@
 		}
 		return;
 	}
-	run->place->running--;
+	kl_place_done(run->place);
+	kl_place_took(run->place, caller->engine->now - run->sent_us,
+		      caller->route.target_us);
 	if (outcome->error && caller->transaction == 'I' &&
 	    outcome->state == 'I' && try_again(caller, outcome))
 		return;
@@ -253,6 +257,20 @@
 	kl_caller_wait(caller, KL_RUN_ROUTE);
 }
 
+/* A read that was lost with its database gets time for another one. */
+static void wait_longer(kl_caller_t *caller)
+{
+	kl_run_t *run = &caller->run;
+	uint64_t until = caller->engine->now + caller->route.target_us;
+
+	if (until > run->deadline_us)
+		until = run->deadline_us;
+	if (until > run->wait_until_us)
+		run->wait_until_us = until;
+	if (until > run->queue_until_us)
+		run->queue_until_us = until;
+}
+
 /* Its connection is gone. */
 void kl_run_lost(kl_caller_t *caller)
 {
@@ -261,12 +279,14 @@
 	char before = caller->transaction;
 
 	if (sent)
-		run->place->running--;
+		kl_place_done(run->place);
 	if (caller->channel)
 		kl_channel_drop(caller->channel);
 	caller->channel = NULL;
 	if (run->stage == KL_RUN_NONE)
 		return; /* The next statement hears of it. */
+	if (sent && !run->writes)
+		wait_longer(caller);
 	if (before == 'I') {
 		if (sent && run->writes) {
 			kl_caller_refuse(caller, -KL_E_UNKNOWN_OUTCOME);
@@ -297,6 +317,18 @@
 	kl_caller_refuse(caller, -KL_E_ABORTED);
 }
 
+/* So long that the statement can still be in time once it is sent. */
+static uint64_t queue_until(const kl_caller_t *caller)
+{
+	const kl_run_t *run = &caller->run;
+	uint64_t whole = run->queue_until_us - run->came_us;
+	uint64_t needs = run->place->latency_us + run->place->latency_us / 4;
+
+	if (needs > whole - whole / 4)
+		needs = whole - whole / 4;
+	return run->queue_until_us - needs;
+}
+
 /* Looks at the deadlines of what waits, is set up or runs. */
 void kl_run_overdue(kl_caller_t *caller)
 {
@@ -305,20 +337,20 @@
 	char before = caller->transaction;
 
 	if (run->stage == KL_RUN_CHANNEL &&
-	    engine->now >= run->queue_until_us) {
+	    engine->now >= queue_until(caller)) {
 		kl_caller_refuse(caller, -KL_E_DEADLINE);
 		return;
 	}
 	if (run->stage == KL_RUN_SETUP &&
 	    engine->now - run->sent_us > SETUP_US) {
-		kl_place_bad(run->place, false);
+		run->place->doubted = true;
 		kl_run_lost(caller);
 		return;
 	}
 	if (run->stage != KL_RUN_SENT || engine->now < run->deadline_us)
 		return;
-	kl_place_bad(run->place, false);
-	run->place->running--;
+	run->place->doubted = true;
+	kl_place_done(run->place);
 	kl_channel_drop(caller->channel);
 	caller->channel = NULL;
 	if (before == 'I' || run->verb == KL_VERB_COMMIT ||
