Prove changes of primary where the platform promotes, on the virtual clock

The scripted world gains a platform with feeds, registrations of databases and promotions as calls. Not caught by any script: the age check before an order, and that a confirmation counts only from the registration on.

--- a/tests/script_run.c
+++ b/tests/script_run.c
@@ -43,6 +43,7 @@
 static void step_tune(char **words, int count);
 static void step_log(char **words, int count);
 static void step_stop(char **words, int count);
+static void step_leaves(char **words, int count);
 static void step_trap(char **words, int count);
 static void set_running(const char *name, bool running);
 static void set_side(const char *name, int side);
@@ -82,6 +83,7 @@
 	{ "log", 1, step_log },
 	{ "auth", 4, step_auth },
 	{ "stop", 1, step_stop },
+	{ "leaves", 1, step_leaves },
 	{ "violations", 0, step_violations },
 	{ "trap", 2, step_trap },
 };
@@ -365,6 +367,8 @@
 		script_world->path.stale_after_us = us;
 	else if (!strcmp(words[0], "quiet"))
 		script_world->quiet = us != 0;
+	else if (!strcmp(words[0], "promotes"))
+		world_promotes(script_world);
 }
 
 static void step_log(char **words, int count)
@@ -373,6 +377,18 @@
 	script_world->out = !strcmp(words[0], "on") ? stdout : NULL;
 }
 
+/* A database registers itself as leaving. */
+static void step_leaves(char **words, int count)
+{
+	db_t *db = world_db_of(script_world, words[0]);
+	(void)count;
+
+	if (!db)
+		return;
+	db->leaving = true;
+	world_register(script_world, db->service);
+}
+
 static void step_stop(char **words, int count)
 {
 	kl_event_t stop = { .kind = KL_EVENT_STOP };
--- a/tests/world.h
+++ b/tests/world.h
@@ -16,6 +16,8 @@
 extern "C" {
 #endif
 
+#define WORLD_DBS 16 /**< databases whose failures a VM notices */
+
 /** A VM: the real control side, and counts of its offered load. */
 typedef struct vm {
 	kl_node_t node;
@@ -31,6 +33,7 @@
 	uint64_t message_bytes;
 	uint64_t calls; /* of the platform */
 	uint64_t database_calls;
+	uint64_t failing_us[WORLD_DBS]; /* what its callers notice */
 	int number;
 } vm_t;
 
@@ -47,6 +50,11 @@
 	GArray *log; /* of write numbers, uint64_t */
 	GArray *at;  /* when each was written, for the lag */
 	uint64_t lag_us;
+	bool leaving;	      /* as it registered itself */
+	uint64_t promoted_us; /* when it leads, or 0 */
+	uint64_t promoted_term;
+	uint64_t token; /* newest that came with a promotion */
+	char token_holder[KL_NAME_MAX];
 } db_t;
 
 /** Offered load of one workspace at one VM. */
@@ -99,7 +107,8 @@
 	char trap_state[KL_NAME_MAX]; /* when a record with this is stored */
 	char trap_name[KL_NAME_MAX];  /* this VM or database dies at once */
 	uint64_t admit_wait_us;
-	bool quiet; /* no VM has callers of the services */
+	bool quiet;    /* no VM has callers of the services */
+	bool promotes; /* the platform promotes, and has feeds */
 	uint64_t interest_us;
 	kl_tuning_t tuning; /* of VMs made from now on */
 	kl_path_settings_t path;
@@ -118,6 +127,10 @@
 void world_service(world_t *world, const char *service, int connections);
 void world_put(world_t *world, const char *name, const char *body);
 void world_list_vm(vm_t *vm, const char *state);
+/** From now on the platform promotes; before any VM is made. */
+void world_promotes(world_t *world);
+/** Databases write their registrations anew. */
+void world_register(world_t *world, const char *service);
 load_t *world_load(world_t *world, vm_t *vm, const char *workspace,
 		   uint64_t rate);
 void world_run(world_t *world, uint64_t us);
--- a/tests/world_internal.h
+++ b/tests/world_internal.h
@@ -47,6 +47,19 @@
 /** The primary of the highest term. */
 db_t *world_source_of(world_t *world, const char *service);
 
+/** Feed that an object belongs to. */
+kl_feed_t world_feed(const world_t *world, const char *name);
+
+/** The platform is told to promote. @return 0 or -KL_E_CONFLICT */
+int world_promote(world_t *world, const vm_t *vm, const char *name,
+		  uint64_t token);
+
+/** Databases lead that were told to. */
+void world_finish_promotions(world_t *world);
+
+/** VMs hear what their callers meet at the databases. */
+void world_tell_traffic(world_t *world);
+
 /** Let something arrive in so many microseconds. */
 void world_happen(world_t *world, happening_t *happening, uint64_t in_us);
 
