--- /dev/null
+++ b/tests/unit/mutate.c
@@ -0,0 +1,203 @@
+/*
+ * Decoders under mutated input, with fixed seeds: whatever comes, they answer
+ * and touch no memory that is not theirs (the sanitizers look).
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+#include <event2/buffer.h>
+#include <glib.h>
+
+#include "control/controllers.h"
+#include "control/group_record.h"
+#include "control/object_name.h"
+#include "peer/peer_codec.h"
+#include "platform/documents.h"
+#include "platform/format.h"
+#include "platform/line.h"
+
+#define INPUTS 100000 /* mutated inputs of each decoder */
+#define SEED 20261204
+#define ROOM 2048
+
+/* Changes, drops, doubles or cuts a few bytes. */
+static size_t mutate(GRand *random, const char *from, size_t length, char *to)
+{
+	int changes = g_rand_int_range(random, 1, 6);
+
+	memcpy(to, from, length);
+	while (changes--) {
+		size_t at = length ? g_rand_int(random) % length : 0;
+
+		switch (g_rand_int_range(random, 0, 4)) {
+		case 0:
+			if (length)
+				to[at] = (char)g_rand_int(random);
+			break;
+		case 1:
+			if (length) {
+				memmove(to + at, to + at + 1, length - at - 1);
+				length--;
+			}
+			break;
+		case 2:
+			if (length + 1 < ROOM) {
+				memmove(to + at + 1, to + at, length - at);
+				length++;
+			}
+			break;
+		default:
+			if (g_rand_int_range(random, 0, 8) == 0)
+				length = at;
+			break;
+		}
+	}
+	to[length] = '\0';
+	return length;
+}
+
+static void answers_of_the_store(void **state)
+{
+	static const char *const samples[] = {
+		"{\"items\":[{\"meta\":{\"name\":\"main\",\"revision\":5},"
+		"\"spec\":{\"routes\":[{\"database\":\"d\",\"service\":\"s\","
+		"\"routeType\":\"primary\",\"timeoutMs\":5}],\"tenants\":["
+		"{\"name\":\"w\",\"apiKeys\":[\"k\"],\"ratePerS\":5}]}}],"
+		"\"hasMore\":true,\"storeRevision\":9}",
+		"{\"events\":[{\"deleted\":true,\"object\":{\"meta\":{\"name\":"
+		"\"i-1\",\"revision\":5},\"spec\":{\"service\":\"s\","
+		"\"address\":\"10.0.0.9:80\",\"zone\":\"d\",\"state\":"
+		"\"ready\"}}}],\"storeRevision\":9}",
+	};
+	GRand *random = g_rand_new_with_seed(SEED);
+	char text[ROOM + 1];
+	(void)state;
+
+	for (int i = 0; i < INPUTS; i++) {
+		const char *sample = samples[i % 2];
+		kl_platform_call_t call = { .op = i % 2 ? KL_PLATFORM_WATCH
+							: KL_PLATFORM_LIST,
+					    .feed = (i / 2) % KL_FEED_COUNT };
+		kl_platform_answer_t answer = { .error = -KL_E_UNAVAILABLE };
+		kl_object_list_t objects;
+		char after[KL_NAME_MAX] = "";
+		json_t *json;
+
+		CK_STAILQ_INIT(&objects);
+		answer.objects = &objects;
+		mutate(random, sample, strlen(sample), text);
+		json = json_loads(text, 0, NULL);
+		kl_format_objects.answer(&call, 200, json, &answer, after);
+		json_decref(json);
+		kl_object_list_clear(&objects);
+	}
+	g_rand_free(random);
+}
+
+static void lines_of_callers_and_databases(void **state)
+{
+	static const char *const samples[] = {
+		"QUERY 5c0e7a21d94b36f8 SINCE 3.1207 READ 1a4\r\n",
+		"PREPARE s1 WRITE q2c\r\nEXECUTE s1 1a4 xkqpwnzd\r\n",
+		"READY E 3.1209\r\nERROR READONLY i-7f3a91c2\r\n",
+		"ROW replica 3 3.1209 0 12 2 17\r\n",
+	};
+	GRand *random = g_rand_new_with_seed(SEED);
+	struct evbuffer *buffer = evbuffer_new();
+	char text[ROOM + 1];
+	(void)state;
+
+	for (int i = 0; i < INPUTS; i++) {
+		const char *sample = samples[i % 4];
+		size_t length = mutate(random, sample, strlen(sample), text);
+		bool too_long;
+		char *line;
+
+		evbuffer_add(buffer, text, length);
+		while ((line = kl_line_read(buffer, &length, &too_long))) {
+			kl_command_t command = { 0 };
+			char *rest = line;
+
+			kl_line_command(line, &command);
+			assert_in_range(command.verb, 0, KL_VERB_COUNT - 1);
+			kl_line_position(line);
+			while (*kl_line_word(&rest))
+				;
+			kl_line_error(line);
+			free(line);
+		}
+		evbuffer_drain(buffer, evbuffer_get_length(buffer));
+	}
+	evbuffer_free(buffer);
+	g_rand_free(random);
+}
+
+static void documents_and_records(void **state)
+{
+	static const char *const names[] = { "route/r", "upstream/u", "limit/l",
+					     "plan/p", "workspace/w" };
+	static const char *const samples[] = {
+		"{\"service\":\"s\",\"kind\":\"aged\",\"open\":true,"
+		"\"max_age_ms\":5,\"timeout_ms\":5,\"target_ms\":5,"
+		"\"priority\":1}",
+		"{\"service\":\"s\",\"host\":\"10.0.0.1\",\"port\":5,"
+		"\"domain\":\"d\",\"leaving\":false,\"primary\":true}",
+		"{\"transaction_idle_ms\":3000}",
+		"{\"connections\":5,\"rate\":5,\"burst\":5}",
+		"{\"plan\":\"p\",\"keys\":[{\"id\":\"a\",\"hash\":\"b\","
+		"\"withdrawn\":false}]}",
+	};
+	static const char record[] =
+		"{\"term\":2,\"state\":\"fencing\",\"primary\":\"p\","
+		"\"promoter\":\"v\",\"history\":[[1,2]]}";
+	GRand *random = g_rand_new_with_seed(SEED);
+	char text[ROOM + 1];
+	(void)state;
+
+	for (int i = 0; i < INPUTS; i++) {
+		kl_group_t group;
+
+		mutate(random, samples[i % 5], strlen(samples[i % 5]), text);
+		kl_document_check(names[i % 5], text);
+		mutate(random, record, strlen(record), text);
+		kl_group_decode(&group, text);
+	}
+	g_rand_free(random);
+}
+
+static void messages_of_peers(void **state)
+{
+	kl_peer_message_t message = { .kind = KL_PEER_HELLO,
+				      .from = "vm-1",
+				      .hello = { .domain = "d",
+						 .host = "10.0.0.1" } };
+	GRand *random = g_rand_new_with_seed(SEED);
+	char sample[ROOM], text[ROOM + 1];
+	int length = kl_peer_encode(&message, "10.0.0.1", 5, sample, ROOM);
+	(void)state;
+
+	assert_true(length > 0);
+	for (int i = 0; i < INPUTS; i++) {
+		size_t mutated = mutate(random, sample, (size_t)length, text);
+
+		if (!kl_peer_decode(&message, text, mutated))
+			kl_peer_clear(&message);
+	}
+	g_rand_free(random);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(answers_of_the_store),
+		cmocka_unit_test(lines_of_callers_and_databases),
+		cmocka_unit_test(documents_and_records),
+		cmocka_unit_test(messages_of_peers),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
