--- a/control/slot.c
+++ b/control/slot.c
@@ -198,7 +198,7 @@
 	for (uint32_t i = 0; i < slots->count; i++)
 		inherited += mine(slots, &slots->table[i]) &&
 			     slots->table[i].inherited;
-	return whole * inherited / slots->count;
+	return slots->count ? whole * inherited / slots->count : 0;
 }
 
 uint32_t kl_slots_held(const kl_slots_t *slots)
--- a/control/sync_peer.c
+++ b/control/sync_peer.c
@@ -229,11 +229,14 @@
 	if (position >= node->tuning.roots) {
 		const kl_member_t *table[count + 1];
 
+		uint32_t above = (position - node->tuning.roots) / FANOUT;
+
 		domain_position(node, members, table, &count);
-		parent = table[(position - node->tuning.roots) / FANOUT];
+		parent = above < count ? table[above] : NULL;
+	}
+	if (parent)
 		send_hello(node, sync, parent->name.name, parent->host,
 			   parent->port, 0, true);
-	}
 	pick = kl_node_random(node) % members->count;
 	CK_STAILQ_FOREACH(member, &members->list, link) {
 		if (pick--)
--- a/path/engine_run.c
+++ b/path/engine_run.c
@@ -12,18 +12,18 @@
 
 /* What becomes of a statement that certainly did not run. */
 typedef struct retry_row {
-	int error;
 	uint64_t pause_us;
+	int error;
 	bool breaks; /* the connection is of no use any more */
 } retry_row_t;
 
 static const retry_row_t retries[] = {
-	{ -KL_E_NO_UPSTREAM, BUSY_RETRY_US, false },
-	{ -KL_E_LAGGING, 0, false },
-	{ -KL_E_READ_ONLY, LEAD_RETRY_US, false },
-	{ -KL_E_MISROUTED, LEAD_RETRY_US, true },
-	{ -KL_E_NO_STATEMENT, 0, true },
-	{ -KL_E_CONNECTIONS, BUSY_RETRY_US, true },
+	{ BUSY_RETRY_US, -KL_E_NO_UPSTREAM, false },
+	{ 0, -KL_E_LAGGING, false },
+	{ LEAD_RETRY_US, -KL_E_READ_ONLY, false },
+	{ LEAD_RETRY_US, -KL_E_MISROUTED, true },
+	{ 0, -KL_E_NO_STATEMENT, true },
+	{ BUSY_RETRY_US, -KL_E_CONNECTIONS, true },
 };
 
 static bool set_up(kl_caller_t *caller, kl_channel_t *channel);
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -91,6 +91,8 @@
 		for (word = strtok_r(line, " ", &place); word && count < WORDS;
 		     word = strtok_r(NULL, " ", &place))
 			words[count++] = word;
+		if (!count)
+			continue;
 		for (size_t i = 0; i < sizeof(steps) / sizeof(*steps); i++) {
 			if (strcmp(steps[i].name, words[0]) ||
 			    count <= steps[i].least)
