Give each VM an even part of one connection at least, not two

Cause: with 73 VMs before databases of 73 connections (grown site) two a VM is twice what there is: 105,712 new connections for 28,124 requests.

What binds the grown site stays: 24 slots for 73 VMs.

--- a/path/engine_place.c
+++ b/path/engine_place.c
@@ -14,7 +14,6 @@
 #define WINDOW_MOST 64
 #define NARROW_PART 2	       /* of an objective that a statement may take */
 #define STALL_US (300 * KL_MS) /* without any answer */
-#define LEAST 2		       /* connections that every VM may have */
 #define COST_STATEMENT 4       /* of one statement in progress there */
 #define COST_CONNECT 3	       /* of a new connection */
 #define COST_DISTANCE 4	       /* of another failure domain */
@@ -123,10 +122,8 @@
 	else if (!place->leaving_us)
 		place->leaving_us = now;
 	place->leaving = upstream->leaving;
-	place->part = connections / live > LEAST ? connections / live : LEAST;
-	place->most = connections > LEAST * live
-			      ? connections - LEAST * (live - 1)
-			      : LEAST;
+	place->part = connections / live ? connections / live : 1;
+	place->most = connections > live ? connections - (live - 1) : 1;
 	if (place->cap < place->part)
 		place->cap = place->part;
 	if (place->cap > place->most)
