--- a/daemon/counter.c
+++ b/daemon/counter.c
@@ -1,6 +1,7 @@
 #include <ck_pr.h>
 
 #include "daemon/counter.h"
+#include "path/engine.h"
 
 typedef struct counter_row {
 	const char *name;
@@ -52,6 +53,25 @@
 };
 
 static uint64_t counters[KL_COUNTER_COUNT];
+static uint64_t latencies[KL_ROUTE_KIND_COUNT][KL_ENDING_COUNT][KL_LATENCIES];
+static uint64_t latencies_us[KL_ROUTE_KIND_COUNT][KL_ENDING_COUNT];
+
+void kl_count_latency(uint32_t kind, uint32_t ending, uint32_t place,
+		      uint64_t more, uint64_t more_us)
+{
+	ck_pr_add_64(&latencies[kind][ending][place], more);
+	ck_pr_add_64(&latencies_us[kind][ending], more_us);
+}
+
+uint64_t kl_latency(uint32_t kind, uint32_t ending, uint32_t place)
+{
+	return ck_pr_load_64(&latencies[kind][ending][place]);
+}
+
+uint64_t kl_latency_us(uint32_t kind, uint32_t ending)
+{
+	return ck_pr_load_64(&latencies_us[kind][ending]);
+}
 
 void kl_count(kl_counter_t counter, uint64_t more)
 {
--- a/daemon/counter.h
+++ b/daemon/counter.h
@@ -37,6 +37,13 @@
 void kl_count(kl_counter_t counter, uint64_t more);
 uint64_t kl_counted(kl_counter_t counter);
 
+/** Add statements of one class to the latencies. */
+void kl_count_latency(uint32_t kind, uint32_t ending, uint32_t place,
+		      uint64_t more, uint64_t more_us);
+/** Statements of one class, and the time that all of an ending took. */
+uint64_t kl_latency(uint32_t kind, uint32_t ending, uint32_t place);
+uint64_t kl_latency_us(uint32_t kind, uint32_t ending);
+
 /** Name and meaning, in Prometheus' habits. */
 const char *kl_counter_name(kl_counter_t counter);
 const char *kl_counter_help(kl_counter_t counter);
--- a/daemon/line_worker.c
+++ b/daemon/line_worker.c
@@ -40,6 +40,8 @@
 static void on_tick(evutil_socket_t fd, short what, void *arg);
 static void set_tick(kl_line_worker_t *worker);
 static void tell_counts(kl_line_worker_t *worker);
+static void tell_latencies(const kl_engine_counts_t *now,
+			   const kl_engine_counts_t *told);
 static void open_drain(void *owner, kl_letter_t *letter);
 static void open_refuse(void *owner, kl_letter_t *letter);
 static void open_exit(void *owner, kl_letter_t *letter);
@@ -246,9 +248,28 @@
 	kl_count(KL_COUNTER_LINKS_OPENED, now->opened - told->opened);
 	kl_count(KL_COUNTER_LINKS_DROPPED, now->dropped - told->dropped);
 	kl_count(KL_COUNTER_ADMITTED, now->admitted - told->admitted);
+	if (now->ended != told->ended)
+		tell_latencies(now, told);
 	*told = *now;
 }
 
+static void tell_latencies(const kl_engine_counts_t *now,
+			   const kl_engine_counts_t *told)
+{
+	for (uint32_t k = 0; k < KL_ROUTE_KIND_COUNT; k++) {
+		for (uint32_t e = 0; e < KL_ENDING_COUNT; e++) {
+			kl_count_latency(k, e, 0, 0,
+					 now->latency_us[k][e] -
+						 told->latency_us[k][e]);
+			for (uint32_t i = 0; i < KL_LATENCIES; i++)
+				kl_count_latency(k, e, i,
+						 now->latency[k][e][i] -
+							 told->latency[k][e][i],
+						 0);
+		}
+	}
+}
+
 static void post(kl_line_worker_t *worker,
 		 void (*open)(void *owner, kl_letter_t *letter))
 {
--- a/daemon/status.c
+++ b/daemon/status.c
@@ -9,6 +9,7 @@
 #include "daemon/counter.h"
 #include "daemon/log.h"
 #include "daemon/status.h"
+#include "path/engine.h"
 
 struct kl_status {
 	struct event_base *base;
@@ -19,6 +20,7 @@
 
 static void on_metrics(struct evhttp_request *request, void *arg);
 static void on_status(struct evhttp_request *request, void *arg);
+static void add_latencies(struct evbuffer *body);
 static void on_ready(struct evhttp_request *request, void *arg);
 static json_t *describe(kl_node_t *node);
 static json_t *describe_groups(const kl_terms_t *terms);
@@ -97,9 +99,46 @@
 				    kl_counter_name(i), kl_counter_help(i),
 				    kl_counter_name(i), kl_counter_name(i),
 				    kl_counted(i));
+	add_latencies(body);
 	reply(request, "text/plain; version=0.0.4", body);
 }
 
+/* A histogram for each kind of route and each end of its statements. */
+static void add_latencies(struct evbuffer *body)
+{
+	static const char *const kinds[] = { "primary", "aged", "session" };
+	static const char *const ends[] = { "served", "refused", "failed" };
+
+	evbuffer_add_printf(body, "# HELP kl_statement_seconds time of a "
+				  "statement in the proxy\n"
+				  "# TYPE kl_statement_seconds histogram\n");
+	for (uint32_t n = 0; n < KL_ROUTE_KIND_COUNT * KL_ENDING_COUNT; n++) {
+		uint32_t k = n / KL_ENDING_COUNT, e = n % KL_ENDING_COUNT;
+		uint64_t sum = 0;
+
+		for (uint32_t i = 0; i < KL_LATENCIES; i++) {
+			char end[16] = "+Inf";
+
+			sum += kl_latency(k, e, i);
+			if (i < KL_LATENCIES - 1)
+				snprintf(end, sizeof(end), "%g",
+					 kl_latencies_ms[i] / 1000.0);
+			evbuffer_add_printf(
+				body,
+				"kl_statement_seconds_bucket{route=\"%s\","
+				"end=\"%s\",le=\"%s\"} %" PRIu64 "\n",
+				kinds[k], ends[e], end, sum);
+		}
+		evbuffer_add_printf(
+			body,
+			"kl_statement_seconds_sum{route=\"%s\",end=\"%s\"} "
+			"%g\nkl_statement_seconds_count{route=\"%s\","
+			"end=\"%s\"} %" PRIu64 "\n",
+			kinds[k], ends[e], kl_latency_us(k, e) / 1e6, kinds[k],
+			ends[e], sum);
+	}
+}
+
 static void on_status(struct evhttp_request *request, void *arg)
 {
 	kl_status_t *status = arg;
--- a/path/engine.h
+++ b/path/engine.h
@@ -110,6 +110,19 @@
 	uint64_t connect_us;	/**< before a connection attempt is given up */
 } kl_engine_settings_t;
 
+/** How a statement ended. */
+typedef enum kl_ending {
+	KL_ENDING_SERVED,
+	KL_ENDING_REFUSED, /**< it did not run */
+	KL_ENDING_FAILED,  /**< it ran, or may have */
+	KL_ENDING_COUNT
+} kl_ending_t;
+
+#define KL_LATENCIES 10 /**< classes of a statement's time */
+
+/** Upper ends of the classes, milliseconds; the last one has none. */
+extern const uint32_t kl_latencies_ms[KL_LATENCIES];
+
 /** What an engine did, for metrics. */
 typedef struct kl_engine_counts {
 	uint64_t reads_replica;
@@ -122,6 +135,9 @@
 	uint64_t opened;
 	uint64_t dropped;
 	uint64_t admitted;
+	uint64_t ended; /**< statements, all of those below */
+	uint64_t latency[KL_ROUTE_KIND_COUNT][KL_ENDING_COUNT][KL_LATENCIES];
+	uint64_t latency_us[KL_ROUTE_KIND_COUNT][KL_ENDING_COUNT]; /**< sums */
 } kl_engine_counts_t;
 
 kl_engine_t *kl_engine_new(const kl_engine_settings_t *settings,
--- a/path/engine_caller.c
+++ b/path/engine_caller.c
@@ -27,9 +27,14 @@
 static void take_since(kl_caller_t *caller);
 static void admit(kl_caller_t *caller);
 static void stop_counting(kl_caller_t *caller);
+static void observe(kl_caller_t *caller, int error);
 static void finish(kl_caller_t *caller);
 static bool ends_session(int error);
 
+const uint32_t kl_latencies_ms[KL_LATENCIES] = {
+	5, 10, 25, 50, 100, 200, 400, 800, 1600, UINT32_MAX
+};
+
 /* What a statement does in a session that is idle, in a transaction, or in a
  * transaction that failed. */
 static const handler_t handlers[KL_VERB_COUNT][3] = {
@@ -477,6 +482,7 @@
 	else
 		engine->counts.unknown++;
 	engine->ops->decided(engine->context, &refused);
+	observe(caller, error);
 	finish(caller);
 	if (ends_session(error)) {
 		kl_caller_end(caller, error);
@@ -498,10 +504,31 @@
 {
 	kl_engine_t *engine = caller->engine;
 
+	observe(caller, 0);
 	finish(caller);
 	engine->ops->result(engine->context, caller->front, outcome);
 }
 
+/* Statements that reach a database, by kind of route and by their end. */
+static void observe(kl_caller_t *caller, int error)
+{
+	kl_engine_t *engine = caller->engine;
+	kl_engine_counts_t *counts = &engine->counts;
+	kl_route_kind_t kind = caller->route.kind;
+	kl_ending_t ending = !error			    ? KL_ENDING_SERVED
+			     : kl_answer_of(error)->not_run ? KL_ENDING_REFUSED
+							    : KL_ENDING_FAILED;
+	uint64_t took = engine->now - caller->run.came_us;
+	int place = 0;
+
+	while (place < KL_LATENCIES - 1 &&
+	       took > kl_latencies_ms[place] * KL_MS)
+		place++;
+	counts->ended++;
+	counts->latency[kind][ending][place]++;
+	counts->latency_us[kind][ending] += took;
+}
+
 static void finish(kl_caller_t *caller)
 {
 	kl_run_t *run = &caller->run;
--- a/tests/process/line.sh
+++ b/tests/process/line.sh
@@ -117,6 +117,11 @@
 session 2 orders key-two
 session 1 orders key-one
 
+echo "# the latencies of the other VM"
+curl -sf http://127.0.0.1:17202/metrics |
+	grep -E '^kl_statement_seconds_count.*(session|primary).*served' |
+	sed 's/} [1-9][0-9]*$/} some/'
+
 echo "# reload, and a planned stop"
 kill -HUP "$PID_a1"
 ask "QUERY 1 READ lustre"
