--- a/control/share.c
+++ b/control/share.c
@@ -10,8 +10,10 @@
 #include "control/slot.h"
 
 #define BALANCE_US (200 * KL_MS)
-#define IDLE_TURNS 4 /* steps in which every idle workspace has its turn */
-#define LENDERS 3    /* asked in one step for one workspace */
+#define IDLE_TURNS 4  /* steps in which every idle workspace has its turn */
+#define LENDERS 3     /* asked in one step for one workspace */
+#define SPARSE_NEAR 2 /* where few statements come: of the own domain first */
+#define SPARSE_FAR 1  /* then of all */
 
 typedef struct account {
 	kl_named_t name; /* the workspace */
@@ -19,7 +21,8 @@
 	kl_share_t *share;
 	kl_bucket_t *bucket;
 	uint64_t asked;
-	uint32_t cursor;
+	uint32_t cursor; /* over all lenders */
+	uint32_t near;	 /* over those of the own failure domain */
 	bool wanted;
 	bool credited; /* with what its part missed while it was down */
 } account_t;
@@ -279,13 +282,19 @@
 			account_t *account, uint64_t now)
 {
 	kl_peer_message_t message = { .kind = KL_PEER_ASK };
+	/* A few statements need little: it may be had nearby. */
+	bool sparse = kl_share_sparse(account->share);
+	int near_ones = sparse ? SPARSE_NEAR : 0;
+	int most = sparse ? SPARSE_NEAR + SPARSE_FAR : LENDERS;
 
-	for (int i = 0; i < LENDERS; i++) {
-		const kl_member_t *lender =
-			kl_slots_lender(node, state->slots, &account->cursor);
+	for (int i = 0; i < most; i++) {
+		bool near = i < near_ones;
+		const kl_member_t *lender = kl_slots_lender(
+			node, state->slots, near,
+			near ? &account->near : &account->cursor);
 
 		if (!lender)
-			return;
+			continue;
 		if (!kl_share_wants(account->share, lender->name.name, now,
 				    &message.ask))
 			continue;
--- a/control/share_lease.c
+++ b/control/share_lease.c
@@ -77,7 +77,6 @@
 static uint64_t owned_now(const kl_share_t *share);
 static void prune(loan_list_t *list, uint64_t now_us);
 static uint64_t demand_of(const kl_share_t *share);
-static bool is_sparse(const kl_share_t *share);
 static uint64_t needed(const kl_share_t *share);
 static int64_t cap_of(const kl_share_t *share);
 static void set_validity(kl_share_t *share);
@@ -202,7 +201,7 @@
 	 * One that had no more to lend is asked less and less often, where few
 	 * statements wait for the answer.
 	 */
-	if (loan && is_sparse(share) && want > held && !ending && !owed &&
+	if (loan && kl_share_sparse(share) && want > held && !ending && !owed &&
 	    loan->pause_us > pause)
 		pause = loan->pause_us;
 	if (loan && now_us - loan->asked_us < pause)
@@ -447,15 +446,14 @@
 			most = share->recent[i];
 	count = most * DEMAND_US / 1000000;
 	rise = count * 1000 > usual ? count * 1000 - usual : 0;
-	if (!is_sparse(share))
+	if (!kl_share_sparse(share))
 		return most;
 	if (rise > RISE_LEAST * 1000 && rise * rise > 9000 * usual)
 		return most;
 	return (share->mean + 500) / 1000;
 }
 
-/* Whether so few statements come that chance rules their number. */
-static bool is_sparse(const kl_share_t *share)
+bool kl_share_sparse(const kl_share_t *share)
 {
 	return share->mean * DEMAND_US / 1000000 < SPARSE * 1000;
 }
--- a/control/slot.c
+++ b/control/slot.c
@@ -254,7 +254,8 @@
 }
 
 const kl_member_t *kl_slots_lender(const kl_node_t *node,
-				   const kl_slots_t *slots, uint32_t *cursor)
+				   const kl_slots_t *slots, bool near,
+				   uint32_t *cursor)
 {
 	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
 
@@ -266,7 +267,8 @@
 		    !strcmp(slot->owner, slots->self))
 			continue;
 		member = kl_index_get(members->index, slot->owner);
-		if (member)
+		if (member &&
+		    (!near || !strcmp(member->domain, node->self.domain)))
 			return member;
 	}
 	return NULL;
--- a/control/slot.h
+++ b/control/slot.h
@@ -43,9 +43,11 @@
 /**
  * The next VM that owns slots, to borrow from.
  *
+ * @param near only one of this VM's own failure domain
  * @param cursor where to go on, kept by the caller
  */
 const kl_member_t *kl_slots_lender(const kl_node_t *node,
-				   const kl_slots_t *slots, uint32_t *cursor);
+				   const kl_slots_t *slots, bool near,
+				   uint32_t *cursor);
 
 #endif
--- a/include/kumquatloft/share.h
+++ b/include/kumquatloft/share.h
@@ -113,6 +113,9 @@
 /** Part in use now, of KL_SHARE_WHOLE. */
 uint64_t kl_share_effective(const kl_share_t *share);
 
+/** Whether so few statements come that chance rules their number. */
+bool kl_share_sparse(const kl_share_t *share);
+
 /** Whether nothing is owned, lent, borrowed or asked for. */
 bool kl_share_idle(const kl_share_t *share, uint64_t now_us);
 
