Split the engine's callers, the promotion controller and the loans by job

engine_begin.c: the first statement of an operation; promote_event.c: what the controller hears; share_demand.c: how much the demand asks for. No change of behaviour: scripts, engine scripts and the property of the shares unchanged.

--- a/control/promote.c
+++ b/control/promote.c
@@ -25,25 +25,11 @@
 #define SETTLE_US (120 * KL_MS)	   /* what was sent before the fence ends */
 #define CURRENT_US (1 * KL_SEC)	   /* a record confirmed this lately is used */
 #define ASK_US (100 * KL_MS)	   /* between two questions to databases */
-#define STEPDOWN_US (500 * KL_MS)  /* between two orders to step down */
-
-typedef struct promote_state {
-	CK_STAILQ_HEAD(, kl_promotion) list;
-	kl_index_t *index;
-	kl_acks_t acks;
-} promote_state_t;
+#define STEP_DOWN_US (500 * KL_MS)  /* between two orders to step down */
 
 static void step_stable(kl_promote_view_t *view);
 static void step_fencing(kl_promote_view_t *view);
 static void step_promoting(kl_promote_view_t *view);
-static void take_event(kl_node_t *node, promote_state_t *state,
-		       const kl_event_t *event, uint64_t now);
-static void take_traffic(kl_promotion_t *promotion,
-			 const kl_traffic_t *traffic);
-static void take_status(kl_promotion_t *promotion,
-			const kl_database_answer_t *answer, uint64_t now);
-static void take_promoted(kl_promotion_t *promotion,
-			  const kl_platform_answer_t *answer);
 static void create_record(kl_promote_view_t *view);
 static bool primary_fails(kl_promote_view_t *view);
 static bool primary_leaves(const kl_promote_view_t *view);
@@ -54,8 +40,6 @@
 static void step_down_strays(kl_promote_view_t *view);
 static void write_record(kl_promote_view_t *view, kl_group_t *group,
 			 const char *what, const char *reason);
-static kl_promotion_t *promotion_of(promote_state_t *state,
-				    const char *service);
 
 static void (*const steps[KL_GROUP_STATE_COUNT])(kl_promote_view_t *view) = {
 	[KL_GROUP_STABLE] = step_stable,
@@ -63,39 +47,9 @@
 	[KL_GROUP_PROMOTING] = step_promoting,
 };
 
-int kl_promote_create(kl_node_t *node)
-{
-	promote_state_t *state = calloc(1, sizeof(*state));
-
-	if (!state)
-		return -KL_E_NOMEM;
-	CK_STAILQ_INIT(&state->list);
-	CK_STAILQ_INIT(&state->acks);
-	state->index = kl_index_new(16);
-	node->state[KL_CONTROLLER_PROMOTE] = state;
-	return 0;
-}
-
-void kl_promote_destroy(kl_node_t *node)
-{
-	promote_state_t *state = node->state[KL_CONTROLLER_PROMOTE];
-	kl_promotion_t *promotion, *next;
-	suspicion_t *suspicion, *after;
-
-	CK_STAILQ_FOREACH_SAFE(promotion, &state->list, link, next) {
-		CK_STAILQ_FOREACH_SAFE(suspicion, &promotion->change.suspicions,
-				       link, after)
-			free(suspicion);
-		free(promotion);
-	}
-	kl_acks_clear(&state->acks);
-	kl_index_free(state->index);
-	free(state);
-}
-
 void kl_promote_step(kl_node_t *node, const kl_event_t *event)
 {
-	promote_state_t *state = node->state[KL_CONTROLLER_PROMOTE];
+	kl_promote_state_t *state = node->state[KL_CONTROLLER_PROMOTE];
 	const kl_config_t *config = kl_node_get(node, KL_SECTION_CONFIG);
 	const kl_terms_t *terms = kl_node_get(node, KL_SECTION_TERMS);
 	kl_promote_view_t view = { .base = { .node = node,
@@ -106,12 +60,12 @@
 
 	if (!node->tuning.platform_promotes)
 		return;
-	take_event(node, state, event, view.base.now);
+	kl_promote_take_event(state, event, view.base.now);
 	if (!config || !terms || !view.base.members)
 		return;
 	CK_STAILQ_FOREACH(view.base.service, &config->services, link) {
 		const char *name = view.base.service->name.name;
-		kl_promotion_t *promotion = promotion_of(state, name);
+		kl_promotion_t *promotion = kl_promotion_of(state, name);
 
 		view.promotion = promotion;
 		view.base.group = kl_index_get(terms->index, name);
@@ -129,93 +83,6 @@
 	}
 }
 
-static void take_event(kl_node_t *node, promote_state_t *state,
-		       const kl_event_t *event, uint64_t now)
-{
-	const kl_peer_message_t *peer = event->peer;
-
-	switch (event->kind) {
-	case KL_EVENT_PEER:
-		if (peer->kind == KL_PEER_HELLO)
-			kl_acks_note(&state->acks, peer, now);
-		else if (peer->kind == KL_PEER_SUSPECT)
-			kl_failover_note(
-				&promotion_of(state, peer->subject)->change,
-				peer->from, peer->term, now);
-		break;
-	case KL_EVENT_TRAFFIC:
-		take_traffic(promotion_of(state, event->traffic->service),
-			     event->traffic);
-		break;
-	case KL_EVENT_DATABASE:
-		if (event->database->call.owner == KL_CONTROLLER_PROMOTE)
-			take_status(promotion_of(state,
-						 event->database->call.service),
-				    event->database, now);
-		break;
-	case KL_EVENT_PLATFORM:
-		if (event->platform->op == KL_PLATFORM_PROMOTE)
-			take_promoted(
-				promotion_of(state, event->platform->name),
-				event->platform);
-		break;
-	default:
-		break;
-	}
-	(void)node;
-}
-
-static void take_traffic(kl_promotion_t *promotion, const kl_traffic_t *traffic)
-{
-	if (!promotion)
-		return;
-	if (traffic->failing_us) {
-		kl_name_set(promotion->failing, traffic->upstream);
-		promotion->failing_us = traffic->failing_us;
-		promotion->refused = traffic->refused;
-	} else if (!strcmp(promotion->failing, traffic->upstream)) {
-		promotion->failing[0] = '\0';
-	}
-}
-
-static void take_status(kl_promotion_t *promotion,
-			const kl_database_answer_t *answer, uint64_t now)
-{
-	const kl_database_call_t *call = &answer->call;
-	kl_traffic_t seen = { .service = call->service,
-			      .upstream = call->upstream };
-
-	if (!promotion)
-		return;
-	if (call->fresh) {
-		/* A check of the primary that others suspect. */
-		if (answer->error == -KL_E_CONNECTIONS)
-			return;
-		if (answer->error) {
-			seen.refused = answer->error == -KL_E_UPSTREAM;
-			seen.failing_us =
-				!strcmp(promotion->failing, call->upstream)
-					? promotion->failing_us
-					: now;
-		}
-		take_traffic(promotion, &seen);
-		return;
-	}
-	if (!answer->error)
-		kl_promotion_reply(promotion, answer);
-}
-
-static void take_promoted(kl_promotion_t *promotion,
-			  const kl_platform_answer_t *answer)
-{
-	if (!promotion || answer->asked_us != promotion->called_us)
-		return;
-	if (!answer->error)
-		promotion->promoted = true;
-	if (answer->error == -KL_E_CONFLICT)
-		promotion->not_running = true;
-}
-
 /* The first record names the database that registered itself as primary. */
 static void create_record(kl_promote_view_t *view)
 {
@@ -444,7 +311,7 @@
 
 	if (!promotion->leads_term ||
 	    strcmp(view->base.group->promoter, view->base.node->self.vm) ||
-	    view->base.now - promotion->down_us < STEPDOWN_US)
+	    view->base.now - promotion->down_us < STEP_DOWN_US)
 		return;
 	promotion->down_us = view->base.now;
 	CK_STAILQ_FOREACH(upstream, &view->base.service->upstreams, link) {
@@ -486,20 +353,3 @@
 	}
 	free(body);
 }
-
-static kl_promotion_t *promotion_of(promote_state_t *state, const char *service)
-{
-	kl_promotion_t *promotion = kl_index_get(state->index, service);
-
-	if (promotion)
-		return promotion;
-	promotion = calloc(1, sizeof(*promotion));
-	if (!promotion || kl_name_set(promotion->change.name.name, service)) {
-		free(promotion);
-		return NULL;
-	}
-	CK_STAILQ_INIT(&promotion->change.suspicions);
-	CK_STAILQ_INSERT_TAIL(&state->list, promotion, link);
-	kl_index_put(state->index, &promotion->change.name);
-	return promotion;
-}
--- a/control/promote_internal.h
+++ b/control/promote_internal.h
@@ -48,6 +48,13 @@
 	uint32_t reply_count;
 } kl_promotion_t;
 
+/** What the controller keeps. */
+typedef struct kl_promote_state {
+	CK_STAILQ_HEAD(, kl_promotion) list;
+	kl_index_t *index;
+	kl_acks_t acks;
+} kl_promote_state_t;
+
 /** What one step sees. */
 typedef struct kl_promote_view {
 	view_t base;
@@ -55,6 +62,13 @@
 	const kl_acks_t *acks;
 } kl_promote_view_t;
 
+/** Take in what happened. */
+void kl_promote_take_event(kl_promote_state_t *state, const kl_event_t *event,
+			   uint64_t now);
+
+/** The state of a service's change. @return NULL when out of memory */
+kl_promotion_t *kl_promotion_of(kl_promote_state_t *state, const char *service);
+
 void kl_acks_note(kl_acks_t *acks, const kl_peer_message_t *hello,
 		  uint64_t now);
 void kl_acks_clear(kl_acks_t *acks);
--- a/control/share_lease.c
+++ b/control/share_lease.c
@@ -1,8 +1,7 @@
-#include <ck_queue.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "kumquatloft/share.h"
+#include "control/share_internal.h"
 
 #define LOAN_US 600000ull     /* life of a loan, from the question */
 #define LENDER_US 660000ull   /* the lender's longer view, for drift */
@@ -11,60 +10,7 @@
 #define ASK_US 20000ull	      /* between two questions to one lender */
 #define PAUSE_US 300000ull    /* the longest one between two questions */
 #define FORGET_US 10000000ull /* a peer not heard of is forgotten */
-#define DEMAND_US 100000ull   /* width of a window of the demand seen */
-#define WINDOWS 2	      /* the highest of so many windows counts */
-#define SMOOTH 8	      /* windows that the mean demand reaches back */
-#define RISE_LEAST 2	      /* statements that are a rise above the mean */
-#define SPARSE 3	      /* statements a window: below, chance rules */
 #define VALID_US 100000ull    /* tokens are spendable this long per tick */
-#define GRANTS 8	      /* unacknowledged ones of one borrower */
-#define HEADROOM_PERCENT 110  /* share wanted over the demand seen */
-
-/* What a lender gave and the borrower may still use. */
-typedef struct grant {
-	uint64_t sequence;
-	uint64_t share;
-	uint64_t until_us;
-} grant_t;
-
-typedef struct loan {
-	CK_LIST_ENTRY(loan) link;
-	char peer[KL_SHARE_NAME];
-	uint64_t share;
-	uint64_t until_us;
-	uint64_t sequence;
-
-	uint64_t asked_us;
-	uint64_t pause_us;	/* borrower: before it is asked for more */
-	uint64_t touched_us;	/* own clock, of the last message */
-	bool owes_receipt;	/* borrower: the lender still counts more */
-	uint64_t pending;	/* borrower: asked for and not answered yet */
-	grant_t grants[GRANTS]; /* lender: not known to be superseded */
-	uint32_t grant_count;
-} loan_t;
-
-typedef CK_LIST_HEAD(, loan) loan_list_t;
-
-struct kl_share {
-	const kl_purse_ops_t *ops;
-	void *purse;
-	uint64_t rate;
-	uint64_t burst;
-	uint64_t owned;
-	uint64_t owned_until_us;
-	uint64_t now_us;
-	uint64_t created_us;
-	uint64_t minted_us;
-	uint64_t remainder;	  /* of minting, below one token */
-	uint64_t recent[WINDOWS]; /* statements a second, newest last */
-	uint64_t mean;		  /* thousandths of a statement a second */
-	uint64_t came;
-	uint64_t demand_us;
-	uint64_t backlog;
-	uint64_t sequence;
-	loan_list_t lent;
-	loan_list_t borrowed;
-};
 
 static loan_t *loan_of(loan_list_t *list, const char *peer, bool create,
 		       uint64_t now_us);
@@ -76,8 +22,6 @@
 static uint64_t pending_sum(const kl_share_t *share, uint64_t now_us);
 static uint64_t owned_now(const kl_share_t *share);
 static void prune(loan_list_t *list, uint64_t now_us);
-static uint64_t demand_of(const kl_share_t *share);
-static uint64_t needed(const kl_share_t *share);
 static int64_t cap_of(const kl_share_t *share);
 static void set_validity(kl_share_t *share);
 static void free_loans(loan_list_t *list);
@@ -158,31 +102,12 @@
 	set_validity(share);
 }
 
-void kl_share_demand(kl_share_t *share, uint64_t now_us, uint64_t came,
-		     uint64_t backlog)
-{
-	uint64_t elapsed = now_us - share->demand_us;
-
-	share->came += came;
-	share->backlog = backlog;
-	if (elapsed < DEMAND_US)
-		return;
-	memmove(share->recent, share->recent + 1,
-		sizeof(share->recent) - sizeof(share->recent[0]));
-	share->recent[WINDOWS - 1] = share->came * 1000000 / elapsed;
-	share->mean = (share->mean * (SMOOTH - 1) +
-		       share->recent[WINDOWS - 1] * 1000) /
-		      SMOOTH;
-	share->came = 0;
-	share->demand_us = now_us;
-}
-
 bool kl_share_wants(kl_share_t *share, const char *lender, uint64_t now_us,
 		    kl_loan_ask_t *ask)
 {
 	loan_t *loan = loan_of(&share->borrowed, lender, false, now_us);
 	uint64_t held = loan ? loan->share : 0;
-	uint64_t need = needed(share);
+	uint64_t need = kl_share_needed(share);
 	uint64_t elsewhere =
 		kl_share_effective(share) - held + pending_sum(share, now_us);
 	uint64_t want = need > elsewhere ? need - elsewhere : 0;
@@ -244,7 +169,7 @@
 	before = lent_to(loan, now_us);
 	others = lent_sum(share) - before;
 	/* Own demand first, and a little for the first statement to come. */
-	keep = needed(share);
+	keep = kl_share_needed(share);
 	if (keep < own / 16)
 		keep = own / 16;
 	spare = own > others + keep ? own - others - keep : 0;
@@ -306,13 +231,6 @@
 	return (own > lent ? own - lent : 0) + borrowed_sum(share);
 }
 
-bool kl_share_idle(const kl_share_t *share, uint64_t now_us)
-{
-	(void)now_us;
-	return !demand_of(share) && !share->backlog &&
-	       CK_LIST_EMPTY(&share->lent) && CK_LIST_EMPTY(&share->borrowed);
-}
-
 static loan_t *loan_of(loan_list_t *list, const char *peer, bool create,
 		       uint64_t now_us)
 {
@@ -430,52 +348,6 @@
 	return share->now_us < share->owned_until_us ? share->owned : 0;
 }
 
-/*
- * The most that came lately: a short lull should not give all away.  Where few
- * statements come, many in one window are mostly chance, and asking for as
- * much all the time would take the part of others: there the mean counts, but
- * for a rise that is more than chance.
- */
-static uint64_t demand_of(const kl_share_t *share)
-{
-	uint64_t usual = share->mean * DEMAND_US / 1000000; /* thousandths */
-	uint64_t most = 0, count, rise;
-
-	for (int i = 0; i < WINDOWS; i++)
-		if (share->recent[i] > most)
-			most = share->recent[i];
-	count = most * DEMAND_US / 1000000;
-	rise = count * 1000 > usual ? count * 1000 - usual : 0;
-	if (!kl_share_sparse(share))
-		return most;
-	if (rise > RISE_LEAST * 1000 && rise * rise > 9000 * usual)
-		return most;
-	return (share->mean + 500) / 1000;
-}
-
-bool kl_share_sparse(const kl_share_t *share)
-{
-	return share->mean * DEMAND_US / 1000000 < SPARSE * 1000;
-}
-
-static uint64_t needed(const kl_share_t *share)
-{
-	uint64_t demand = demand_of(share);
-	uint64_t steady, sudden, least, need;
-
-	if (!demand && !share->backlog)
-		return 0;
-	if (!share->rate || !share->burst)
-		return 0;
-	steady = demand * KL_SHARE_WHOLE / share->rate * HEADROOM_PERCENT / 100;
-	sudden = share->backlog * KL_SHARE_WHOLE / share->burst;
-	/* A part too small to hold a statement's tokens admits nothing. */
-	least = (KL_SHARE_WHOLE + share->burst - 1) / share->burst * 2;
-	need = steady > sudden ? steady : sudden;
-	need = need > least ? need : least;
-	return need < KL_SHARE_WHOLE ? need : KL_SHARE_WHOLE;
-}
-
 static int64_t cap_of(const kl_share_t *share)
 {
 	return (int64_t)(share->burst * (KL_TOKENS_ONE / 10) *
--- a/path/engine_caller.c
+++ b/path/engine_caller.c
@@ -5,28 +5,16 @@
 
 #include "path/engine_internal.h"
 
-#define WAIT_TARGETS 2	      /* latency objectives that one may wait */
 #define LOGIN_US (1 * KL_SEC) /* a login waits for a configuration */
-#define WAIT_LEAST_US (400 * KL_MS)
-#define QUEUE_LEAST_US (250 * KL_MS)
 
 typedef void (*handler_t)(kl_caller_t *caller, const kl_command_t *command);
 
-static void begin(kl_caller_t *caller, const kl_command_t *command);
 static void go_on(kl_caller_t *caller, const kl_command_t *command);
 static void end_failed(kl_caller_t *caller, const kl_command_t *command);
 static void keep(kl_caller_t *caller, const kl_command_t *command);
 static void nothing(kl_caller_t *caller, const kl_command_t *command);
 static void malformed(kl_caller_t *caller, const kl_command_t *command);
-static int log_in(kl_caller_t *caller);
-static bool answer_login(kl_caller_t *caller, int error);
 static bool is_configured(const kl_engine_t *engine);
-static int check_access(const kl_caller_t *caller, const char **workspace);
-static int take_route(kl_caller_t *caller);
-static int take_prepared(kl_caller_t *caller, const kl_command_t *command);
-static void take_since(kl_caller_t *caller);
-static void admit(kl_caller_t *caller);
-static void stop_counting(kl_caller_t *caller);
 static void observe(kl_caller_t *caller, int error);
 static void finish(kl_caller_t *caller);
 static bool ends_session(int error);
@@ -38,15 +26,15 @@
 /* What a statement does in a session that is idle, in a transaction, or in a
  * transaction that failed. */
 static const handler_t handlers[KL_VERB_COUNT][3] = {
-	[KL_VERB_BEGIN] = { begin, malformed, malformed },
-	[KL_VERB_BEGIN_READ] = { begin, malformed, malformed },
+	[KL_VERB_BEGIN] = { kl_caller_begin, malformed, malformed },
+	[KL_VERB_BEGIN_READ] = { kl_caller_begin, malformed, malformed },
 	[KL_VERB_COMMIT] = { malformed, go_on, end_failed },
 	[KL_VERB_ROLLBACK] = { nothing, go_on, end_failed },
-	[KL_VERB_READ] = { begin, go_on, malformed },
-	[KL_VERB_WRITE] = { begin, go_on, malformed },
+	[KL_VERB_READ] = { kl_caller_begin, go_on, malformed },
+	[KL_VERB_WRITE] = { kl_caller_begin, go_on, malformed },
 	[KL_VERB_SET] = { keep, keep, malformed },
 	[KL_VERB_PREPARE] = { keep, keep, malformed },
-	[KL_VERB_EXECUTE] = { begin, go_on, malformed },
+	[KL_VERB_EXECUTE] = { kl_caller_begin, go_on, malformed },
 	[KL_VERB_DEALLOCATE] = { keep, keep, malformed },
 	[KL_VERB_UNKNOWN] = { malformed, malformed, malformed },
 };
@@ -71,16 +59,17 @@
 	engine->callers++;
 	if (*key)
 		kl_key_hash(key, caller->key_hash);
-	error = kl_name_set(caller->database, database) ? -KL_E_NOT_FOUND
-							: log_in(caller);
-	if (answer_login(caller, error))
+	error = kl_name_set(caller->database, database)
+			? -KL_E_NOT_FOUND
+			: kl_caller_log_in(caller);
+	if (kl_caller_answer_login(caller, error))
 		caller = NULL;
 	kl_engine_leave(engine);
 	return caller;
 }
 
 /* Whether the caller is gone. */
-static bool answer_login(kl_caller_t *caller, int error)
+bool kl_caller_answer_login(kl_caller_t *caller, int error)
 {
 	kl_engine_t *engine = caller->engine;
 	kl_decision_t refused = { .what = "login_refused",
@@ -110,7 +99,7 @@
 	return life && life->phase != KL_PHASE_STARTING && engine->scene.terms;
 }
 
-static int log_in(kl_caller_t *caller)
+int kl_caller_log_in(kl_caller_t *caller)
 {
 	const kl_scene_t *scene = &caller->engine->scene;
 	const char *workspace;
@@ -119,7 +108,7 @@
 
 	if (!scene->config || !scene->terms)
 		return -KL_E_STALE_CONFIG;
-	error = check_access(caller, &workspace);
+	error = kl_caller_check_access(caller, &workspace);
 	if (!error)
 		kl_name_set(caller->workspace, workspace);
 	bucket = error ? NULL : kl_caller_bucket(caller);
@@ -131,7 +120,7 @@
 }
 
 /* Whose the key is now, and whether the route asks for one. */
-static int check_access(const kl_caller_t *caller, const char **workspace)
+int kl_caller_check_access(const kl_caller_t *caller, const char **workspace)
 {
 	const kl_config_t *config = caller->engine->scene.config;
 	const kl_route_rule_t *route;
@@ -184,66 +173,7 @@
 	kl_engine_leave(engine);
 }
 
-/* The first statement of an operation. */
-static void begin(kl_caller_t *caller, const kl_command_t *command)
-{
-	kl_run_t *run = &caller->run;
-	const char *workspace;
-	uint64_t wait;
-	int error = take_route(caller);
-
-	if (!error)
-		error = check_access(caller, &workspace);
-	/* A key that was given to another workspace is another key. */
-	if (!error && strcmp(workspace, caller->workspace))
-		error = -KL_E_AUTH;
-	if (!error)
-		error = take_prepared(caller, command);
-	if (error) {
-		kl_caller_refuse(caller, error);
-		return;
-	}
-	wait = caller->route.target_us * WAIT_TARGETS;
-	if (wait < WAIT_LEAST_US)
-		wait = WAIT_LEAST_US;
-	if (wait > caller->route.timeout_us)
-		wait = caller->route.timeout_us;
-	run->wait_until_us = run->came_us + wait;
-	/* In a queue what is late already would make others late. */
-	wait = caller->route.target_us > QUEUE_LEAST_US
-		       ? caller->route.target_us
-		       : QUEUE_LEAST_US;
-	run->queue_until_us = run->came_us + wait;
-	run->deadline_us = run->came_us + caller->route.timeout_us;
-	caller->wrote = false;
-	caller->reads_only = command->verb == KL_VERB_BEGIN_READ;
-	if (!kl_caller_needs_primary(caller))
-		take_since(caller);
-	admit(caller);
-}
-
-static int take_route(kl_caller_t *caller)
-{
-	const kl_engine_t *engine = caller->engine;
-	kl_terms_of_route_t *mine = &caller->route;
-	const kl_route_rule_t *route;
-
-	if (!engine->scene.config)
-		return -KL_E_STALE_CONFIG;
-	route = kl_index_get(engine->scene.config->route_index,
-			     caller->database);
-	if (!route)
-		return -KL_E_NOT_FOUND;
-	memcpy(mine->service, route->service, KL_NAME_MAX);
-	mine->kind = route->kind;
-	mine->max_age_us = route->max_age_ms * KL_MS;
-	mine->target_us = route->target_ms * KL_MS;
-	mine->timeout_us = route->timeout_ms ? route->timeout_ms * KL_MS
-					     : engine->settings.statement_us;
-	return 0;
-}
-
-static int take_prepared(kl_caller_t *caller, const kl_command_t *command)
+int kl_caller_take_prepared(kl_caller_t *caller, const kl_command_t *command)
 {
 	const kl_state_entry_t *prepared;
 
@@ -257,66 +187,7 @@
 	return 0;
 }
 
-bool kl_caller_needs_primary(const kl_caller_t *caller)
-{
-	return caller->route.kind == KL_ROUTE_PRIMARY || caller->run.writes ||
-	       caller->run.verb == KL_VERB_BEGIN;
-}
-
-/* The position that a replica must hold; none if it is not known. */
-static void take_since(kl_caller_t *caller)
-{
-	kl_run_t *run = &caller->run;
-	kl_cluster_t *cluster =
-		kl_cluster_of(caller->engine, caller->route.service);
-	uint64_t age = caller->route.max_age_us;
-
-	if (!cluster ||
-	    !kl_points_since(&cluster->points,
-			     run->came_us > age ? run->came_us - age : 0,
-			     &run->since))
-		return;
-	if (caller->route.kind != KL_ROUTE_SESSION ||
-	    strcmp(caller->written_at, caller->route.service))
-		return;
-	/* What a replaced primary wrote is there from the new term's start. */
-	if (caller->written.term < cluster->newest_term.term) {
-		if (kl_position_compare(run->since, cluster->newest_term) < 0)
-			run->since = cluster->newest_term;
-	} else if (kl_position_compare(run->since, caller->written) < 0) {
-		run->since = caller->written;
-	}
-}
-
-static void admit(kl_caller_t *caller)
-{
-	kl_engine_t *engine = caller->engine;
-	kl_bucket_t *bucket = kl_caller_bucket(caller);
-
-	if (bucket && !caller->run.counted)
-		ck_pr_inc_64(&bucket->asked);
-	if (bucket && kl_admit(&engine->scene, bucket)) {
-		uint64_t until =
-			caller->run.came_us + engine->settings.admit_wait_us;
-
-		if (engine->now >= until) {
-			ck_pr_inc_64(&bucket->refused);
-			kl_caller_refuse(caller, -KL_E_RATE);
-			return;
-		}
-		if (!caller->run.counted)
-			ck_pr_inc_64(&bucket->waiting);
-		caller->run.counted = true;
-		kl_caller_wait(caller, KL_RUN_TOKENS);
-		engine->ops->demand(engine->context);
-		return;
-	}
-	stop_counting(caller);
-	engine->counts.admitted++;
-	kl_caller_route(caller);
-}
-
-static void stop_counting(kl_caller_t *caller)
+void kl_caller_stop_counting(kl_caller_t *caller)
 {
 	kl_bucket_t *bucket = kl_caller_bucket(caller);
 
@@ -325,59 +196,12 @@
 	caller->run.counted = false;
 }
 
-kl_bucket_t *kl_caller_bucket(const kl_caller_t *caller)
-{
-	const kl_shares_t *shares = caller->engine->scene.shares;
-
-	return shares ? kl_index_get(shares->index, caller->workspace) : NULL;
-}
-
-void kl_caller_route(kl_caller_t *caller)
-{
-	kl_run_t *run = &caller->run;
-	kl_engine_t *engine = caller->engine;
-	kl_place_t *place = NULL;
-
-	if (engine->now >= run->retry_us)
-		place = kl_place_choose(caller);
-	if (!place) {
-		if (engine->now >= run->wait_until_us)
-			kl_caller_refuse(caller, run->last_error
-							 ? run->last_error
-							 : -KL_E_NO_UPSTREAM);
-		else
-			kl_caller_wait(caller, KL_RUN_ROUTE);
-		return;
-	}
-	kl_place_enqueue(place, caller);
-	kl_place_serve(place);
-}
-
-void kl_caller_wait(kl_caller_t *caller, kl_run_stage_t stage)
-{
-	caller->run.stage = stage;
-	if (caller->looks)
-		return;
-	caller->looks = true;
-	CK_LIST_INSERT_HEAD(&caller->engine->waiting, caller, looked_at);
-}
-
-void kl_caller_look_again(kl_caller_t *caller)
-{
-	if (caller->run.stage == KL_RUN_LOGIN)
-		answer_login(caller, log_in(caller));
-	else if (caller->run.stage == KL_RUN_TOKENS)
-		admit(caller);
-	else if (caller->run.stage == KL_RUN_ROUTE)
-		kl_caller_route(caller);
-}
-
 /* A further statement of a transaction. */
 static void go_on(kl_caller_t *caller, const kl_command_t *command)
 {
 	kl_run_t *run = &caller->run;
 	const char *workspace;
-	int error = check_access(caller, &workspace);
+	int error = kl_caller_check_access(caller, &workspace);
 
 	if (!error && strcmp(workspace, caller->workspace))
 		error = -KL_E_AUTH;
@@ -396,7 +220,7 @@
 			caller->transaction = 'I';
 	}
 	if (!error) {
-		error = take_prepared(caller, command);
+		error = kl_caller_take_prepared(caller, command);
 		if (error) {
 			/* Never to be committed by a later statement. */
 			kl_channel_abandon(caller->channel, true);
@@ -533,7 +357,7 @@
 {
 	kl_run_t *run = &caller->run;
 
-	stop_counting(caller);
+	kl_caller_stop_counting(caller);
 	if (caller->looks)
 		CK_LIST_REMOVE(caller, looked_at);
 	caller->looks = false;
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -185,7 +185,17 @@
 /** Whether a group's primary is proven to be the only one now. */
 bool kl_engine_proven(const kl_engine_t *engine, const kl_group_t *group);
 
+/* engine_begin.c */
+void kl_caller_begin(kl_caller_t *caller, const kl_command_t *command);
+
 /* engine_caller.c */
+int kl_caller_log_in(kl_caller_t *caller);
+/** @return whether the caller is gone */
+bool kl_caller_answer_login(kl_caller_t *caller, int error);
+/** Whose the key is now, and whether the route asks for one. */
+int kl_caller_check_access(const kl_caller_t *caller, const char **workspace);
+int kl_caller_take_prepared(kl_caller_t *caller, const kl_command_t *command);
+void kl_caller_stop_counting(kl_caller_t *caller);
 kl_bucket_t *kl_caller_bucket(const kl_caller_t *caller);
 void kl_caller_refuse(kl_caller_t *caller, int error);
 void kl_caller_done(kl_caller_t *caller);
