--- a/control/promote.c
+++ b/control/promote.c
@@ -25,7 +25,7 @@
 #define SETTLE_US (120 * KL_MS)	   /* what was sent before the fence ends */
 #define CURRENT_US (1 * KL_SEC)	   /* a record confirmed this lately is used */
 #define ASK_US (100 * KL_MS)	   /* between two questions to databases */
-#define STEP_DOWN_US (500 * KL_MS)  /* between two orders to step down */
+#define STEP_DOWN_US (500 * KL_MS) /* between two orders to step down */
 
 static void step_stable(kl_promote_view_t *view);
 static void step_fencing(kl_promote_view_t *view);
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -67,7 +67,6 @@
 	uint64_t refused_us;	 /**< a connection was refused then */
 	uint64_t failing_us;	 /**< since when all fails, or 0 */
 	uint64_t tried_us;	 /**< last failure */
-	uint64_t told_us;	 /**< failing: when last told of */
 	bool refuses;		 /**< nobody listens there */
 	uint64_t lagging_us;	 /**< it lacked a position then */
 	uint64_t position_us;	 /**< when the position was heard */
--- a/path/engine_place.c
+++ b/path/engine_place.c
@@ -31,7 +31,7 @@
 			   const kl_group_t *group);
 static int64_t cost(const kl_caller_t *caller, const kl_place_t *place,
 		    bool leads);
-static bool tell(kl_place_t *place);
+static void tell(kl_place_t *place);
 
 void kl_places_refresh(kl_engine_t *engine)
 {
@@ -244,7 +244,7 @@
 	tell(place);
 }
 
-static bool tell(kl_place_t *place)
+static void tell(kl_place_t *place)
 {
 	kl_engine_t *engine = place->cluster->engine;
 	kl_traffic_t traffic = { .service = place->cluster->name,
@@ -252,9 +252,7 @@
 				 .failing_us = place->failing_us,
 				 .refused = place->refuses };
 
-	place->told_us = engine->now;
 	engine->ops->traffic(engine->context, &traffic);
-	return true;
 }
 
 /* Each answer says how far the database's log goes. */
