--- a/control/share.c
+++ b/control/share.c
@@ -10,10 +10,7 @@
 #include "control/slot.h"
 
 #define BALANCE_US (200 * KL_MS)
-#define IDLE_TURNS 4  /* steps in which every idle workspace has its turn */
-#define LENDERS 3     /* asked in one step for one workspace */
-#define SPARSE_NEAR 2 /* where few statements come: of the own domain first */
-#define SPARSE_FAR 1  /* then of all */
+#define IDLE_TURNS 4 /* steps in which every idle workspace has its turn */
 
 typedef struct account {
 	kl_named_t name; /* the workspace */
@@ -21,8 +18,8 @@
 	kl_share_t *share;
 	kl_bucket_t *bucket;
 	uint64_t asked;
-	uint32_t cursor; /* over all lenders */
-	uint32_t near;	 /* over those of the own failure domain */
+	uint32_t class;	 /* of its name */
+	uint32_t cursor; /* over its lenders */
 	bool wanted;
 	bool credited; /* with what its part missed while it was down */
 } account_t;
@@ -38,19 +35,19 @@
 	kl_slots_t *slots;
 	uint64_t balanced_us;
 	uint64_t revision; /* of the configuration taken in */
-	uint64_t owned;
-
+	uint64_t owned;	   /* over all classes */
+	uint64_t owned_of[KL_SLOT_CLASSES];
 } share_state_t;
 
 static void take_config(kl_node_t *node, share_state_t *state, uint64_t owned);
 static account_t *account_new(kl_node_t *node, share_state_t *state,
 			      const char *name);
 static void account_free(account_t *account);
-static void run_accounts(kl_node_t *node, share_state_t *state, uint64_t owned,
-			 uint64_t until, kl_event_kind_t kind);
-static bool is_idle(const account_t *account, uint64_t now);
+static void run_accounts(kl_node_t *node, share_state_t *state, uint64_t until,
+			 kl_event_kind_t kind);
+static bool is_idle(const account_t *account);
 static void run_account(kl_node_t *node, share_state_t *state,
-			account_t *account, uint64_t owned, uint64_t until);
+			account_t *account, uint64_t until);
 static void ask_lenders(kl_node_t *node, share_state_t *state,
 			account_t *account, uint64_t now);
 static void loan_message(kl_node_t *node, share_state_t *state,
@@ -61,9 +58,10 @@
 static void release(kl_bucket_t *bucket);
 static int64_t purse_take(void *purse, int64_t max);
 static void purse_put(void *purse, int64_t tokens, int64_t cap);
+static int64_t purse_held(void *purse);
 static void purse_valid_until(void *purse, uint64_t until_us);
 
-static const kl_purse_ops_t purse_ops = { purse_take, purse_put,
+static const kl_purse_ops_t purse_ops = { purse_take, purse_put, purse_held,
 					  purse_valid_until };
 
 int kl_share_create(kl_node_t *node)
@@ -117,10 +115,12 @@
 		kl_slots_balance(node, state->slots, leaving(node));
 	}
 	owned = kl_slots_part(node, state->slots, KL_SHARE_WHOLE);
+	for (uint32_t i = 0; i < KL_SLOT_CLASSES; i++)
+		state->owned_of[i] = kl_slots_owned(node, state->slots, i);
 	take_config(node, state, owned);
 
 	until = fresh ? fresh->confirmed_us + node->tuning.share_hold_us : 0;
-	run_accounts(node, state, owned, until, event->kind);
+	run_accounts(node, state, until, event->kind);
 }
 
 uint32_t kl_share_slots_held(const kl_node_t *node)
@@ -189,7 +189,8 @@
 	bucket->name = account->name;
 	bucket->references = 1;
 	account->bucket = bucket;
-	account->cursor = kl_node_random(node);
+	account->class = kl_slots_class(state->slots, name);
+	account->cursor = kl_node_random(node) % KL_SLOT_PARTS;
 	account->share = kl_share_new(&purse_ops, bucket, kl_node_now(node));
 	if (!account->share)
 		goto fail;
@@ -215,10 +216,9 @@
  * Busy ones at each step; of the idle ones so many that all have had their
  * turn before their tokens cease to be valid.  One that waits comes at once.
  */
-static void run_accounts(kl_node_t *node, share_state_t *state, uint64_t owned,
-			 uint64_t until, kl_event_kind_t kind)
+static void run_accounts(kl_node_t *node, share_state_t *state, uint64_t until,
+			 kl_event_kind_t kind)
 {
-	uint64_t now = kl_node_now(node);
 	uint32_t turns = state->count / IDLE_TURNS + 1;
 	account_list_t busy, idle;
 	account_t *account;
@@ -242,23 +242,24 @@
 	CK_STAILQ_CONCAT(&state->idle, &idle);
 	while ((account = CK_STAILQ_FIRST(&busy))) {
 		CK_STAILQ_REMOVE_HEAD(&busy, link);
-		run_account(node, state, account, owned, until);
-		if (is_idle(account, now))
+		run_account(node, state, account, until);
+		if (is_idle(account))
 			CK_STAILQ_INSERT_TAIL(&state->idle, account, link);
 		else
 			CK_STAILQ_INSERT_TAIL(&state->busy, account, link);
 	}
 }
 
-static bool is_idle(const account_t *account, uint64_t now)
+static bool is_idle(const account_t *account)
 {
 	return !ck_pr_load_64(&account->bucket->waiting) &&
-	       kl_share_idle(account->share, now);
+	       kl_share_idle(account->share);
 }
 
 static void run_account(kl_node_t *node, share_state_t *state,
-			account_t *account, uint64_t owned, uint64_t until)
+			account_t *account, uint64_t until)
 {
+	uint64_t owned = state->owned_of[account->class];
 	kl_bucket_t *bucket = account->bucket;
 	uint64_t now = kl_node_now(node);
 	uint64_t asked = ck_pr_load_64(&bucket->asked);
@@ -270,7 +271,7 @@
 		account->credited = true;
 		kl_share_credit(
 			account->share,
-			kl_slots_inherited(state->slots, KL_SHARE_WHOLE),
+			kl_slots_inherited(state->slots, account->class),
 			node->tuning.down_us);
 	}
 	kl_share_demand(account->share, now, asked - account->asked, waiting);
@@ -278,24 +279,21 @@
 	ask_lenders(node, state, account, now);
 }
 
+/* Owners of its own failure domain first: they are near, and enough mostly. */
 static void ask_lenders(kl_node_t *node, share_state_t *state,
 			account_t *account, uint64_t now)
 {
-	kl_peer_message_t message = { .kind = KL_PEER_ASK };
-	/* A few statements need little: it may be had nearby. */
-	bool sparse = kl_share_sparse(account->share);
-	int near_ones = sparse ? SPARSE_NEAR : 0;
-	int most = sparse ? SPARSE_NEAR + SPARSE_FAR : LENDERS;
-
-	for (int i = 0; i < most; i++) {
-		bool near = i < near_ones;
+	for (uint32_t i = 0; i < 2 * KL_SLOT_PARTS; i++) {
 		const kl_member_t *lender = kl_slots_lender(
-			node, state->slots, near,
-			near ? &account->near : &account->cursor);
+			node, state->slots, account->class, account->cursor++);
+		kl_peer_message_t message = { .kind = KL_PEER_ASK };
+		bool near;
 
 		if (!lender)
 			continue;
-		if (!kl_share_wants(account->share, lender->name.name, now,
+		near = !strcmp(lender->domain, node->self.domain);
+		if (near != (i < KL_SLOT_PARTS) ||
+		    !kl_share_wants(account->share, lender->name.name, now,
 				    &message.ask))
 			continue;
 		memcpy(message.from, node->self.vm, KL_NAME_MAX);
@@ -316,9 +314,13 @@
 
 	if (!account)
 		return;
-	if (message->kind == KL_PEER_GRANT)
+	if (message->kind == KL_PEER_GRANT) {
 		kl_share_borrow(account->share, message->from, &message->grant,
 				now);
+		/* What one could not give another may have. */
+		ask_lenders(node, state, account, now);
+		return;
+	}
 	if (message->kind != KL_PEER_ASK ||
 	    !kl_share_lend(account->share, message->from, &message->ask, now,
 			   &reply.grant))
@@ -408,6 +410,13 @@
 	} while (sum != held && !ck_pr_cas_64(tokens, held, sum));
 }
 
+static int64_t purse_held(void *purse)
+{
+	kl_bucket_t *bucket = purse;
+
+	return (int64_t)ck_pr_load_64((uint64_t *)&bucket->tokens);
+}
+
 static void purse_valid_until(void *purse, uint64_t until_us)
 {
 	kl_bucket_t *bucket = purse;
--- a/control/share_internal.h
+++ b/control/share_internal.h
@@ -10,32 +10,29 @@
 #include "kumquatloft/share.h"
 
 #define WINDOWS 2 /* the highest of so many windows counts */
-#define GRANTS 8  /* unacknowledged ones of one borrower */
 
-/* What a lender gave and the borrower may still use. */
-typedef struct grant {
-	uint64_t sequence;
-	uint64_t share;
+/* Tokens that changed hands and are void from a time on. */
+typedef struct batch {
+	CK_STAILQ_ENTRY(batch) link;
+	uint64_t sequence; /* of the grant */
+	int64_t tokens;	   /* not known to be spent */
 	uint64_t until_us;
-} grant_t;
+} batch_t;
 
-typedef struct loan {
-	CK_LIST_ENTRY(loan) link;
-	char peer[KL_SHARE_NAME];
-	uint64_t share;
-	uint64_t until_us;
-	uint64_t sequence;
+typedef CK_STAILQ_HEAD(batch_list, batch) batch_list_t;
 
+/* Another node, as lender and as borrower. */
+typedef struct peer {
+	CK_LIST_ENTRY(peer) link;
+	char name[KL_SHARE_NAME];
+	uint64_t touched_us;
+	batch_list_t lent;     /* it may still spend them; oldest first */
+	batch_list_t borrowed; /* part of the purse until then; oldest first */
+	uint64_t sequence;     /* of the newest grant that it sent */
 	uint64_t asked_us;
-	uint64_t pause_us;	/* borrower: before it is asked for more */
-	uint64_t touched_us;	/* own clock, of the last message */
-	bool owes_receipt;	/* borrower: the lender still counts more */
-	uint64_t pending;	/* borrower: asked for and not answered yet */
-	grant_t grants[GRANTS]; /* lender: not known to be superseded */
-	uint32_t grant_count;
-} loan_t;
-
-typedef CK_LIST_HEAD(, loan) loan_list_t;
+	uint64_t pause_us; /* before it is asked again */
+	int64_t pending;   /* asked for and not answered yet */
+} peer_t;
 
 struct kl_share {
 	const kl_purse_ops_t *ops;
@@ -54,11 +51,15 @@
 	uint64_t demand_us;
 	uint64_t backlog;
 	uint64_t sequence;
-	loan_list_t lent;
-	loan_list_t borrowed;
+	int64_t lent_sum;
+	int64_t borrowed_sum;
+	CK_LIST_HEAD(, peer) peers;
 };
 
-/** The part that the demand asks for, of KL_SHARE_WHOLE. */
-uint64_t kl_share_needed(const kl_share_t *share);
+/** The part owned and in force. */
+uint64_t kl_share_owned(const kl_share_t *share);
+
+/** Tokens wanted for what waits, and for what is about to come. */
+int64_t kl_share_needed(const kl_share_t *share);
 
 #endif
--- a/control/share_lease.c
+++ b/control/share_lease.c
@@ -3,28 +3,30 @@
 
 #include "control/share_internal.h"
 
-#define LOAN_US 600000ull     /* life of a loan, from the question */
-#define LENDER_US 660000ull   /* the lender's longer view, for drift */
-#define RENEW_US 300000ull    /* a loan this close to its end is renewed */
+#define LOAN_US 300000ull     /* tokens lent are void so long after the ask */
+#define LENDER_US 330000ull   /* the lender's longer view, for drift */
+#define EARLY_US 30000ull     /* given up so long before, between two ticks */
 #define MINT_US 1000000ull    /* the longest time that is minted for at once */
-#define ASK_US 20000ull	      /* between two questions to one lender */
-#define PAUSE_US 300000ull    /* the longest one between two questions */
-#define FORGET_US 10000000ull /* a peer not heard of is forgotten */
+#define ANSWER_US 12000ull    /* an answer is waited for */
+#define ASK_US 10000ull	      /* first pause after a lender had nothing */
+#define PAUSE_US 100000ull    /* the longest one */
+#define FORGET_US 10000000ull /* a lender not asked so long is forgotten */
 #define VALID_US 100000ull    /* tokens are spendable this long per tick */
 
-static loan_t *loan_of(loan_list_t *list, const char *peer, bool create,
-		       uint64_t now_us);
-static void expire(kl_share_t *share, uint64_t now_us);
-static uint64_t lent_to(const loan_t *loan, uint64_t now_us);
-static void drop_grants(loan_t *loan, uint64_t held, uint64_t now_us);
-static uint64_t lent_sum(const kl_share_t *share);
-static uint64_t borrowed_sum(const kl_share_t *share);
-static uint64_t pending_sum(const kl_share_t *share, uint64_t now_us);
-static uint64_t owned_now(const kl_share_t *share);
-static void prune(loan_list_t *list, uint64_t now_us);
+static peer_t *peer_of(kl_share_t *share, const char *name, bool create);
+static void expire(kl_share_t *share);
+static void free_peer(peer_t *peer);
+static bool add_batch(batch_list_t *list, uint64_t sequence, int64_t tokens,
+		      uint64_t until_us);
+static int64_t drop_void(batch_list_t *list, uint64_t now_us);
+static int64_t drop_spent(batch_list_t *list, uint64_t upto, int64_t spent);
+static int64_t sum_of(const batch_list_t *list, uint64_t upto);
+static void settle_spent(kl_share_t *share);
+static int64_t pending_sum(const kl_share_t *share, uint64_t now_us);
+static int64_t whole(int64_t tokens);
+static int64_t own_cap(const kl_share_t *share);
 static int64_t cap_of(const kl_share_t *share);
 static void set_validity(kl_share_t *share);
-static void free_loans(loan_list_t *list);
 
 kl_share_t *kl_share_new(const kl_purse_ops_t *ops, void *purse,
 			 uint64_t now_us)
@@ -41,17 +43,18 @@
 	share->demand_us = now_us;
 	/* A new process must not meet its predecessor's grants. */
 	share->sequence = now_us;
-	CK_LIST_INIT(&share->lent);
-	CK_LIST_INIT(&share->borrowed);
+	CK_LIST_INIT(&share->peers);
 	return share;
 }
 
 void kl_share_free(kl_share_t *share)
 {
+	peer_t *peer, *next;
+
 	if (!share)
 		return;
-	free_loans(&share->lent);
-	free_loans(&share->borrowed);
+	CK_LIST_FOREACH_SAFE(peer, &share->peers, link, next)
+		free_peer(peer);
 	free(share);
 }
 
@@ -64,6 +67,8 @@
 
 void kl_share_own(kl_share_t *share, uint64_t owned, uint64_t until_us)
 {
+	if (share->owned == owned && share->owned_until_us == until_us)
+		return;
 	share->owned = owned;
 	share->owned_until_us = until_us;
 	share->ops->put(share->purse, 0, cap_of(share));
@@ -80,21 +85,18 @@
 
 void kl_share_tick(kl_share_t *share, uint64_t now_us)
 {
-	uint64_t elapsed, minted, held, lent = lent_sum(share);
+	uint64_t elapsed, minted;
 
-	/*
-	 * Only what was held all through the interval mints: a loan that ran
-	 * out in it counts neither for its borrower nor for its lender.
-	 */
-	expire(share, now_us);
+	if (now_us < share->now_us)
+		return;
 	share->now_us = now_us;
-	held = owned_now(share);
-	held = (held > lent ? held - lent : 0) + borrowed_sum(share);
+	expire(share);
 	elapsed = now_us - share->minted_us;
 	if (elapsed > MINT_US)
 		elapsed = MINT_US;
 	/* rate * 1000 tokens * share / whole * us / 1e6 */
-	minted = share->rate * held / 1000 * elapsed + share->remainder;
+	minted = share->rate * kl_share_owned(share) / 1000 * elapsed +
+		 share->remainder;
 	share->remainder = minted % 1000000;
 	share->minted_us = now_us;
 	share->ops->put(share->purse, (int64_t)(minted / 1000000),
@@ -102,277 +104,277 @@
 	set_validity(share);
 }
 
-bool kl_share_wants(kl_share_t *share, const char *lender, uint64_t now_us,
+bool kl_share_wants(kl_share_t *share, const char *name, uint64_t now_us,
 		    kl_loan_ask_t *ask)
 {
-	loan_t *loan = loan_of(&share->borrowed, lender, false, now_us);
-	uint64_t held = loan ? loan->share : 0;
-	uint64_t need = kl_share_needed(share);
-	uint64_t elsewhere =
-		kl_share_effective(share) - held + pending_sum(share, now_us);
-	uint64_t want = need > elsewhere ? need - elsewhere : 0;
-	bool ending = want && held && loan->until_us < now_us + RENEW_US;
-	bool surplus = want < held / 2;
-	bool owed = loan && loan->owes_receipt;
-	uint64_t pause = ASK_US;
-
-	/*
-	 * More than is held; or the same once more before it ends; or less,
-	 * so that others get it sooner, and then a receipt for the less.
-	 */
-	if (want <= held && !ending && !surplus && !owed)
+	int64_t need = kl_share_needed(share);
+	int64_t has, waiting = (int64_t)share->backlog * KL_TOKENS_ONE;
+	peer_t *lender;
+
+	if (!need || !share->rate)
 		return false;
-	/*
-	 * One that had no more to lend is asked less and less often, where few
-	 * statements wait for the answer.
-	 */
-	if (loan && kl_share_sparse(share) && want > held && !ending && !owed &&
-	    loan->pause_us > pause)
-		pause = loan->pause_us;
-	if (loan && now_us - loan->asked_us < pause)
+	has = share->ops->held(share->purse) + pending_sum(share, now_us);
+	/* What is fetched ahead comes in few messages. */
+	if (has >= need || (has >= waiting && has >= need * 9 / 10))
 		return false;
-	loan = loan_of(&share->borrowed, lender, true, now_us);
-	if (!loan)
+	lender = peer_of(share, name, true);
+	if (!lender || now_us - lender->asked_us < lender->pause_us)
 		return false;
-	loan->asked_us = now_us;
-	loan->touched_us = now_us;
-	loan->pending = want > held ? want - held : 0;
-	loan->owes_receipt = false;
+	settle_spent(share);
+	/* Until it gives some it counts as one that has none. */
+	lender->pause_us = 2 * lender->pause_us + ASK_US;
+	if (lender->pause_us > PAUSE_US)
+		lender->pause_us = PAUSE_US;
+	lender->asked_us = now_us;
+	lender->touched_us = now_us;
+	lender->pending = whole(need - has + KL_TOKENS_ONE - 1);
 	ask->asked_us = now_us;
-	ask->held = loan->sequence;
-	ask->want = want;
+	ask->want = lender->pending;
+	ask->seen = lender->sequence;
+	ask->unspent = sum_of(&lender->borrowed, UINT64_MAX);
 	return true;
 }
 
-bool kl_share_lend(kl_share_t *share, const char *borrower,
+bool kl_share_lend(kl_share_t *share, const char *name,
 		   const kl_loan_ask_t *ask, uint64_t now_us,
 		   kl_loan_grant_t *grant)
 {
-	uint64_t own, others, keep, spare, before;
-	int64_t fair;
-	loan_t *loan;
-
-	if (now_us > share->now_us)
-		kl_share_tick(share, now_us);
-	loan = loan_of(&share->lent, borrower, true, now_us);
-	if (!loan)
-		return false;
-	/* A doubled or overtaken question gets no second answer. */
-	if (ask->asked_us <= loan->asked_us)
-		return false;
-	loan->asked_us = ask->asked_us;
-	loan->touched_us = now_us;
-	drop_grants(loan, ask->held, now_us);
-	if (loan->grant_count == GRANTS)
+	peer_t *borrower = peer_of(share, name, true);
+	int64_t spare, out;
+
+	if (!borrower || ask->want <= 0 || ask->unspent < 0)
 		return false;
-	own = owned_now(share);
-	before = lent_to(loan, now_us);
-	others = lent_sum(share) - before;
-	/* Own demand first, and a little for the first statement to come. */
-	keep = kl_share_needed(share);
-	if (keep < own / 16)
-		keep = own / 16;
-	spare = own > others + keep ? own - others - keep : 0;
-	grant->share = ask->want < spare ? ask->want : spare;
+	borrower->touched_us = now_us;
+	out = sum_of(&borrower->lent, ask->seen);
+	if (out > ask->unspent)
+		share->lent_sum -= drop_spent(&borrower->lent, ask->seen,
+					      out - ask->unspent);
+	kl_share_tick(share, now_us);
+	/* Own demand first; and what is borrowed is not lent on. */
+	spare = whole(share->ops->held(share->purse) - kl_share_needed(share));
+	if (spare > ask->want)
+		spare = ask->want;
+	if (spare < 0 || !kl_share_owned(share) || share->borrowed_sum)
+		spare = 0;
+	grant->tokens = 0;
 	grant->sequence = ++share->sequence;
 	grant->asked_us = ask->asked_us;
 	grant->duration_us = LOAN_US;
-	grant->tokens = 0;
-	loan->grants[loan->grant_count].sequence = grant->sequence;
-	loan->grants[loan->grant_count].share = grant->share;
-	loan->grants[loan->grant_count++].until_us = now_us + LENDER_US;
-	if (grant->share > before) {
-		uint64_t added = grant->share - before;
-
-		/* Tokens move with the part that could hold them. */
-		fair = (int64_t)(share->burst * KL_TOKENS_ONE / 1000 * added /
-				 1000);
-		if (fair > 0)
-			grant->tokens = share->ops->take(share->purse, fair);
+	if (spare && add_batch(&borrower->lent, grant->sequence, spare,
+			       now_us + LENDER_US)) {
+		share->lent_sum += spare;
+		grant->tokens = share->ops->take(share->purse, spare);
 	}
 	share->ops->put(share->purse, 0, cap_of(share));
 	return true;
 }
 
-void kl_share_borrow(kl_share_t *share, const char *lender,
+void kl_share_borrow(kl_share_t *share, const char *name,
 		     const kl_loan_grant_t *grant, uint64_t now_us)
 {
 	uint64_t until = grant->asked_us + grant->duration_us;
-	loan_t *loan;
+	peer_t *lender;
 
-	if (now_us > share->now_us)
-		kl_share_tick(share, now_us);
+	kl_share_tick(share, now_us);
+	lender = peer_of(share, name, false);
 	/* An answer to a question of the future is not ours. */
-	if (grant->asked_us > now_us || grant->asked_us < share->created_us ||
-	    until <= now_us)
+	if (!lender || grant->asked_us > now_us ||
+	    grant->asked_us < share->created_us ||
+	    grant->sequence <= lender->sequence)
 		return;
-	loan = loan_of(&share->borrowed, lender, true, now_us);
-	if (!loan || grant->sequence <= loan->sequence)
+	lender->sequence = grant->sequence;
+	/* One that gave less than it was asked for has no more now. */
+	if (grant->tokens >= lender->pending)
+		lender->pause_us = 0;
+	else if (grant->tokens > 0)
+		lender->pause_us = ASK_US;
+	lender->pending = 0;
+	if (grant->tokens <= 0 || until <= now_us + EARLY_US ||
+	    !add_batch(&lender->borrowed, grant->sequence, grant->tokens,
+		       until))
 		return;
-	if (grant->share > loan->share)
-		loan->pause_us = ASK_US;
-	else if (loan->pause_us < PAUSE_US)
-		loan->pause_us = 2 * loan->pause_us + ASK_US;
-	loan->pending = 0;
-	loan->touched_us = now_us;
-	loan->owes_receipt = grant->share < loan->share;
-	loan->sequence = grant->sequence;
-	loan->share = grant->share;
-	loan->until_us = until;
+	share->borrowed_sum += grant->tokens;
 	share->ops->put(share->purse, grant->tokens, cap_of(share));
 	set_validity(share);
 }
 
-uint64_t kl_share_effective(const kl_share_t *share)
+uint64_t kl_share_owned(const kl_share_t *share)
 {
-	uint64_t own = owned_now(share);
-	uint64_t lent = lent_sum(share);
-
-	return (own > lent ? own - lent : 0) + borrowed_sum(share);
+	return share->now_us < share->owned_until_us ? share->owned : 0;
 }
 
-static loan_t *loan_of(loan_list_t *list, const char *peer, bool create,
-		       uint64_t now_us)
+static peer_t *peer_of(kl_share_t *share, const char *name, bool create)
 {
-	loan_t *loan;
+	peer_t *peer;
 
-	CK_LIST_FOREACH(loan, list, link) {
-		if (!strcmp(loan->peer, peer))
-			return loan;
+	CK_LIST_FOREACH(peer, &share->peers, link) {
+		if (!strcmp(peer->name, name))
+			return peer;
 	}
-	if (!create || strlen(peer) >= KL_SHARE_NAME)
+	if (!create || strlen(name) >= KL_SHARE_NAME)
 		return NULL;
-	loan = calloc(1, sizeof(*loan));
-	if (!loan)
+	peer = calloc(1, sizeof(*peer));
+	if (!peer)
 		return NULL;
-	strcpy(loan->peer, peer);
-	loan->touched_us = now_us;
-	CK_LIST_INSERT_HEAD(list, loan, link);
-	return loan;
-}
-
-static void expire(kl_share_t *share, uint64_t now_us)
-{
-	loan_t *loan;
-
-	/*
-	 * Entries stay a while for their sequence and question numbers,
-	 * without which a doubled message would count twice.
-	 */
-	CK_LIST_FOREACH(loan, &share->borrowed, link) {
-		if (loan->until_us <= now_us)
-			loan->share = 0;
-	}
-	CK_LIST_FOREACH(loan, &share->lent, link)
-		drop_grants(loan, 0, now_us);
-	prune(&share->borrowed, now_us);
-	prune(&share->lent, now_us);
+	strcpy(peer->name, name);
+	peer->touched_us = share->now_us;
+	CK_STAILQ_INIT(&peer->lent);
+	CK_STAILQ_INIT(&peer->borrowed);
+	CK_LIST_INSERT_HEAD(&share->peers, peer, link);
+	return peer;
 }
 
-static void prune(loan_list_t *list, uint64_t now_us)
+/*
+ * Loans run out.  Peers stay a while for their numbers, without which a doubled
+ * message would count twice.
+ */
+static void expire(kl_share_t *share)
 {
-	loan_t *loan, *next;
+	peer_t *peer, *next;
 
-	CK_LIST_FOREACH_SAFE(loan, list, link, next) {
-		if (loan->touched_us + FORGET_US > now_us)
+	CK_LIST_FOREACH_SAFE(peer, &share->peers, link, next) {
+		share->lent_sum -= drop_void(&peer->lent, share->now_us);
+		share->borrowed_sum -=
+			drop_void(&peer->borrowed, share->now_us + EARLY_US);
+		if (share->now_us - peer->touched_us < FORGET_US)
 			continue;
-		CK_LIST_REMOVE(loan, link);
-		free(loan);
+		CK_LIST_REMOVE(peer, link);
+		free_peer(peer);
 	}
 }
 
-/* The most that the borrower may be using: any of them may have come last. */
-static uint64_t lent_to(const loan_t *loan, uint64_t now_us)
+static void free_peer(peer_t *peer)
 {
-	uint64_t most = 0;
+	drop_void(&peer->lent, UINT64_MAX);
+	drop_void(&peer->borrowed, UINT64_MAX);
+	free(peer);
+}
 
-	for (uint32_t i = 0; i < loan->grant_count; i++) {
-		const grant_t *grant = &loan->grants[i];
+static bool add_batch(batch_list_t *list, uint64_t sequence, int64_t tokens,
+		      uint64_t until_us)
+{
+	batch_t *batch = calloc(1, sizeof(*batch));
 
-		if (grant->until_us > now_us && grant->share > most)
-			most = grant->share;
-	}
-	return most;
+	if (!batch)
+		return false;
+	batch->sequence = sequence;
+	batch->tokens = tokens;
+	batch->until_us = until_us;
+	CK_STAILQ_INSERT_TAIL(list, batch, link);
+	return true;
 }
 
-/* Drops what ran out, and what the borrower has replaced by a later one. */
-static void drop_grants(loan_t *loan, uint64_t held, uint64_t now_us)
+/* Those of one lender come in the order of its questions, and so of their
+ * ends. */
+static int64_t drop_void(batch_list_t *list, uint64_t now_us)
 {
-	uint32_t kept = 0;
+	batch_t *batch;
+	int64_t sum = 0;
 
-	for (uint32_t i = 0; i < loan->grant_count; i++) {
-		const grant_t grant = loan->grants[i];
+	while ((batch = CK_STAILQ_FIRST(list)) && batch->until_us <= now_us) {
+		sum += batch->tokens;
+		CK_STAILQ_REMOVE_HEAD(list, link);
+		free(batch);
+	}
+	return sum;
+}
 
-		if (grant.until_us > now_us && grant.sequence >= held)
-			loan->grants[kept++] = grant;
+/* Up to that grant, the oldest first. @return tokens no longer counted */
+static int64_t drop_spent(batch_list_t *list, uint64_t upto, int64_t spent)
+{
+	int64_t left = spent;
+	batch_t *batch;
+
+	while (left > 0 && (batch = CK_STAILQ_FIRST(list)) &&
+	       batch->sequence <= upto) {
+		if (batch->tokens > left) {
+			batch->tokens -= left;
+			return spent;
+		}
+		left -= batch->tokens;
+		CK_STAILQ_REMOVE_HEAD(list, link);
+		free(batch);
 	}
-	loan->grant_count = kept;
+	return spent - left;
 }
 
-static uint64_t lent_sum(const kl_share_t *share)
+static int64_t sum_of(const batch_list_t *list, uint64_t upto)
 {
-	uint64_t sum = 0;
-	const loan_t *loan;
+	const batch_t *batch;
+	int64_t sum = 0;
 
-	CK_LIST_FOREACH(loan, &share->lent, link)
-		sum += lent_to(loan, share->now_us);
+	CK_STAILQ_FOREACH(batch, list, link) {
+		if (batch->sequence <= upto)
+			sum += batch->tokens;
+	}
 	return sum;
 }
 
-static uint64_t borrowed_sum(const kl_share_t *share)
+/*
+ * What the purse holds less than its own part and the loans would let it was
+ * spent; the cap is cut before the lenders hear of it.
+ */
+static void settle_spent(kl_share_t *share)
 {
-	uint64_t sum = 0;
-	const loan_t *loan;
-
-	CK_LIST_FOREACH(loan, &share->borrowed, link) {
-		if (loan->until_us > share->now_us)
-			sum += loan->share;
+	int64_t spent = cap_of(share) - share->ops->held(share->purse);
+	peer_t *peer;
+
+	spent = spent < share->borrowed_sum ? spent : share->borrowed_sum;
+	CK_LIST_FOREACH(peer, &share->peers, link) {
+		int64_t dropped;
+
+		if (spent <= 0)
+			break;
+		dropped = drop_spent(&peer->borrowed, UINT64_MAX, spent);
+		spent -= dropped;
+		share->borrowed_sum -= dropped;
 	}
-	return sum;
+	share->ops->put(share->purse, 0, cap_of(share));
 }
 
-static uint64_t pending_sum(const kl_share_t *share, uint64_t now_us)
+static int64_t pending_sum(const kl_share_t *share, uint64_t now_us)
 {
-	uint64_t sum = 0;
-	const loan_t *loan;
+	const peer_t *peer;
+	int64_t sum = 0;
 
-	CK_LIST_FOREACH(loan, &share->borrowed, link) {
-		if (now_us - loan->asked_us < ASK_US)
-			sum += loan->pending;
+	CK_LIST_FOREACH(peer, &share->peers, link) {
+		if (now_us - peer->asked_us < ANSWER_US)
+			sum += peer->pending;
 	}
 	return sum;
 }
 
-static uint64_t owned_now(const kl_share_t *share)
+/* Tokens of whole statements. */
+static int64_t whole(int64_t tokens)
 {
-	return share->now_us < share->owned_until_us ? share->owned : 0;
+	return tokens - tokens % KL_TOKENS_ONE;
+}
+
+static int64_t own_cap(const kl_share_t *share)
+{
+	int64_t part = (int64_t)(share->burst * kl_share_owned(share) /
+				 (KL_SHARE_WHOLE / KL_TOKENS_ONE));
+
+	return part > share->lent_sum ? part - share->lent_sum : 0;
 }
 
 static int64_t cap_of(const kl_share_t *share)
 {
-	return (int64_t)(share->burst * (KL_TOKENS_ONE / 10) *
-			 kl_share_effective(share) / (KL_SHARE_WHOLE / 10));
+	return own_cap(share) + share->borrowed_sum;
 }
 
 static void set_validity(kl_share_t *share)
 {
 	uint64_t until = share->now_us + VALID_US;
-	const loan_t *loan;
+	const peer_t *peer;
 
 	if (share->owned && share->owned_until_us < until)
 		until = share->owned_until_us;
-	CK_LIST_FOREACH(loan, &share->borrowed, link) {
-		if (loan->share && loan->until_us > share->now_us &&
-		    loan->until_us < until)
-			until = loan->until_us;
+	CK_LIST_FOREACH(peer, &share->peers, link) {
+		const batch_t *batch = CK_STAILQ_FIRST(&peer->borrowed);
+
+		if (batch && batch->until_us < until)
+			until = batch->until_us;
 	}
 	share->ops->valid_until(share->purse, until);
 }
-
-static void free_loans(loan_list_t *list)
-{
-	loan_t *loan, *next;
-
-	CK_LIST_FOREACH_SAFE(loan, list, link, next)
-		free(loan);
-}
--- a/control/slot.c
+++ b/control/slot.c
@@ -6,14 +6,17 @@
 #include "control/controllers.h"
 #include "control/prober.h"
 #include "control/slot.h"
+#include "kumquatloft/share.h"
 
 #define PREFIX "slot/"
-#define RETRY_US (400 * KL_MS)	/* between two updates of one slot */
-#define SETTLE_US (700 * KL_MS) /* the former owner's loans run out */
-#define ABSENT_US (5 * KL_SEC)	/* unlisted so long: revoked */
+#define RETRY_US (400 * KL_MS) /* between two updates of one slot */
+#define SETTLE_US KL_SHARE_SETTLE_US
+#define PREFER_US (1 * KL_SEC) /* a free slot is left to others first */
+#define ABSENT_US (5 * KL_SEC) /* unlisted so long: revoked */
 #define ASK_US (60 * KL_MS) /* between two questions for the others' uptime */
 #define ASKED_MAX 64	    /* VMs; more are not asked */
 #define UPDATES 3	    /* conditional updates of one round */
+#define DOMAINS_MAX 64	    /* more are not told apart */
 
 typedef struct slot {
 	char owner[KL_NAME_MAX];
@@ -27,6 +30,7 @@
 	uint64_t dropped;   /* version given up; not used up to it */
 	uint64_t write_us;  /* last conditional update */
 	uint64_t absent_us; /* owner first seen unlisted, or 0 */
+	uint64_t free_us;   /* first seen without an owner, or 0 */
 } slot_t;
 
 /* A VM whose process began after the one before this process had ended. */
@@ -35,8 +39,19 @@
 	char vm[KL_NAME_MAX];
 } newcomer_t;
 
+/* What one round of balancing has to do. */
+typedef struct balance {
+	uint32_t held;
+	uint32_t ceiling;
+	uint32_t updates;
+	bool excess;
+	uint32_t domains; /* failure domains with VMs */
+	uint32_t turn;	  /* of this VM's one among them */
+} balance_t;
+
 struct kl_slots {
 	uint32_t count;
+	uint32_t classes;
 	slot_t *table;
 	char self[KL_NAME_MAX];
 	uint64_t incarnation;
@@ -50,7 +65,14 @@
 static bool decode(slot_t *slot, const char *body);
 static void write_slot(kl_node_t *node, slot_t *slot, uint32_t number,
 		       const char *owner, bool revoked);
+static bool is_usable(const kl_node_t *node, const kl_slots_t *slots,
+		      const slot_t *slot);
 static bool mine(const kl_slots_t *slots, const slot_t *slot);
+static uint64_t claim_pause(bool home, bool lacks);
+static void find_home(const kl_node_t *node, const kl_members_t *members,
+		      balance_t *balance);
+static void balance_slot(kl_node_t *node, kl_slots_t *slots, uint32_t number,
+			 balance_t *balance);
 static bool is_free(const kl_node_t *node, const slot_t *slot, uint64_t now);
 static void revoke_absent(kl_node_t *node, kl_slots_t *slots,
 			  const kl_members_t *members, uint64_t now);
@@ -66,6 +88,11 @@
 	if (!slots)
 		return NULL;
 	slots->count = count ? count : 1;
+	slots->classes = slots->count / KL_SLOT_PARTS;
+	if (!slots->classes)
+		slots->classes = 1;
+	if (slots->classes > KL_SLOT_CLASSES)
+		slots->classes = KL_SLOT_CLASSES;
 	CK_STAILQ_INIT(&slots->newcomers);
 	slots->table = calloc(slots->count, sizeof(*slots->table));
 	if (!slots->table) {
@@ -111,6 +138,7 @@
 		slot->version = object->version;
 		slot->seen_us = kl_node_now(node);
 		slot->absent_us = 0;
+		slot->free_us = 0;
 		slot->write_us = 0;
 		earlier = is_free(node, slot, slot->seen_us) && slot->owner[0];
 		if (!decode(slot, object->body))
@@ -119,24 +147,44 @@
 	}
 }
 
+uint32_t kl_slots_class(const kl_slots_t *slots, const char *workspace)
+{
+	return (uint32_t)(kl_rank(workspace, "class") % slots->classes);
+}
+
 uint64_t kl_slots_part(const kl_node_t *node, const kl_slots_t *slots,
 		       uint64_t whole)
 {
-	uint64_t now = kl_node_now(node);
 	uint32_t usable = 0;
 
-	for (uint32_t i = 0; i < slots->count; i++) {
-		const slot_t *slot = &slots->table[i];
+	for (uint32_t i = 0; i < slots->count; i++)
+		usable += is_usable(node, slots, &slots->table[i]);
+	return whole * usable / slots->count;
+}
 
-		/* An earlier process here lent nothing after this one began. */
-		uint64_t since =
-			slot->inherited ? slots->started_us : slot->seen_us;
+uint64_t kl_slots_owned(const kl_node_t *node, const kl_slots_t *slots,
+			uint32_t class)
+{
+	uint32_t usable = 0, parts = 0;
 
-		usable += mine(slots, slot) && !slot->revoked &&
-			  ((slot->inherited && slots->clean) ||
-			   now - since >= SETTLE_US);
+	if (class >= slots->classes)
+		return 0;
+	for (uint32_t i = class; i < slots->count; i += slots->classes) {
+		usable += is_usable(node, slots, &slots->table[i]);
+		parts++;
 	}
-	return slots->count ? whole * usable / slots->count : 0;
+	return (uint64_t)KL_SHARE_WHOLE * usable / parts;
+}
+
+static bool is_usable(const kl_node_t *node, const kl_slots_t *slots,
+		      const slot_t *slot)
+{
+	/* An earlier process here lent nothing after this one began. */
+	uint64_t since = slot->inherited ? slots->started_us : slot->seen_us;
+
+	return mine(slots, slot) && !slot->revoked &&
+	       ((slot->inherited && slots->clean) ||
+		kl_node_now(node) - since >= SETTLE_US);
 }
 
 void kl_slots_heard(kl_node_t *node, kl_slots_t *slots, const char *vm,
@@ -191,14 +239,16 @@
 	return false;
 }
 
-uint64_t kl_slots_inherited(const kl_slots_t *slots, uint64_t whole)
+uint64_t kl_slots_inherited(const kl_slots_t *slots, uint32_t class)
 {
-	uint32_t inherited = 0;
+	uint32_t inherited = 0, parts = 0;
 
-	for (uint32_t i = 0; i < slots->count; i++)
+	for (uint32_t i = class; i < slots->count; i += slots->classes) {
 		inherited += mine(slots, &slots->table[i]) &&
 			     slots->table[i].inherited;
-	return slots->count ? whole * inherited / slots->count : 0;
+		parts++;
+	}
+	return (uint64_t)KL_SHARE_WHOLE * inherited / parts;
 }
 
 uint32_t kl_slots_held(const kl_slots_t *slots)
@@ -212,66 +262,115 @@
 	uint64_t now = kl_node_now(node);
 	uint32_t live = members && members->live ? members->live : 1;
 	uint32_t floor = slots->count / live;
-	uint32_t ceiling = leaving ? 0 : (slots->count + live - 1) / live;
-	uint32_t held = 0, updates = 0, free_slots = 0;
 	uint32_t first = kl_node_random(node) % slots->count;
+	uint32_t free_slots = 0;
+	balance_t balance = { 0 };
 
 	if (!members || !kl_node_get(node, KL_SECTION_FRESH))
 		return;
+	balance.ceiling = leaving ? 0 : (slots->count + live - 1) / live;
 	revoke_absent(node, slots, members, now);
 	for (uint32_t i = 0; i < slots->count; i++) {
-		held += mine(slots, &slots->table[i]);
+		balance.held += mine(slots, &slots->table[i]);
 		free_slots += is_free(node, &slots->table[i], now);
 	}
-	bool excess =
-		held > ceiling || (!leaving && !free_slots && held > floor &&
-				   someone_lacks(slots, members, floor));
-	for (uint32_t n = 0; n < slots->count && updates < UPDATES; n++) {
+	balance.excess = balance.held > balance.ceiling ||
+			 (!leaving && !free_slots && balance.held > floor &&
+			  someone_lacks(slots, members, floor));
+	find_home(node, members, &balance);
+	for (uint32_t n = 0; n < slots->count && balance.updates < UPDATES;
+	     n++) {
 		uint32_t i = (first + n) % slots->count;
 		slot_t *slot = &slots->table[i];
+		/* Parts of one class go to the failure domains by turns. */
+		bool home =
+			i / slots->classes % balance.domains == balance.turn;
+
+		if (!slot->free_us && is_free(node, slot, now))
+			slot->free_us = now;
+		if (mine(slots, slot) || !slot->free_us ||
+		    now - slot->free_us >=
+			    claim_pause(home, balance.held < floor))
+			balance_slot(node, slots, i, &balance);
+	}
+}
+
+/*
+ * First VMs of the slot's own failure domain take it, then others that lack
+ * some, then anyone: what one gives up must not come back to it.
+ */
+static uint64_t claim_pause(bool home, bool lacks)
+{
+	if (!lacks)
+		return 2 * PREFER_US;
+	return home ? 0 : PREFER_US;
+}
+
+static void find_home(const kl_node_t *node, const kl_members_t *members,
+		      balance_t *balance)
+{
+	const char *domains[DOMAINS_MAX];
+	const kl_member_t *member;
 
-		if (slot->write_us && now - slot->write_us < RETRY_US) {
-			updates += !mine(slots, slot);
+	CK_STAILQ_FOREACH(member, &members->list, link) {
+		bool known = !member->listed;
+
+		for (uint32_t i = 0; i < balance->domains; i++)
+			known |= !strcmp(domains[i], member->domain);
+		if (known || balance->domains == DOMAINS_MAX)
 			continue;
-		}
-		if (held < ceiling && is_free(node, slot, now)) {
-			write_slot(node, slot, i, node->self.vm, false);
-			held++;
-			updates++;
-		} else if (excess && mine(slots, slot)) {
-			/* Given up before asking: the answer may be lost. */
-			slot->dropped = slot->version;
-			write_slot(node, slot, i, "", false);
-			held--;
-			updates++;
-			excess = held > ceiling;
-		} else if (slot->dropped == slot->version && slot->dropped &&
-			   !strcmp(slot->owner, node->self.vm)) {
-			write_slot(node, slot, i, "", false);
-			updates++;
-		}
+		domains[balance->domains++] = member->domain;
+		balance->turn += strcmp(member->domain, node->self.domain) < 0;
+	}
+	if (!balance->domains)
+		balance->domains = 1;
+}
+
+static void balance_slot(kl_node_t *node, kl_slots_t *slots, uint32_t number,
+			 balance_t *balance)
+{
+	uint64_t now = kl_node_now(node);
+	slot_t *slot = &slots->table[number];
+
+	if (slot->write_us && now - slot->write_us < RETRY_US) {
+		balance->updates += !mine(slots, slot);
+	} else if (balance->held < balance->ceiling &&
+		   is_free(node, slot, now)) {
+		write_slot(node, slot, number, node->self.vm, false);
+		balance->held++;
+		balance->updates++;
+	} else if (balance->excess && mine(slots, slot)) {
+		/* Given up before asking: the answer may be lost. */
+		slot->dropped = slot->version;
+		write_slot(node, slot, number, "", false);
+		balance->held--;
+		balance->updates++;
+		balance->excess = balance->held > balance->ceiling;
+	} else if (slot->dropped == slot->version && slot->dropped &&
+		   !strcmp(slot->owner, node->self.vm)) {
+		write_slot(node, slot, number, "", false);
+		balance->updates++;
 	}
 }
 
 const kl_member_t *kl_slots_lender(const kl_node_t *node,
-				   const kl_slots_t *slots, bool near,
-				   uint32_t *cursor)
+				   const kl_slots_t *slots, uint32_t class,
+				   uint32_t number)
 {
 	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
+	uint32_t i = (class + number * slots->classes) % slots->count;
+	const slot_t *slot;
 
-	for (uint32_t n = 0; members && n < slots->count; n++) {
-		const slot_t *slot = &slots->table[(*cursor)++ % slots->count];
-		const kl_member_t *member;
-
-		if (!slot->owner[0] || slot->revoked ||
-		    !strcmp(slot->owner, slots->self))
-			continue;
-		member = kl_index_get(members->index, slot->owner);
-		if (member &&
-		    (!near || !strcmp(member->domain, node->self.domain)))
-			return member;
-	}
-	return NULL;
+	/* Past the last one, where the classes are not equally large. */
+	i -= i % slots->classes;
+	i += class;
+	if (!members || i >= slots->count)
+		return NULL;
+	slot = &slots->table[i];
+	if (!slot->owner[0] || slot->revoked ||
+	    !strcmp(slot->owner, slots->self))
+		return NULL;
+	return kl_index_get(members->index, slot->owner);
 }
 
 static bool decode(slot_t *slot, const char *body)
--- a/examples/lend.c
+++ b/examples/lend.c
@@ -30,6 +30,11 @@
 		purse->tokens = cap;
 }
 
+static int64_t held(void *arg)
+{
+	return ((purse_t *)arg)->tokens;
+}
+
 static void valid_until(void *arg, uint64_t until_us)
 {
 	((purse_t *)arg)->valid_until_us = until_us;
@@ -49,7 +54,7 @@
 
 int main(void)
 {
-	static const kl_purse_ops_t ops = { take, put, valid_until };
+	static const kl_purse_ops_t ops = { take, put, held, valid_until };
 	purse_t purses[2] = { { 0, 0 }, { 0, 0 } };
 	kl_share_t *shares[2];
 	int admitted[2] = { 0, 0 };
--- a/include/kumquatloft/share.h
+++ b/include/kumquatloft/share.h
@@ -1,13 +1,15 @@
 /**
  * @file
- * A limit shared exactly by many nodes through leased parts.
+ * A limit shared exactly by many nodes: owned parts, and tokens lent.
  *
- * Each node owns part of a workspace's rate and burst and may lend some of it
- * for a bounded time.  The parts in use over all nodes never exceed the whole,
- * whatever messages are lost, doubled or late: a lender counts a loan as gone
- * for longer than the borrower counts it as held, since the borrower's time
- * runs from the sending of its question.  No I/O, no clock: the embedding
- * program passes times and carries the messages.
+ * Each node mints the tokens of the part of a workspace's rate that it owns.
+ * A node without tokens draws some from an owner: the owner takes them out of
+ * its own before it sends them, and they are void after a short time, which the
+ * owner counts a tenth longer.  Until then, or until it hears that they are
+ * spent, it holds as much less of the burst.
+ * So no window admits more than burst + rate * window over all nodes, whatever
+ * messages are lost, doubled or late: a lost message loses tokens.  No I/O, no
+ * clock: the embedding program passes times and carries the messages.
  */
 #ifndef KUMQUATLOFT_SHARE_H
 #define KUMQUATLOFT_SHARE_H
@@ -30,6 +32,8 @@
 	int64_t (*take)(void *purse, int64_t max);
 	/** Add tokens, then cut down to cap. */
 	void (*put)(void *purse, int64_t tokens, int64_t cap);
+	/** @return tokens held now */
+	int64_t (*held)(void *purse);
 	/** Tokens may be spent until then, microseconds. */
 	void (*valid_until)(void *purse, uint64_t until_us);
 } kl_purse_ops_t;
@@ -37,16 +41,16 @@
 /** A borrower's question. */
 typedef struct kl_loan_ask {
 	uint64_t asked_us; /**< borrower's clock at sending */
-	uint64_t held;	   /**< sequence of the grant held, or 0 */
-	uint64_t want;	   /**< share wanted from this lender in all */
+	int64_t want;	   /**< tokens */
+	uint64_t seen;	   /**< newest grant of this lender that came */
+	int64_t unspent;   /**< of it and those before it */
 } kl_loan_ask_t;
 
 /** A lender's answer. */
 typedef struct kl_loan_grant {
-	uint64_t asked_us;    /**< echo of the question */
-	uint64_t sequence;    /**< rises with each grant of a lender */
-	uint64_t share;	      /**< replaces what was lent before */
-	int64_t tokens;	      /**< to be added once */
+	uint64_t asked_us; /**< echo of the question */
+	uint64_t sequence; /**< rises with each grant of a lender */
+	int64_t tokens;	   /**< to be added once; 0 if it has none to spare */
 	uint64_t duration_us; /**< from asked_us on the borrower's clock */
 } kl_loan_grant_t;
 
@@ -60,7 +64,7 @@
 kl_share_t *kl_share_new(const kl_purse_ops_t *ops, void *purse,
 			 uint64_t now_us);
 
-/** Free a share; loans it holds or gave simply run out. */
+/** Free a share; tokens that it lent simply run out. */
 void kl_share_free(kl_share_t *share);
 
 /**
@@ -71,10 +75,14 @@
 
 /**
  * Set the part owned, of KL_SHARE_WHOLE, and until when it may be used.  The
- * caller guarantees that all nodes' owned parts never exceed the whole.
+ * caller guarantees that all nodes' owned parts never exceed the whole, and
+ * that a part changes hands only KL_SHARE_SETTLE_US after its last use.
  */
 void kl_share_own(kl_share_t *share, uint64_t owned, uint64_t until_us);
 
+/** Tokens that a former owner of a part lent are void after this time. */
+#define KL_SHARE_SETTLE_US 400000ull
+
 /**
  * Add what nobody minted for a part while its owner was down.
  *
@@ -110,13 +118,7 @@
 void kl_share_borrow(kl_share_t *share, const char *lender,
 		     const kl_loan_grant_t *grant, uint64_t now_us);
 
-/** Part in use now, of KL_SHARE_WHOLE. */
-uint64_t kl_share_effective(const kl_share_t *share);
-
-/** Whether so few statements come that chance rules their number. */
-bool kl_share_sparse(const kl_share_t *share);
-
-/** Whether nothing is owned, lent, borrowed or asked for. */
-bool kl_share_idle(const kl_share_t *share, uint64_t now_us);
+/** Whether nothing is lent, borrowed or asked for. */
+bool kl_share_idle(const kl_share_t *share);
 
 #endif
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -39,14 +39,14 @@
 
 struct kl_wire_ask {
 	unsigned hyper asked_us;
-	unsigned hyper held;
-	unsigned hyper want;
+	hyper want;
+	unsigned hyper seen;
+	hyper unspent;
 };
 
 struct kl_wire_grant {
 	unsigned hyper asked_us;
 	unsigned hyper sequence;
-	unsigned hyper share;
 	hyper tokens;
 	unsigned hyper duration_us;
 };
--- a/peer/peer_codec.c
+++ b/peer/peer_codec.c
@@ -252,8 +252,9 @@
 	kl_wire_ask *out = &wire->body.kl_wire_body_u.ask;
 
 	out->asked_us = message->ask.asked_us;
-	out->held = message->ask.held;
 	out->want = message->ask.want;
+	out->seen = message->ask.seen;
+	out->unspent = message->ask.unspent;
 }
 
 static void decode_ask(kl_peer_message_t *message, const kl_wire_message *wire)
@@ -261,8 +262,9 @@
 	const kl_wire_ask *in = &wire->body.kl_wire_body_u.ask;
 
 	message->ask.asked_us = in->asked_us;
-	message->ask.held = in->held;
 	message->ask.want = in->want;
+	message->ask.seen = in->seen;
+	message->ask.unspent = in->unspent;
 }
 
 static void encode_grant(const kl_peer_message_t *message,
@@ -272,7 +274,6 @@
 
 	out->asked_us = message->grant.asked_us;
 	out->sequence = message->grant.sequence;
-	out->share = message->grant.share;
 	out->tokens = message->grant.tokens;
 	out->duration_us = message->grant.duration_us;
 }
@@ -284,7 +285,6 @@
 
 	message->grant.asked_us = in->asked_us;
 	message->grant.sequence = in->sequence;
-	message->grant.share = in->share;
 	message->grant.tokens = in->tokens;
 	message->grant.duration_us = in->duration_us;
 }
--- a/peer/peer_wire.h
+++ b/peer/peer_wire.h
@@ -62,15 +62,15 @@
 
 struct kl_wire_ask {
 	u_quad_t asked_us;
-	u_quad_t held;
-	u_quad_t want;
+	quad_t want;
+	u_quad_t seen;
+	quad_t unspent;
 };
 typedef struct kl_wire_ask kl_wire_ask;
 
 struct kl_wire_grant {
 	u_quad_t asked_us;
 	u_quad_t sequence;
-	u_quad_t share;
 	quad_t tokens;
 	u_quad_t duration_us;
 };
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -84,9 +84,11 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->asked_us))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->held))
+	 if (!xdr_quad_t (xdrs, &objp->want))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->want))
+	 if (!xdr_u_quad_t (xdrs, &objp->seen))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->unspent))
 		 return FALSE;
 	return TRUE;
 }
@@ -100,8 +102,6 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->share))
-		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->tokens))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->duration_us))
--- a/tests/property/shares.cc
+++ b/tests/property/shares.cc
@@ -41,12 +41,18 @@
 		p->tokens = cap;
 }
 
+int64_t purse_held(void *purse)
+{
+	return static_cast<Purse *>(purse)->tokens;
+}
+
 void purse_valid_until(void *purse, uint64_t until)
 {
 	static_cast<Purse *>(purse)->valid_until = until;
 }
 
-const kl_purse_ops_t kOps = { purse_take, purse_put, purse_valid_until };
+const kl_purse_ops_t kOps = { purse_take, purse_put, purse_held,
+			      purse_valid_until };
 
 struct Message {
 	uint64_t at;
@@ -177,7 +183,7 @@
 		Message reply = {};
 
 		if (!message.is_ask) {
-			loans_ += message.grant.share > 0;
+			loans_ += message.grant.tokens > 0;
 			kl_share_borrow(share_[message.to], from.c_str(),
 					&message.grant, now(message.to));
 			return;
--- a/tests/script_run.c
+++ b/tests/script_run.c
@@ -21,6 +21,8 @@
 
 static void step_seed(char **words, int count);
 static void step_vm(char **words, int count);
+static void step_fleet(char **words, int count);
+static void step_crowd(char **words, int count);
 static void step_db(char **words, int count);
 static void step_service(char **words, int count);
 static void step_doc(char **words, int count);
@@ -55,6 +57,8 @@
 } steps[] = {
 	{ "seed", 1, step_seed },
 	{ "vm", 2, step_vm },
+	{ "fleet", 2, step_fleet },
+	{ "crowd", 2, step_crowd },
 	{ "db", 3, step_db },
 	{ "service", 2, step_service },
 	{ "doc", 2, step_doc },
@@ -144,6 +148,30 @@
 	world_vm(script_world, words[0], words[1]);
 }
 
+/* So many VMs in so many failure domains. */
+static void step_fleet(char **words, int count)
+{
+	int vms = (int)script_number(words[0]);
+	int domains = (int)script_number(words[1]);
+	(void)count;
+
+	for (int i = 0; i < vms; i++) {
+		char name[KL_NAME_MAX], domain[KL_NAME_MAX];
+
+		snprintf(name, sizeof(name), "v%d", i);
+		snprintf(domain, sizeof(domain), "d%d", i % domains);
+		world_vm(script_world, name, domain);
+	}
+}
+
+/* So many workspaces with so many statements a second. */
+static void step_crowd(char **words, int count)
+{
+	(void)count;
+	world_crowd(script_world, (int)script_number(words[0]),
+		    (int)script_number(words[1]));
+}
+
 static void step_db(char **words, int count)
 {
 	(void)count;
--- a/tests/world.h
+++ b/tests/world.h
@@ -62,6 +62,7 @@
 	vm_t *vm;
 	char workspace[KL_NAME_MAX];
 	uint64_t rate;	  /* statements a second */
+	double chance;	  /* the same, coming at random; 0: evenly */
 	uint64_t owed_us; /* time not yet turned into statements */
 	uint64_t waiting;
 	GQueue came; /* times of those that wait for tokens */
@@ -133,6 +134,13 @@
 void world_register(world_t *world, const char *service);
 load_t *world_load(world_t *world, vm_t *vm, const char *workspace,
 		   uint64_t rate);
+/**
+ * Many workspaces with callers on every VM: few large ones, most small, each
+ * with 1.6 times the rate that it sends on average.
+ *
+ * @param rate statements a second of all workspaces on all VMs
+ */
+void world_crowd(world_t *world, int workspaces, int rate);
 void world_run(world_t *world, uint64_t us);
 vm_t *world_vm_of(world_t *world, const char *name);
 db_t *world_db_of(world_t *world, const char *name);
--- a/tests/world_caller.c
+++ b/tests/world_caller.c
@@ -3,6 +3,9 @@
 
 #include "tests/world_internal.h"
 
+#define CROWD_EVENNESS 4   /* the first workspace beside the others */
+#define CROWD_HEADROOM 1.6 /* rate of a plan beside its demand */
+
 load_t *world_load(world_t *world, vm_t *vm, const char *workspace,
 		   uint64_t rate)
 {
@@ -24,6 +27,36 @@
 	return load;
 }
 
+void world_crowd(world_t *world, int workspaces, int rate)
+{
+	double sum = 0;
+
+	for (int i = 0; i < workspaces; i++)
+		sum += 1.0 / (i + CROWD_EVENNESS);
+	for (int i = 0; i < workspaces; i++) {
+		double part = rate / (i + CROWD_EVENNESS) / sum;
+		int limit = (int)(part * CROWD_HEADROOM + 1);
+		char name[KL_NAME_MAX], body[128];
+
+		snprintf(name, sizeof(name), "plan/p%d", i);
+		snprintf(body, sizeof(body),
+			 "{\"connections\":600,\"rate\":%d,\"burst\":%d}",
+			 limit, limit);
+		world_put(world, name, body);
+		snprintf(name, sizeof(name), "workspace/w%d", i);
+		snprintf(body, sizeof(body), "{\"plan\":\"p%d\",\"keys\":[]}",
+			 i);
+		world_put(world, name, body);
+		for (guint v = 0; v < world->vms->len; v++) {
+			vm_t *vm = g_ptr_array_index(world->vms, v);
+
+			snprintf(name, sizeof(name), "w%d", i);
+			world_load(world, vm, name, 0)->chance =
+				part / world->vms->len;
+		}
+	}
+}
+
 uint64_t world_take(vm_t *vm, const char *workspace, uint64_t count)
 {
 	kl_scene_t scene;
@@ -129,6 +162,9 @@
 
 	if (!vm->up || vm->frozen)
 		return;
+	if (load->chance > 0 &&
+	    g_rand_double(world->random) < load->chance * elapsed / KL_SEC)
+		load->owed_us += KL_SEC;
 	load->owed_us += elapsed * load->rate;
 	came = load->owed_us / KL_SEC;
 	load->owed_us %= KL_SEC;
