--- a/control/member.c
+++ b/control/member.c
@@ -137,7 +137,10 @@
 	CK_STAILQ_FOREACH(known, &state->list, link) {
 		uint64_t silent = now - known->member.heard_us;
 
-		if (!strcmp(known->name.name, state->self) ||
+		/* Most are in touch: whose turn it is need not be known. */
+		if ((known->member.listed ? silent <= ASK_US
+					  : !known->member.gone_us) ||
+		    !strcmp(known->name.name, state->self) ||
 		    kl_prober_rank(node, members, known->name.name) != 0)
 			continue;
 		if (known->member.gone_us &&
--- a/control/share.c
+++ b/control/share.c
@@ -43,8 +43,8 @@
 static account_t *account_new(kl_node_t *node, share_state_t *state,
 			      const char *name);
 static void account_free(account_t *account);
-static void run_accounts(kl_node_t *node, share_state_t *state, uint64_t until,
-			 kl_event_kind_t kind);
+static void run_accounts(kl_node_t *node, share_state_t *state, uint64_t until);
+static void run_waiting(kl_node_t *node, share_state_t *state, uint64_t until);
 static bool is_idle(const account_t *account);
 static void run_account(kl_node_t *node, share_state_t *state,
 			account_t *account, uint64_t until);
@@ -120,7 +120,10 @@
 	take_config(node, state, owned);
 
 	until = fresh ? fresh->confirmed_us + node->tuning.share_hold_us : 0;
-	run_accounts(node, state, until, event->kind);
+	if (event->kind == KL_EVENT_DEMAND)
+		run_waiting(node, state, until);
+	else
+		run_accounts(node, state, until);
 }
 
 uint32_t kl_share_slots_held(const kl_node_t *node)
@@ -213,33 +216,21 @@
 }
 
 /*
- * Busy ones at each step; of the idle ones so many that all have had their
- * turn before their tokens cease to be valid.  One that waits comes at once.
+ * Busy ones at each tick; of the idle ones so many that all have had their turn
+ * before their tokens cease to be valid.
  */
-static void run_accounts(kl_node_t *node, share_state_t *state, uint64_t until,
-			 kl_event_kind_t kind)
+static void run_accounts(kl_node_t *node, share_state_t *state, uint64_t until)
 {
 	uint32_t turns = state->count / IDLE_TURNS + 1;
-	account_list_t busy, idle;
+	account_list_t busy;
 	account_t *account;
 
 	CK_STAILQ_INIT(&busy);
-	CK_STAILQ_INIT(&idle);
 	CK_STAILQ_CONCAT(&busy, &state->busy);
-	while ((account = CK_STAILQ_FIRST(&state->idle))) {
-		bool waits = kind == KL_EVENT_DEMAND &&
-			     ck_pr_load_64(&account->bucket->waiting);
-
-		if (!turns && kind != KL_EVENT_DEMAND)
-			break;
+	while (turns-- && (account = CK_STAILQ_FIRST(&state->idle))) {
 		CK_STAILQ_REMOVE_HEAD(&state->idle, link);
-		if (turns || waits)
-			CK_STAILQ_INSERT_TAIL(&busy, account, link);
-		else
-			CK_STAILQ_INSERT_TAIL(&idle, account, link);
-		turns -= turns > 0;
+		CK_STAILQ_INSERT_TAIL(&busy, account, link);
 	}
-	CK_STAILQ_CONCAT(&state->idle, &idle);
 	while ((account = CK_STAILQ_FIRST(&busy))) {
 		CK_STAILQ_REMOVE_HEAD(&busy, link);
 		run_account(node, state, account, until);
@@ -250,6 +241,21 @@
 	}
 }
 
+/* Those that a request waits for, at once. */
+static void run_waiting(kl_node_t *node, share_state_t *state, uint64_t until)
+{
+	account_t *account;
+
+	CK_STAILQ_FOREACH(account, &state->busy, link) {
+		if (ck_pr_load_64(&account->bucket->waiting))
+			run_account(node, state, account, until);
+	}
+	CK_STAILQ_FOREACH(account, &state->idle, link) {
+		if (ck_pr_load_64(&account->bucket->waiting))
+			run_account(node, state, account, until);
+	}
+}
+
 static bool is_idle(const account_t *account)
 {
 	return !ck_pr_load_64(&account->bucket->waiting) &&
@@ -284,6 +290,8 @@
 			account_t *account, uint64_t now)
 {
 	for (uint32_t i = 0; i < 2 * KL_SLOT_PARTS; i++) {
+		if (!kl_share_lacks(account->share, now))
+			return;
 		const kl_member_t *lender = kl_slots_lender(
 			node, state->slots, account->class, account->cursor++);
 		kl_peer_message_t message = { .kind = KL_PEER_ASK };
--- a/control/share_lease.c
+++ b/control/share_lease.c
@@ -104,19 +104,29 @@
 	set_validity(share);
 }
 
-bool kl_share_wants(kl_share_t *share, const char *name, uint64_t now_us,
-		    kl_loan_ask_t *ask)
+bool kl_share_lacks(const kl_share_t *share, uint64_t now_us)
 {
+	int64_t waiting = (int64_t)share->backlog * KL_TOKENS_ONE;
 	int64_t need = kl_share_needed(share);
-	int64_t has, waiting = (int64_t)share->backlog * KL_TOKENS_ONE;
-	peer_t *lender;
+	int64_t has;
 
 	if (!need || !share->rate)
 		return false;
 	has = share->ops->held(share->purse) + pending_sum(share, now_us);
 	/* What is fetched ahead comes in few messages. */
-	if (has >= need || (has >= waiting && has >= need * 9 / 10))
+	return has < waiting || has < need * 9 / 10;
+}
+
+bool kl_share_wants(kl_share_t *share, const char *name, uint64_t now_us,
+		    kl_loan_ask_t *ask)
+{
+	int64_t lacking;
+	peer_t *lender;
+
+	if (!kl_share_lacks(share, now_us))
 		return false;
+	lacking = kl_share_needed(share) - share->ops->held(share->purse) -
+		  pending_sum(share, now_us);
 	lender = peer_of(share, name, true);
 	if (!lender || now_us - lender->asked_us < lender->pause_us)
 		return false;
@@ -127,7 +137,7 @@
 		lender->pause_us = PAUSE_US;
 	lender->asked_us = now_us;
 	lender->touched_us = now_us;
-	lender->pending = whole(need - has + KL_TOKENS_ONE - 1);
+	lender->pending = whole(lacking + KL_TOKENS_ONE - 1);
 	ask->asked_us = now_us;
 	ask->want = lender->pending;
 	ask->seen = lender->sequence;
--- a/include/kumquatloft/share.h
+++ b/include/kumquatloft/share.h
@@ -97,6 +97,9 @@
 void kl_share_demand(kl_share_t *share, uint64_t now_us, uint64_t came,
 		     uint64_t backlog);
 
+/** Whether more tokens are wanted than are held and asked for. */
+bool kl_share_lacks(const kl_share_t *share, uint64_t now_us);
+
 /**
  * Whether to ask a lender, and for what.
  *
--- a/standin/line_database.c
+++ b/standin/line_database.c
@@ -18,17 +18,20 @@
 #define VALUE_MAX 64
 #define WRITES_MAX 64 /* of one transaction */
 #define SERVICE "stand"
+#define REPLACED_MS 1000 /* a replaced primary goes on for so long */
 
 typedef struct write {
 	char item[VALUE_MAX];
 	char data[VALUE_MAX];
 } write_t;
 
-/* One commit, and when it was made. */
+/* One commit, when it was made, and in which term. */
 typedef struct commit {
 	write_t writes[4];
 	int count;
 	uint64_t at_ms;
+	uint64_t term;
+	int replaced; /* its database had been replaced by then */
 } commit_t;
 
 typedef struct database {
@@ -40,6 +43,9 @@
 	int lag_ms;
 	int lose; /* answers */
 	uint64_t term;
+	uint64_t replaced_ms; /* another leads since then, or 0 */
+	const commit_t **log; /* from 1 on */
+	uint64_t count;
 	struct evconnlistener *listener;
 	CK_LIST_HEAD(, connection) connections;
 } database_t;
@@ -65,7 +71,7 @@
 
 static database_t databases[DATABASES];
 static int database_count;
-static commit_t commits[LOG_MAX];
+static commit_t commits[LOG_MAX]; /* of all databases, also those rolled back */
 static uint64_t commit_count;
 
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
@@ -88,7 +94,10 @@
 static void fail(connection_t *connection, const char *code);
 static void ready(connection_t *connection);
 static void commit(connection_t *connection);
-static uint64_t position(const database_t *database);
+static void replicate(database_t *database);
+static database_t *leader(void);
+static void follow(database_t *database);
+static uint64_t position(database_t *database);
 static database_t *database_of(const char *id);
 static void register_database(const database_t *database);
 static void close_all(database_t *database);
@@ -103,7 +112,8 @@
 	{ "STEPDOWN", do_stepdown },
 };
 
-int line_database_start(struct event_base *base, const char *host, int port)
+int line_database_start(struct event_base *base, const char *host, int port,
+			int known_port)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET };
 	database_t *database = &databases[database_count];
@@ -111,7 +121,8 @@
 	snprintf(database->id, sizeof(database->id), "i-db%d",
 		 database_count + 1);
 	snprintf(database->host, sizeof(database->host), "%s", host);
-	database->port = port;
+	database->port = known_port;
+	database->log = calloc(LOG_MAX, sizeof(*database->log));
 	database->primary = !database_count;
 	database->term = 1;
 	database->lag_ms = 20;
@@ -136,16 +147,19 @@
 
 	if (!database || database->down)
 		return -1;
-	if (database->primary)
+	if (database == leader())
 		return 0;
+	replicate(database);
 	for (int i = 0; i < database_count; i++) {
 		if (databases[i].term > newest)
 			newest = databases[i].term;
-		databases[i].primary = 0;
+		/* It goes on until it is told, or reaches the new one. */
+		if (databases[i].primary && !databases[i].replaced_ms)
+			databases[i].replaced_ms = now_ms();
 	}
 	database->primary = 1;
-	for (int i = 0; i < database_count; i++)
-		databases[i].term = newest + 1;
+	database->replaced_ms = 0;
+	database->term = newest + 1;
 	register_database(database);
 	return 0;
 }
@@ -161,6 +175,9 @@
 	} else if (!strcmp(name, "lose")) {
 		database->lose = value;
 	} else if (!strcmp(name, "down")) {
+		/* What was received until then is there. */
+		for (int i = 0; i < database_count; i++)
+			replicate(&databases[i]);
 		database->down = value;
 		if (value) {
 			evconnlistener_disable(database->listener);
@@ -264,6 +281,7 @@
 		const char *workspace = kl_line_word(&rest);
 		const char *expected = kl_line_word(&rest);
 
+		follow(connection->database);
 		snprintf(connection->workspace, VALUE_MAX, "%s", workspace);
 		if (strcmp(service, SERVICE) ||
 		    (*expected && strcmp(expected, connection->database->id)))
@@ -272,6 +290,7 @@
 			ready(connection);
 		return;
 	}
+	follow(connection->database);
 	id = kl_line_word(&rest);
 	word = kl_line_word(&rest);
 	if (!strcmp(word, "SINCE")) {
@@ -300,13 +319,14 @@
 static void do_read(connection_t *connection, const char *id, char *rest)
 {
 	uint64_t end = position(connection->database);
+	const commit_t *const *log = connection->database->log;
 	const char *item = kl_line_word(&rest);
 	const char *found = "none";
 
 	for (uint64_t n = 1; n <= end; n++)
-		for (int i = 0; i < commits[n].count; i++)
-			if (!strcmp(commits[n].writes[i].item, item))
-				found = commits[n].writes[i].data;
+		for (int i = 0; i < log[n]->count; i++)
+			if (!strcmp(log[n]->writes[i].item, item))
+				found = log[n]->writes[i].data;
 	for (int i = 0; i < connection->write_count; i++)
 		if (!strcmp(connection->writes[i].item, item))
 			found = connection->writes[i].data;
@@ -403,7 +423,7 @@
 
 static void do_status(connection_t *connection, const char *id, char *rest)
 {
-	const database_t *database = connection->database;
+	database_t *database = connection->database;
 	char row[128];
 	(void)rest;
 
@@ -416,19 +436,30 @@
 
 static void do_stepdown(connection_t *connection, const char *id, char *rest)
 {
+	database_t *database = connection->database;
+	uint64_t term = strtoull(kl_line_word(&rest), NULL, 10);
+
+	if (database->primary && database->term < term) {
+		database->primary = 0;
+		replicate(database);
+	}
 	do_status(connection, id, rest);
 }
 
 static void commit(connection_t *connection)
 {
+	database_t *database = connection->database;
 	commit_t *entry;
 
 	if (!connection->write_count || commit_count + 1 >= LOG_MAX)
 		return;
 	entry = &commits[++commit_count];
 	entry->at_ms = now_ms();
+	entry->term = database->term;
+	entry->replaced = database->replaced_ms != 0;
 	for (int i = 0; i < connection->write_count && i < 4; i++)
 		entry->writes[entry->count++] = connection->writes[i];
+	database->log[++database->count] = entry;
 	connection->write_count = 0;
 }
 
@@ -460,15 +491,76 @@
 			    position(connection->database));
 }
 
-/* A replica holds what is older than its lag. */
-static uint64_t position(const database_t *database)
+/* The one that leads the newest term. */
+static database_t *leader(void)
+{
+	database_t *newest = NULL;
+
+	for (int i = 0; i < database_count; i++)
+		if (databases[i].primary &&
+		    (!newest || databases[i].term > newest->term))
+			newest = &databases[i];
+	return newest;
+}
+
+/* A replaced primary hears of it a while later, unless it is cut off. */
+static void follow(database_t *database)
 {
-	uint64_t end = commit_count;
+	if (!database->replaced_ms ||
+	    now_ms() - database->replaced_ms < REPLACED_MS)
+		return;
+	database->primary = 0;
+	database->replaced_ms = 0;
+	register_database(database);
+}
 
-	while (!database->primary && end &&
-	       commits[end].at_ms + (uint64_t)database->lag_ms > now_ms())
-		end--;
-	return end;
+/* A replica has of the leader's log what is older than its lag. */
+static void replicate(database_t *database)
+{
+	const database_t *from = leader();
+	uint64_t same = 0;
+
+	if (!from || database->primary || from == database || from->down)
+		return;
+	while (same < database->count && same < from->count &&
+	       database->log[same + 1] == from->log[same + 1])
+		same++;
+	/* What the leader never had is rolled back. */
+	if (database->term < from->term)
+		database->count = same;
+	database->term = from->term;
+	while (database->count < from->count &&
+	       from->log[database->count + 1]->at_ms +
+			       (uint64_t)database->lag_ms <=
+		       now_ms()) {
+		database->log[database->count + 1] =
+			from->log[database->count + 1];
+		database->count++;
+	}
+}
+
+static uint64_t position(database_t *database)
+{
+	replicate(database);
+	return database->count;
+}
+
+void line_database_log(struct evbuffer *out)
+{
+	const database_t *from = leader();
+
+	for (uint64_t n = 1; n <= commit_count; n++) {
+		const commit_t *entry = &commits[n];
+		int kept = 0;
+
+		for (uint64_t i = 1; from && i <= from->count; i++)
+			kept |= from->log[i] == entry;
+		for (int i = 0; i < entry->count; i++)
+			evbuffer_add_printf(
+				out, "%s %s %s %s\n", entry->writes[i].item,
+				entry->writes[i].data, kept ? "kept" : "lost",
+				entry->replaced ? "replaced" : "leading");
+	}
 }
 
 static database_t *database_of(const char *id)
--- a/standin/line_main.c
+++ b/standin/line_main.c
@@ -18,6 +18,7 @@
 
 static void on_promote(struct evhttp_request *request, void *arg);
 static void on_fault(struct evhttp_request *request, void *arg);
+static void on_log(struct evhttp_request *request, void *arg);
 static void on_term(evutil_socket_t fd, short what, void *arg);
 static void reply(struct evhttp_request *request, int status);
 
@@ -27,9 +28,10 @@
 	struct evhttp *http = evhttp_new(base);
 	struct event *term;
 	int port = argc > 1 ? atoi(argv[1]) : 0;
+	int relay = argc > 2 ? atoi(argv[2]) : 0;
 
 	if (!port) {
-		fprintf(stderr, "usage: kl-standin-line PORT\n");
+		fprintf(stderr, "usage: kl-standin-line PORT [RELAYS]\n");
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
@@ -40,8 +42,11 @@
 	store_serve(http, base);
 	evhttp_set_cb(http, "/promote", on_promote, NULL);
 	evhttp_set_cb(http, "/standin/fault", on_fault, NULL);
+	evhttp_set_cb(http, "/standin/log", on_log, NULL);
+	/* With relays before them the databases register the relays' ports. */
 	for (int i = 0; i < DATABASES; i++)
-		if (line_database_start(base, HOST, port + 1 + i))
+		if (line_database_start(base, HOST, port + 1 + i,
+					(relay ? relay : port) + 1 + i))
 			return 1;
 	term = evsignal_new(base, SIGTERM, on_term, base);
 	event_add(term, NULL);
@@ -86,6 +91,16 @@
 	reply(request, bad ? 400 : 200);
 }
 
+static void on_log(struct evhttp_request *request, void *arg)
+{
+	struct evbuffer *body = evbuffer_new();
+	(void)arg;
+
+	line_database_log(body);
+	evhttp_send_reply(request, 200, NULL, body);
+	evbuffer_free(body);
+}
+
 static void on_term(evutil_socket_t fd, short what, void *arg)
 {
 	(void)fd;
