Fewer calls of the platform when many VMs start: watch once the others are known, claim by rank

Every VM watched five feeds until it knew who else was there, a watcher asked again after each of 73 registrations, and all VMs of a domain tried for the same free slots (91 conflicts logged in six seconds).

Now a watch waits until the terms feed is known and is asked ten times a second at most, a free slot goes first to the VM that ranks highest in its domain, and an earlier process's slots are taken back at once.

--- a/control/slot.c
+++ b/control/slot.c
@@ -42,6 +42,7 @@
 /* What one round of balancing has to do. */
 typedef struct balance {
 	uint32_t held;
+	uint32_t floor;
 	uint32_t ceiling;
 	uint32_t updates;
 	bool excess;
@@ -68,7 +69,9 @@
 static bool is_usable(const kl_node_t *node, const kl_slots_t *slots,
 		      const slot_t *slot);
 static bool mine(const kl_slots_t *slots, const slot_t *slot);
-static uint64_t claim_pause(bool home, bool lacks);
+static uint64_t claim_pause(const kl_node_t *node, const kl_slots_t *slots,
+			    uint32_t number, const balance_t *balance);
+static bool ranks_first(const kl_node_t *node, uint32_t number);
 static void find_home(const kl_node_t *node, const kl_members_t *members,
 		      balance_t *balance);
 static void balance_slot(kl_node_t *node, kl_slots_t *slots, uint32_t number,
@@ -261,49 +264,77 @@
 	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
 	uint64_t now = kl_node_now(node);
 	uint32_t live = members && members->live ? members->live : 1;
-	uint32_t floor = slots->count / live;
 	uint32_t first = kl_node_random(node) % slots->count;
 	uint32_t free_slots = 0;
 	balance_t balance = { 0 };
 
 	if (!members || !kl_node_get(node, KL_SECTION_FRESH))
 		return;
+	balance.floor = slots->count / live;
 	balance.ceiling = leaving ? 0 : (slots->count + live - 1) / live;
 	revoke_absent(node, slots, members, now);
 	for (uint32_t i = 0; i < slots->count; i++) {
 		balance.held += mine(slots, &slots->table[i]);
 		free_slots += is_free(node, &slots->table[i], now);
 	}
-	balance.excess = balance.held > balance.ceiling ||
-			 (!leaving && !free_slots && balance.held > floor &&
-			  someone_lacks(slots, members, floor));
+	balance.excess =
+		balance.held > balance.ceiling ||
+		(!leaving && !free_slots && balance.held > balance.floor &&
+		 someone_lacks(slots, members, balance.floor));
 	find_home(node, members, &balance);
 	for (uint32_t n = 0; n < slots->count && balance.updates < UPDATES;
 	     n++) {
 		uint32_t i = (first + n) % slots->count;
 		slot_t *slot = &slots->table[i];
-		/* Parts of one class go to the failure domains by turns. */
-		bool home =
-			i / slots->classes % balance.domains == balance.turn;
 
 		if (!slot->free_us && is_free(node, slot, now))
 			slot->free_us = now;
-		if (mine(slots, slot) || !slot->free_us ||
+		if (!slot->free_us || mine(slots, slot) ||
 		    now - slot->free_us >=
-			    claim_pause(home, balance.held < floor))
+			    claim_pause(node, slots, i, &balance))
 			balance_slot(node, slots, i, &balance);
 	}
 }
 
 /*
- * First VMs of the slot's own failure domain take it, then others that lack
- * some, then anyone: what one gives up must not come back to it.
+ * Parts of one class go to the failure domains by turns.  First the VM of the
+ * slot's domain that ranks highest takes it, then others of the domain, then
+ * others that lack some, then anyone: what one gives up must not come back to
+ * it, and few should try at once.
  */
-static uint64_t claim_pause(bool home, bool lacks)
+static uint64_t claim_pause(const kl_node_t *node, const kl_slots_t *slots,
+			    uint32_t number, const balance_t *balance)
 {
+	const slot_t *slot = &slots->table[number];
+	bool lacks = balance->held < balance->floor || !balance->held;
+
+	/* What an earlier process at this address had. */
+	if (slot->owner[0] && !slot->revoked)
+		return 0;
 	if (!lacks)
 		return 2 * PREFER_US;
-	return home ? 0 : PREFER_US;
+	if (number / slots->classes % balance->domains != balance->turn)
+		return PREFER_US;
+	return ranks_first(node, number) ? 0 : PREFER_US / 2;
+}
+
+/* Among the VMs of this one's failure domain. */
+static bool ranks_first(const kl_node_t *node, uint32_t number)
+{
+	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
+	unsigned long long own;
+	const kl_member_t *member;
+	char name[KL_NAME_MAX];
+
+	snprintf(name, sizeof(name), PREFIX "%u", number);
+	own = kl_rank(name, node->self.vm);
+	CK_STAILQ_FOREACH(member, &members->list, link) {
+		if (member->listed && !member->leaving &&
+		    !strcmp(member->domain, node->self.domain) &&
+		    kl_rank(name, member->name.name) > own)
+			return false;
+	}
+	return true;
 }
 
 static void find_home(const kl_node_t *node, const kl_members_t *members,
--- a/control/sync.c
+++ b/control/sync.c
@@ -13,6 +13,7 @@
 #define ANSWER_US (1 * KL_SEC)	     /* an answer this late is given up */
 #define WATCH_US (20 * KL_SEC)	     /* a watch this old is given up */
 #define FEED_WATCH_US (12 * KL_SEC)  /* the same, with several feeds */
+#define WATCH_PAUSE_US (100 * KL_MS) /* changes that come together */
 #define RETRY_US (300 * KL_MS)	     /* after a list that failed */
 #define START_US                                                     \
 	(120 * KL_MS) /* between lists before the first confirmation \
@@ -156,8 +157,12 @@
 						      (2 * SELF_SERVE_US);
 			ask(node, feed, KL_PLATFORM_LIST, i, now);
 		}
-		if (feed->known && !feed->wants_list && !feed->watch_us) {
+		/* Who watches is known once the others are. */
+		if (sync->feeds[KL_FEED_TERMS].known && feed->known &&
+		    !feed->wants_list && !feed->watch_us &&
+		    now >= feed->next_watch_us) {
 			feed->watch_us = now;
+			feed->next_watch_us = now + WATCH_PAUSE_US;
 			ask(node, feed, KL_PLATFORM_WATCH, i, now);
 		}
 	}
--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -18,6 +18,7 @@
 	uint64_t list_us;     /**< when the outstanding list was asked, or 0 */
 	uint64_t next_list_us;
 	uint64_t watch_us; /**< when the outstanding watch was asked, or 0 */
+	uint64_t next_watch_us;
 } kl_feed_state_t;
 
 /** The controller's state. */
