--- a/path/engine_begin.c
+++ b/path/engine_begin.c
@@ -10,7 +10,7 @@
 
 static int take_route(kl_caller_t *caller);
 static void take_since(kl_caller_t *caller);
-static void admit(kl_caller_t *caller);
+static bool admit(kl_caller_t *caller);
 
 /* The first statement of an operation. */
 void kl_caller_begin(kl_caller_t *caller, const kl_command_t *command)
@@ -47,7 +47,7 @@
 	caller->reads_only = command->verb == KL_VERB_BEGIN_READ;
 	if (!kl_caller_needs_primary(caller))
 		take_since(caller);
-	admit(caller);
+	kl_caller_route(caller);
 }
 
 static int take_route(kl_caller_t *caller)
@@ -96,32 +96,39 @@
 	}
 }
 
-static void admit(kl_caller_t *caller)
+/* Whether the operation has its tokens; else it waits for them, or is refused.
+ */
+static bool admit(kl_caller_t *caller)
 {
 	kl_engine_t *engine = caller->engine;
 	kl_bucket_t *bucket = kl_caller_bucket(caller);
+	kl_run_t *run = &caller->run;
 
-	if (bucket && !caller->run.counted)
-		ck_pr_inc_64(&bucket->asked);
+	if (run->admitted)
+		return true;
+	if (!run->asked_us) {
+		run->asked_us = engine->now;
+		if (bucket)
+			ck_pr_inc_64(&bucket->asked);
+	}
 	if (bucket && kl_admit(&engine->scene, bucket)) {
-		uint64_t until =
-			caller->run.came_us + engine->settings.admit_wait_us;
-
-		if (engine->now >= until) {
+		if (engine->now >=
+		    run->asked_us + engine->settings.admit_wait_us) {
 			ck_pr_inc_64(&bucket->refused);
 			kl_caller_refuse(caller, -KL_E_RATE);
-			return;
+			return false;
 		}
-		if (!caller->run.counted)
+		if (!run->counted)
 			ck_pr_inc_64(&bucket->waiting);
-		caller->run.counted = true;
+		run->counted = true;
 		kl_caller_wait(caller, KL_RUN_TOKENS);
 		engine->ops->demand(engine->context);
-		return;
+		return false;
 	}
 	kl_caller_stop_counting(caller);
+	run->admitted = true;
 	engine->counts.admitted++;
-	kl_caller_route(caller);
+	return true;
 }
 
 kl_bucket_t *kl_caller_bucket(const kl_caller_t *caller)
@@ -148,6 +155,9 @@
 			kl_caller_wait(caller, KL_RUN_ROUTE);
 		return;
 	}
+	/* Only now: what nothing can run must not use up the plan. */
+	if (!admit(caller))
+		return;
 	kl_place_enqueue(place, caller);
 	kl_place_serve(place);
 }
@@ -165,9 +175,8 @@
 {
 	if (caller->run.stage == KL_RUN_LOGIN)
 		kl_caller_answer_login(caller, kl_caller_log_in(caller));
-	else if (caller->run.stage == KL_RUN_TOKENS)
-		admit(caller);
-	else if (caller->run.stage == KL_RUN_ROUTE)
+	else if (caller->run.stage == KL_RUN_TOKENS ||
+		 caller->run.stage == KL_RUN_ROUTE)
 		kl_caller_route(caller);
 }
 
--- a/path/engine_channel.c
+++ b/path/engine_channel.c
@@ -6,7 +6,7 @@
 
 #define ASK_US (500 * KL_MS)	 /* a question is given up after this */
 #define ABANDON_US (3 * KL_SEC)	 /* so is what a caller left behind */
-#define FRESH_US (400 * KL_MS)	 /* the primary is asked this often */
+#define FRESH_US (700 * KL_MS)	 /* the primary is asked this often */
 #define USED_US (10 * KL_SEC)	 /* a group unused so long isn't asked */
 #define IDLE_US (20 * KL_SEC)	 /* an unused connection is closed */
 #define SURPLUS_US (400 * KL_MS) /* one above an even part is */
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -107,8 +107,10 @@
 	uint32_t tries;
 	kl_place_t *place;
 	kl_place_t *avoid;
-	int last_error; /**< of the last try */
-	bool counted;	/**< among those that wait for tokens */
+	int last_error;	   /**< of the last try */
+	bool counted;	   /**< among those that wait for tokens */
+	bool admitted;	   /**< it has its tokens */
+	uint64_t asked_us; /**< it first asked for them then, or 0 */
 } kl_run_t;
 
 /** A caller's session. */
