--- a/path/engine_begin.c
+++ b/path/engine_begin.c
@@ -7,10 +7,12 @@
 #define WAIT_TARGETS 2 /* latency objectives that one may wait */
 #define WAIT_LEAST_US (400 * KL_MS)
 #define QUEUE_LEAST_US (250 * KL_MS)
+#define LATE_PART 2 /* of its objective that a late one may queue */
 
 static int take_route(kl_caller_t *caller);
 static void take_since(kl_caller_t *caller);
 static bool admit(kl_caller_t *caller);
+static void let_queue(kl_caller_t *caller);
 
 /* The first statement of an operation. */
 void kl_caller_begin(kl_caller_t *caller, const kl_command_t *command)
@@ -131,6 +133,19 @@
 	return true;
 }
 
+/* What waited for an upstream is late: it is worth a little more time. */
+static void let_queue(kl_caller_t *caller)
+{
+	kl_run_t *run = &caller->run;
+	uint64_t until =
+		caller->engine->now + caller->route.target_us / LATE_PART;
+
+	if (until > run->deadline_us)
+		until = run->deadline_us;
+	if (until > run->queue_until_us)
+		run->queue_until_us = until;
+}
+
 kl_bucket_t *kl_caller_bucket(const kl_caller_t *caller)
 {
 	const kl_shares_t *shares = caller->engine->scene.shares;
@@ -158,6 +173,7 @@
 	/* Only now: what nothing can run must not use up the plan. */
 	if (!admit(caller))
 		return;
+	let_queue(caller);
 	kl_place_enqueue(place, caller);
 	kl_place_serve(place);
 }
