--- a/control/slot.c
+++ b/control/slot.c
@@ -125,7 +125,7 @@
 
 		snprintf(name, sizeof(name), PREFIX "%u", i);
 		object = kl_index_get(objects->index, name);
-		if (!object || object->version == slot->version)
+		if (!object || object->version <= slot->version)
 			continue;
 		earlier = note_change(node, slot, object->version);
 		if (!decode(slot, object->body))
