Close idle connections soon, so that dead ones don't fill the databases after a loss of power

Now an idle one beside others is closed after 200 ms and the last one after 1 s, and a VM may try for three where its even part is one; the database says when there are too many.

--- a/path/engine_channel.c
+++ b/path/engine_channel.c
@@ -8,8 +8,8 @@
 #define ABANDON_US (3 * KL_SEC)	 /* so is what a caller left behind */
 #define FRESH_US (700 * KL_MS)	 /* the primary is asked this often */
 #define USED_US (10 * KL_SEC)	 /* a group unused so long isn't asked */
-#define IDLE_US (20 * KL_SEC)	 /* an unused connection is closed */
-#define SURPLUS_US (400 * KL_MS) /* one above an even part is */
+#define IDLE_US (1 * KL_SEC)	 /* an unused connection is closed */
+#define SURPLUS_US (200 * KL_MS) /* one beside others is */
 #define GROW_US (150 * KL_MS)	 /* between two steps above that part */
 #define LIMIT_US (1500 * KL_MS)	 /* none after the database had too many */
 #define PRESSED_PART 4 /* of its objective that one may wait in order */
@@ -336,8 +336,7 @@
 				kl_place_bad(place, false, channel->since_us);
 			kl_channel_drop(channel);
 		} else if (idle && (!place->present || since > IDLE_US ||
-				    (since > SURPLUS_US &&
-				     place->open > place->part))) {
+				    (since > SURPLUS_US && place->open > 1))) {
 			kl_channel_drop(channel);
 		}
 	}
--- a/path/engine_place.c
+++ b/path/engine_place.c
@@ -11,6 +11,7 @@
 #define RETRY_US (250 * KL_MS)	/* a failing one is tried this often */
 #define WINDOW_FIRST 8 /* statements at once, before anything is known */
 #define WINDOW_LEAST 2
+#define SHARED_MOST 3 /* connections that a VM may try for, at least */
 #define WINDOW_MOST 64
 #define NARROW_PART 2	       /* of an objective that a statement may take */
 #define STALL_US (300 * KL_MS) /* without any answer */
@@ -123,7 +124,11 @@
 		place->leaving_us = now;
 	place->leaving = upstream->leaving;
 	place->part = connections / live ? connections / live : 1;
+	/* Most VMs use few: the database says when there are too many. */
 	place->most = connections > live ? connections - (live - 1) : 1;
+	if (place->most < SHARED_MOST)
+		place->most =
+			connections < SHARED_MOST ? connections : SHARED_MOST;
 	if (place->cap < place->part)
 		place->cap = place->part;
 	if (place->cap > place->most)
--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -7,84 +7,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "tests/soak/soak.h"
+#include "tests/soak/caller_internal.h"
 
-#define BAKERS 10      /* of them two with the second key */
-#define PRESSES 3      /* of a workspace that sends more than its rate */
-#define PRESS_RATE 30  /* statements a second */
-#define PRESS_BURST 30 /* statements */
-#define STEPS 4	       /* statements of one operation */
 #define OPERATION_MS 3500
 #define AGAIN_MS 40	  /* before the next operation or connection */
 #define SESSION_STEPS 25  /* operations of one session, at most */
 #define AGE_US 2500000ull /* of the route's reads */
 #define REVOKE_US 6000000ull
 
-/* What became of a write. */
-typedef enum fate {
-	FATE_OPEN, /* unknown */
-	FATE_ACKED,
-	FATE_REFUSED, /* "nothing is kept" */
-} fate_t;
-
-typedef struct attempt {
-	fate_t fate;
-	uint64_t acked_us;
-	bool kept;	 /* in the leader's log */
-	uint32_t commit; /* place among all commits, from 1 on */
-} attempt_t;
-
-/* A read that returned less than was acknowledged before it. */
-typedef struct doubt {
-	uint32_t caller;
-	uint32_t value;
-	uint32_t floor;
-} doubt_t;
-
-typedef struct span {
-	uint64_t from_us;
-	uint64_t to_us;
-} span_t;
-
-typedef struct caller {
-	struct callers *all;
-	uint32_t number;
-	const char *key;
-	bool press;
-	struct bufferevent *stream;
-	struct event *timer;
-	bool ready;
-	bool primary; /* the route of this session */
-	int left;     /* operations */
-	char steps[STEPS][64];
-	int step, step_count;
-	bool running;
-	bool failed;
-	bool reads;
-	uint32_t writes; /* number of the write, or 0 */
-	bool rolls_back;
-	uint32_t floor;
-	uint64_t began_us;
-	uint32_t session_acked;
-	uint32_t highest_acked;
-	uint32_t value; /* read */
-	uint64_t served_us;
-	GArray *attempts; /* attempt_t, by number */
-} caller_t;
-
-struct callers {
-	struct event_base *base;
-	GRand *random;
-	caller_t table[BAKERS + PRESSES];
-	GArray *doubts;
-	GArray *spans; /* of the presses' statements that were served */
-	bool stopped;
-	uint64_t settle_us;
-	uint64_t revoked_us;
-	int violations;
-	uint64_t served;
-};
-
 static void connect_caller(caller_t *caller);
 static void later(caller_t *caller, int ms);
 static void on_timer(evutil_socket_t fd, short what, void *arg);
@@ -99,11 +29,6 @@
 static void succeed(caller_t *caller);
 static void end_session(caller_t *caller, const char *code);
 static bool is_promise(const char *code);
-static void judge_log(callers_t *callers, const char *log);
-static void judge_attempts(callers_t *callers);
-static void judge_doubts(callers_t *callers);
-static void judge_rate(callers_t *callers, uint64_t window_us);
-static attempt_t *attempt_of(const caller_t *caller, uint32_t number);
 
 callers_t *callers_new(struct event_base *base, GRand *random)
 {
@@ -302,7 +227,7 @@
 		return caller->highest_acked;
 	for (uint32_t n = caller->highest_acked; n > caller->session_acked;
 	     n--) {
-		const attempt_t *attempt = attempt_of(caller, n);
+		const attempt_t *attempt = soak_attempt(caller, n);
 
 		if (attempt->fate == FATE_ACKED && attempt->acked_us < before)
 			return n;
@@ -349,7 +274,7 @@
 		g_array_append_val(all->doubts, doubt);
 	}
 	if (caller->writes) {
-		attempt_t *attempt = attempt_of(caller, caller->writes);
+		attempt_t *attempt = soak_attempt(caller, caller->writes);
 
 		attempt->fate = caller->rolls_back ? FATE_REFUSED : FATE_ACKED;
 		attempt->acked_us = span.to_us;
@@ -364,7 +289,7 @@
 static void end_session(caller_t *caller, const char *code)
 {
 	if (caller->running && caller->writes && code && is_promise(code))
-		attempt_of(caller, caller->writes)->fate = FATE_REFUSED;
+		soak_attempt(caller, caller->writes)->fate = FATE_REFUSED;
 	caller->running = false;
 	if (caller->stream)
 		bufferevent_free(caller->stream);
@@ -384,137 +309,7 @@
 	return false;
 }
 
-int callers_judge(callers_t *callers, const char *log)
-{
-	for (uint32_t i = 0; i < BAKERS + PRESSES; i++) {
-		if (callers->table[i].served_us >= callers->settle_us)
-			continue;
-		soak_violation("caller %u isn't served after the faults", i);
-		callers->violations++;
-	}
-	judge_log(callers, log);
-	judge_attempts(callers);
-	judge_doubts(callers);
-	judge_rate(callers, 2000000);
-	judge_rate(callers, 5000000);
-	printf("%" G_GUINT64_FORMAT " operations served, %u reads looked at "
-	       "again, %u statements of the workspace at its rate\n",
-	       callers->served, callers->doubts->len, callers->spans->len);
-	return callers->violations;
-}
-
-/* What the databases have, in the order of the commits. */
-static void judge_log(callers_t *callers, const char *log)
-{
-	gchar **lines = g_strsplit(log, "\n", -1);
-
-	for (uint32_t i = 0; lines[i] && *lines[i]; i++) {
-		unsigned int c, same, n;
-		char kept[8], leading[16];
-		attempt_t *attempt;
-
-		if (sscanf(lines[i], "i%u c%un%u %7s %15s", &c, &same, &n, kept,
-			   leading) != 5 ||
-		    c != same || c >= BAKERS ||
-		    n >= callers->table[c].attempts->len) {
-			soak_violation("nobody sent \"%s\"", lines[i]);
-			callers->violations++;
-			continue;
-		}
-		attempt = attempt_of(&callers->table[c], n);
-		if (attempt->commit) {
-			soak_violation("write %u of caller %u ran twice", n, c);
-			callers->violations++;
-		}
-		attempt->commit = i + 1;
-		attempt->kept = !strcmp(kept, "kept");
-		if (attempt->fate == FATE_ACKED && strcmp(leading, "leading")) {
-			soak_violation("write %u of caller %u was acknowledged "
-				       "by a replaced primary",
-				       n, c);
-			callers->violations++;
-		}
-	}
-	g_strfreev(lines);
-}
-
-static void judge_attempts(callers_t *callers)
-{
-	for (uint32_t c = 0; c < BAKERS; c++) {
-		const caller_t *caller = &callers->table[c];
-
-		for (uint32_t n = 1; n < caller->attempts->len; n++) {
-			const attempt_t *attempt = attempt_of(caller, n);
-			const char *what = NULL;
-
-			if (attempt->fate == FATE_ACKED && !attempt->commit)
-				what = "was acknowledged and did not run";
-			if (attempt->fate == FATE_REFUSED && attempt->kept)
-				what = "was refused and is kept";
-			if (!what)
-				continue;
-			soak_violation("write %u of caller %u %s", n, c, what);
-			callers->violations++;
-		}
-	}
-}
-
-/*
- * A read may show less than was acknowledged only where a change of primary
- * rolled that back, or where what it shows was committed later.
- */
-static void judge_doubts(callers_t *callers)
-{
-	for (uint32_t i = 0; i < callers->doubts->len; i++) {
-		const doubt_t *doubt =
-			&g_array_index(callers->doubts, doubt_t, i);
-		const caller_t *caller = &callers->table[doubt->caller];
-		const attempt_t *shown = attempt_of(caller, doubt->value);
-
-		for (uint32_t n = doubt->value + 1; n <= doubt->floor; n++) {
-			const attempt_t *attempt = attempt_of(caller, n);
-
-			if (attempt->fate != FATE_ACKED || !attempt->kept ||
-			    attempt->commit < shown->commit)
-				continue;
-			soak_violation("caller %u read %u after %u was "
-				       "acknowledged",
-				       doubt->caller, doubt->value, n);
-			callers->violations++;
-			break;
-		}
-	}
-}
-
-/* Statements that began and ended inside a window ran inside it. */
-static void judge_rate(callers_t *callers, uint64_t window_us)
-{
-	uint64_t most = PRESS_RATE * window_us / 1000000 + PRESS_BURST;
-
-	for (uint32_t i = 0; i < callers->spans->len; i++) {
-		uint64_t from =
-			g_array_index(callers->spans, span_t, i).from_us;
-		uint64_t count = 0;
-
-		for (uint32_t k = 0; k < callers->spans->len; k++) {
-			const span_t *span =
-				&g_array_index(callers->spans, span_t, k);
-
-			count += span->from_us >= from &&
-				 span->to_us <= from + window_us;
-		}
-		if (count <= most)
-			continue;
-		soak_violation("%" G_GUINT64_FORMAT
-			       " statements in %" G_GUINT64_FORMAT
-			       " us, %" G_GUINT64_FORMAT " are allowed",
-			       count, window_us, most);
-		callers->violations++;
-		return;
-	}
-}
-
-static attempt_t *attempt_of(const caller_t *caller, uint32_t number)
+attempt_t *soak_attempt(const caller_t *caller, uint32_t number)
 {
 	return &g_array_index(caller->attempts, attempt_t, number);
 }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -23,6 +23,8 @@
 #define MOST_GAP_MS 900
 #define LEAST_FOR_MS 200
 #define MOST_FOR_MS 2500
+#define LONG_PART 4 /* one of so many faults lasts longer */
+#define LONG_MORE_MS 5000
 #define DOWN_MS 600 /* a process is down for so long, at least */
 #define RELAYS (2 * SOAK_VMS + SOAK_DATABASES)
 
@@ -50,6 +52,7 @@
 
 static int play(uint32_t seed, int seconds);
 static void play_faults(struct event_base *base, uint64_t until_us);
+static uint64_t lasts_us(void);
 static void end_faults(uint64_t now_us, bool all);
 static void pass_time(struct event_base *base, uint64_t until_us);
 static end_t begin_relay(int number);
@@ -205,9 +208,7 @@
 		printf("  %6.2f s %s %d\n", (double)(now - started_us) / 1e6,
 		       fault->name, repair.number);
 		repair.run = fault->begin(repair.number);
-		repair.at_us = now + (uint64_t)g_rand_int_range(
-					     dice, LEAST_FOR_MS, MOST_FOR_MS) *
-					     1000;
+		repair.at_us = now + lasts_us();
 		if (repair.run == stand_vm_start)
 			repair.at_us += DOWN_MS * 1000;
 		if (repair.run)
@@ -218,6 +219,15 @@
 	}
 }
 
+static uint64_t lasts_us(void)
+{
+	gint ms = g_rand_int_range(dice, LEAST_FOR_MS, MOST_FOR_MS);
+
+	if (!g_rand_int_range(dice, 0, LONG_PART))
+		ms += LONG_MORE_MS;
+	return (uint64_t)ms * 1000;
+}
+
 static void end_faults(uint64_t now_us, bool all)
 {
 	for (guint i = 0; i < repairs->len;) {
