Close a VM's last unused connection after 300 ms; a model database serves in order

None is opened for a position alone any more.

The model database of the engine's scripts let whoever came at the right moment take a slot, so that some waited a second while others overtook them: script load_overload said 973 ms.

--- a/control/slot.c
+++ b/control/slot.c
@@ -133,7 +133,7 @@
 
 	for (uint32_t i = 0; i < slots->count; i++)
 		usable += is_usable(node, slots, &slots->table[i]);
-	return whole * usable / slots->count;
+	return slots->count ? whole * usable / slots->count : 0;
 }
 
 uint64_t kl_slots_usable(const kl_node_t *node, const kl_slots_t *slots,
--- a/path/engine_channel.c
+++ b/path/engine_channel.c
@@ -8,7 +8,7 @@
 #define ABANDON_US (3 * KL_SEC)	 /* so is what a caller left behind */
 #define FRESH_US (700 * KL_MS)	 /* the primary is asked this often */
 #define USED_US (10 * KL_SEC)	 /* a group unused so long isn't asked */
-#define IDLE_US (1 * KL_SEC)	 /* an unused connection is closed */
+#define IDLE_US (300 * KL_MS)	 /* an unused connection is closed */
 #define SURPLUS_US (200 * KL_MS) /* one beside others is */
 #define GROW_US (150 * KL_MS)	 /* between two steps above that part */
 #define LIMIT_US (1500 * KL_MS)	 /* none after the database had too many */
@@ -385,7 +385,8 @@
 	    engine->now - kl_points_newest(&cluster->points) < FRESH_US)
 		return;
 	place = kl_place_of(cluster, group->primary);
-	if (place && place->present)
+	/* A connection for this alone costs more than the next read there. */
+	if (place && place->present && oldest_idle(place))
 		ask_place(place, true);
 }
 
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -33,6 +33,7 @@
 	uint64_t ran;	     /**< statements that it ran */
 	uint64_t connected;  /**< connections that it accepted */
 	uint64_t turned_off; /**< connections over its limit */
+	CK_STAILQ_HEAD(, model_event) waiting; /**< for a slot, in order */
 } model_db_t;
 
 /** A load of single statements, each in a session of its own. */
