Divide a changed limit anew without cutting a lowered plan for three seconds

A plan lowered from 60 to 4 was divided in one part in place of six, and its owner counted the smaller share for 3 s: a sixth of the new limit. Shares of different limits can't be compared; what counts is statements a second and of burst. Script shares_divided: 7 admitted in the two seconds after the change before, 12 now (4 + 2 * 4). Without the rule 25 were admitted in the half second after the plan was raised from 4 to 60, where VMs that had not heard of it still divided the old way; with it 2.

--- a/control/share.c
+++ b/control/share.c
@@ -20,10 +20,15 @@
 	kl_share_t *share;
 	kl_bucket_t *bucket;
 	uint64_t asked;
+	uint64_t rate;
+	uint64_t burst;
 	kl_parts_t parts;
-	kl_parts_t parts_before; /* of an earlier configuration */
-	uint64_t parts_us;	 /* when they changed */
-	uint32_t cursor;	 /* over its lenders */
+	/* The same of the configuration before, and when that ended. */
+	uint64_t rate_before;
+	uint64_t burst_before;
+	kl_parts_t parts_before;
+	uint64_t divided_us;
+	uint32_t cursor; /* over its lenders */
 	bool wanted;
 	bool credited; /* with what its part missed while it was down */
 } account_t;
@@ -45,7 +50,7 @@
 
 static void take_config(kl_node_t *node, share_state_t *state, uint64_t owned);
 static void take_parts(kl_node_t *node, share_state_t *state,
-		       account_t *account, uint64_t burst);
+		       account_t *account, const kl_plan_t *plan);
 static uint64_t share_of(const kl_parts_t *parts, uint64_t mask);
 static uint64_t part_of(const kl_node_t *node, const share_state_t *state,
 			const account_t *account);
@@ -171,7 +176,7 @@
 		account->wanted = true;
 		kl_share_limit(account->share, plan ? plan->rate : 0,
 			       plan ? plan->burst : 0);
-		take_parts(node, state, account, plan ? plan->burst : 0);
+		take_parts(node, state, account, plan);
 		ck_pr_store_64(&account->bucket->session_cap,
 			       kl_slots_part(node, state->slots,
 					     plan ? plan->connections : 0));
@@ -190,16 +195,21 @@
 }
 
 static void take_parts(kl_node_t *node, share_state_t *state,
-		       account_t *account, uint64_t burst)
+		       account_t *account, const kl_plan_t *plan)
 {
+	uint64_t burst = plan ? plan->burst : 0;
 	kl_parts_t parts =
 		kl_slots_parts(state->slots, account->name.name, burst);
 
-	if (parts.mask == account->parts.mask)
-		return;
-	account->parts_before = account->parts;
-	account->parts = parts;
-	account->parts_us = kl_node_now(node);
+	if (parts.mask != account->parts.mask) {
+		account->parts_before = account->parts;
+		account->rate_before = account->rate;
+		account->burst_before = account->burst;
+		account->parts = parts;
+		account->divided_us = kl_node_now(node);
+	}
+	account->rate = plan ? plan->rate : 0;
+	account->burst = burst;
 }
 
 /* The share of a limit that some parts of its class make. */
@@ -211,21 +221,27 @@
 }
 
 /*
- * While VMs may still divide the limit in other parts, the smaller share: all
- * together must not have more than the whole.
+ * While VMs may still divide the limit in other parts, no more than this VM's
+ * part was before: all together keep within the old limit or the new one.
  */
 static uint64_t part_of(const kl_node_t *node, const share_state_t *state,
 			const account_t *account)
 {
 	uint64_t mask = state->usable[account->parts.class];
 	uint64_t owned = share_of(&account->parts, mask);
-	uint64_t before;
+	uint64_t before, least = owned;
 
 	if (!account->parts_before.count ||
-	    kl_node_now(node) - account->parts_us > SPREAD_US)
+	    kl_node_now(node) - account->divided_us > SPREAD_US)
 		return owned;
 	before = share_of(&account->parts_before, mask);
-	return before < owned ? before : owned;
+	if (account->rate &&
+	    before * account->rate_before / account->rate < least)
+		least = before * account->rate_before / account->rate;
+	if (account->burst &&
+	    before * account->burst_before / account->burst < least)
+		least = before * account->burst_before / account->burst;
+	return least;
 }
 
 static account_t *account_new(kl_node_t *node, share_state_t *state,
