--- a/daemon/main.c
+++ b/daemon/main.c
@@ -28,7 +28,9 @@
 	kl_line_worker_t *line;
 } server_t;
 
-static int serve(const kl_settings_t *settings, const char *path);
+static void block_signals(sigset_t *signals);
+static int serve(const kl_settings_t *settings, const char *path,
+		 sigset_t *signals);
 static int server_start(server_t *server, const kl_settings_t *settings,
 			kl_control_thread_t *control);
 static void server_drain(const server_t *server);
@@ -56,7 +58,10 @@
 	kl_settings_t *settings = NULL;
 	GError *error = NULL;
 	int status = EXIT_USAGE;
+	sigset_t signals;
 
+	/* First of all: until then SIGHUP ends the process. */
+	block_signals(&signals);
 	g_option_context_set_summary(
 		context, "Database proxy with session consistency: the daemon "
 			 "of one VM.");
@@ -75,7 +80,7 @@
 	settings = kl_settings_load(path);
 	if (!settings)
 		goto out;
-	status = check ? EXIT_OK : serve(settings, path);
+	status = check ? EXIT_OK : serve(settings, path, &signals);
 out:
 	if (settings)
 		kl_settings_free(settings);
@@ -84,19 +89,23 @@
 	return status;
 }
 
-static int serve(const kl_settings_t *settings, const char *path)
+/* Every thread inherits the mask; signals are taken by sigwait. */
+static void block_signals(sigset_t *signals)
+{
+	sigemptyset(signals);
+	sigaddset(signals, SIGTERM);
+	sigaddset(signals, SIGINT);
+	sigaddset(signals, SIGHUP);
+	pthread_sigmask(SIG_BLOCK, signals, NULL);
+}
+
+static int serve(const kl_settings_t *settings, const char *path,
+		 sigset_t *signals)
 {
 	kl_control_thread_t *control = NULL;
 	server_t server = { NULL, NULL };
 	int status = EXIT_FAILED;
-	sigset_t signals;
 
-	/* Every thread inherits the mask; signals are taken by sigwait. */
-	sigemptyset(&signals);
-	sigaddset(&signals, SIGTERM);
-	sigaddset(&signals, SIGINT);
-	sigaddset(&signals, SIGHUP);
-	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_ALL) ||
 	    evthread_use_pthreads())
@@ -106,9 +115,9 @@
 	if (!control || server_start(&server, settings, control))
 		goto out;
 	kl_log_text("started", settings->domain);
-	wait_for_stop(&signals, path);
-	sigdelset(&signals, SIGHUP);
-	drain(settings, control, &server, &signals);
+	wait_for_stop(signals, path);
+	sigdelset(signals, SIGHUP);
+	drain(settings, control, &server, signals);
 	status = EXIT_OK;
 out:
 	server_free(&server);
