Give the soak's callers random numbers of their own

The faults of a seed came at other places in each run, since callers drew from the same generator and how many operations fit in differs.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -25,7 +25,8 @@
 #define MOST_FOR_MS 2500
 #define LONG_PART 4 /* one of so many faults lasts longer */
 #define LONG_MORE_MS 5000
-#define DOWN_MS 600 /* a process is down for so long, at least */
+#define CALLERS_SEED 1000000u /* beside that of the faults */
+#define DOWN_MS 600	      /* a process is down for so long, at least */
 #define RELAYS (2 * SOAK_VMS + SOAK_DATABASES)
 
 /* A fault's end. */
@@ -145,6 +146,7 @@
 {
 	struct event_base *base = event_base_new();
 	callers_t *callers;
+	GRand *chance;
 	char *log;
 	int violations;
 
@@ -161,7 +163,9 @@
 	for (int i = 0; i < SOAK_DATABASES; i++)
 		relays[2 * SOAK_VMS + i] = relay_new(
 			base, SOAK_LINE_RELAY + 1 + i, SOAK_LINE + 1 + i);
-	callers = callers_new(base, dice);
+	/* Of their own: how many operations fit in differs from run to run. */
+	chance = g_rand_new_with_seed(seed + CALLERS_SEED);
+	callers = callers_new(base, chance);
 	pass_time(base, started_us + START_MS * 1000);
 	play_faults(base,
 		    started_us + START_MS * 1000 + (uint64_t)seconds * 1000000);
@@ -188,6 +192,7 @@
 		relay_free(relays[i]);
 	g_array_unref(repairs);
 	g_rand_free(dice);
+	g_rand_free(chance);
 	event_base_free(base);
 	return violations;
 }
