Keep idle connections where statements waited lately

Now they are closed only where no statement waited for a quarter of its objective, or for a full window, in the last second.

--- a/path/engine_channel.c
+++ b/path/engine_channel.c
@@ -4,14 +4,16 @@
 
 #include "path/engine_internal.h"
 
-#define ASK_US (500 * KL_MS)	 /* a question is given up after this */
-#define ABANDON_US (3 * KL_SEC)	 /* so is what a caller left behind */
-#define FRESH_US (700 * KL_MS)	 /* the primary is asked this often */
-#define USED_US (10 * KL_SEC)	 /* a group unused so long isn't asked */
-#define IDLE_US (300 * KL_MS)	 /* an unused connection is closed */
-#define SURPLUS_US (200 * KL_MS) /* one beside others is */
-#define GROW_US (150 * KL_MS)	 /* between two steps above that part */
-#define LIMIT_US (1500 * KL_MS)	 /* none after the database had too many */
+#define ASK_US (500 * KL_MS)	   /* a question is given up after this */
+#define ABANDON_US (3 * KL_SEC)	   /* so is what a caller left behind */
+#define FRESH_US (700 * KL_MS)	   /* the primary is asked this often */
+#define USED_US (10 * KL_SEC)	   /* a group unused so long isn't asked */
+#define IDLE_US (300 * KL_MS)	   /* an unused connection is closed */
+#define IDLE_MOST_US (20 * KL_SEC) /* also where statements waited */
+#define CALM_US (1 * KL_SEC)	   /* none waited for so long */
+#define SURPLUS_US (200 * KL_MS)   /* one beside others is */
+#define GROW_US (150 * KL_MS)	   /* between two steps above that part */
+#define LIMIT_US (1500 * KL_MS)	   /* none after the database had too many */
 #define PRESSED_PART 4 /* of its objective that one may wait in order */
 #define BACKOFF_US (30 * KL_MS) /* after a refused connection */
 
@@ -27,6 +29,7 @@
 static void ask_primary(kl_engine_t *engine, kl_cluster_t *cluster);
 static void ask_place(kl_place_t *place, bool proven);
 static void move_reads(kl_place_t *place);
+static bool is_spare(const kl_place_t *place, uint64_t unused_us);
 static bool overdue(const kl_channel_t *channel, uint64_t now);
 
 kl_channel_t *kl_channel_idle(const kl_place_t *place, const char *workspace)
@@ -104,6 +107,9 @@
 	uint32_t want = 0;
 
 	lend_idle(place);
+	if (is_pressed(place) ||
+	    (place->waiting && place->running >= place->window))
+		place->queued_us = now;
 	CK_STAILQ_FOREACH_SAFE(caller, &place->queue, queued, next) {
 		want++;
 		if (opening(place, caller->workspace) >= want ||
@@ -335,8 +341,7 @@
 			    channel->asks)
 				kl_place_bad(place, false, channel->since_us);
 			kl_channel_drop(channel);
-		} else if (idle && (!place->present || since > IDLE_US ||
-				    (since > SURPLUS_US && place->open > 1))) {
+		} else if (idle && is_spare(place, since)) {
 			kl_channel_drop(channel);
 		}
 	}
@@ -362,6 +367,21 @@
 		kl_place_serve(place);
 }
 
+/*
+ * Where statements waited lately each new connection takes a slot from them:
+ * there only what is above an even part is closed.
+ */
+static bool is_spare(const kl_place_t *place, uint64_t unused_us)
+{
+	uint64_t now = place->cluster->engine->now;
+
+	if (!place->present || unused_us > IDLE_MOST_US)
+		return true;
+	if (now - place->queued_us < CALM_US)
+		return unused_us > SURPLUS_US && place->open > place->part;
+	return unused_us > (place->open > 1 ? SURPLUS_US : IDLE_US);
+}
+
 static bool overdue(const kl_channel_t *channel, uint64_t now)
 {
 	const kl_engine_t *engine = channel->place->cluster->engine;
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -64,6 +64,7 @@
 	uint64_t progress_us;	 /**< last answer, or first of what runs */
 	bool doubted;		 /**< an answer is overdue: to be asked */
 	uint32_t waiting;	 /**< statements that wait for a connection */
+	uint64_t queued_us;	 /**< statements waited long then */
 	uint64_t refused_us;	 /**< a connection was refused then */
 	uint64_t failing_us;	 /**< since when all fails, or 0 */
 	uint64_t tried_us;	 /**< last failure */
