Let a new slot's owner spend its part of the burst at once

Cause: scripts/demo ended with status 1 because the first write of a new fleet was answered BUSY rate. A slot that was just claimed is unused for 0.4 s, so that tokens lent by its former owner expire, and starts empty; admit_wait_ms (200) is shorter. Ruled out: slots without an owner (both VMs showed 12), the plan (100/s, untouched).

Change: a VM that created the slot's record, by a conditional update of an object that did not exist, knows that nobody has used or lent its tokens. It uses the slot at once and credits its part of the burst once, for quotas that are older than the slot.

--- a/control/share.c
+++ b/control/share.c
@@ -38,6 +38,8 @@
 	bool in_configuration;	   /* the workspace is in the configuration */
 	/* Tokens for the time since the earlier process were added. */
 	bool downtime_credited;
+	/* Created slots whose part of the burst is or must not be credited. */
+	uint64_t created_slots_handled;
 } quota_t;
 
 typedef CK_STAILQ_HEAD(quota_list, quota) quota_list_t;
@@ -74,6 +76,7 @@
 static bool quota_is_idle(const quota_t *quota);
 static void update_quota(kl_node_t *node, share_state_t *state, quota_t *quota,
 			 uint64_t lease_end_us);
+static void credit_created_slots(const share_state_t *state, quota_t *quota);
 static void request_loans(kl_node_t *node, share_state_t *state, quota_t *quota,
 			  uint64_t now);
 static void handle_loan_message(kl_node_t *node, share_state_t *state,
@@ -186,9 +189,11 @@
 	CK_STAILQ_FOREACH(workspace, &config->workspaces, link) {
 		const char *name = workspace->name.name;
 		const kl_plan_t *plan = workspace->plan;
+		bool is_new;
 
 		quota = kl_index_get(state->index, name);
-		if (!quota) {
+		is_new = !quota;
+		if (is_new) {
 			quota = quota_new(node, state, name);
 			changed = true;
 		}
@@ -198,6 +203,9 @@
 		kl_share_set_limit(quota->share, plan ? plan->rate : 0,
 				   plan ? plan->burst : 0);
 		assign_slots(node, state, quota, plan);
+		if (is_new)
+			quota->created_slots_handled = kl_slots_created_mask(
+				state->slot_table, quota->slots.class);
 		ck_pr_store_64(&quota->bucket->max_sessions,
 			       kl_slots_scale_to_usable(
 				       node, state->slot_table,
@@ -373,12 +381,32 @@
 							quota->slots.class)),
 			node->tuning.min_downtime_us);
 	}
+	credit_created_slots(state, quota);
 	kl_share_add_demand(quota->share, now,
 			    arrivals - quota->last_arrival_count, waiting);
 	quota->last_arrival_count = arrivals;
 	request_loans(node, state, quota, now);
 }
 
+/*
+ * A slot that no VM owned before starts with its whole part of the burst, so
+ * that the first statements of a new fleet are admitted.  That is safe only for
+ * quotas that are older than the slot: a workspace that was removed and added
+ * again may have spent its burst.
+ */
+static void credit_created_slots(const share_state_t *state, quota_t *quota)
+{
+	uint64_t created =
+		kl_slots_created_mask(state->slot_table, quota->slots.class) &
+		~quota->created_slots_handled;
+
+	if (!created)
+		return;
+	quota->created_slots_handled |= created;
+	kl_share_credit_burst(quota->share,
+			      slots_part_ppm(&quota->slots, created));
+}
+
 /*
  * Requests the tokens that are short from owners of the workspace's slots.  The
  * first pass asks lenders of this VM's failure domain, which are nearest and
--- a/control/share_loan.c
+++ b/control/share_loan.c
@@ -96,6 +96,14 @@
 	share->ops->add(share->bucket, (int64_t)tokens, token_cap(share));
 }
 
+void kl_share_credit_burst(kl_share_t *share, uint64_t part)
+{
+	uint64_t tokens = share->burst * part /
+			  (KL_SHARE_WHOLE_PPM / KL_TOKENS_PER_STATEMENT);
+
+	share->ops->add(share->bucket, (int64_t)tokens, token_cap(share));
+}
+
 void kl_share_tick(kl_share_t *share, uint64_t now_us)
 {
 	uint64_t elapsed, refill;
--- a/control/slot.c
+++ b/control/slot.c
@@ -86,6 +86,7 @@
 			    const kl_platform_answer_t *answer)
 {
 	uint32_t number = slots->count;
+	bool created;
 	slot_t *slot;
 
 	if (sscanf(answer->name, SLOT_PREFIX "%u", &number) != 1 ||
@@ -96,7 +97,9 @@
 	    answer->call_sent_us != slot->update_sent_us ||
 	    answer->revision <= slot->record_version)
 		return;
+	created = !slot->record_version;
 	slot->from_earlier_process = reset_state(node, slot, answer->revision);
+	slot->created_here = created;
 	memcpy(slot->owner, node->self.vm, KL_NAME_MAX);
 	memcpy(slot->host, node->self.host, KL_HOST_MAX);
 	slot->port = node->self.port;
@@ -118,6 +121,7 @@
 	slot->claimable_since_us = 0;
 	slot->update_sent_us = 0;
 	slot->update_is_claim = false;
+	slot->created_here = false;
 	return kl_slot_is_claimable(node, slot, slot->first_seen_us) &&
 	       slot->owner[0];
 }
@@ -185,8 +189,23 @@
 		slot->from_earlier_process ? node->tuning.min_downtime_us : 0;
 
 	return kl_slot_is_own(slots, slot) && !slot->revoked &&
-	       kl_node_now(node) - owned_since_us + unused_us >=
-		       TRANSFER_WAIT_US;
+	       (slot->created_here ||
+		kl_node_now(node) - owned_since_us + unused_us >=
+			TRANSFER_WAIT_US);
+}
+
+uint64_t kl_slots_created_mask(const kl_slots_t *slots, uint32_t class)
+{
+	uint64_t mask = 0, bit = 1;
+
+	for (uint32_t i = class; i < slots->count;
+	     i += slots->workspace_class_count) {
+		if (kl_slot_is_own(slots, &slots->table[i]) &&
+		    slots->table[i].created_here)
+			mask |= bit;
+		bit <<= 1;
+	}
+	return mask;
 }
 
 uint64_t kl_slots_inherited_mask(const kl_slots_t *slots, uint32_t class)
--- a/control/slot.h
+++ b/control/slot.h
@@ -77,6 +77,12 @@
  */
 uint64_t kl_slots_inherited_mask(const kl_slots_t *slots, uint32_t class);
 
+/**
+ * This VM's slots of a class that no VM owned before this process, as the bits
+ * of a set.
+ */
+uint64_t kl_slots_created_mask(const kl_slots_t *slots, uint32_t class);
+
 /** Number of slots recorded as this VM's, usable or not. */
 uint32_t kl_slots_owned(const kl_slots_t *slots);
 
--- a/control/slot_internal.h
+++ b/control/slot_internal.h
@@ -20,6 +20,8 @@
 	uint64_t first_seen_us;	   /* when this version was first seen */
 	bool from_earlier_process; /* owned before by an earlier process at this
 				      address */
+	bool created_here; /* this process created the record: no VM has ever
+			      used or lent its tokens */
 	uint64_t released_version; /* newest version that this VM released */
 	uint64_t update_sent_us;   /* last update sent for this version, or 0 */
 	bool update_is_claim;	   /* that update claims the slot */
--- a/include/kumquatloft/share.h
+++ b/include/kumquatloft/share.h
@@ -116,6 +116,14 @@
 void kl_share_credit_downtime(kl_share_t *share, uint64_t part_ppm,
 			      uint64_t down_us);
 
+/**
+ * Add the tokens that a part of the burst stands for.  Allowed once, when the
+ * part comes into existence: no node may have owned it before.
+ *
+ * @param part_ppm the part, parts per million
+ */
+void kl_share_credit_burst(kl_share_t *share, uint64_t part_ppm);
+
 /** Advance the time: expire loans and add tokens at the owned rate. */
 void kl_share_tick(kl_share_t *share, uint64_t now_us);
 
