Suspect a new primary only for what fails after its promotion

Ruled out: dead databases (all answered), timeouts (none between promotion and suspicion).

Change: failures count from the time at which the record of the new primary was first seen; a refusal for too many connections ends a failure report, in the engine and in the check of a suspected primary. A new log line, primary_suspected, says when and why a VM suspects a primary.

Result: script promote_stale_failure: terms 2, 3, 4 within 2 s before, term 2 only now; engine full_is_alive: reported healthy while full, before only once a connection was accepted.

--- a/control/promote.c
+++ b/control/promote.c
@@ -60,6 +60,8 @@
 static void step_promoting(kl_promote_ctx_t *ctx);
 static void create_record(kl_promote_ctx_t *ctx);
 static bool primary_failed(kl_promote_ctx_t *ctx);
+static const char *failure_reason(kl_promote_ctx_t *ctx);
+static void log_suspicion(kl_promote_ctx_t *ctx);
 static bool primary_leaving(const kl_promote_ctx_t *ctx);
 static bool may_act(const kl_promote_ctx_t *ctx, uint64_t expected_us);
 static void claim_term(kl_promote_ctx_t *ctx, const char *reason);
@@ -306,12 +308,40 @@
  * some time, or all requests to it have failed for some time.
  */
 static bool primary_failed(kl_promote_ctx_t *ctx)
+{
+	kl_promotion_t *promotion = ctx->promotion;
+
+	promotion->suspicion_reason = failure_reason(ctx);
+	if (!promotion->suspicion_reason)
+		promotion->suspicion_logged = false;
+	else if (!promotion->suspicion_logged)
+		log_suspicion(ctx);
+	return promotion->suspicion_reason != NULL;
+}
+
+static void log_suspicion(kl_promote_ctx_t *ctx)
+{
+	kl_promotion_t *promotion = ctx->promotion;
+	kl_node_t *node = ctx->base.node;
+	kl_decision_t decision = { .name = "primary_suspected",
+				   .service = ctx->base.group->name.name,
+				   .upstream = ctx->base.group->primary,
+				   .reason = promotion->suspicion_reason,
+				   .term = ctx->base.group->term };
+
+	promotion->suspicion_logged = true;
+	node->ops->log_decision(node->ops_context, &decision);
+}
+
+/* Returns why this VM considers the primary failed, or NULL if it does not. */
+static const char *failure_reason(kl_promote_ctx_t *ctx)
 {
 	kl_promotion_t *promotion = ctx->promotion;
 	const char *primary = ctx->base.group->primary;
 	const kl_confirmation_t *confirmation =
 		kl_node_get(ctx->base.node, KL_SECTION_CONFIRMATION);
 	uint64_t now = ctx->base.now;
+	uint64_t failing_since_us, failing_us;
 
 	if (kl_service_find_upstream(ctx->base.service, primary)) {
 		promotion->unregistered_since_us = 0;
@@ -327,13 +357,20 @@
 			promotion->unregistered_since_us = now;
 		if (now - promotion->unregistered_since_us >
 		    UNREGISTERED_SUSPECT_US)
-			return true;
+			return "unregistered";
 	}
-	return !strcmp(promotion->failing_upstream, primary) &&
-	       now - promotion->failing_since_us >=
-		       (promotion->upstream_refuses_connections
-				? REFUSED_SUSPECT_US
-				: ctx->base.node->tuning.suspect_after_us);
+	if (strcmp(promotion->failing_upstream, primary))
+		return NULL;
+	/* What failed before this database became primary doesn't count. */
+	failing_since_us = promotion->failing_since_us;
+	if (failing_since_us < ctx->base.group->first_seen_us)
+		failing_since_us = ctx->base.group->first_seen_us;
+	failing_us = now - failing_since_us;
+	if (promotion->upstream_refuses_connections)
+		return failing_us >= REFUSED_SUSPECT_US ? "refused" : NULL;
+	return failing_us >= ctx->base.node->tuning.suspect_after_us
+		       ? "unanswered"
+		       : NULL;
 }
 
 /* Whether the primary is leaving and another database isn't. */
--- a/control/promote_event.c
+++ b/control/promote_event.c
@@ -107,9 +107,8 @@
 		return;
 	if (call->new_connection) {
 		/* The answer of a primary that another prober suspects. */
-		if (answer->error == -KL_E_CONNECTIONS)
-			return; /* at its connection limit, but alive */
-		if (answer->error) {
+		/* One that is at its connection limit is alive. */
+		if (answer->error && answer->error != -KL_E_CONNECTIONS) {
 			check.refuses_connections =
 				answer->error == -KL_E_UPSTREAM;
 			check.failing_since_us =
--- a/control/promote_internal.h
+++ b/control/promote_internal.h
@@ -38,6 +38,9 @@
 	uint64_t failing_since_us; /**< time since which they fail */
 	/** failing_upstream refuses connections. */
 	bool upstream_refuses_connections;
+	/** Why this VM suspects the primary, or NULL. */
+	const char *suspicion_reason;
+	bool suspicion_logged;
 	/** Time since which the primary is not registered, or 0. */
 	uint64_t unregistered_since_us;
 	uint64_t fencing_completed_us; /**< when fencing was completed, or 0 */
--- a/path/engine_conn.c
+++ b/path/engine_conn.c
@@ -333,8 +333,10 @@
 	else if (was_open)
 		endpoint->may_be_down = true;
 	conn_free(conn);
-	if (error == -KL_E_CONNECTIONS)
+	if (error == -KL_E_CONNECTIONS) {
+		kl_endpoint_is_alive(endpoint);
 		lower_conn_limit(endpoint);
+	}
 	if (client)
 		kl_stmt_conn_lost(client);
 	else if (!was_open && error != -KL_E_CONNECTIONS)
--- a/path/engine_endpoint.c
+++ b/path/engine_endpoint.c
@@ -278,10 +278,14 @@
 
 void kl_endpoint_succeeded(kl_endpoint_t *endpoint)
 {
-	bool was_failing = endpoint->failing_since_us != 0;
-
 	endpoint->last_progress_us = endpoint->cluster->engine->now_us;
 	endpoint->may_be_down = false;
+	kl_endpoint_is_alive(endpoint);
+}
+
+void kl_endpoint_is_alive(kl_endpoint_t *endpoint)
+{
+	bool was_failing = endpoint->failing_since_us != 0;
 
 	endpoint->failing_since_us = 0;
 	endpoint->refuses_conns = false;
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -283,6 +283,11 @@
 kl_endpoint_t *kl_endpoint_find(kl_cluster_t *cluster, const char *name);
 /** Record that the database replied, which ends a failure. */
 void kl_endpoint_succeeded(kl_endpoint_t *endpoint);
+/**
+ * Record that the database is up, though it runs no statement: it refused a
+ * connection because it has too many.
+ */
+void kl_endpoint_is_alive(kl_endpoint_t *endpoint);
 /**
  * Record a failure of the upstream and report it.
  *
--- a/tests/engine_model.c
+++ b/tests/engine_model.c
@@ -416,7 +416,8 @@
 		goto out;
 	switch (event->kind) {
 	case EVENT_CONNECT:
-		if (db->open_connections >= db->max_connections) {
+		if (db->open_connections + db->foreign_connections >=
+		    db->max_connections) {
 			db->connections_rejected++;
 			conn->closed = true;
 			kl_conn_lost(conn->engine_conn, -KL_E_CONNECTIONS,
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -27,8 +27,9 @@
 	uint32_t busy_slots;
 	uint32_t max_connections;
 	uint32_t open_connections;
-	uint64_t statement_us;	  /**< run time of one statement */
-	uint64_t lag_us;	  /**< replication delay, if a replica */
+	uint32_t foreign_connections; /**< held by other VMs */
+	uint64_t statement_us;	      /**< run time of one statement */
+	uint64_t lag_us;	      /**< replication delay, if a replica */
 	uint32_t answers_to_lose; /**< next answers whose connection breaks */
 	uint64_t term;
 	uint64_t statements_run;
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -155,6 +155,8 @@
 		db->answers_to_lose = (uint32_t)value;
 	else if (!strcmp(args[1], "max_connections"))
 		db->max_connections = (uint32_t)value;
+	else if (!strcmp(args[1], "foreign"))
+		db->foreign_connections = (uint32_t)value;
 	else if (!strcmp(args[1], "primary"))
 		db->primary = value;
 	else if (!strcmp(args[1], "term"))
--- a/tests/script_run.c
+++ b/tests/script_run.c
@@ -47,6 +47,8 @@
 static void step_stop(char **words, int count);
 static void step_leaves(char **words, int count);
 static void step_crash_on(char **words, int count);
+static void step_unreported(char **words, int count);
+static void step_fails(char **words, int count);
 static void set_running(const char *name, bool running);
 static void set_partition(const char *name, int partition);
 
@@ -90,6 +92,8 @@
 	{ "leaves", 1, step_leaves },
 	{ "violations", 0, step_violations },
 	{ "crash_on", 2, step_crash_on },
+	{ "unreported", 2, step_unreported },
+	{ "fails", 2, step_fails },
 };
 
 int main(int argc, char **argv)
@@ -423,6 +427,8 @@
 		script_world->data_path_settings.lease_us = us;
 	else if (!strcmp(words[0], "slot_lease"))
 		script_world->tuning.slot_lease_us = us;
+	else if (!strcmp(words[0], "suspect"))
+		script_world->tuning.suspect_after_us = us;
 	else if (!strcmp(words[0], "min_downtime"))
 		script_world->tuning.min_downtime_us = us;
 	else if (!strcmp(words[0], "stale_after"))
@@ -451,6 +457,33 @@
 	world_register_databases(script_world, db->service);
 }
 
+/* unreported DB 0|1: whether VMs report whether requests to it fail. */
+static void step_unreported(char **words, int count)
+{
+	db_t *db = world_find_db(script_world, words[0]);
+	(void)count;
+
+	if (db)
+		db->unreported = atoi(words[1]) != 0;
+}
+
+/* fails VM DB: the VM's requests to the database begin to fail. */
+static void step_fails(char **words, int count)
+{
+	vm_t *vm = world_find_vm(script_world, words[0]);
+	const db_t *db = world_find_db(script_world, words[1]);
+	kl_passive_check_t check = { .failing_since_us = script_world->now_us };
+	kl_event_t event = { .kind = KL_EVENT_PASSIVE_CHECK,
+			     .passive_check = &check };
+	(void)count;
+
+	if (!vm || !db)
+		return;
+	check.service = db->service;
+	check.upstream = db->name;
+	kl_node_step(&vm->node, &event);
+}
+
 /* stop VM: begins a planned stop. */
 static void step_stop(char **words, int count)
 {
--- a/tests/world.h
+++ b/tests/world.h
@@ -59,6 +59,8 @@
 	GArray *written_at_us;	    /**< uint64_t, time of each write in log */
 	uint64_t lag_us; /**< replication delay while it is a replica */
 	bool leaving;	 /**< its registration says that it shuts down */
+	/** requests neither fail nor succeed there: VMs report nothing new */
+	bool unreported;
 	uint64_t promotion_due_at_us; /**< becomes primary at this time, or 0 */
 	uint64_t promotion_term;      /**< term of that promotion */
 	uint64_t fencing_token;	      /**< of the last promotion in its group */
--- a/tests/world_promote.c
+++ b/tests/world_promote.c
@@ -138,7 +138,8 @@
 			kl_event_t event = { .kind = KL_EVENT_PASSIVE_CHECK,
 					     .passive_check = &check };
 
-			if (!vm->up || vm->frozen || i >= WORLD_CHECKED_DBS)
+			if (!vm->up || vm->frozen || db->unreported ||
+			    i >= WORLD_CHECKED_DBS)
 				continue;
 			if (can_reach(vm, db))
 				vm->unreachable_since_us[i] = 0;
