Let a replaced promoter wait before it promotes again

Cause: nothing kept two VMs from promoting in the order A, B, A within the promoters' lease of 3 s, when the order of the probers changes between failovers, as it does while VMs restart in turn.

Change: a VM that promoted less than 3.5 s ago and sees another VM as the promoter since then neither claims the next term nor takes a promotion over; the probers of the next ranks act. The simulated platform counts such a turn as a violation, in all scripts and in property world.

--- a/control/promote.c
+++ b/control/promote.c
@@ -52,6 +52,12 @@
 /* A prober checks the primary if it received a suspicion this recently. */
 #define SUSPICION_MAX_AGE_US (1 * KL_SEC)
 
+/*
+ * A promoter that another VM has followed does not promote again for this long
+ * after its last call, so that two VMs never promote in turn.
+ */
+#define REPLACED_PROMOTER_WAIT_US (3500 * KL_MS)
+
 /* Minimum time between rounds of step-down calls. */
 #define STEP_DOWN_INTERVAL_US (500 * KL_MS)
 
@@ -64,6 +70,7 @@
 static void log_suspicion(kl_promote_ctx_t *ctx);
 static bool primary_leaving(const kl_promote_ctx_t *ctx);
 static bool may_act(const kl_promote_ctx_t *ctx, uint64_t expected_us);
+static bool was_replaced_as_promoter(const kl_promote_ctx_t *ctx);
 static void claim_term(kl_promote_ctx_t *ctx, const char *reason);
 static void call_promote(kl_promote_ctx_t *ctx);
 static void check_suspected_primary(kl_promote_ctx_t *ctx);
@@ -162,8 +169,9 @@
 	}
 	if (!failover->triggered_us)
 		failover->triggered_us = ctx->base.now;
-	if (ctx->base.now - failover->triggered_us <
-	    (uint64_t)ctx->base.prober_rank * RANK_DELAY_US)
+	if (was_replaced_as_promoter(ctx) ||
+	    ctx->base.now - failover->triggered_us <
+		    (uint64_t)ctx->base.prober_rank * RANK_DELAY_US)
 		return;
 	claim_term(ctx, failed ? "primary_fails" : "primary_leaves");
 }
@@ -282,6 +290,7 @@
 		     RETRY_INTERVAL_US))
 		return;
 	ctx->promotion->last_promote_call_us = ctx->base.now;
+	ctx->promotion->last_own_promotion_us = ctx->base.now;
 	memcpy(call.name, group->name.name, KL_NAME_MAX);
 	ctx->base.node->ops->call_platform(ctx->base.node->ops_context, &call);
 }
@@ -297,12 +306,21 @@
 
 	if (!strcmp(ctx->base.group->promoter, ctx->base.node->self.vm))
 		return true;
-	return ctx->base.prober_rank >= 0 &&
+	return ctx->base.prober_rank >= 0 && !was_replaced_as_promoter(ctx) &&
 	       state_age_us >
 		       expected_us + TAKEOVER_DELAY_US +
 			       (uint64_t)ctx->base.prober_rank * RANK_DELAY_US;
 }
 
+/* Whether another VM took over after this one promoted a short time ago. */
+static bool was_replaced_as_promoter(const kl_promote_ctx_t *ctx)
+{
+	uint64_t own_us = ctx->promotion->last_own_promotion_us;
+
+	return own_us && ctx->base.now - own_us < REPLACED_PROMOTER_WAIT_US &&
+	       strcmp(ctx->base.group->promoter, ctx->base.node->self.vm);
+}
+
 /*
  * Whether this VM considers the primary failed: it has not been registered for
  * some time, or all requests to it have failed for some time.
--- a/control/promote_internal.h
+++ b/control/promote_internal.h
@@ -44,7 +44,9 @@
 	/** Time since which the primary is not registered, or 0. */
 	uint64_t unregistered_since_us;
 	uint64_t fencing_completed_us; /**< when fencing was completed, or 0 */
-	/** Time of the last promotion call to the platform, or 0. */
+	/** Time of this VM's last promotion call in any term, or 0. */
+	uint64_t last_own_promotion_us;
+	/** Time of the last promotion call for this record, or 0. */
 	uint64_t last_promote_call_us;
 	/** The platform accepted that call. */
 	bool platform_accepted_promotion;
--- a/tests/world.h
+++ b/tests/world.h
@@ -65,6 +65,10 @@
 	uint64_t promotion_term;      /**< term of that promotion */
 	uint64_t fencing_token;	      /**< of the last promotion in its group */
 	char fencing_token_vm[KL_NAME_MAX]; /**< VM that sent that token */
+	/** VM that promoted before fencing_token_vm, and its last call */
+	char replaced_promoter[KL_NAME_MAX];
+	uint64_t replaced_promoter_us;
+	uint64_t last_promotion_us; /**< last call of fencing_token_vm */
 } db_t;
 
 /** Offered load of one workspace at one VM. */
--- a/tests/world_promote.c
+++ b/tests/world_promote.c
@@ -12,7 +12,10 @@
 #define PROMOTION_DURATION_US (600 * KL_MS)
 /* A database must be unreachable this long before it is reported as failing. */
 #define FAILURE_NOTICE_US (300 * KL_MS)
+/* A VM whose promotion another VM's followed must not promote for this long. */
+#define PROMOTER_LEASE_US (3 * KL_SEC)
 
+static bool promotes_in_turn(world_t *world, db_t *db, const char *vm);
 static void register_database(world_t *world, const db_t *db, guint number);
 static bool can_reach(const vm_t *vm, const db_t *db);
 
@@ -74,6 +77,7 @@
 			   uint64_t token)
 {
 	db_t *db = world_find_db(world, name);
+	bool in_turn = false;
 
 	if (!db || !db->up)
 		return -KL_E_CONFLICT;
@@ -93,9 +97,18 @@
 
 		if (strcmp(other->service, db->service))
 			continue;
+		in_turn |= promotes_in_turn(world, other, vm->name);
 		other->fencing_token = token;
 		kl_name_copy(other->fencing_token_vm, vm->name);
 	}
+	if (in_turn) {
+		world->violations++;
+		if (world->decision_log)
+			fprintf(world->decision_log,
+				"violation: %s promotes again, in turn with "
+				"another VM\n",
+				vm->name);
+	}
 	if (db->is_primary) {
 		/* A primary takes on the term of the newest promotion call. */
 		db->term = token;
@@ -107,6 +120,26 @@
 	return 0;
 }
 
+/*
+ * Records a promotion call in one database's state.
+ *
+ * @return whether the VM promoted before another VM did, less than
+ *         PROMOTER_LEASE_US ago
+ */
+static bool promotes_in_turn(world_t *world, db_t *db, const char *vm)
+{
+	bool in_turn =
+		!strcmp(db->replaced_promoter, vm) &&
+		world->now_us - db->replaced_promoter_us < PROMOTER_LEASE_US;
+
+	if (strcmp(db->fencing_token_vm, vm)) {
+		kl_name_copy(db->replaced_promoter, db->fencing_token_vm);
+		db->replaced_promoter_us = db->last_promotion_us;
+	}
+	db->last_promotion_us = world->now_us;
+	return in_turn;
+}
+
 void world_complete_promotions(world_t *world)
 {
 	for (guint i = 0; i < world->dbs->len; i++) {
