Share the log positions of primaries between VMs

Change: a controller, position, that asks a random VM of the failure domain for positions that reads need, and publishes them in a new section. The age is taken off the time of the query, so a position never looks newer than it is; it counts only under the record version of its group. Two new kinds of messages; an older VM counts them as malformed and ignores them. The mutation test now covers every kind of message.

--- a/board/sections.c
+++ b/board/sections.c
@@ -18,6 +18,7 @@
 static void destroy_terms(kl_snapshot_t *snapshot);
 static void destroy_members(kl_snapshot_t *snapshot);
 static void destroy_health(kl_snapshot_t *snapshot);
+static void destroy_positions(kl_snapshot_t *snapshot);
 static void destroy_plain(kl_snapshot_t *snapshot);
 
 kl_object_t *kl_object_new(const char *name, uint64_t version, const char *body)
@@ -123,6 +124,22 @@
 	return health;
 }
 
+kl_positions_t *kl_positions_new(size_t expected)
+{
+	kl_positions_t *positions = calloc(1, sizeof(*positions));
+
+	if (!positions)
+		return NULL;
+	positions->base.destroy = destroy_positions;
+	CK_STAILQ_INIT(&positions->list);
+	positions->index = kl_index_new(expected);
+	if (!positions->index) {
+		free(positions);
+		return NULL;
+	}
+	return positions;
+}
+
 kl_confirmation_t *kl_confirmation_new(uint64_t revision, uint64_t confirmed_us)
 {
 	kl_confirmation_t *confirmation = calloc(1, sizeof(*confirmation));
@@ -239,6 +256,15 @@
 	free(health);
 }
 
+static void destroy_positions(kl_snapshot_t *snapshot)
+{
+	kl_positions_t *positions = (kl_positions_t *)snapshot;
+
+	free_list(&positions->list, kl_primary_position_t);
+	kl_index_free(positions->index);
+	free(positions);
+}
+
 static void destroy_plain(kl_snapshot_t *snapshot)
 {
 	free(snapshot);
--- a/board/sections.h
+++ b/board/sections.h
@@ -291,6 +291,27 @@
 	kl_phase_t phase;
 } kl_lifecycle_t;
 
+/**
+ * Log position that a group's primary reported while its lease was valid, to
+ * this VM or another.  The log up to it holds every commit that was
+ * acknowledged before sampled_us.
+ */
+typedef struct kl_primary_position {
+	kl_named_t name; /**< of the service */
+	CK_STAILQ_ENTRY(kl_primary_position) link;
+	uint64_t group_version; /**< of the record that names the primary */
+	uint64_t term;		/**< of the log position; 0 if none is known */
+	uint64_t number;	/**< of the log position */
+	uint64_t sampled_us;	/**< by this VM's clock, never too late */
+} kl_primary_position_t;
+
+/** The newest known log position of each service's primary. */
+typedef struct kl_positions {
+	kl_snapshot_t base;
+	CK_STAILQ_HEAD(, kl_primary_position) list;
+	kl_index_t *index;
+} kl_positions_t;
+
 /** Create an object with a copy of body. @return NULL when out of memory */
 kl_object_t *kl_object_new(const char *name, uint64_t version,
 			   const char *body);
@@ -312,6 +333,7 @@
 kl_terms_t *kl_terms_new(size_t expected);
 kl_members_t *kl_members_new(size_t expected);
 kl_health_t *kl_health_new(size_t expected);
+kl_positions_t *kl_positions_new(size_t expected);
 kl_confirmation_t *kl_confirmation_new(uint64_t revision,
 				       uint64_t confirmed_us);
 kl_lifecycle_t *kl_lifecycle_new(kl_phase_t phase);
--- a/control/control.c
+++ b/control/control.c
@@ -53,6 +53,10 @@
 				  SECTION(CONFIG), KL_SECTION_LIFECYCLE,
 				  kl_drain_create, kl_drain_step,
 				  kl_drain_destroy },
+	[KL_CONTROLLER_POSITION] = { "position", EVENT(PEER) | EVENT(POSITION),
+				     0, KL_SECTION_POSITIONS,
+				     kl_position_create, kl_position_step,
+				     kl_position_destroy },
 };
 
 void kl_tuning_default(kl_tuning_t *tuning)
--- a/control/node.h
+++ b/control/node.h
@@ -31,6 +31,7 @@
 	KL_CONTROLLER_PROMOTE,
 	KL_CONTROLLER_SHARE,
 	KL_CONTROLLER_DRAIN,
+	KL_CONTROLLER_POSITION,
 	KL_CONTROLLER_COUNT
 } kl_controller_id_t;
 
@@ -44,6 +45,7 @@
 	KL_EVENT_SERVICE_USED,	  /**< a client used a service on this VM */
 	KL_EVENT_STOP,		  /**< a planned stop of this process begins */
 	KL_EVENT_PASSIVE_CHECK,	  /**< result of a passive health check */
+	KL_EVENT_POSITION,	  /**< a primary's log position, or its lack */
 	KL_EVENT_COUNT
 } kl_event_kind_t;
 
@@ -142,6 +144,8 @@
 	const kl_database_answer_t *database;
 	const char *service; /**< of KL_EVENT_SERVICE_USED */
 	const kl_passive_check_t *passive_check;
+	/** Of KL_EVENT_POSITION; term 0: reads need a newer one. */
+	const kl_primary_position_t *position;
 } kl_event_t;
 
 /** A log record of a decision; members that don't apply are 0. */
--- a/control/peer_message.h
+++ b/control/peer_message.h
@@ -17,8 +17,10 @@
 	KL_PEER_FETCH,	 /**< requests the changes since a revision */
 	KL_PEER_DELTA,	 /**< brings the changes since a revision */
 	KL_PEER_SUSPECT, /**< the sender suspects a group's primary */
-	KL_PEER_LOAN_REQUEST, /**< asks for a loan of a workspace's tokens */
-	KL_PEER_LOAN_GRANT,   /**< lends tokens of a workspace */
+	KL_PEER_LOAN_REQUEST,	/**< asks for a loan of a workspace's tokens */
+	KL_PEER_LOAN_GRANT,	/**< lends tokens of a workspace */
+	KL_PEER_POSITION_QUERY, /**< asks for log positions of primaries */
+	KL_PEER_POSITIONS,	/**< tells log positions of primaries */
 	KL_PEER_KIND_COUNT
 } kl_peer_kind_t;
 
@@ -60,6 +62,29 @@
 	kl_object_list_t objects;
 } kl_peer_delta_t;
 
+/** Most services in a query for log positions, or in its answer. */
+#define KL_PEER_POSITIONS_MAX 16
+
+/** A service in a query for log positions, or in its answer. */
+typedef struct kl_peer_position {
+	char service[KL_NAME_MAX];
+	uint64_t group_version; /**< answer: of the group's record */
+	uint64_t term;		/**< answer: of the primary's log position */
+	uint64_t number;	/**< answer: of the primary's log position */
+	uint64_t age_us; /**< answer: since it was sampled, not too low */
+} kl_peer_position_t;
+
+/**
+ * A query for log positions, or its answer.  The receiver of an answer takes
+ * the age off the time at which it sent the query, so that an answer that is
+ * late makes no position look newer than it is.
+ */
+typedef struct kl_peer_positions {
+	uint64_t query_sent_us; /**< clock of the VM that sent the query */
+	uint32_t count;		/**< entries of list */
+	kl_peer_position_t list[KL_PEER_POSITIONS_MAX];
+} kl_peer_positions_t;
+
 /** A message between VMs; which members are set depends on the kind. */
 typedef struct kl_peer_message {
 	kl_peer_kind_t kind;
@@ -71,6 +96,7 @@
 	uint64_t term; /**< suspect: the term that the primary serves */
 	kl_loan_request_t loan_request;
 	kl_loan_grant_t loan_grant;
+	kl_peer_positions_t positions;
 } kl_peer_message_t;
 
 #endif
--- a/daemon/control_thread.c
+++ b/daemon/control_thread.c
@@ -50,6 +50,7 @@
 	char service[KL_NAME_MAX];
 	char upstream[KL_NAME_MAX];
 	kl_passive_check_t passive_check;
+	kl_primary_position_t position;
 	kl_platform_answer_t platform_answer;
 	kl_object_list_t objects;
 	kl_database_answer_t database_answer;
@@ -208,6 +209,20 @@
 	kl_inbox_post(control->inbox, &message->base);
 }
 
+void kl_control_thread_report_position(kl_control_thread_t *control,
+				       const kl_primary_position_t *position)
+{
+	event_message_t *message = calloc(1, sizeof(*message));
+
+	if (!message)
+		return;
+	message->base.handler = handle_event;
+	message->kind = KL_EVENT_POSITION;
+	message->position = *position;
+	CK_STAILQ_INIT(&message->objects);
+	kl_inbox_post(control->inbox, &message->base);
+}
+
 void kl_control_thread_stop(kl_control_thread_t *control)
 {
 	post_event(control, KL_EVENT_STOP, "");
@@ -436,7 +451,8 @@
 			     .platform = &posted->platform_answer,
 			     .database = &posted->database_answer,
 			     .service = posted->service,
-			     .passive_check = &posted->passive_check };
+			     .passive_check = &posted->passive_check,
+			     .position = &posted->position };
 
 	if (control) {
 		if (posted->kind == KL_EVENT_REQUEST_WAITING) {
--- a/daemon/control_thread.h
+++ b/daemon/control_thread.h
@@ -42,6 +42,13 @@
 void kl_control_thread_report_check(kl_control_thread_t *control,
 				    const kl_passive_check_t *check);
 
+/**
+ * Report a primary's log position, or with term 0 that reads need a newer one;
+ * any thread.
+ */
+void kl_control_thread_report_position(kl_control_thread_t *control,
+				       const kl_primary_position_t *position);
+
 /** Begin a planned stop; any thread. */
 void kl_control_thread_stop(kl_control_thread_t *control);
 
--- a/daemon/line_worker.c
+++ b/daemon/line_worker.c
@@ -79,6 +79,8 @@
 static void engine_tokens_needed(void *context);
 static void engine_report_health(void *context,
 				 const kl_passive_check_t *check);
+static void engine_report_position(void *context,
+				   const kl_primary_position_t *position);
 static void engine_log_decision(void *context, const kl_decision_t *decision);
 
 static const kl_engine_front_events_t front_events = { front_login,
@@ -100,6 +102,7 @@
 	.conn_close = engine_conn_close,
 	.tokens_needed = engine_tokens_needed,
 	.report_health = engine_report_health,
+	.report_position = engine_report_position,
 	.log_decision = engine_log_decision,
 };
 
@@ -451,6 +454,14 @@
 	kl_control_thread_report_check(worker->control, check);
 }
 
+static void engine_report_position(void *context,
+				   const kl_primary_position_t *position)
+{
+	kl_line_worker_t *worker = context;
+
+	kl_control_thread_report_position(worker->control, position);
+}
+
 static void engine_log_decision(void *context, const kl_decision_t *decision)
 {
 	(void)context;
--- a/path/engine.h
+++ b/path/engine.h
@@ -111,6 +111,12 @@
 	void (*tokens_needed)(void *context);
 	/** Report whether requests to an upstream fail. */
 	void (*report_health)(void *context, const kl_passive_check_t *check);
+	/**
+	 * Report a primary's log position for other VMs, or with term 0 that
+	 * reads need a newer one.
+	 */
+	void (*report_position)(void *context,
+				const kl_primary_position_t *position);
 	/** Write a decision to the log. */
 	void (*log_decision)(void *context, const kl_decision_t *decision);
 } kl_engine_ops_t;
--- a/path/engine_begin.c
+++ b/path/engine_begin.c
@@ -94,8 +94,10 @@
 		kl_cluster_find(client->engine, client->route.service);
 	uint64_t max_age_us = client->route.max_age_us;
 
-	if (!cluster ||
-	    !kl_log_samples_find(&cluster->position_samples,
+	if (!cluster)
+		return;
+	kl_cluster_update_samples(cluster);
+	if (!kl_log_samples_find(&cluster->position_samples,
 				 stmt->received_us > max_age_us
 					 ? stmt->received_us - max_age_us
 					 : 0,
--- a/path/engine_endpoint.c
+++ b/path/engine_endpoint.c
@@ -337,9 +337,11 @@
 		cluster->newest_term_first_position = position;
 	if (conn->primary_proven && group && group->state == KL_GROUP_STABLE &&
 	    group->version == cluster->group_version &&
-	    !strcmp(group->primary, endpoint->name))
+	    !strcmp(group->primary, endpoint->name)) {
 		kl_log_samples_add(&cluster->position_samples, position,
 				   conn->sent_us);
+		kl_cluster_report_position(cluster, position, conn->sent_us);
+	}
 }
 
 kl_endpoint_t *kl_endpoint_choose(const kl_client_t *client)
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -105,6 +105,10 @@
 	uint64_t last_used_us;	/**< time of the last statement */
 	char last_workspace[KL_NAME_MAX];  /**< workspace of that statement */
 	kl_log_samples_t position_samples; /**< log positions of the primary */
+	/** times of the last calls of report_position(), with and without one
+	 */
+	uint64_t last_position_report_us;
+	uint64_t last_position_need_us;
 	/** first position reported in the newest term */
 	kl_position_t newest_term_first_position;
 	CK_STAILQ_HEAD(, kl_endpoint) endpoints;
@@ -308,6 +312,14 @@
 /** Record a reply and the end of the database's log that it reports. */
 void kl_endpoint_answered(kl_endpoint_t *endpoint, const kl_conn_t *conn,
 			  kl_position_t position);
+/** Report a sampled position of the cluster's primary for other VMs. */
+void kl_cluster_report_position(kl_cluster_t *cluster, kl_position_t position,
+				uint64_t sampled_us);
+/**
+ * Add the position of the primary that other VMs reported to the samples, and
+ * ask for a newer one if the samples are old.
+ */
+void kl_cluster_update_samples(kl_cluster_t *cluster);
 /** Choose the endpoint for a statement. @return NULL if none is suitable now */
 kl_endpoint_t *kl_endpoint_choose(const kl_client_t *client);
 /** Close all connections and free the clusters and endpoints. */
--- a/path/path.h
+++ b/path/path.h
@@ -28,6 +28,7 @@
 	const kl_health_t *health;
 	const kl_buckets_t *buckets;
 	const kl_lifecycle_t *lifecycle;
+	const kl_positions_t *positions;
 	uint64_t now_us; /**< time of the decision, microseconds */
 } kl_view_t;
 
--- a/path/view.c
+++ b/path/view.c
@@ -9,5 +9,6 @@
 	view->health = kl_board_get(reader, KL_SECTION_HEALTH);
 	view->buckets = kl_board_get(reader, KL_SECTION_BUCKETS);
 	view->lifecycle = kl_board_get(reader, KL_SECTION_LIFECYCLE);
+	view->positions = kl_board_get(reader, KL_SECTION_POSITIONS);
 	view->now_us = now_us;
 }
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -9,6 +9,7 @@
 const KL_WIRE_BODY = 49152;
 const KL_WIRE_OBJECTS = 256;
 const KL_WIRE_FEEDS = 8;
+const KL_WIRE_POSITIONS = 16;
 
 struct kl_wire_hello {
 	unsigned hyper incarnation;
@@ -54,6 +55,19 @@
 	unsigned hyper duration_us;
 };
 
+struct kl_wire_position {
+	string service<KL_WIRE_NAME>;
+	unsigned hyper record_version;
+	unsigned hyper term;
+	unsigned hyper number;
+	unsigned hyper age_us;
+};
+
+struct kl_wire_positions {
+	unsigned hyper asked_us;
+	kl_wire_position entries<KL_WIRE_POSITIONS>;
+};
+
 union kl_wire_body switch (unsigned int kind) {
 case 0:
 	kl_wire_hello hello;
@@ -67,6 +81,10 @@
 	kl_wire_ask ask;
 case 5:
 	kl_wire_grant grant;
+case 6:
+	kl_wire_positions query;
+case 7:
+	kl_wire_positions positions;
 };
 
 struct kl_wire_message {
--- a/peer/peer_codec.c
+++ b/peer/peer_codec.c
@@ -38,6 +38,10 @@
 			      kl_wire_message *wire);
 static void decode_loan_grant(kl_peer_message_t *message,
 			      const kl_wire_message *wire);
+static void encode_positions(const kl_peer_message_t *message,
+			     kl_wire_message *wire);
+static void decode_positions(kl_peer_message_t *message,
+			     const kl_wire_message *wire);
 static int process_rpc_call(XDR *xdr, kl_wire_message *wire);
 
 static const kind_codec_t kind_codecs[KL_PEER_KIND_COUNT] = {
@@ -47,6 +51,9 @@
 	[KL_PEER_SUSPECT] = { encode_suspect, decode_suspect },
 	[KL_PEER_LOAN_REQUEST] = { encode_loan_request, decode_loan_request },
 	[KL_PEER_LOAN_GRANT] = { encode_loan_grant, decode_loan_grant },
+	/* Both kinds have the same encoding. */
+	[KL_PEER_POSITION_QUERY] = { encode_positions, decode_positions },
+	[KL_PEER_POSITIONS] = { encode_positions, decode_positions },
 };
 
 int kl_peer_encode(const kl_peer_message_t *message, const char *host,
@@ -69,6 +76,9 @@
 	xdr_destroy(&xdr);
 	if (message->kind == KL_PEER_DELTA)
 		free(wire.body.kl_wire_body_u.delta.objects.objects_val);
+	if (message->kind == KL_PEER_POSITION_QUERY ||
+	    message->kind == KL_PEER_POSITIONS)
+		free(wire.body.kl_wire_body_u.positions.entries.entries_val);
 	return length;
 }
 
@@ -292,3 +302,47 @@
 	message->loan_grant.tokens = in->tokens;
 	message->loan_grant.valid_for_us = in->duration_us;
 }
+
+static void encode_positions(const kl_peer_message_t *message,
+			     kl_wire_message *wire)
+{
+	kl_wire_positions *out = &wire->body.kl_wire_body_u.positions;
+	const kl_peer_positions_t *positions = &message->positions;
+
+	out->asked_us = positions->query_sent_us;
+	out->entries.entries_val =
+		calloc(KL_PEER_POSITIONS_MAX, sizeof(kl_wire_position));
+	if (!out->entries.entries_val)
+		return;
+	for (uint32_t i = 0; i < positions->count; i++) {
+		const kl_peer_position_t *position = &positions->list[i];
+		kl_wire_position *entry = &out->entries.entries_val[i];
+
+		entry->service = (char *)position->service;
+		entry->record_version = position->group_version;
+		entry->term = position->term;
+		entry->number = position->number;
+		entry->age_us = position->age_us;
+	}
+	out->entries.entries_len = positions->count;
+}
+
+static void decode_positions(kl_peer_message_t *message,
+			     const kl_wire_message *wire)
+{
+	const kl_wire_positions *in = &wire->body.kl_wire_body_u.positions;
+	kl_peer_positions_t *positions = &message->positions;
+
+	positions->query_sent_us = in->asked_us;
+	for (u_int i = 0; i < in->entries.entries_len; i++) {
+		const kl_wire_position *entry = &in->entries.entries_val[i];
+		kl_peer_position_t *position =
+			&positions->list[positions->count++];
+
+		kl_name_copy(position->service, entry->service);
+		position->group_version = entry->record_version;
+		position->term = entry->term;
+		position->number = entry->number;
+		position->age_us = entry->age_us;
+	}
+}
--- a/peer/peer_wire.h
+++ b/peer/peer_wire.h
@@ -18,6 +18,7 @@
 #define KL_WIRE_BODY 49152
 #define KL_WIRE_OBJECTS 256
 #define KL_WIRE_FEEDS 8
+#define KL_WIRE_POSITIONS 16
 
 struct kl_wire_hello {
 	u_quad_t incarnation;
@@ -75,6 +76,24 @@
 };
 typedef struct kl_wire_grant kl_wire_grant;
 
+struct kl_wire_position {
+	char *service;
+	u_quad_t record_version;
+	u_quad_t term;
+	u_quad_t number;
+	u_quad_t age_us;
+};
+typedef struct kl_wire_position kl_wire_position;
+
+struct kl_wire_positions {
+	u_quad_t asked_us;
+	struct {
+		u_int entries_len;
+		kl_wire_position *entries_val;
+	} entries;
+};
+typedef struct kl_wire_positions kl_wire_positions;
+
 struct kl_wire_body {
 	u_int kind;
 	union {
@@ -84,6 +103,8 @@
 		u_quad_t term;
 		kl_wire_ask ask;
 		kl_wire_grant grant;
+		kl_wire_positions query;
+		kl_wire_positions positions;
 	} kl_wire_body_u;
 };
 typedef struct kl_wire_body kl_wire_body;
@@ -122,6 +143,8 @@
 extern  bool_t xdr_kl_wire_delta (XDR *, kl_wire_delta*);
 extern  bool_t xdr_kl_wire_ask (XDR *, kl_wire_ask*);
 extern  bool_t xdr_kl_wire_grant (XDR *, kl_wire_grant*);
+extern  bool_t xdr_kl_wire_position (XDR *, kl_wire_position*);
+extern  bool_t xdr_kl_wire_positions (XDR *, kl_wire_positions*);
 extern  bool_t xdr_kl_wire_body (XDR *, kl_wire_body*);
 extern  bool_t xdr_kl_wire_message (XDR *, kl_wire_message*);
 
@@ -132,6 +155,8 @@
 extern bool_t xdr_kl_wire_delta ();
 extern bool_t xdr_kl_wire_ask ();
 extern bool_t xdr_kl_wire_grant ();
+extern bool_t xdr_kl_wire_position ();
+extern bool_t xdr_kl_wire_positions ();
 extern bool_t xdr_kl_wire_body ();
 extern bool_t xdr_kl_wire_message ();
 
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -107,6 +107,37 @@
 	return TRUE;
 }
 
+bool_t
+xdr_kl_wire_position (XDR *xdrs, kl_wire_position *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, KL_WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->record_version))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->age_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_kl_wire_positions (XDR *xdrs, kl_wire_positions *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->asked_us))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, KL_WIRE_POSITIONS,
+		sizeof (kl_wire_position), (xdrproc_t) xdr_kl_wire_position))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_kl_wire_body (XDR *xdrs, kl_wire_body *objp)
 {
@@ -139,6 +170,14 @@
 		 if (!xdr_kl_wire_grant (xdrs, &objp->kl_wire_body_u.grant))
 			 return FALSE;
 		break;
+	case 6:
+		 if (!xdr_kl_wire_positions (xdrs, &objp->kl_wire_body_u.query))
+			 return FALSE;
+		break;
+	case 7:
+		 if (!xdr_kl_wire_positions (xdrs, &objp->kl_wire_body_u.positions))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/tests/engine_model.c
+++ b/tests/engine_model.c
@@ -73,6 +73,8 @@
 static void op_conn_close(void *context, void *conn);
 static void op_tokens_needed(void *context);
 static void op_report_health(void *context, const kl_passive_check_t *check);
+static void op_report_position(void *context,
+			       const kl_primary_position_t *position);
 static void op_log_decision(void *context, const kl_decision_t *decision);
 static void schedule(model_t *model, event_kind_t kind, uint64_t delay_us,
 		     model_conn_t *conn, model_event_t *event);
@@ -99,6 +101,7 @@
 	.conn_close = op_conn_close,
 	.tokens_needed = op_tokens_needed,
 	.report_health = op_report_health,
+	.report_position = op_report_position,
 	.log_decision = op_log_decision,
 };
 
@@ -370,6 +373,17 @@
 					       : "is healthy again");
 }
 
+static void op_report_position(void *context,
+			       const kl_primary_position_t *position)
+{
+	model_t *model = context;
+
+	if (position->term)
+		model->positions_reported++;
+	else
+		model->positions_needed++;
+}
+
 static void op_log_decision(void *context, const kl_decision_t *decision)
 {
 	(void)context;
@@ -527,14 +541,24 @@
 }
 
 /* End of a database's log; a replica lacks the commits of the last lag_us. */
+uint64_t model_commits_at(const model_t *model, uint64_t time_us)
+{
+	uint64_t number = model->last_commit;
+
+	while (number && model->commit_times_us[number] > time_us)
+		number--;
+	return number;
+}
+
 static kl_position_t log_end(const model_t *model, const model_db_t *db)
 {
 	kl_position_t position = { db->term, model->last_commit };
 
-	while (!db->primary && position.number &&
-	       model->commit_times_us[position.number] + db->lag_us >
-		       model->now_us)
-		position.number--;
+	if (!db->primary)
+		position.number = model_commits_at(
+			model, model->now_us > db->lag_us
+				       ? model->now_us - db->lag_us
+				       : 0);
 	return position;
 }
 
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -63,7 +63,9 @@
 	bool trace;	 /**< print statements sent and health reports */
 	bool lease_held; /**< confirmations of the group record are published */
 	bool draining;
-	uint64_t record_version; /**< of the group record */
+	uint64_t record_version;     /**< of the group record */
+	uint64_t positions_reported; /**< calls of report_position() */
+	uint64_t positions_needed;   /**< the same without a position */
 	model_db_t dbs[MODEL_ITEMS_MAX];
 	uint32_t db_count;
 	model_load_t loads[MODEL_ITEMS_MAX];
@@ -85,6 +87,9 @@
 /** Publish a confirmation of the group record, if the lease is held. */
 void model_confirm(model_t *model);
 
+/** Number of commits made up to a time, microseconds. */
+uint64_t model_commits_at(const model_t *model, uint64_t time_us);
+
 /** Find a database by name. @return NULL if there is none */
 model_db_t *model_db(model_t *model, const char *name);
 
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -24,6 +24,7 @@
 /* Workspace and key of the "key" steps; no workspace: the key is withdrawn. */
 static char keys[MODEL_ITEMS_MAX][2][KL_NAME_MAX];
 static uint32_t key_count;
+static uint32_t vm_count = 1; /* VMs among which connections are divided */
 static char recorded_primary[KL_NAME_MAX];
 static char group_state; /* of the group record: 's' stable, 'f' fencing */
 
@@ -45,6 +46,8 @@
 static void step_drain(char **args, int count);
 static void step_show(char **args, int count);
 static void step_trace(char **args, int count);
+static void step_vms(char **args, int count);
+static void step_shared(char **args, int count);
 static void republish_config(void);
 static void publish_config(void);
 static void publish_terms(void);
@@ -65,6 +68,7 @@
 	{ "load", 7, step_load },     { "report", 0, step_report },
 	{ "run", 1, step_run },	      { "drain", 1, step_drain },
 	{ "show", 1, step_show },     { "trace", 1, step_trace },
+	{ "vms", 1, step_vms },	      { "shared", 1, step_shared },
 };
 
 int main(int argc, char **argv)
@@ -412,12 +416,39 @@
 		CK_STAILQ_INSERT_TAIL(&config->keys, key, config_link);
 		kl_index_put(config->key_index, &key->hash);
 	}
-	members->active_count = 1;
+	members->active_count = vm_count;
 	kl_board_publish(model->writer, KL_SECTION_CONFIG, &config->base);
 	kl_board_publish(model->writer, KL_SECTION_MEMBERS, &members->base);
 	kl_board_publish(model->writer, KL_SECTION_LIFECYCLE, &lifecycle->base);
 }
 
+/* vms N: number of VMs in service, this one included */
+static void step_vms(char **args, int count)
+{
+	(void)count;
+	vm_count = (uint32_t)strtoul(args[0], NULL, 10);
+	republish_config();
+}
+
+/* shared AGE_MS: another VM sampled the primary's position that long ago */
+static void step_shared(char **args, int count)
+{
+	kl_positions_t *positions = kl_positions_new(4);
+	kl_primary_position_t *position = calloc(1, sizeof(*position));
+	(void)count;
+
+	kl_name_copy(position->name.name, "s");
+	position->group_version = model->record_version;
+	position->sampled_us =
+		model->now_us - strtoull(args[0], NULL, 10) * KL_MS;
+	position->term = 1;
+	position->number = model_commits_at(model, position->sampled_us);
+	CK_STAILQ_INSERT_TAIL(&positions->list, position, link);
+	kl_index_put(positions->index, &position->name);
+	kl_board_publish(model->writer, KL_SECTION_POSITIONS, &positions->base);
+	kl_board_reclaim(model->writer);
+}
+
 static void publish_terms(void)
 {
 	kl_terms_t *terms = kl_terms_new(4);
--- a/tests/script_look.c
+++ b/tests/script_look.c
@@ -11,6 +11,8 @@
 static uint32_t zero_load(const void *context, const char *name);
 
 /* await CONDITION...: advances the clock until it holds, 60 s at most. */
+static void show_position(vm_t *vm, const char *service);
+
 void step_await(char **words, int count)
 {
 	uint64_t start_us = script_world->now_us;
@@ -141,6 +143,24 @@
  *
  * calls tells whether the VM called databases since the last "show calls".
  */
+/* Prints the position on the blackboard of a VM, and its age. */
+static void show_position(vm_t *vm, const char *service)
+{
+	const kl_positions_t *positions =
+		kl_node_get(&vm->node, KL_SECTION_POSITIONS);
+	const kl_primary_position_t *position =
+		positions ? kl_index_get(positions->index, service) : NULL;
+
+	if (!position)
+		printf("none\n");
+	else
+		printf("%llu, %llu ms old\n",
+		       (unsigned long long)position->number,
+		       (unsigned long long)((script_world->now_us -
+					     position->sampled_us) /
+					    KL_MS));
+}
+
 void step_show(char **words, int count)
 {
 	vm_t *vm = world_find_vm(script_world, words[1]);
@@ -173,6 +193,8 @@
 
 		printf("refused documents %u\n",
 		       config->refused_document_count);
+	} else if (!strcmp(words[0], "position")) {
+		show_position(vm, words[2]);
 	} else if (!strcmp(words[0], "plan")) {
 		const kl_config_t *config =
 			kl_node_get(&vm->node, KL_SECTION_CONFIG);
--- a/tests/script_run.c
+++ b/tests/script_run.c
@@ -49,6 +49,7 @@
 static void step_crash_on(char **words, int count);
 static void step_unreported(char **words, int count);
 static void step_fails(char **words, int count);
+static void step_sample(char **words, int count);
 static void set_running(const char *name, bool running);
 static void set_partition(const char *name, int partition);
 
@@ -94,6 +95,7 @@
 	{ "crash_on", 2, step_crash_on },
 	{ "unreported", 2, step_unreported },
 	{ "fails", 2, step_fails },
+	{ "sample", 2, step_sample },
 };
 
 int main(int argc, char **argv)
@@ -484,6 +486,25 @@
 	kl_node_step(&vm->node, &event);
 }
 
+/*
+ * sample VM SERVICE [NUMBER]: the VM's statements report the primary's log
+ * position now; without NUMBER its reads need a position.
+ */
+static void step_sample(char **words, int count)
+{
+	vm_t *vm = world_find_vm(script_world, words[0]);
+	kl_primary_position_t position = { .group_version = 1,
+					   .sampled_us = script_world->now_us };
+	kl_event_t event = { .kind = KL_EVENT_POSITION, .position = &position };
+
+	kl_name_copy(position.name.name, words[1]);
+	if (count > 2) {
+		position.term = 1;
+		position.number = script_parse_number(words[2]);
+	}
+	kl_node_step(&vm->node, &event);
+}
+
 /* stop VM: begins a planned stop. */
 static void step_stop(char **words, int count)
 {
--- a/tests/unit/codec.c
+++ b/tests/unit/codec.c
@@ -64,6 +64,32 @@
 	kl_pg_message_free(&message);
 }
 
+static void positions_survive_encoding(void **state)
+{
+	kl_peer_message_t message = {
+		.kind = KL_PEER_POSITIONS,
+		.from = "a1",
+		.positions = { .query_sent_us = 5,
+			       .count = KL_PEER_POSITIONS_MAX }
+	};
+	kl_peer_position_t *last =
+		&message.positions.list[KL_PEER_POSITIONS_MAX - 1];
+	kl_peer_message_t decoded;
+	char buffer[4096];
+	int length;
+	(void)state;
+
+	*last = (kl_peer_position_t){ "orders", 1, 2, 3, 4 };
+	length = kl_peer_encode(&message, "127.0.0.1", 99, buffer,
+				sizeof(buffer));
+	assert_true(length > 0);
+	assert_int_equal(kl_peer_decode(&decoded, buffer, (size_t)length), 0);
+	assert_int_equal(decoded.kind, KL_PEER_POSITIONS);
+	assert_memory_equal(&decoded.positions, &message.positions,
+			    sizeof(message.positions));
+	kl_peer_message_clear(&decoded);
+}
+
 static void peer_messages_survive_encoding(void **state)
 {
 	kl_peer_message_t message = { .kind = KL_PEER_DELTA };
@@ -130,6 +156,7 @@
 		cmocka_unit_test(invalid_lengths_are_protocol_errors),
 		cmocka_unit_test(reading_past_the_end_sets_overrun),
 		cmocka_unit_test(peer_messages_survive_encoding),
+		cmocka_unit_test(positions_survive_encoding),
 		cmocka_unit_test(
 			corrupt_datagrams_are_refused_or_decoded_safely),
 	};
--- a/tests/unit/mutate.c
+++ b/tests/unit/mutate.c
@@ -174,21 +174,31 @@
 
 static void peer_messages_decode_safely(void **state)
 {
-	kl_peer_message_t message = { .kind = KL_PEER_HELLO,
-				      .from = "vm-1",
-				      .hello = { .domain = "d",
-						 .host = "10.0.0.1" } };
+	kl_peer_message_t message = {
+		.from = "vm-1",
+		.subject = "bakery",
+		.hello = { .domain = "d", .host = "10.0.0.1" },
+		.positions = { .count = 2,
+			       .list = { { .service = "orders", .term = 1 },
+					 { .service = "stock" } } }
+	};
+	kl_peer_message_t decoded;
 	GRand *random = g_rand_new_with_seed(SEED);
 	char sample[INPUT_MAX], text[INPUT_MAX + 1];
-	int length = kl_peer_encode(&message, "10.0.0.1", 5, sample, INPUT_MAX);
 	(void)state;
 
-	assert_true(length > 0);
+	CK_STAILQ_INIT(&message.delta.objects);
 	for (int i = 0; i < INPUTS; i++) {
-		size_t mutated = mutate(random, sample, (size_t)length, text);
-
-		if (!kl_peer_decode(&message, text, mutated))
-			kl_peer_message_clear(&message);
+		size_t mutated;
+		int length;
+
+		message.kind = i % KL_PEER_KIND_COUNT;
+		length = kl_peer_encode(&message, "10.0.0.1", 5, sample,
+					INPUT_MAX);
+		assert_true(length > 0);
+		mutated = mutate(random, sample, (size_t)length, text);
+		if (!kl_peer_decode(&decoded, text, mutated))
+			kl_peer_message_clear(&decoded);
 	}
 	g_rand_free(random);
 }
