Keep serving when the descriptors are used up

Cause (an operators' case: one unexpected error takes a process down): when more clients connect than the process has descriptors, accept() fails, the listening socket stays readable, and the event loop tries again without end; and no descriptor is left for a connection to a database, so that the open sessions are refused too.

Change: both front ends use one listener, which pauses for a tenth of a second after a failed accept and logs accept_failed. With the line protocol, sessions beyond three quarters of the descriptors (or the limit less 40) are refused with CONNLIMIT. A socket whose front end could not be created is closed once, not twice.

--- a/daemon/line_worker.c
+++ b/daemon/line_worker.c
@@ -1,23 +1,21 @@
 #include <arpa/inet.h>
 #include <ck_pr.h>
 #include <event2/event.h>
-#include <event2/listener.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include "daemon/counter.h"
 #include "daemon/inbox.h"
 #include "daemon/line_worker.h"
+#include "daemon/listener.h"
 #include "daemon/log.h"
 #include "front/engine_front.h"
 #include "upstream/engine_conn.h"
 
 #define IDLE_TICK_US 25000 /* interval of ticks while no request waits */
 #define BUSY_TICK_US 3000  /* interval of ticks if a request waits */
-#define LISTEN_BACKLOG 512
 
 struct kl_line_worker {
 	const kl_settings_t *settings;
@@ -25,7 +23,8 @@
 	pthread_t thread;
 	struct event_base *base;
 	struct event *tick;
-	struct evconnlistener *listener;
+	kl_listener_t *listener;
+	uint64_t max_sessions;
 	kl_inbox_t *inbox;
 	kl_reader_t *reader;
 	kl_engine_t *engine;
@@ -35,8 +34,7 @@
 
 static void *run(void *arg);
 static int open_listener(kl_line_worker_t *worker);
-static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
-		      struct sockaddr *address, int length, void *arg);
+static void on_accept(void *owner, int socket);
 static void on_tick(evutil_socket_t fd, short what, void *arg);
 static void schedule_tick(kl_line_worker_t *worker);
 static void publish_counts(kl_line_worker_t *worker);
@@ -147,15 +145,12 @@
 
 static int open_listener(kl_line_worker_t *worker)
 {
-	struct sockaddr_in address = { .sin_family = AF_INET };
+	const kl_settings_t *settings = worker->settings;
 
-	address.sin_port = htons((uint16_t)worker->settings->listen_port);
-	inet_pton(AF_INET, worker->settings->host, &address.sin_addr);
-	worker->listener = evconnlistener_new_bind(
-		worker->base, on_accept, worker,
-		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC |
-			LEV_OPT_REUSEABLE,
-		LISTEN_BACKLOG, (struct sockaddr *)&address, sizeof(address));
+	worker->max_sessions = kl_listener_max_sessions();
+	worker->listener = kl_listener_new(worker->base, settings->host,
+					   (uint16_t)settings->listen_port,
+					   false, on_accept, worker);
 	if (worker->listener)
 		return 0;
 	kl_log_event("start_failed",
@@ -188,8 +183,7 @@
 	}
 	kl_inbox_free(worker->inbox);
 	kl_engine_free(worker->engine);
-	if (worker->listener)
-		evconnlistener_free(worker->listener);
+	kl_listener_free(worker->listener);
 	if (worker->tick)
 		event_free(worker->tick);
 	event_base_free(worker->base);
@@ -204,17 +198,18 @@
 	return NULL;
 }
 
-static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
-		      struct sockaddr *address, int length, void *arg)
+static void on_accept(void *owner, int socket)
 {
-	kl_line_worker_t *worker = arg;
-	(void)listener;
-	(void)address;
-	(void)length;
+	kl_line_worker_t *worker = owner;
+	kl_engine_front_t *front =
+		kl_front_line.open(worker->base, socket, &front_events, worker);
 
-	if (!kl_front_line.open(worker->base, fd, &front_events, worker))
-		close(fd);
 	kl_counter_add(KL_COUNTER_SESSIONS, 1);
+	if (front &&
+	    kl_engine_client_count(worker->engine) >= worker->max_sessions) {
+		kl_counter_add(KL_COUNTER_LOGINS_REFUSED, 1);
+		kl_front_line.close(front, -KL_E_CONNECTIONS);
+	}
 }
 
 static void on_tick(evutil_socket_t fd, short what, void *arg)
@@ -317,9 +312,9 @@
 	kl_line_worker_t *worker = owner;
 
 	free(message);
-	if (!worker || !worker->listener)
+	if (!worker)
 		return;
-	evconnlistener_free(worker->listener);
+	kl_listener_free(worker->listener);
 	worker->listener = NULL;
 }
 
--- a/daemon/worker.c
+++ b/daemon/worker.c
@@ -8,13 +8,10 @@
 
 #define TICK_US 5000		 /* interval of polling the waiting requests */
 #define SWEEP_INTERVAL_US 200000 /* interval of checking sessions and pools */
-#define LISTEN_BACKLOG 512
 
 static int worker_init(kl_workers_t *workers, uint32_t number);
-static struct evconnlistener *open_listener(kl_worker_t *worker);
 static void *run(void *arg);
-static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
-		      struct sockaddr *address, int length, void *arg);
+static void on_accept(void *owner, int socket);
 static void on_tick(evutil_socket_t fd, short what, void *arg);
 static void handle_drain(void *owner, kl_message_t *message);
 static void handle_exit(void *owner, kl_message_t *message);
@@ -87,6 +84,7 @@
 {
 	struct timeval tick = { 0, TICK_US };
 	kl_worker_t *worker = &workers->table[number];
+	const kl_settings_t *settings = workers->settings;
 
 	worker->workers = workers;
 	worker->index = number;
@@ -98,7 +96,10 @@
 	worker->reader =
 		kl_reader_new(kl_control_thread_board(workers->control));
 	worker->prover = kl_prover_new(worker);
-	worker->listener = open_listener(worker);
+	/* Every worker listens on the same port. */
+	worker->listener = kl_listener_new(worker->base, settings->host,
+					   (uint16_t)settings->listen_port,
+					   true, on_accept, worker);
 	if (!worker->listener) {
 		kl_log_event("start_failed",
 			     "cannot listen on listen_port; the daemon does "
@@ -110,24 +111,6 @@
 	return 0;
 }
 
-/*
- * Every worker listens on the same port with SO_REUSEPORT; the kernel spreads
- * the connections over them.
- */
-static struct evconnlistener *open_listener(kl_worker_t *worker)
-{
-	const kl_settings_t *settings = worker->workers->settings;
-	struct sockaddr_in address = { .sin_family = AF_INET };
-
-	address.sin_port = htons((uint16_t)settings->listen_port);
-	inet_pton(AF_INET, settings->host, &address.sin_addr);
-	return evconnlistener_new_bind(
-		worker->base, on_accept, worker,
-		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC |
-			LEV_OPT_REUSEABLE | LEV_OPT_REUSEABLE_PORT,
-		LISTEN_BACKLOG, (struct sockaddr *)&address, sizeof(address));
-}
-
 static void *run(void *arg)
 {
 	kl_worker_t *worker = arg;
@@ -136,13 +119,9 @@
 	return NULL;
 }
 
-static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
-		      struct sockaddr *address, int length, void *arg)
+static void on_accept(void *owner, int socket)
 {
-	(void)listener;
-	(void)address;
-	(void)length;
-	kl_session_accept(arg, fd);
+	kl_session_accept(owner, socket);
 }
 
 static void on_tick(evutil_socket_t fd, short what, void *arg)
@@ -185,7 +164,7 @@
 	kl_worker_t *worker = owner;
 
 	if (worker)
-		evconnlistener_disable(worker->listener);
+		kl_listener_stop(worker->listener);
 	free(message);
 }
 
@@ -211,8 +190,7 @@
 		CK_STAILQ_REMOVE_HEAD(&worker->pools, link);
 		kl_pool_free(pool);
 	}
-	if (worker->listener)
-		evconnlistener_free(worker->listener);
+	kl_listener_free(worker->listener);
 	if (worker->tick)
 		event_free(worker->tick);
 	if (worker->base)
--- a/daemon/worker_internal.h
+++ b/daemon/worker_internal.h
@@ -13,12 +13,12 @@
 
 #include <ck_queue.h>
 #include <event2/event.h>
-#include <event2/listener.h>
 #include <pthread.h>
 
 #include "daemon/counter.h"
 #include "daemon/database_call.h"
 #include "daemon/inbox.h"
+#include "daemon/listener.h"
 #include "daemon/log.h"
 #include "daemon/worker.h"
 #include "front/front.h"
@@ -144,7 +144,7 @@
 	pthread_t thread;
 	struct event_base *base;
 	struct event *tick;
-	struct evconnlistener *listener;
+	kl_listener_t *listener;
 	kl_inbox_t *inbox;
 	kl_reader_t *reader;
 	CK_LIST_HEAD(, kl_session) sessions;
