Let a list confirm the registration that it names

Cause: a process that starts lists the terms three to five times before its first confirmation. The list that first named it did not count, because the member list is updated a step later and the registration counted from then; and lists went out every 60 ms while the VM's own registration was under way.

Change: the time of registration is taken from the objects, and for a full list it is the time of the request: the answer is newer than that, and the record is in it, so a promoter that writes a later record waits for this VM. The next list follows the answer to the registration; without one, 0.2 s later.

--- a/control/sync.c
+++ b/control/sync.c
@@ -4,6 +4,8 @@
  * from peers.  A feed's revision never falls, and the controller records when
  * the platform last confirmed the copy.
  */
+#include <jansson.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -23,7 +25,7 @@
 #define LIST_RETRY_US (300 * KL_MS) /* after a failed list */
 /* For this long after its start an unconfirmed VM lists without delay. */
 #define STARTUP_US (300 * KL_MS)
-#define STARTUP_LIST_US (60 * KL_MS) /* interval of these lists */
+#define STARTUP_LIST_US (200 * KL_MS) /* interval of these lists */
 
 static void poll_single_feed(kl_node_t *node, kl_sync_t *sync, uint64_t now);
 static void poll_feeds(kl_node_t *node, kl_sync_t *sync, uint64_t now);
@@ -34,7 +36,9 @@
 static bool confirmation_overdue(const kl_sync_t *sync, uint64_t now);
 static uint64_t newest_version(const kl_feed_state_t *feed,
 			       const kl_object_list_t *objects);
-static uint64_t registered_since(const kl_node_t *node, kl_sync_t *sync);
+static void update_registration(const kl_node_t *node, kl_sync_t *sync,
+				uint64_t seen_us);
+static bool is_registered(const kl_node_t *node);
 static bool has_changes(const kl_objects_t *old,
 			const kl_feed_update_t *update);
 static kl_index_t *index_newest(const kl_feed_update_t *update, size_t count);
@@ -95,6 +99,10 @@
 	case KL_EVENT_PLATFORM:
 		if (event->platform->owner == KL_CONTROLLER_SYNC)
 			handle_answer(node, sync, event->platform);
+		/* This VM is registered now, which the next list confirms. */
+		else if (event->platform->owner == KL_CONTROLLER_MEMBER &&
+			 !sync->has_confirmation)
+			sync->feeds[KL_FEED_TERMS].next_list_us = now;
 		break;
 	case KL_EVENT_PEER:
 		if (event->peer->kind == KL_PEER_HELLO)
@@ -275,8 +283,12 @@
 	if (kl_sync_apply(node, sync, &update))
 		kl_sync_announce(node, sync);
 	/* Confirms only if the copy is at the revision of the answer. */
-	if (answer->feed == KL_FEED_TERMS &&
-	    (answer->is_full_list || feed->revision >= answer->revision))
+	if (answer->feed != KL_FEED_TERMS)
+		return;
+	/* The list is newer than its request, and so is what it names. */
+	if (answer->is_full_list)
+		update_registration(node, sync, answer->call_sent_us);
+	if (answer->is_full_list || feed->revision >= answer->revision)
 		kl_sync_confirm(node, sync, answer->call_sent_us);
 }
 
@@ -445,8 +457,9 @@
 
 	if (sync->has_confirmation && sent_us <= sync->confirmed_us)
 		return;
+	update_registration(node, sync, kl_node_now(node));
 	if (node->tuning.feed_count > 1 &&
-	    sent_us < registered_since(node, sync))
+	    (!sync->registered_us || sent_us < sync->registered_us))
 		return;
 	sync->has_confirmation = true;
 	sync->confirmed_us = sent_us;
@@ -458,20 +471,40 @@
 }
 
 /*
- * Time since which this VM is registered, or UINT64_MAX if it is not; its
- * record may be removed and restored.
+ * Keeps the time since which this VM is registered; its record may be removed
+ * and restored.
+ *
+ * @param seen_us time at which the record was there, if it is there now
  */
-static uint64_t registered_since(const kl_node_t *node, kl_sync_t *sync)
+static void update_registration(const kl_node_t *node, kl_sync_t *sync,
+				uint64_t seen_us)
 {
-	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
-	const kl_member_t *self =
-		members ? kl_index_get(members->index, node->self.vm) : NULL;
-
-	if (!self || !self->registered) {
+	if (!is_registered(node))
 		sync->registered_us = 0;
-		return UINT64_MAX;
-	}
-	if (!sync->registered_us)
-		sync->registered_us = kl_node_now(node);
-	return sync->registered_us;
+	else if (!sync->registered_us)
+		sync->registered_us = seen_us;
+}
+
+/*
+ * Whether the objects held here have this VM's record.  The member list may be
+ * a step older than the objects.
+ */
+static bool is_registered(const kl_node_t *node)
+{
+	const kl_objects_t *objects = kl_node_get(node, KL_SECTION_OBJECTS);
+	char name[KL_NAME_MAX + sizeof("vm/")];
+	const kl_object_t *object;
+	const char *state;
+	json_t *json;
+	bool registered;
+
+	snprintf(name, sizeof(name), "vm/%s", node->self.vm);
+	object = objects ? kl_index_get(objects->index, name) : NULL;
+	if (!object)
+		return false;
+	json = json_loads(object->body, JSON_DECODE_ANY, NULL);
+	registered = !json_unpack(json, "{s:s}", "state", &state) &&
+		     strcmp(state, "gone") != 0;
+	json_decref(json);
+	return registered;
 }
