Send reads to replicas rather than to a primary that is near

Cause: a read in the primary's failure domain chose the primary (cost 3) before a replica in another domain (4).

Change: the primary's cost is 6. Among endpoints of equal cost sessions choose differently, so that the VMs of a domain do not all choose the first replica in the list.

Engine script load_busy_primary: 36 of 60 reads within their target before, 60 now; load_lagging_replica and load_slow_upstream: fewer statements on the primary, all within target as before.

--- a/path/engine_endpoint.c
+++ b/path/engine_endpoint.c
@@ -48,7 +48,7 @@
 #define COST_STATEMENT 4    /* for each statement running or queued there */
 #define COST_CONNECT 3	    /* a new connection is needed */
 #define COST_OTHER_DOMAIN 4 /* it is in another failure domain */
-#define COST_PRIMARY 3	    /* it is the primary, which has writes to run */
+#define COST_PRIMARY 6	    /* it is the primary, which has writes to run */
 #define COST_MAY_LAG 5 /* it may lack the position that the statement needs */
 
 static void update_cluster(kl_engine_t *engine, const kl_service_t *service,
@@ -351,6 +351,7 @@
 	const kl_group_t *group;
 	kl_endpoint_t *endpoint, *primary, *best = NULL;
 	int64_t lowest_cost = INT64_MAX;
+	uint64_t equal = 1;
 
 	if (!cluster)
 		return NULL;
@@ -380,7 +381,11 @@
 		}
 		if (endpoint == client->stmt.avoid_endpoint)
 			cost += 4 * COST_STATEMENT;
-		if (cost >= lowest_cost)
+		if (cost > lowest_cost)
+			continue;
+		/* Sessions choose differently among endpoints of equal cost. */
+		equal = cost == lowest_cost ? equal + 1 : 1;
+		if (client->session_number % equal)
 			continue;
 		lowest_cost = cost;
 		best = endpoint;
