Refuse at once what no primary can run in time

Change: the statement is refused, as not run, 0.3 s after this VM's lease has ended, or when fencing has lasted a second and the wait for leases ends after the statement's own.

--- a/path/engine_begin.c
+++ b/path/engine_begin.c
@@ -15,10 +15,22 @@
  */
 #define LATE_QUEUE_DIVISOR 2
 
+/*
+ * A VM without a lease for this long is probably cut off from the platform;
+ * statements are then refused at once, and may run through another VM.
+ */
+#define LEASE_LOST_US (300 * KL_MS)
+/*
+ * Fencing that takes longer than this waits for the leases of VMs that do not
+ * acknowledge it, so that its end is known.
+ */
+#define FENCING_ACKS_US (1 * KL_SEC)
+
 static int copy_route(kl_client_t *client);
 static void set_min_position(kl_client_t *client);
 static bool take_tokens(kl_client_t *client);
 static void extend_queue_deadline(kl_client_t *client);
+static bool primary_is_late(const kl_client_t *client);
 
 void kl_client_begin_op(kl_client_t *client, const kl_parsed_stmt_t *parsed)
 {
@@ -184,7 +196,8 @@
 	if (engine->now_us >= stmt->retry_at_us)
 		endpoint = kl_endpoint_choose(client);
 	if (!endpoint) {
-		if (engine->now_us >= stmt->route_deadline_us)
+		if (engine->now_us >= stmt->route_deadline_us ||
+		    primary_is_late(client))
 			kl_client_refuse(client, stmt->last_error
 							 ? stmt->last_error
 							 : -KL_E_NO_UPSTREAM);
@@ -203,6 +216,29 @@
 	kl_endpoint_serve_queue(endpoint);
 }
 
+/* Whether a statement needs a primary and none is expected in time. */
+static bool primary_is_late(const kl_client_t *client)
+{
+	const kl_engine_t *engine = client->engine;
+	const kl_confirmation_t *confirmation = engine->view.confirmation;
+	const kl_group_t *group =
+		kl_engine_find_group(engine, client->route.service);
+	uint64_t lease_us = engine->settings.data_path.lease_us;
+
+	if (!group || !confirmation ||
+	    (!kl_client_needs_primary(client) &&
+	     client->stmt.min_position.term))
+		return false;
+	if (engine->now_us > confirmation->confirmed_us + lease_us)
+		return engine->now_us - confirmation->confirmed_us - lease_us >
+		       LEASE_LOST_US;
+	/* The promoter waits a tenth longer than the lease. */
+	return group->state == KL_GROUP_FENCING &&
+	       engine->now_us - group->first_seen_us > FENCING_ACKS_US &&
+	       group->first_seen_us + lease_us + lease_us / 10 >
+		       client->stmt.route_deadline_us;
+}
+
 void kl_client_wait(kl_client_t *client, kl_stmt_stage_t stage)
 {
 	client->stmt.stage = stage;
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -458,6 +458,7 @@
 	kl_name_copy(group->name.name, "s");
 	kl_name_copy(group->primary, recorded_primary);
 	group->version = model->record_version;
+	group->first_seen_us = model->now_us;
 	group->term = model->record_version;
 	group->state = group_state == 's' ? KL_GROUP_STABLE : KL_GROUP_FENCING;
 	CK_STAILQ_INSERT_TAIL(&terms->groups, group, link);
