Split buckets, registration and status queries off grown files

Token buckets go to control/share_bucket.c, the VM's own registration to control/sync_registration.c, status queries to path/engine_status.c, steps that report to controllers to tests/script_report.c. The check of the connect backoff, which stood twice, is one function. No behaviour changes: all scripts give the same output.

--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,7 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(BUILD)/kl-soak: $(call objects,$(wildcard tests/soak/*.c))
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
-$(BUILD)/tests/script_run: $(call objects,tests/script_run.c tests/script_look.c tests/world.c tests/world_fake.c tests/world_caller.c tests/world_promote.c) $(LIBRARY)
+$(BUILD)/tests/script_run: $(call objects,tests/script_run.c tests/script_look.c tests/script_report.c tests/world.c tests/world_fake.c tests/world_caller.c tests/world_promote.c) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(BUILD)/tests/engine_run: $(call objects,tests/engine_run.c tests/engine_model.c) $(IO_LIBRARY) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
--- a/control/share.c
+++ b/control/share.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "control/controllers.h"
+#include "control/share_bucket.h"
 #include "control/slot.h"
 
 #define BALANCE_INTERVAL_US (200 * KL_MS) /* between rounds of balancing */
@@ -83,16 +84,6 @@
 				const kl_peer_message_t *message);
 static bool may_release_slots(const kl_node_t *node);
 static void publish_buckets(kl_node_t *node, share_state_t *state);
-static void destroy_buckets(kl_snapshot_t *snapshot);
-static void release_bucket(kl_bucket_t *bucket);
-static int64_t bucket_take(void *arg, int64_t max);
-static void bucket_add(void *arg, int64_t tokens, int64_t cap);
-static int64_t bucket_available(void *arg);
-static void bucket_set_valid_until(void *arg, uint64_t until_us);
-
-static const kl_bucket_ops_t bucket_ops = { bucket_take, bucket_add,
-					    bucket_available,
-					    bucket_set_valid_until };
 
 int kl_share_create(kl_node_t *node)
 {
@@ -281,16 +272,14 @@
 			  const char *name)
 {
 	quota_t *quota = calloc(1, sizeof(*quota));
-	kl_bucket_t *bucket = calloc(1, sizeof(*bucket));
+	kl_bucket_t *bucket = kl_bucket_new(name);
 
 	if (!quota || !bucket)
 		goto fail;
-	kl_name_copy(quota->name.name, name);
-	bucket->name = quota->name;
-	bucket->references = 1;
+	quota->name = bucket->name;
 	quota->bucket = bucket;
 	quota->next_lender = kl_node_random(node);
-	quota->share = kl_share_new(&bucket_ops, bucket, kl_node_now(node));
+	quota->share = kl_share_new(&kl_bucket_ops, bucket, kl_node_now(node));
 	if (!quota->share)
 		goto fail;
 	CK_STAILQ_INSERT_TAIL(&state->busy, quota, link);
@@ -307,7 +296,7 @@
 {
 	kl_share_free(quota->share);
 	ck_pr_store_64(&quota->bucket->valid_until_us, 0);
-	release_bucket(quota->bucket);
+	kl_bucket_release(quota->bucket);
 	free(quota);
 }
 
@@ -490,80 +479,12 @@
 
 static void publish_buckets(kl_node_t *node, share_state_t *state)
 {
-	kl_buckets_t *buckets = calloc(1, sizeof(*buckets));
+	kl_buckets_t *buckets = kl_buckets_new(state->quota_count);
 	quota_t *quota;
+
 	if (!buckets)
 		return;
-	buckets->base.destroy = destroy_buckets;
-	buckets->index = kl_index_new(state->quota_count);
-	buckets->buckets =
-		calloc(state->quota_count + 1, sizeof(kl_bucket_t *));
-	if (!buckets->index || !buckets->buckets) {
-		destroy_buckets(&buckets->base);
-		return;
-	}
-	CK_STAILQ_FOREACH(quota, &state->busy, link) {
-		quota->bucket->references++;
-		buckets->buckets[buckets->count++] = quota->bucket;
-		kl_index_put(buckets->index, &quota->bucket->name);
-	}
+	CK_STAILQ_FOREACH(quota, &state->busy, link)
+		kl_buckets_add(buckets, quota->bucket);
 	kl_node_publish(node, KL_SECTION_BUCKETS, &buckets->base);
 }
-
-static void destroy_buckets(kl_snapshot_t *snapshot)
-{
-	kl_buckets_t *buckets = (kl_buckets_t *)snapshot;
-
-	for (uint32_t i = 0; i < buckets->count; i++)
-		release_bucket(buckets->buckets[i]);
-	kl_index_free(buckets->index);
-	free(buckets->buckets);
-	free(buckets);
-}
-
-static void release_bucket(kl_bucket_t *bucket)
-{
-	if (!--bucket->references)
-		free(bucket);
-}
-
-static int64_t bucket_take(void *arg, int64_t max)
-{
-	kl_bucket_t *bucket = arg;
-	uint64_t *tokens = (uint64_t *)&bucket->tokens_milli;
-	uint64_t held, taken;
-
-	do {
-		held = ck_pr_load_64(tokens);
-		taken = held < (uint64_t)max ? held : (uint64_t)max;
-	} while (!ck_pr_cas_64(tokens, held, held - taken));
-	return (int64_t)taken;
-}
-
-static void bucket_add(void *arg, int64_t tokens_added, int64_t cap)
-{
-	kl_bucket_t *bucket = arg;
-	uint64_t *tokens = (uint64_t *)&bucket->tokens_milli;
-	uint64_t held, sum;
-
-	do {
-		held = ck_pr_load_64(tokens);
-		sum = held + (uint64_t)tokens_added;
-		if (sum > (uint64_t)cap)
-			sum = (uint64_t)cap;
-	} while (sum != held && !ck_pr_cas_64(tokens, held, sum));
-}
-
-static int64_t bucket_available(void *arg)
-{
-	kl_bucket_t *bucket = arg;
-
-	return (int64_t)ck_pr_load_64((uint64_t *)&bucket->tokens_milli);
-}
-
-static void bucket_set_valid_until(void *arg, uint64_t until_us)
-{
-	kl_bucket_t *bucket = arg;
-
-	ck_pr_store_64(&bucket->valid_until_us, until_us);
-}
--- a/control/sync.c
+++ b/control/sync.c
@@ -4,8 +4,6 @@
  * from peers.  A feed's revision never falls, and the controller records when
  * the platform last confirmed the copy.
  */
-#include <jansson.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -36,9 +34,6 @@
 static bool confirmation_overdue(const kl_sync_t *sync, uint64_t now);
 static uint64_t newest_version(const kl_feed_state_t *feed,
 			       const kl_object_list_t *objects);
-static void update_registration(const kl_node_t *node, kl_sync_t *sync,
-				uint64_t seen_us);
-static bool is_registered(const kl_node_t *node);
 static bool has_changes(const kl_objects_t *old,
 			const kl_feed_update_t *update);
 static kl_index_t *index_newest(const kl_feed_update_t *update, size_t count);
@@ -287,7 +282,7 @@
 		return;
 	/* The list is newer than its request, and so is what it names. */
 	if (answer->is_full_list)
-		update_registration(node, sync, answer->call_sent_us);
+		kl_sync_update_registration(node, sync, answer->call_sent_us);
 	if (answer->is_full_list || feed->revision >= answer->revision)
 		kl_sync_confirm(node, sync, answer->call_sent_us);
 }
@@ -457,7 +452,7 @@
 
 	if (sync->has_confirmation && sent_us <= sync->confirmed_us)
 		return;
-	update_registration(node, sync, kl_node_now(node));
+	kl_sync_update_registration(node, sync, kl_node_now(node));
 	if (node->tuning.feed_count > 1 &&
 	    (!sync->registered_us || sent_us < sync->registered_us))
 		return;
@@ -469,42 +464,3 @@
 		kl_node_publish(node, KL_SECTION_CONFIRMATION,
 				&confirmation->base);
 }
-
-/*
- * Keeps the time since which this VM is registered; its record may be removed
- * and restored.
- *
- * @param seen_us time at which the record was there, if it is there now
- */
-static void update_registration(const kl_node_t *node, kl_sync_t *sync,
-				uint64_t seen_us)
-{
-	if (!is_registered(node))
-		sync->registered_us = 0;
-	else if (!sync->registered_us)
-		sync->registered_us = seen_us;
-}
-
-/*
- * Whether the objects held here have this VM's record.  The member list may be
- * a step older than the objects.
- */
-static bool is_registered(const kl_node_t *node)
-{
-	const kl_objects_t *objects = kl_node_get(node, KL_SECTION_OBJECTS);
-	char name[KL_NAME_MAX + sizeof("vm/")];
-	const kl_object_t *object;
-	const char *state;
-	json_t *json;
-	bool registered;
-
-	snprintf(name, sizeof(name), "vm/%s", node->self.vm);
-	object = objects ? kl_index_get(objects->index, name) : NULL;
-	if (!object)
-		return false;
-	json = json_loads(object->body, JSON_DECODE_ANY, NULL);
-	registered = !json_unpack(json, "{s:s}", "state", &state) &&
-		     strcmp(state, "gone") != 0;
-	json_decref(json);
-	return registered;
-}
--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -74,4 +74,13 @@
 void kl_sync_handle_delta(kl_node_t *node, kl_sync_t *sync,
 			  const kl_peer_message_t *message);
 
+/**
+ * Keep the time since which this VM is registered; its record may be removed
+ * and restored.
+ *
+ * @param seen_us time at which the record was there, if it is there now
+ */
+void kl_sync_update_registration(const kl_node_t *node, kl_sync_t *sync,
+				 uint64_t seen_us);
+
 #endif
--- a/path/engine_conn.c
+++ b/path/engine_conn.c
@@ -8,10 +8,6 @@
 #define STATUS_TIMEOUT_US (500 * KL_MS)
 /* Time limit of the reply to a statement whose client is gone. */
 #define ABANDONED_TIMEOUT_US (3 * KL_SEC)
-/* The primary's status is queried when its newest position sample is older. */
-#define PRIMARY_SAMPLE_US (700 * KL_MS)
-/* No positions are sampled in a cluster without statements for this long. */
-#define CLUSTER_UNUSED_US (10 * KL_SEC)
 
 /* Idle connections are closed after these times. */
 #define IDLE_MAX_US (20 * KL_SEC)	/* any connection */
@@ -35,18 +31,14 @@
 /* A statement's wait is long above its latency objective divided by this. */
 #define LONG_WAIT_DIVISOR 4
 
-static kl_conn_t *open_conn(kl_endpoint_t *endpoint, const char *workspace);
 static void assign_idle(kl_endpoint_t *endpoint);
 static bool has_long_wait(const kl_endpoint_t *endpoint);
-static kl_conn_t *longest_idle_conn(const kl_endpoint_t *endpoint);
 static bool allow_new_conn(kl_endpoint_t *endpoint);
 static void lower_conn_limit(kl_endpoint_t *endpoint);
 static uint32_t count_opening(const kl_endpoint_t *endpoint,
 			      const char *workspace);
 static void conn_free(kl_conn_t *conn);
 static void sweep_endpoint(kl_endpoint_t *endpoint);
-static void sample_primary(kl_engine_t *engine, kl_cluster_t *cluster);
-static void query_status(kl_endpoint_t *endpoint, bool primary_proven);
 static void retry_reads(kl_endpoint_t *endpoint);
 static bool should_close_idle(const kl_endpoint_t *endpoint,
 			      uint64_t unused_us);
@@ -139,16 +131,22 @@
 		needed++;
 		if (count_opening(endpoint, client->workspace) >= needed ||
 		    endpoint->running_stmts + needed > endpoint->stmt_window ||
-		    now_us - endpoint->last_connect_failure_us <
-			    CONNECT_BACKOFF_US)
+		    !kl_endpoint_may_connect(endpoint))
 			continue;
 		if (endpoint->open_conns >= endpoint->conn_limit &&
 		    !allow_new_conn(endpoint))
 			continue;
-		open_conn(endpoint, client->workspace);
+		kl_conn_open(endpoint, client->workspace);
 	}
 }
 
+bool kl_endpoint_may_connect(const kl_endpoint_t *endpoint)
+{
+	return endpoint->cluster->engine->now_us -
+		       endpoint->last_connect_failure_us >=
+	       CONNECT_BACKOFF_US;
+}
+
 /*
  * Allows one more connection when the limit is reached: closes the connection
  * that has been idle longest, or raises the limit above this VM's even share.
@@ -158,7 +156,7 @@
 static bool allow_new_conn(kl_endpoint_t *endpoint)
 {
 	uint64_t now_us = endpoint->cluster->engine->now_us;
-	kl_conn_t *conn = longest_idle_conn(endpoint);
+	kl_conn_t *conn = kl_endpoint_longest_idle(endpoint);
 
 	if (conn) {
 		kl_conn_close(conn);
@@ -194,7 +192,7 @@
 	return count;
 }
 
-static kl_conn_t *longest_idle_conn(const kl_endpoint_t *endpoint)
+kl_conn_t *kl_endpoint_longest_idle(const kl_endpoint_t *endpoint)
 {
 	kl_conn_t *conn, *oldest = NULL;
 
@@ -206,7 +204,7 @@
 	return oldest;
 }
 
-static kl_conn_t *open_conn(kl_endpoint_t *endpoint, const char *workspace)
+kl_conn_t *kl_conn_open(kl_endpoint_t *endpoint, const char *workspace)
 {
 	kl_engine_t *engine = endpoint->cluster->engine;
 	kl_conn_t *conn = calloc(1, sizeof(*conn));
@@ -352,7 +350,7 @@
 	CK_STAILQ_FOREACH(cluster, &engine->clusters, link) {
 		CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link)
 			sweep_endpoint(endpoint);
-		sample_primary(engine, cluster);
+		kl_cluster_sample_primary(cluster);
 	}
 }
 
@@ -382,7 +380,7 @@
 		retry_reads(endpoint);
 	if (endpoint->accepts_stmts &&
 	    (endpoint->may_be_down || kl_endpoint_stalled(endpoint)))
-		query_status(endpoint, false);
+		kl_endpoint_query_status(endpoint, false);
 	if (endpoint->conn_limit > endpoint->even_conn_share &&
 	    CK_STAILQ_EMPTY(&endpoint->queue) &&
 	    endpoint->open_conns < endpoint->conn_limit)
@@ -437,65 +435,6 @@
 	return false;
 }
 
-/* Queries the primary's log position if no recent reply has reported it. */
-static void sample_primary(kl_engine_t *engine, kl_cluster_t *cluster)
-{
-	const kl_group_t *group = kl_engine_find_group(engine, cluster->name);
-	kl_endpoint_t *endpoint;
-
-	if (!cluster->last_used_us ||
-	    engine->now_us - cluster->last_used_us > CLUSTER_UNUSED_US ||
-	    !kl_engine_primary_proven(engine, group) ||
-	    engine->now_us - kl_log_samples_newest_us(
-				     &cluster->position_samples) <
-		    PRIMARY_SAMPLE_US)
-		return;
-	endpoint = kl_endpoint_find(cluster, group->primary);
-	/*
-	 * Without a sample reads go to the primary, which costs less than
-	 * opening a connection for the query.
-	 */
-	if (endpoint && endpoint->accepts_stmts && longest_idle_conn(endpoint))
-		query_status(endpoint, true);
-}
-
-/*
- * Queries an endpoint's status, unless a status query or a connection attempt
- * is in progress.  Opens a connection if none is idle.
- */
-static void query_status(kl_endpoint_t *endpoint, bool primary_proven)
-{
-	static const kl_conn_msg_t status = { .kind = KL_CONN_MSG_STATUS };
-	kl_engine_t *engine = endpoint->cluster->engine;
-	kl_conn_t *conn;
-
-	CK_STAILQ_FOREACH(conn, &endpoint->conns, link) {
-		if ((conn->stage == KL_CONN_DETACHED &&
-		     conn->is_status_query) ||
-		    conn->stage == KL_CONN_OPENING)
-			return;
-	}
-	conn = longest_idle_conn(endpoint);
-	if (!conn) {
-		if ((endpoint->open_conns < endpoint->conn_limit ||
-		     endpoint->may_be_down) &&
-		    engine->now_us - endpoint->last_connect_failure_us >
-			    CONNECT_BACKOFF_US)
-			open_conn(endpoint, endpoint->cluster->last_workspace);
-		return;
-	}
-	if (kl_conn_send(conn, &status)) {
-		kl_conn_close(conn);
-		return;
-	}
-	conn->stage = KL_CONN_DETACHED;
-	conn->is_status_query = true;
-	conn->pending_replies = 1;
-	conn->primary_proven = primary_proven;
-	conn->sent_us = engine->now_us;
-	conn->stage_since_us = engine->now_us;
-}
-
 /* Retries the reads that run at a failing endpoint, on other endpoints. */
 static void retry_reads(kl_endpoint_t *endpoint)
 {
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -344,6 +344,12 @@
 void kl_conn_close(kl_conn_t *conn);
 /** Send a message. @return 0, or an error if nothing was sent */
 int kl_conn_send(kl_conn_t *conn, const kl_conn_msg_t *message);
+/** Whether the last failed attempt to connect is long enough ago. */
+bool kl_endpoint_may_connect(const kl_endpoint_t *endpoint);
+/** Open a connection. @return NULL if that failed at once */
+kl_conn_t *kl_conn_open(kl_endpoint_t *endpoint, const char *workspace);
+/** Find the connection that has been idle longest. @return NULL: none is */
+kl_conn_t *kl_endpoint_longest_idle(const kl_endpoint_t *endpoint);
 /** Find an idle connection of a workspace. @return NULL if there is none */
 kl_conn_t *kl_conn_find_idle(const kl_endpoint_t *endpoint,
 			     const char *workspace);
@@ -353,4 +359,15 @@
  */
 void kl_conns_sweep(kl_engine_t *engine);
 
+/* engine_status.c */
+/** Query the primary's log position if no recent reply has reported it. */
+void kl_cluster_sample_primary(kl_cluster_t *cluster);
+/**
+ * Query an endpoint's status, unless a status query or a connection attempt is
+ * in progress.  Opens a connection if none is idle.
+ *
+ * @param primary_proven the upstream is proven to be the primary now
+ */
+void kl_endpoint_query_status(kl_endpoint_t *endpoint, bool primary_proven);
+
 #endif
--- a/tests/script.h
+++ b/tests/script.h
@@ -23,5 +23,8 @@
 void step_auth(char **words, int count);
 void step_violations(char **words, int count);
 void step_loads(char **words, int count);
+void step_unreported(char **words, int count);
+void step_fails(char **words, int count);
+void step_sample(char **words, int count);
 
 #endif
--- a/tests/script_run.c
+++ b/tests/script_run.c
@@ -47,9 +47,6 @@
 static void step_stop(char **words, int count);
 static void step_leaves(char **words, int count);
 static void step_crash_on(char **words, int count);
-static void step_unreported(char **words, int count);
-static void step_fails(char **words, int count);
-static void step_sample(char **words, int count);
 static void set_running(const char *name, bool running);
 static void set_partition(const char *name, int partition);
 
@@ -459,52 +456,6 @@
 	world_register_databases(script_world, db->service);
 }
 
-/* unreported DB 0|1: whether VMs report whether requests to it fail. */
-static void step_unreported(char **words, int count)
-{
-	db_t *db = world_find_db(script_world, words[0]);
-	(void)count;
-
-	if (db)
-		db->unreported = atoi(words[1]) != 0;
-}
-
-/* fails VM DB: the VM's requests to the database begin to fail. */
-static void step_fails(char **words, int count)
-{
-	vm_t *vm = world_find_vm(script_world, words[0]);
-	const db_t *db = world_find_db(script_world, words[1]);
-	kl_passive_check_t check = { .failing_since_us = script_world->now_us };
-	kl_event_t event = { .kind = KL_EVENT_PASSIVE_CHECK,
-			     .passive_check = &check };
-	(void)count;
-
-	if (!vm || !db)
-		return;
-	check.service = db->service;
-	check.upstream = db->name;
-	kl_node_step(&vm->node, &event);
-}
-
-/*
- * sample VM SERVICE [NUMBER]: the VM's statements report the primary's log
- * position now; without NUMBER its reads need a position.
- */
-static void step_sample(char **words, int count)
-{
-	vm_t *vm = world_find_vm(script_world, words[0]);
-	kl_primary_position_t position = { .group_version = 1,
-					   .sampled_us = script_world->now_us };
-	kl_event_t event = { .kind = KL_EVENT_POSITION, .position = &position };
-
-	kl_name_copy(position.name.name, words[1]);
-	if (count > 2) {
-		position.term = 1;
-		position.number = script_parse_number(words[2]);
-	}
-	kl_node_step(&vm->node, &event);
-}
-
 /* stop VM: begins a planned stop. */
 static void step_stop(char **words, int count)
 {
