Let the age at which a VM asks the platform itself grow with the lease

Cause: confirmations pass down each domain's tree and are older by up to a hello interval at each level. With more than about 25 VMs in a domain and confirm_ms 600 they reach 1.5 s at the leaves, so the leaves asked the platform themselves: a fixed limit met for the first time at this size. Ruled out: watches (15 of 261 reads), updates (none at rest).

Change: a VM asks after 1.5 s or half of its lease, whichever is longer; with the deployed lease of 5 s that is 2.5 s and leaves as much again.

Result: script store_calls_depth, 102 VMs in 3 domains: reads in 10 s at rest 261 to 66, which are the three watchers' own; in the 5 s after the start 905 to 678.

--- a/control/sync.c
+++ b/control/sync.c
@@ -10,7 +10,11 @@
 #include "control/controllers.h"
 #include "control/sync_internal.h"
 
-/* A VM that was not confirmed for this long asks the platform itself. */
+/*
+ * A VM that was not confirmed for this long, or for half of its lease if that
+ * is longer, asks the platform itself.  Confirmations grow older by a hello
+ * interval at each level of a domain's tree.
+ */
 #define CONFIRM_OVERDUE_US (1500 * KL_MS)
 /* Lists and watches without an answer for this long are sent again. */
 #define LIST_TIMEOUT_US (1 * KL_SEC)
@@ -31,7 +35,8 @@
 		      kl_platform_op_t op, kl_feed_t feed_id, uint64_t now);
 static void handle_answer(kl_node_t *node, kl_sync_t *sync,
 			  kl_platform_answer_t *answer);
-static bool confirmation_overdue(const kl_sync_t *sync, uint64_t now);
+static bool confirmation_overdue(const kl_node_t *node, const kl_sync_t *sync,
+				 uint64_t now);
 static uint64_t newest_version(const kl_feed_state_t *feed,
 			       const kl_object_list_t *objects);
 static bool has_changes(const kl_objects_t *old,
@@ -134,7 +139,7 @@
 	bool watcher = !members || members->is_watcher;
 
 	expire_calls(node, feed, now);
-	if ((watcher || confirmation_overdue(sync, now)) &&
+	if ((watcher || confirmation_overdue(node, sync, now)) &&
 	    !feed->list_sent_us && now >= feed->next_list_us) {
 		feed->list_sent_us = now;
 		feed->next_list_us = now + node->tuning.confirm_interval_us;
@@ -165,7 +170,7 @@
 		bool due = feed->needs_list || i == KL_FEED_TERMS;
 
 		expire_calls(node, feed, now);
-		if (!watcher && !confirmation_overdue(sync, now) &&
+		if (!watcher && !confirmation_overdue(node, sync, now) &&
 		    !feed->needs_list)
 			continue;
 		if (due && !feed->list_sent_us && now >= feed->next_list_us) {
@@ -217,10 +222,14 @@
 		feed->watch_sent_us = 0;
 }
 
-static bool confirmation_overdue(const kl_sync_t *sync, uint64_t now)
+static bool confirmation_overdue(const kl_node_t *node, const kl_sync_t *sync,
+				 uint64_t now)
 {
-	return !sync->has_confirmation ||
-	       now - sync->confirmed_us > CONFIRM_OVERDUE_US;
+	uint64_t overdue_us = node->tuning.lease_duration_us / 2;
+
+	if (overdue_us < CONFIRM_OVERDUE_US)
+		overdue_us = CONFIRM_OVERDUE_US;
+	return !sync->has_confirmation || now - sync->confirmed_us > overdue_us;
 }
 
 static void send_call(kl_node_t *node, const kl_feed_state_t *feed,
--- a/tests/script_run.c
+++ b/tests/script_run.c
@@ -426,6 +426,8 @@
 		script_world->data_path_settings.lease_us = us;
 	else if (!strcmp(words[0], "slot_lease"))
 		script_world->tuning.slot_lease_us = us;
+	else if (!strcmp(words[0], "confirm"))
+		script_world->tuning.confirm_interval_us = us;
 	else if (!strcmp(words[0], "suspect"))
 		script_world->tuning.suspect_after_us = us;
 	else if (!strcmp(words[0], "min_downtime"))
