Stay starting until a slot has an owner

A caller inside its plan must not be refused for that.

Change: a VM of a fleet in which no slot has an owner yet stays in the phase starting, so it is not ready, for 2 s at most; statements that come in that phase wait for tokens up to their timeout. A VM that restarts finds owners at once and is not delayed.

--- a/control/drain.c
+++ b/control/drain.c
@@ -4,6 +4,9 @@
 
 #include "control/controllers.h"
 
+/* A VM serves after this time also if no slot has an owner yet. */
+#define SLOTS_WAIT_US (2 * KL_SEC)
+
 typedef struct drain_state {
 	bool stopping; /* a planned stop has begun */
 } drain_state_t;
@@ -59,6 +62,10 @@
 	if (!config ||
 	    (node->tuning.feed_count > 1 && CK_STAILQ_EMPTY(&config->services)))
 		return KL_PHASE_STARTING;
+	/* In a fleet that starts for the first time nobody has tokens yet. */
+	if (node->tuning.feed_count > 1 && !kl_share_any_slot_owned(node) &&
+	    kl_node_now(node) - node->started_us < SLOTS_WAIT_US)
+		return KL_PHASE_STARTING;
 	if (kl_config_marked(config, "vm", node->self.vm) ||
 	    kl_config_marked(config, "domain", node->self.domain))
 		return KL_PHASE_DRAINING;
--- a/control/share_bucket.c
+++ b/control/share_bucket.c
@@ -42,7 +42,7 @@
 		return NULL;
 	buckets->base.destroy = destroy_buckets;
 	buckets->index = kl_index_new(count);
-	buckets->buckets = calloc(count + 1, sizeof(*buckets->buckets));
+	buckets->buckets = calloc(count + 1, sizeof(kl_bucket_t *));
 	if (buckets->index && buckets->buckets)
 		return buckets;
 	destroy_buckets(&buckets->base);
--- a/control/slot.h
+++ b/control/slot.h
@@ -83,6 +83,9 @@
  */
 uint64_t kl_slots_created_mask(const kl_slots_t *slots, uint32_t class);
 
+/** Whether any slot has an owner, so that tokens can be had. */
+bool kl_slots_any_owned(const kl_slots_t *slots);
+
 /** Number of slots recorded as this VM's, usable or not. */
 uint32_t kl_slots_owned(const kl_slots_t *slots);
 
--- a/path/engine_begin.c
+++ b/path/engine_begin.c
@@ -28,6 +28,7 @@
 
 static int copy_route(kl_client_t *client);
 static void set_min_position(kl_client_t *client);
+static uint64_t token_wait_us(const kl_client_t *client);
 static bool take_tokens(kl_client_t *client);
 static void extend_queue_deadline(kl_client_t *client);
 static bool primary_is_late(const kl_client_t *client);
@@ -132,6 +133,19 @@
 	}
 }
 
+/*
+ * Returns how long the statement may wait for tokens.  A process that starts
+ * has none yet, which says nothing about the plan.
+ */
+static uint64_t token_wait_us(const kl_client_t *client)
+{
+	const kl_lifecycle_t *lifecycle = client->engine->view.lifecycle;
+
+	if (lifecycle && lifecycle->phase == KL_PHASE_STARTING)
+		return client->route.stmt_timeout_us;
+	return client->engine->settings.admit_wait_us;
+}
+
 /* Takes tokens. @return false if the statement waits for them or was refused */
 static bool take_tokens(kl_client_t *client)
 {
@@ -147,8 +161,8 @@
 			ck_pr_inc_64(&bucket->arrived_statements);
 	}
 	if (bucket && kl_admit_statement(&engine->view, bucket)) {
-		if (engine->now_us >= stmt->tokens_requested_us +
-					      engine->settings.admit_wait_us) {
+		if (engine->now_us >=
+		    stmt->tokens_requested_us + token_wait_us(client)) {
 			ck_pr_inc_64(&bucket->refused_statements);
 			kl_client_refuse(client, -KL_E_RATE);
 			return false;
