Count sessions before their login

The limit compared logged-in sessions, and under load many connections are accepted before the first login is read, so that all descriptors were used again.

Change: a worker counts a client connection from accept to close. A connection that is closed for a bad first word reports that, too.

--- a/daemon/line_worker.c
+++ b/daemon/line_worker.c
@@ -24,6 +24,7 @@
 	struct event_base *base;
 	struct event *tick;
 	kl_listener_t *listener;
+	uint64_t open_fronts; /* client connections, before and after login */
 	uint64_t max_sessions;
 	kl_inbox_t *inbox;
 	kl_reader_t *reader;
@@ -205,11 +206,14 @@
 		kl_front_line.open(worker->base, socket, &front_events, worker);
 
 	kl_counter_add(KL_COUNTER_SESSIONS, 1);
-	if (front &&
-	    kl_engine_client_count(worker->engine) >= worker->max_sessions) {
-		kl_counter_add(KL_COUNTER_LOGINS_REFUSED, 1);
-		kl_front_line.close(front, -KL_E_CONNECTIONS);
+	if (!front)
+		return;
+	if (worker->open_fronts < worker->max_sessions) {
+		worker->open_fronts++;
+		return;
 	}
+	kl_counter_add(KL_COUNTER_LOGINS_REFUSED, 1);
+	kl_front_line.close(front, -KL_E_CONNECTIONS);
 }
 
 static void on_tick(evutil_socket_t fd, short what, void *arg)
@@ -354,9 +358,10 @@
 
 static void front_closed(void *owner, kl_engine_front_t *front)
 {
+	kl_line_worker_t *worker = owner;
 	kl_client_t *client = kl_engine_front_data(front);
-	(void)owner;
 
+	worker->open_fronts--;
 	if (client)
 		kl_client_disconnected(client, kl_clock_us());
 }
@@ -409,7 +414,9 @@
 
 static void engine_end_session(void *context, void *front, int error)
 {
-	(void)context;
+	kl_line_worker_t *worker = context;
+
+	worker->open_fronts--;
 	kl_front_line.close(front, error);
 }
 
