--- a/review/cases.c
+++ b/review/cases.c
@@ -85,11 +85,11 @@
 
 #define LEAVE_KILL_S 14.0
 #define LEAVE_BACK_S 14.8
-#define LEAVE_FROM_S 17.0
-#define LEAVE_UNTIL_S 29.0
+#define LEAVE_FROM_S 16.0
+#define LEAVE_UNTIL_S 26.0
 #define LEAVERS_PER_VM 4
 #define LEAVE_END_S 75.0
-#define RECOVERY_S 15.0
+#define RECOVERY_S 12.0
 
 static int left;
 
@@ -454,11 +454,49 @@
 	return lower != 0;
 }
 
+/* majority: most machines are lost for good, then the primary crashes. */
+
+static void majority_kill(void *arg)
+{
+	(void)arg;
+	for (int i = 1; trouble && i < vm_count; i++)
+		vm_signal(i, SIGKILL);
+}
+
+static void majority_crash(void *arg)
+{
+	(void)arg;
+	note("database 0 crashes");
+	database_down(&databases[0], 1);
+}
+
+static void majority_start(void)
+{
+	start_vms();
+	for (int i = 0; i < 6; i++)
+		client_add(0, "trade", "key-one", send_mixed)->pause_ms = 50;
+	after(8, connect_all, NULL);
+	after(14, majority_kill, NULL);
+	after(24, majority_crash, NULL);
+	after(80, finish, NULL);
+}
+
+static int majority_judge(void)
+{
+	long served_count, all = count(40, 77, 0, &served_count);
+
+	note("served from 16 s after the crash on: %ld of %ld", served_count,
+	     all);
+	return all ? served_count * 4 < all : 2;
+}
+
+/* The last two have no folder of their own; see REPORT.md. */
 const case_t cases[] = {
+	{ "entry", entry_start, entry_judge },
 	{ "leave", leave_start, leave_judge },
 	{ "stop", stop_start, stop_judge },
-	{ "entry", entry_start, entry_judge },
-	{ "smuggle", smuggle_start, smuggle_judge },
 	{ "token", token_start, token_judge },
+	{ "smuggle", smuggle_start, smuggle_judge },
+	{ "majority", majority_start, majority_judge },
 	{ NULL, NULL, NULL },
 };
--- a/review/main.c
+++ b/review/main.c
@@ -1,10 +1,12 @@
 /* Starts the stand-ins and plays one case: stand CASE. */
+#include <arpa/inet.h>
 #include <event2/thread.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <time.h>
 #include <unistd.h>
@@ -12,10 +14,16 @@
 #include "cases.h"
 #include "stand.h"
 
+/* The second number of the loopback addresses is one of these. */
+#define FIRST_NET 16
+#define NETS 200
+#define RESERVE_PORT 9431 /* UDP port that marks a net as taken */
+
 struct event_base *base;
 int trouble = 1;
 FILE *record;
 static double started_s;
+static int net; /* second number of the loopback addresses */
 
 typedef struct call {
 	struct event *timer;
@@ -23,14 +31,33 @@
 	void *arg;
 } call_t;
 
+/*
+ * Reserves a net of loopback addresses for this run, by a socket that no other
+ * run can bind.
+ */
+static int reserve_net(void)
+{
+	for (int i = 0; i < NETS; i++) {
+		struct sockaddr_in address = { .sin_family = AF_INET };
+		int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+		net = FIRST_NET + ((int)getpid() + i) % NETS;
+		address.sin_port = htons(RESERVE_PORT);
+		inet_pton(AF_INET, ip_address(0, 1), &address.sin_addr);
+		if (!bind(fd, (struct sockaddr *)&address, sizeof(address)))
+			return 0;
+		close(fd);
+	}
+	return -1;
+}
+
 const char *ip_address(int a, int b)
 {
 	static char text[4][24];
 	static int next;
 
 	next = (next + 1) % 4;
-	snprintf(text[next], sizeof(text[next]), "127.%d.%d.%d",
-		 16 + (int)getpid() % 200, a, b);
+	snprintf(text[next], sizeof(text[next]), "127.%d.%d.%d", net, a, b);
 	return text[next];
 }
 
@@ -143,7 +170,7 @@
 	event_add(evsignal_new(base, SIGCHLD, on_child, NULL), NULL);
 	event_add(evsignal_new(base, SIGTERM, on_end, NULL), NULL);
 	event_add(evsignal_new(base, SIGINT, on_end, NULL), NULL);
-	if (store_start(ip_address(3, 1)))
+	if (reserve_net() || store_start(ip_address(3, 1)))
 		return 2;
 	put_config(1, 1000);
 	databases_start();
