--- a/board/sections.c
+++ b/board/sections.c
@@ -66,6 +66,17 @@
 	return objects;
 }
 
+const char *kl_feed_name(kl_feed_t feed)
+{
+	static const char *const names[KL_FEED_COUNT] = {
+		[KL_FEED_TERMS] = "terms",   [KL_FEED_SLOTS] = "slots",
+		[KL_FEED_CONFIG] = "config", [KL_FEED_UPSTREAMS] = "upstreams",
+		[KL_FEED_MARKS] = "marks",
+	};
+
+	return names[feed];
+}
+
 kl_config_t *kl_config_new(size_t expected)
 {
 	kl_config_t *config = calloc(1, sizeof(*config));
--- a/board/sections.h
+++ b/board/sections.h
@@ -31,6 +31,9 @@
 	KL_FEED_COUNT
 } kl_feed_t;
 
+/** Name of a feed in log lines, the status and metrics. */
+const char *kl_feed_name(kl_feed_t feed);
+
 #define KL_TERM_HISTORY_MAX 16 /**< newest terms kept for a group */
 
 /**
@@ -149,6 +152,7 @@
 typedef struct kl_config {
 	kl_snapshot_t base;
 	uint64_t revision; /**< of the objects that it was built from */
+	uint64_t version;  /**< of the newest object of KL_FEED_CONFIG */
 	/** Number of documents whose newest version is invalid. */
 	uint32_t refused_document_count;
 	/** A transaction that is idle for this long is aborted; 0: never. */
--- a/control/config.c
+++ b/control/config.c
@@ -99,6 +99,8 @@
 			update_document(node, state, object, kind);
 	}
 	config = build_config(state, objects->revision);
+	if (config)
+		config->version = objects->feed_revisions[KL_FEED_CONFIG];
 	if (config)
 		kl_node_publish(node, KL_SECTION_CONFIG, &config->base);
 }
--- a/control/node.h
+++ b/control/node.h
@@ -156,6 +156,10 @@
 	const char *service;
 	const char *upstream;
 	const char *reason;
+	const char *feed; /**< name of a feed of the platform's objects */
+	const char *peer; /**< VM that the data came from */
+	/** Version of the operators' configuration that was in force. */
+	uint64_t config_version;
 	uint64_t term;
 	uint64_t position;
 	uint64_t age_us; /**< age of the data, or duration of the operation */
--- a/control/sync.c
+++ b/control/sync.c
@@ -50,6 +50,8 @@
 static void move_changed_objects(kl_objects_t *objects,
 				 const kl_feed_update_t *update,
 				 kl_index_t *changed_index);
+static void log_update(kl_node_t *node, const kl_feed_state_t *feed,
+		       const kl_feed_update_t *update);
 static bool is_starting(const kl_node_t *node, const kl_sync_t *sync,
 			uint64_t now);
 static uint64_t list_interval(const kl_node_t *node, const kl_sync_t *sync,
@@ -256,7 +258,11 @@
 	kl_feed_update_t update = { .feed = answer->feed,
 				    .objects = answer->objects,
 				    .read_revision = answer->revision,
-				    .full = answer->is_full_list };
+				    .full = answer->is_full_list,
+				    .source = answer->op == KL_PLATFORM_LIST
+						      ? "list"
+						      : "watch",
+				    .sent_us = answer->call_sent_us };
 
 	if (answer->op == KL_PLATFORM_LIST &&
 	    answer->call_sent_us == feed->list_sent_us)
@@ -345,6 +351,7 @@
 				       feed);
 	move_changed_objects(objects, update, changed_index);
 	kl_index_free(changed_index);
+	log_update(node, feed, update);
 	for (int i = 0; i < KL_FEED_COUNT; i++) {
 		objects->feed_revisions[i] = sync->feeds[i].revision;
 		objects->revision += sync->feeds[i].revision;
@@ -353,6 +360,27 @@
 	return true;
 }
 
+/*
+ * Logs that the copy of a feed changed.  Changes of terms and slots are logged
+ * as the decisions that caused them.
+ */
+static void log_update(kl_node_t *node, const kl_feed_state_t *feed,
+		       const kl_feed_update_t *update)
+{
+	kl_decision_t decision = { .name = "feed_updated",
+				   .reason = update->source,
+				   .feed = kl_feed_name(update->feed),
+				   .peer = update->peer,
+				   .position = feed->revision,
+				   .age_us = update->sent_us
+						     ? kl_node_now(node) -
+							       update->sent_us
+						     : 0 };
+
+	if (update->feed != KL_FEED_TERMS && update->feed != KL_FEED_SLOTS)
+		node->ops->log_decision(node->ops_context, &decision);
+}
+
 /* Whether an update has newer objects, or lacks objects that are held. */
 static bool has_changes(const kl_objects_t *old, const kl_feed_update_t *update)
 {
--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -45,6 +45,9 @@
 	uint64_t revision;	   /**< of the feed once this is applied */
 	uint64_t read_revision;	   /**< the platform's, when this was read */
 	bool full;		   /**< any object not listed is removed */
+	const char *source; /**< for the log: "list", "watch" or "peer" */
+	const char *peer;   /**< VM that it came from, or NULL */
+	uint64_t sent_us;   /**< when it was requested */
 } kl_feed_update_t;
 
 /** Publish the objects with an update applied. @return whether any changed */
--- a/control/sync_peer.c
+++ b/control/sync_peer.c
@@ -125,7 +125,9 @@
 	const kl_peer_delta_t *delta = &message->delta;
 	const kl_peer_fetch_t *fetch = &delta->fetch;
 	const kl_object_t *object;
-	kl_feed_update_t update;
+	kl_feed_update_t update = { .source = "peer",
+				    .peer = message->from,
+				    .sent_us = sync->fetch_sent_us };
 
 	if (strcmp(message->from, sync->fetch_vm) ||
 	    fetch->feed != sync->fetch.feed ||
--- a/daemon/control_thread.c
+++ b/daemon/control_thread.c
@@ -379,13 +379,15 @@
 		[KL_PLATFORM_GET] = "platform_get_failed",
 		[KL_PLATFORM_PROMOTE] = "platform_promote_failed",
 	};
-	/* The number of the feed is logged under the key "position". */
-	kl_decision_t decision = { .name = events[answer->op],
-				   .service = answer->name,
-				   .reason = kl_error_info(answer->error)->name,
-				   .position = answer->feed,
-				   .age_us = kl_clock_us() -
-					     answer->call_sent_us };
+	bool reads_feed = answer->op == KL_PLATFORM_LIST ||
+			  answer->op == KL_PLATFORM_WATCH;
+	kl_decision_t decision = {
+		.name = events[answer->op],
+		.service = answer->name,
+		.reason = kl_error_info(answer->error)->name,
+		.feed = reads_feed ? kl_feed_name(answer->feed) : NULL,
+		.age_us = kl_clock_us() - answer->call_sent_us
+	};
 
 	kl_log_decision(&decision);
 }
--- a/daemon/log.c
+++ b/daemon/log.c
@@ -134,6 +134,12 @@
 	add_text(line, "service", decision->service);
 	add_text(line, "upstream", decision->upstream);
 	add_text(line, "reason", decision->reason);
+	add_text(line, "feed", decision->feed);
+	add_text(line, "peer", decision->peer);
+	if (decision->config_version)
+		json_object_set_new(
+			line, "config_version",
+			json_integer((json_int_t)decision->config_version));
 	if (decision->term)
 		json_object_set_new(line, "term",
 				    json_integer((json_int_t)decision->term));
--- a/daemon/status.c
+++ b/daemon/status.c
@@ -20,9 +20,11 @@
 
 static void on_metrics(struct evhttp_request *request, void *arg);
 static void on_status(struct evhttp_request *request, void *arg);
+static void add_feeds(struct evbuffer *body, kl_node_t *node);
 static void add_latencies(struct evbuffer *body);
 static void on_ready(struct evhttp_request *request, void *arg);
 static json_t *node_to_json(kl_node_t *node);
+static json_t *feeds_to_json(const kl_objects_t *objects);
 static json_t *groups_to_json(const kl_terms_t *terms);
 static json_t *upstreams_to_json(const kl_health_t *health, uint64_t now);
 static json_t *buckets_to_json(const kl_buckets_t *buckets);
@@ -97,7 +99,7 @@
 static void on_metrics(struct evhttp_request *request, void *arg)
 {
 	struct evbuffer *body = evbuffer_new();
-	(void)arg;
+	kl_status_server_t *server = arg;
 
 	for (int i = 0; i < KL_COUNTER_COUNT; i++)
 		evbuffer_add_printf(body,
@@ -107,9 +109,27 @@
 				    kl_counter_name(i), kl_counter_name(i),
 				    kl_counter_get(i));
 	add_latencies(body);
+	add_feeds(body, server->node);
 	reply(request, "text/plain; version=0.0.4", body);
 }
 
+/* The revision of each feed: a VM that is behind has a lower one. */
+static void add_feeds(struct evbuffer *body, kl_node_t *node)
+{
+	const kl_objects_t *objects;
+
+	evbuffer_add_printf(body,
+			    "# HELP kl_feed_revision revision of the copy of a "
+			    "feed\n# TYPE kl_feed_revision gauge\n");
+	kl_read_begin(node->reader);
+	objects = kl_node_get(node, KL_SECTION_OBJECTS);
+	for (kl_feed_t feed = 0; objects && feed < KL_FEED_COUNT; feed++)
+		evbuffer_add_printf(
+			body, "kl_feed_revision{feed=\"%s\"} %" PRIu64 "\n",
+			kl_feed_name(feed), objects->feed_revisions[feed]);
+	kl_read_end(node->reader);
+}
+
 /* One histogram for each kind of route and each way that statements end. */
 static void add_latencies(struct evbuffer *body)
 {
@@ -183,8 +203,8 @@
 	uint64_t now = kl_node_now(node);
 
 	return json_pack(
-		"{s:s,s:s,s:s,s:I,s:I,s:i,s:i,s:i,s:i,s:b,s:o,s:o,s:o}", "vm",
-		node->self.vm, "domain", node->self.domain, "phase",
+		"{s:s,s:s,s:s,s:I,s:I,s:i,s:i,s:i,s:i,s:b,s:o,s:o,s:o,s:o}",
+		"vm", node->self.vm, "domain", node->self.domain, "phase",
 		lifecycle ? phases[lifecycle->phase] : "starting", "revision",
 		(json_int_t)(config ? config->revision : 0), "confirmed_age_us",
 		(json_int_t)(confirmation ? now - confirmation->confirmed_us
@@ -194,7 +214,8 @@
 		members ? (int)members->count : 0, "live",
 		members ? (int)members->active_count : 0, "slots",
 		(int)kl_share_owned_slot_count(node), "watcher",
-		members && members->is_watcher, "groups",
+		members && members->is_watcher, "feeds",
+		feeds_to_json(kl_node_get(node, KL_SECTION_OBJECTS)), "groups",
 		groups_to_json(kl_node_get(node, KL_SECTION_TERMS)),
 		"upstreams",
 		upstreams_to_json(kl_node_get(node, KL_SECTION_HEALTH), now),
@@ -202,6 +223,19 @@
 		buckets_to_json(kl_node_get(node, KL_SECTION_BUCKETS)));
 }
 
+/* The revisions of the feeds, which are equal on VMs with equal copies. */
+static json_t *feeds_to_json(const kl_objects_t *objects)
+{
+	json_t *feeds = json_object();
+
+	for (kl_feed_t feed = 0; objects && feed < KL_FEED_COUNT; feed++)
+		json_object_set_new(
+			feeds, kl_feed_name(feed),
+			json_integer(
+				(json_int_t)objects->feed_revisions[feed]));
+	return feeds;
+}
+
 static json_t *groups_to_json(const kl_terms_t *terms)
 {
 	static const char *const states[KL_GROUP_STATE_COUNT] = {
--- a/path/engine_client.c
+++ b/path/engine_client.c
@@ -17,6 +17,7 @@
 			    const kl_parsed_stmt_t *parsed);
 static void reject(kl_client_t *client, const kl_parsed_stmt_t *parsed);
 static bool is_configured(const kl_engine_t *engine);
+static uint64_t config_version(const kl_engine_t *engine);
 static void count_result(kl_client_t *client, int error);
 static void finish_stmt(kl_client_t *client);
 static bool ends_session(int error);
@@ -74,7 +75,8 @@
 	kl_engine_t *engine = client->engine;
 	kl_decision_t decision = { .name = "login_refused",
 				   .service = client->database,
-				   .reason = kl_error_info(error)->name };
+				   .reason = kl_error_info(error)->name,
+				   .config_version = config_version(engine) };
 
 	if (error && !is_configured(engine) &&
 	    engine->now_us - client->idle_since_us < LOGIN_WAIT_US) {
@@ -99,6 +101,11 @@
 	return life && life->phase != KL_PHASE_STARTING && engine->view.terms;
 }
 
+static uint64_t config_version(const kl_engine_t *engine)
+{
+	return engine->view.config ? engine->view.config->version : 0;
+}
+
 int kl_client_check_login(kl_client_t *client)
 {
 	const kl_view_t *view = &client->engine->view;
@@ -298,6 +305,7 @@
 		.service = client->route.service,
 		.upstream = stmt->endpoint ? stmt->endpoint->name : "",
 		.reason = kl_error_info(error)->name,
+		.config_version = config_version(engine),
 		.position = stmt->min_position.number,
 		.age_us = engine->now_us - stmt->received_us
 	};
--- a/tests/world.c
+++ b/tests/world.c
@@ -406,6 +406,11 @@
 
 	if (!world->decision_log)
 		return;
+	if (decision->feed) {
+		fprintf(world->decision_log, "%s: %s %s %s\n", vm->name,
+			decision->name, decision->feed, decision->reason);
+		return;
+	}
 	fprintf(world->decision_log, "%s: %s %s%s%s %s term %llu\n", vm->name,
 		decision->name, decision->service ? decision->service : "",
 		decision->upstream ? " " : "",
