--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 	$(BUILD)/kl-standin-platform $(BUILD)/kl-standin-database \
 	$(BUILD)/kl-standin-line
 
-all: $(PROGRAMS) $(BUILD)/tests/script_run $(BUILD)/tests/engine_run $(BENCH_PROGRAMS) $(PROCESS_PROGRAMS) $(BUILD)/examples/lend $(BUILD)/kl-soak
+all: $(PROGRAMS) $(BUILD)/tests/script_run $(BUILD)/tests/engine_run $(BENCH_PROGRAMS) $(PROCESS_PROGRAMS) $(BUILD)/examples/lend $(BUILD)/kl-soak $(BUILD)/kl-config-soak
 all-daemon: $(BUILD)/kumquatloftd
 unit: $(UNIT_PROGRAMS)
 property: $(PROPERTY_PROGRAMS)
@@ -59,6 +59,8 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(BUILD)/kl-soak: $(call objects,$(wildcard tests/soak/*.c))
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+$(BUILD)/kl-config-soak: $(call objects,$(wildcard tests/config_soak/*.c) tests/soak/common.c tests/soak/relay.c tests/soak/stand.c)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(BUILD)/tests/script_run: $(call objects,tests/script_run.c tests/script_look.c tests/script_report.c tests/world.c tests/world_fake.c tests/world_caller.c tests/world_promote.c) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(BUILD)/tests/engine_run: $(call objects,tests/engine_run.c tests/engine_model.c) $(IO_LIBRARY) $(LIBRARY)
--- a/standin/line_main.c
+++ b/standin/line_main.c
@@ -3,8 +3,9 @@
  * endpoint and a group of three databases with the line protocol, in one
  * process.  /standin/fault injects faults, /standin/log prints all commits.
  *
- * PORT serves HTTP, the databases listen on the next three ports.  With RELAYS
- * they register the three ports after RELAYS instead, where relays listen.
+ * PORT serves HTTP, the databases listen on the next three ports.  With RELAYS,
+ * unless it is 0, they register the three ports after RELAYS instead, where
+ * relays listen.  HOST is the address to listen on.
  */
 #include <event2/buffer.h>
 #include <event2/http.h>
@@ -17,7 +18,7 @@
 #include "standin/line_database.h"
 #include "standin/store.h"
 
-#define HOST "127.0.0.1"
+#define DEFAULT_HOST "127.0.0.1"
 #define DATABASE_COUNT 3
 
 static void on_promote(struct evhttp_request *request, void *arg);
@@ -33,13 +34,15 @@
 	struct event *sigterm_event;
 	int port = argc > 1 ? atoi(argv[1]) : 0;
 	int relay_port = argc > 2 ? atoi(argv[2]) : 0;
+	const char *host = argc > 3 ? argv[3] : DEFAULT_HOST;
 
 	if (!port) {
-		fprintf(stderr, "usage: kl-standin-line PORT [RELAYS]\n");
+		fprintf(stderr,
+			"usage: kl-standin-line PORT [RELAYS [HOST]]\n");
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
-	if (evhttp_bind_socket(http, HOST, (uint16_t)port)) {
+	if (evhttp_bind_socket(http, host, (uint16_t)port)) {
 		fprintf(stderr, "cannot listen on HTTP port %d\n", port);
 		return 1;
 	}
@@ -49,7 +52,7 @@
 	evhttp_set_cb(http, "/standin/log", on_log, NULL);
 	/* Behind relays the databases register the ports of the relays. */
 	for (int i = 0; i < DATABASE_COUNT; i++)
-		if (line_database_start(base, HOST, port + 1 + i,
+		if (line_database_start(base, host, port + 1 + i,
 					(relay_port ? relay_port : port) + 1 +
 						i))
 			return 1;
@@ -74,7 +77,8 @@
 	json_decref(body);
 }
 
-/* /standin/fault?db=ID&name=NAME&value=N; db=store sets the store's outage. */
+/* /standin/fault?db=ID&name=NAME&value=N; db=store sets a fault of the store.
+ */
 static void on_fault(struct evhttp_request *request, void *arg)
 {
 	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
@@ -90,7 +94,7 @@
 	if (!id || !name || !value)
 		invalid = 1;
 	else if (!strcmp(id, "store"))
-		store_set_down(atoi(value));
+		invalid = store_set_fault(name, atoi(value));
 	else
 		invalid = line_database_fault(id, name, atoi(value));
 	evhttp_clear_headers(&query);
--- a/standin/store.c
+++ b/standin/store.c
@@ -40,12 +40,15 @@
 static struct event_base *event_base;
 static json_int_t revision = 1;
 static int unavailable; /* if set, requests are answered with 503 */
+/* Watches from an earlier revision are answered with 410. */
+static json_int_t first_kept_revision;
 
 static void on_request(struct evhttp_request *request, void *arg);
 static void handle_list(struct evhttp_request *request, const char *kind);
 static void handle_watch(struct evhttp_request *request, const char *kind,
 			 json_int_t since_revision, int wait_ms);
 static void finish_watch(watch_t *entry);
+static void drop_history(void);
 static void on_watch_timeout(evutil_socket_t fd, short what, void *arg);
 static void on_watch_closed(struct evhttp_connection *connection, void *arg);
 static void handle_update(struct evhttp_request *request, const char *kind,
@@ -79,9 +82,27 @@
 		record_change(kind, name, json_null(), 1);
 }
 
-void store_set_down(int down)
+int store_set_fault(const char *name, int value)
 {
-	unavailable = down;
+	if (!strcmp(name, "down"))
+		unavailable = value;
+	else if (!strcmp(name, "compact"))
+		drop_history();
+	else
+		return -1;
+	return 0;
+}
+
+/* Ends the watches that are behind, as their history is dropped. */
+static void drop_history(void)
+{
+	watch_t *entry, *next;
+
+	first_kept_revision = revision;
+	CK_LIST_FOREACH_SAFE(entry, &watches, link, next) {
+		if (entry->since_revision < first_kept_revision)
+			finish_watch(entry);
+	}
 }
 
 static void on_request(struct evhttp_request *request, void *arg)
@@ -131,11 +152,16 @@
 static void handle_watch(struct evhttp_request *request, const char *kind,
 			 json_int_t since_revision, int wait_ms)
 {
-	json_t *events = events_since(kind, since_revision);
+	json_t *events;
 	int ms = wait_ms < MAX_WATCH_MS ? wait_ms : MAX_WATCH_MS;
 	struct timeval wait = { ms / 1000, ms % 1000 * 1000 };
 	watch_t *entry;
 
+	if (since_revision < first_kept_revision) {
+		send_json(request, 410, json_object());
+		return;
+	}
+	events = events_since(kind, since_revision);
 	if (json_array_size(events)) {
 		send_json(request, 200,
 			  json_pack("{s:o,s:I}", "events", events,
@@ -164,11 +190,14 @@
 	if (request) {
 		evhttp_connection_set_closecb(
 			evhttp_request_get_connection(request), NULL, NULL);
-		send_json(request, 200,
-			  json_pack("{s:o,s:I}", "events",
-				    events_since(entry->kind,
-						 entry->since_revision),
-				    "storeRevision", revision));
+		if (entry->since_revision < first_kept_revision)
+			send_json(request, 410, json_object());
+		else
+			send_json(request, 200,
+				  json_pack("{s:o,s:I}", "events",
+					    events_since(entry->kind,
+							 entry->since_revision),
+					    "storeRevision", revision));
 	}
 	event_free(entry->timer);
 	free(entry->kind);
--- a/standin/store.h
+++ b/standin/store.h
@@ -23,7 +23,12 @@
 /** Delete an object; no effect if it does not exist. */
 void store_remove(const char *kind, const char *name);
 
-/** Answer all requests with HTTP 503 while down is not 0. */
-void store_set_down(int down);
+/**
+ * Set a fault: "down" (all requests are answered with HTTP 503 while the value
+ * is not 0) or "compact" (the history up to now is dropped, once).
+ *
+ * @return 0, or -1 if there is no such fault
+ */
+int store_set_fault(const char *name, int value);
 
 #endif
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -168,10 +168,10 @@
 	republish_config();
 }
 
-/* route NAME KIND MAX_AGE_MS TIMEOUT_MS TARGET_MS */
+/* route NAME KIND MAX_AGE_MS TIMEOUT_MS TARGET_MS [open] */
 static void step_route(char **args, int count)
 {
-	for (int i = 0; i < 5 && i < count; i++)
+	for (int i = 0; i < 6 && i < count; i++)
 		kl_name_copy(routes[route_count][i], args[i]);
 	route_count++;
 	republish_config();
@@ -187,12 +187,17 @@
 	republish_config();
 }
 
-/* key WORKSPACE KEY */
+/* key WORKSPACE KEY: gives the key to the workspace */
 static void step_key(char **args, int count)
 {
+	uint32_t i = 0;
 	(void)count;
-	kl_name_copy(keys[key_count][0], args[0]);
-	kl_name_copy(keys[key_count++][1], args[1]);
+
+	while (i < key_count && strcmp(keys[i][1], args[1]))
+		i++;
+	kl_name_copy(keys[i][0], args[0]);
+	kl_name_copy(keys[i][1], args[1]);
+	key_count += i == key_count;
 	republish_config();
 }
 
@@ -333,6 +338,7 @@
 static void step_show(char **args, int count)
 {
 	bool connections = !strcmp(args[0], "connections");
+	bool counts = !strcmp(args[0], "counts");
 	(void)count;
 
 	if (!strcmp(args[0], "sessions"))
@@ -340,6 +346,9 @@
 	for (uint32_t i = 0; connections && i < model->db_count; i++)
 		printf("%s: open %u\n", model->dbs[i].name,
 		       model->dbs[i].open_connections);
+	for (uint32_t i = 0; counts && i < model->bucket_count; i++)
+		printf("%s: sessions %llu\n", model->buckets[i]->name.name,
+		       (unsigned long long)model->buckets[i]->open_sessions);
 }
 
 /* trace on|off: whether to print what is sent to databases */
@@ -397,6 +406,7 @@
 		route->max_age_ms = (uint32_t)atoi(routes[i][2]);
 		route->statement_timeout_ms = (uint32_t)atoi(routes[i][3]);
 		route->target_latency_ms = (uint32_t)atoi(routes[i][4]);
+		route->anonymous = !strcmp(routes[i][5], "open");
 		CK_STAILQ_INSERT_TAIL(&config->routes, route, link);
 		if (route->name.name[0])
 			kl_index_put(config->route_index, &route->name);
--- a/tests/soak/client.c
+++ b/tests/soak/client.c
@@ -93,7 +93,7 @@
 	int vm = g_rand_int_range(clients->random, 0, SOAK_VMS);
 
 	address.sin_port = htons((uint16_t)(SOAK_LISTEN_RELAY_PORT + vm));
-	inet_pton(AF_INET, SOAK_HOST, &address.sin_addr);
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	client->session_ready = false;
 	client->session_acknowledged = 0;
 	client->operations_left =
--- a/tests/soak/relay.c
+++ b/tests/soak/relay.c
@@ -27,7 +27,7 @@
 struct relay {
 	struct event_base *base;
 	struct evconnlistener *listener;
-	int target_port;
+	struct sockaddr_in target;
 	relay_fault_t fault;
 	CK_LIST_HEAD(, connection) connections;
 };
@@ -40,7 +40,8 @@
 static void forward(connection_t *connection, int side);
 static void connection_free(connection_t *connection, bool reset);
 
-relay_t *relay_new(struct event_base *base, int port, int target_port)
+relay_t *relay_new(struct event_base *base, const char *host, int port,
+		   int target_port)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET };
 	relay_t *relay = calloc(1, sizeof(*relay));
@@ -48,10 +49,11 @@
 	if (!relay)
 		return NULL;
 	relay->base = base;
-	relay->target_port = target_port;
 	CK_LIST_INIT(&relay->connections);
 	address.sin_port = htons((uint16_t)port);
-	inet_pton(AF_INET, SOAK_HOST, &address.sin_addr);
+	inet_pton(AF_INET, host, &address.sin_addr);
+	relay->target = address;
+	relay->target.sin_port = htons((uint16_t)target_port);
 	relay->listener = evconnlistener_new_bind(
 		base, on_accept, relay,
 		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE |
@@ -71,7 +73,7 @@
 			       ? RELAY_FORWARD
 			       : fault;
 	CK_LIST_FOREACH_SAFE(connection, &relay->connections, link, next) {
-		if (fault == RELAY_RESET) {
+		if (fault == RELAY_RESET || fault == RELAY_REFUSE) {
 			connection_free(connection, true);
 			continue;
 		}
@@ -96,14 +98,14 @@
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
 		      struct sockaddr *address, int length, void *arg)
 {
-	struct sockaddr_in target_port = { .sin_family = AF_INET };
 	connection_t *connection = calloc(1, sizeof(*connection));
 	relay_t *relay = arg;
 	(void)listener;
 	(void)address;
 	(void)length;
 
-	if (!connection) {
+	if (!connection || relay->fault == RELAY_REFUSE) {
+		free(connection);
 		evutil_closesocket(fd);
 		return;
 	}
@@ -117,14 +119,12 @@
 		relay->base, -1,
 		BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
 	CK_LIST_INSERT_HEAD(&relay->connections, connection, link);
-	target_port.sin_port = htons((uint16_t)relay->target_port);
-	inet_pton(AF_INET, SOAK_HOST, &target_port.sin_addr);
 	for (int i = 0; i < 2; i++)
 		bufferevent_setcb(connection->sides[i], on_read, NULL, on_event,
 				  connection);
 	if (bufferevent_socket_connect(connection->sides[1],
-				       (struct sockaddr *)&target_port,
-				       sizeof(target_port))) {
+				       (struct sockaddr *)&relay->target,
+				       sizeof(relay->target))) {
 		connection_free(connection, true);
 		return;
 	}
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -9,11 +9,9 @@
  */
 #include <glib.h>
 #include <signal.h>
-#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include "tests/soak/soak.h"
 
@@ -47,6 +45,7 @@
 	int target_count;	 /* targets are 0 to target_count - 1 */
 } fault_t;
 
+static const fleet_t fleet = { "127.0.0.1", SOAK_VMS, 1 };
 static relay_t *relays[RELAY_COUNT];
 static GRand *fault_random;
 static GArray *pending_ends;
@@ -74,6 +73,7 @@
 static void end_pause(int target);
 static void end_store_down(int target);
 static void set_database_fault(int target, const char *fault, int value);
+static const char *configuration(int version, bool second_key);
 
 static const fault_t faults[] = {
 	{ "relay", begin_relay, end_relay, RELAY_COUNT },
@@ -126,7 +126,8 @@
 		int violations;
 
 		printf("seed %d\n", seed + i);
-		violations = stand_start(build, folder)
+		violations = stand_start(&fleet, build, folder,
+					 configuration(1, true))
 				     ? -1
 				     : run_seed((uint32_t)(seed + i), seconds);
 		stand_stop();
@@ -135,10 +136,7 @@
 		if (violations || keep) {
 			printf("logs: %s\n", folder);
 		} else {
-			gchar *command[] = { "rm", "-rf", folder, NULL };
-
-			g_spawn_sync(NULL, command, NULL, G_SPAWN_SEARCH_PATH,
-				     NULL, NULL, NULL, NULL, NULL, NULL);
+			soak_remove_folder(folder);
 		}
 		g_free(folder);
 	}
@@ -160,15 +158,17 @@
 	config_version = 1;
 	started_at_us = soak_now_us();
 	for (int i = 0; i < SOAK_VMS; i++) {
-		relays[i] = relay_new(base, SOAK_LISTEN_RELAY_PORT + i,
-				      SOAK_LISTEN_PORT + i);
-		relays[SOAK_VMS + i] = relay_new(
-			base, SOAK_STORE_RELAY_PORT + i, SOAK_STORE_PORT);
+		relays[i] =
+			relay_new(base, fleet.host, SOAK_LISTEN_RELAY_PORT + i,
+				  SOAK_LISTEN_PORT + i);
+		relays[SOAK_VMS + i] =
+			relay_new(base, fleet.host, SOAK_STORE_RELAY_PORT + i,
+				  SOAK_STORE_PORT);
 	}
 	for (int i = 0; i < SOAK_DATABASES; i++)
-		relays[2 * SOAK_VMS + i] =
-			relay_new(base, SOAK_DATABASE_RELAY_PORT + 1 + i,
-				  SOAK_STORE_PORT + 1 + i);
+		relays[2 * SOAK_VMS + i] = relay_new(
+			base, fleet.host, SOAK_DATABASE_RELAY_PORT + 1 + i,
+			SOAK_STORE_PORT + 1 + i);
 	/*
 	 * The clients have a generator of their own: how many numbers they
 	 * draw depends on timing and must not change the faults of a seed.
@@ -182,7 +182,7 @@
 	run_until(base, soak_now_us() + RECOVERY_MS * 500);
 	clients_expect_service(clients);
 	run_until(base, soak_now_us() + RECOVERY_MS * 500);
-	stand_configure(++config_version, false);
+	stand_put_configuration(configuration(++config_version, false));
 	clients_key_withdrawn(clients, soak_now_us());
 	run_until(base, soak_now_us() + WITHDRAWAL_MS * 1000);
 	clients_stop(clients);
@@ -282,7 +282,7 @@
 {
 	relay_set_fault(
 		relays[target],
-		g_rand_int_range(fault_random, RELAY_DELAY, RELAY_FAULT_COUNT));
+		g_rand_int_range(fault_random, RELAY_DELAY, RELAY_REFUSE));
 }
 
 static void begin_kill(int target)
@@ -329,7 +329,7 @@
 static void begin_configuration(int target)
 {
 	(void)target;
-	stand_configure(++config_version, true);
+	stand_put_configuration(configuration(++config_version, true));
 }
 
 static void end_relay(int target)
@@ -366,22 +366,28 @@
 	stand_set_fault(name, fault, value);
 }
 
-uint64_t soak_now_us(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_MONOTONIC, &now);
-	return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
-}
-
-void soak_violation(const char *format, ...)
+/* Returns the configuration, with or without the second API key. */
+static const char *configuration(int version, bool second_key)
 {
-	gchar *text;
-	va_list arguments;
-
-	va_start(arguments, format);
-	text = g_strdup_vprintf(format, arguments);
-	va_end(arguments);
-	printf("  VIOLATION: %s\n", text);
-	g_free(text);
+	static const char *const format =
+		"{\"meta\":{\"name\":\"main\"},\"spec\":{\"configVersion\":%d,"
+		"\"routes\":["
+		"{\"database\":\"orders\",\"routeType\":\"primary\","
+		"\"timeoutMs\":1000,\"targetLatencyMs\":200,\"priority\":1,"
+		"\"service\":\"stand\",\"public\":false},"
+		"{\"database\":\"stock\",\"routeType\":\"read_your_writes\","
+		"\"maxStalenessMs\":2500,\"timeoutMs\":1000,"
+		"\"targetLatencyMs\":400,\"priority\":2,"
+		"\"service\":\"stand\",\"public\":false}],"
+		"\"services\":[{\"name\":\"stand\",\"maxConns\":30}],"
+		"\"limits\":{\"txIdleMs\":3000},\"tenants\":["
+		"{\"name\":\"bakery\",\"apiKeys\":[\"key-one\"%s],"
+		"\"ratePerS\":2000,\"burst\":2000},"
+		"{\"name\":\"press\",\"apiKeys\":[\"key-press\"],"
+		"\"ratePerS\":30,\"burst\":30}]}}";
+	static char body[2048];
+
+	snprintf(body, sizeof(body), format, version,
+		 second_key ? ",\"key-two\"" : "");
+	return body;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -12,8 +12,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define SOAK_HOST "127.0.0.1"
 #define SOAK_VMS 3
+#define SOAK_VMS_MAX 9
 #define SOAK_DATABASES 3
 
 /**
@@ -39,13 +39,22 @@
 	RELAY_RESET,	    /**< reset the open connections, once */
 	RELAY_HOLD_REPLIES, /**< hold back what the target sends */
 	RELAY_BLACKHOLE,    /**< drop all data of the open connections */
+	RELAY_REFUSE,	    /**< reset the open connections and all new ones */
 	RELAY_FAULT_COUNT
 } relay_fault_t;
 
 typedef struct relay relay_t;
 
-/** Forward connections from one port of this machine to another. */
-relay_t *relay_new(struct event_base *base, int port, int target_port);
+/** The fleet under test. */
+typedef struct fleet {
+	const char *host; /**< loopback address of all processes */
+	int vm_count;	  /**< at most SOAK_VMS_MAX */
+	int vms_per_domain;
+} fleet_t;
+
+/** Forward connections from one port of an address to another one of it. */
+relay_t *relay_new(struct event_base *base, const char *host, int port,
+		   int target_port);
 /**
  * Apply a fault. RELAY_RESET and RELAY_BLACKHOLE affect only the connections
  * that are open now; the others last until the next call.
@@ -55,11 +64,14 @@
 
 /**
  * Start the stand-in of the store and databases and a daemon for each VM.
+ * @param fleet stays in use until stand_stop()
  * @param build folder of the programs
+ * @param configuration as in stand_put_configuration()
  * @param folder for settings and logs
  * @return 0, or -1 if the stand-in does not answer
  */
-int stand_start(const char *build, const char *folder);
+int stand_start(const fleet_t *fleet, const char *build, const char *folder,
+		const char *configuration);
 void stand_stop(void);
 /** Start a VM's daemon, unless it is running. */
 void stand_vm_start(int vm);
@@ -69,8 +81,11 @@
 bool stand_vm_failed(int vm);
 /** Set a fault of a database, such as "i-db1", or of the store, "store". */
 void stand_set_fault(const char *name, const char *fault, int value);
-/** Store a configuration version, with or without the second API key. */
-void stand_configure(int version, bool second_key);
+/**
+ * Create or replace the configuration, with a request body of the store.
+ * @return whether the store acknowledged it
+ */
+bool stand_put_configuration(const char *body);
 /** The committed writes, a line each. @return text to be freed, or NULL */
 char *stand_commit_log(void);
 
@@ -93,6 +108,8 @@
 
 /** Monotonic time, microseconds. */
 uint64_t soak_now_us(void);
+/** Remove a folder with its files. */
+void soak_remove_folder(const char *folder);
 /** Print a violated guarantee. */
 void soak_violation(const char *format, ...)
 	__attribute__((format(printf, 1, 2)));
--- a/tests/soak/stand.c
+++ b/tests/soak/stand.c
@@ -20,13 +20,14 @@
 
 static char program_folder[PATH_SIZE];
 static char work_folder[PATH_SIZE];
-static pid_t vm_pids[SOAK_VMS];
+static const fleet_t *fleet;
+static pid_t vm_pids[SOAK_VMS_MAX];
 /* SIGKILL or SIGTERM was sent to the running daemon. */
-static bool end_requested[SOAK_VMS];
+static bool end_requested[SOAK_VMS_MAX];
 /* The daemon ended unasked, or with an error. */
-static bool failed[SOAK_VMS];
-static uint64_t started_at_us[SOAK_VMS];
-static uint64_t last_signal_at_us[SOAK_VMS];
+static bool failed[SOAK_VMS_MAX];
+static uint64_t started_at_us[SOAK_VMS_MAX];
+static uint64_t last_signal_at_us[SOAK_VMS_MAX];
 static pid_t store_pid;
 
 static pid_t start_process(const char *name, char *const arguments[]);
@@ -37,12 +38,16 @@
 			  const char *body);
 static size_t append_body(char *bytes, size_t size, size_t count, void *arg);
 
-int stand_start(const char *build, const char *folder)
+int stand_start(const fleet_t *tested, const char *build, const char *folder,
+		const char *configuration)
 {
-	char port[16], relays[16];
-	char *const arguments[] = { "kl-standin-line", port, relays, NULL };
+	char port[16], relays[16], host[32];
+	char *const arguments[] = { "kl-standin-line", port, relays, host,
+				    NULL };
 	char *response = NULL;
 
+	fleet = tested;
+	snprintf(host, sizeof(host), "%s", fleet->host);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	snprintf(program_folder, sizeof(program_folder), "%s", build);
 	snprintf(work_folder, sizeof(work_folder), "%s", folder);
@@ -56,8 +61,8 @@
 	if (!response)
 		return -1;
 	free(response);
-	stand_configure(1, true);
-	for (int i = 0; i < SOAK_VMS; i++) {
+	stand_put_configuration(configuration);
+	for (int i = 0; i < fleet->vm_count; i++) {
 		failed[i] = false;
 		write_settings(i);
 		stand_vm_start(i);
@@ -67,7 +72,7 @@
 
 void stand_stop(void)
 {
-	for (int i = 0; i < SOAK_VMS; i++) {
+	for (int i = 0; i < SOAK_VMS_MAX; i++) {
 		if (vm_pids[i] <= 0)
 			continue;
 		kill(vm_pids[i], SIGCONT);
@@ -156,32 +161,16 @@
 	free(http_request("GET", path, NULL));
 }
 
-void stand_configure(int version, bool second_key)
+bool stand_put_configuration(const char *body)
 {
-	static const char *const format =
-		"{\"meta\":{\"name\":\"main\"},\"spec\":{\"configVersion\":%d,"
-		"\"routes\":["
-		"{\"database\":\"orders\",\"routeType\":\"primary\","
-		"\"timeoutMs\":1000,\"targetLatencyMs\":200,\"priority\":1,"
-		"\"service\":\"stand\",\"public\":false},"
-		"{\"database\":\"stock\",\"routeType\":\"read_your_writes\","
-		"\"maxStalenessMs\":2500,\"timeoutMs\":1000,"
-		"\"targetLatencyMs\":400,\"priority\":2,"
-		"\"service\":\"stand\",\"public\":false}],"
-		"\"services\":[{\"name\":\"stand\",\"maxConns\":30}],"
-		"\"limits\":{\"txIdleMs\":3000},\"tenants\":["
-		"{\"name\":\"bakery\",\"apiKeys\":[\"key-one\"%s],"
-		"\"ratePerS\":2000,\"burst\":2000},"
-		"{\"name\":\"press\",\"apiKeys\":[\"key-press\"],"
-		"\"ratePerS\":30,\"burst\":30}]}}";
-	char body[2048], *response;
+	char *response = http_request("POST", "/-/objects/config", body);
+	bool acknowledged;
 
-	snprintf(body, sizeof(body), format, version,
-		 second_key ? ",\"key-two\"" : "");
-	response = http_request("POST", "/-/objects/config", body);
 	if (!response)
 		response = http_request("PUT", "/-/objects/config/main", body);
+	acknowledged = response != NULL;
 	free(response);
+	return acknowledged;
 }
 
 char *stand_commit_log(void)
@@ -205,10 +194,11 @@
 		"platform_format: objects\nlease_ms: 5000\nconfirm_ms: 600\n"
 		"suspect_ms: 500\nadmit_wait_ms: 30\nshare_hold_s: 30\n"
 		"down_ms: 400\ndrain_ms: 3000\ntransaction_grace_ms: 1500\n",
-		vm, vm, SOAK_HOST, SOAK_HOST, SOAK_LISTEN_PORT + vm,
-		SOAK_PEER_PORT + vm, SOAK_STATUS_PORT + vm, SOAK_HOST,
-		SOAK_READY_PORT + vm, SOAK_HOST, SOAK_STORE_RELAY_PORT + vm,
-		SOAK_HOST, SOAK_STORE_RELAY_PORT + vm);
+		vm, vm / fleet->vms_per_domain, fleet->host, fleet->host,
+		SOAK_LISTEN_PORT + vm, SOAK_PEER_PORT + vm,
+		SOAK_STATUS_PORT + vm, fleet->host, SOAK_READY_PORT + vm,
+		fleet->host, SOAK_STORE_RELAY_PORT + vm, fleet->host,
+		SOAK_STORE_RELAY_PORT + vm);
 	fclose(file);
 }
 
@@ -241,8 +231,8 @@
 	char url[PATH_SIZE];
 	CURLcode code;
 
-	snprintf(url, sizeof(url), "http://%s:%d%s", SOAK_HOST, SOAK_STORE_PORT,
-		 path);
+	snprintf(url, sizeof(url), "http://%s:%d%s", fleet->host,
+		 SOAK_STORE_PORT, path);
 	curl_easy_setopt(curl, CURLOPT_URL, url);
 	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
 	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
