Let a session follow its key to another workspace

A session kept the workspace that its key had at login, and refused every statement once the key had another one: given to another workspace, withdrawn and added again, or, on an open route, not known at login and known later.

Each operation now runs for the workspace that has the key when it begins; the session is counted there. A transaction in progress ends with ABORTED, which promises that nothing is kept, since its database runs it for the workspace of its start.

--- a/path/engine_begin.c
+++ b/path/engine_begin.c
@@ -42,9 +42,9 @@
 
 	if (!error)
 		error = kl_client_check_access(client, &workspace);
-	/* A key that now belongs to another workspace is not valid here. */
+	/* The key may have another workspace since the last operation. */
 	if (!error && strcmp(workspace, client->workspace))
-		error = -KL_E_AUTH;
+		kl_client_set_workspace(client, workspace);
 	if (!error)
 		error = kl_client_resolve_writes(client, parsed);
 	if (error) {
--- a/path/engine_client.c
+++ b/path/engine_client.c
@@ -16,6 +16,7 @@
 static void accept_rollback(kl_client_t *client,
 			    const kl_parsed_stmt_t *parsed);
 static void reject(kl_client_t *client, const kl_parsed_stmt_t *parsed);
+static void uncount_session(kl_client_t *client);
 static bool is_configured(const kl_engine_t *engine);
 static uint64_t config_version(const kl_engine_t *engine);
 static void count_result(kl_client_t *client, int error);
@@ -110,20 +111,37 @@
 {
 	const kl_view_t *view = &client->engine->view;
 	const char *workspace;
-	kl_bucket_t *bucket;
 	int error;
 
 	if (!view->config || !view->terms)
 		return -KL_E_STALE_CONFIG;
 	error = kl_client_check_access(client, &workspace);
 	if (!error)
-		kl_name_copy(client->workspace, workspace);
-	bucket = error ? NULL : kl_client_bucket(client);
+		kl_client_set_workspace(client, workspace);
+	return error;
+}
+
+void kl_client_set_workspace(kl_client_t *client, const char *workspace)
+{
+	kl_bucket_t *bucket;
+
+	uncount_session(client);
+	kl_name_copy(client->workspace, workspace);
+	bucket = kl_client_bucket(client);
 	/* A VM keeps its parts of the limits while it has counted sessions. */
 	client->session_counted = bucket != NULL;
 	if (bucket)
 		ck_pr_inc_64(&bucket->open_sessions);
-	return error;
+}
+
+static void uncount_session(kl_client_t *client)
+{
+	kl_bucket_t *bucket =
+		client->session_counted ? kl_client_bucket(client) : NULL;
+
+	if (bucket && ck_pr_load_64(&bucket->open_sessions))
+		kl_release_session(bucket);
+	client->session_counted = false;
 }
 
 int kl_client_check_access(const kl_client_t *client, const char **workspace)
@@ -211,8 +229,12 @@
 	const char *workspace;
 	int error = kl_client_check_access(client, &workspace);
 
-	if (!error && strcmp(workspace, client->workspace))
-		error = -KL_E_AUTH;
+	/*
+	 * The database runs the transaction for the workspace that had the key
+	 * at its start, so it ends when the key has another one.
+	 */
+	if (!error && strcmp(workspace, client->workspace) && client->conn)
+		kl_conn_abandon(client->conn, true);
 	/* A transaction may finish after its route was removed. */
 	if (error == -KL_E_NOT_FOUND)
 		error = 0;
@@ -387,7 +409,6 @@
 void kl_client_end_session(kl_client_t *client, int error)
 {
 	kl_engine_t *engine = client->engine;
-	kl_bucket_t *bucket;
 	bool sent = client->stmt.stage == KL_STMT_SENT ||
 		    client->stmt.stage == KL_STMT_SETUP;
 
@@ -397,9 +418,7 @@
 				!sent || client->transaction_status != 'I');
 	if (client->front)
 		engine->ops->end_session(engine->context, client->front, error);
-	bucket = client->session_counted ? kl_client_bucket(client) : NULL;
-	if (bucket && ck_pr_load_64(&bucket->open_sessions))
-		kl_release_session(bucket);
+	uncount_session(client);
 	kl_state_clear(&client->state);
 	CK_LIST_REMOVE(client, link);
 	engine->client_count--;
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -238,6 +238,11 @@
 int kl_client_check_login(kl_client_t *client);
 /** Reply to a login, or let it wait. @return whether the client was freed */
 bool kl_client_answer_login(kl_client_t *client, int error);
+/**
+ * Make a session one of a workspace, for its next operations, and count it in
+ * that workspace's bucket.  No transaction may be open.
+ */
+void kl_client_set_workspace(kl_client_t *client, const char *workspace);
 /**
  * Check that the client's key is valid, or its route open to anonymous clients.
  *
