Know no route and no key before the first configuration

A process that starts while it can't read the store answered UNKNOWNDB for every database after a second: the feeds of terms and slots arrived from peers first, and an empty configuration was built from them. Callers took it for a final answer.

The configuration is now published once its own feed is loaded; until then logins wait, and are refused with BUSY, which promises that nothing ran.

--- a/control/config.c
+++ b/control/config.c
@@ -92,6 +92,10 @@
 	kl_config_t *config;
 	(void)event;
 
+	/* Other feeds may be there first; they name no route and no key. */
+	if (node->tuning.feed_count > 1 &&
+	    !objects->feed_revisions[KL_FEED_CONFIG])
+		return;
 	CK_STAILQ_FOREACH(object, &objects->list, link) {
 		const kl_document_kind_t *kind = find_kind(object->name.name);
 
@@ -99,10 +103,10 @@
 			update_document(node, state, object, kind);
 	}
 	config = build_config(state, objects->revision);
-	if (config)
-		config->version = objects->feed_revisions[KL_FEED_CONFIG];
-	if (config)
-		kl_node_publish(node, KL_SECTION_CONFIG, &config->base);
+	if (!config)
+		return;
+	config->version = objects->feed_revisions[KL_FEED_CONFIG];
+	kl_node_publish(node, KL_SECTION_CONFIG, &config->base);
 }
 
 bool kl_document_check(const char *name, const char *body)
