Fetch every feed that a peer has newer, after one hello

A VM that doesn't watch the store learned of a new configuration late: a hello led to the fetch of one feed, the first that the peer had newer, in the order terms, slots, configuration. While terms and slots change, as in a restart of the fleet, the configuration waited for one hello more each time.

A VM now keeps the revisions of the peer's hello and fetches the next feed when one is complete, beginning after the feed that was fetched last, so that one whose fetch fails can't hold up the others. An update that raises a feed's revision is applied even if no object is new, or the same feed would be fetched again at once.

--- a/control/sync.c
+++ b/control/sync.c
@@ -330,9 +330,8 @@
 	size_t count = 64;
 	const kl_object_t *object;
 
-	if (feed->loaded &&
-	    (node->tuning.feed_count > 1 ? !has_changes(old, update)
-					 : update->revision <= feed->revision))
+	if (feed->loaded && update->revision <= feed->revision &&
+	    (node->tuning.feed_count == 1 || !has_changes(old, update)))
 		return false;
 	if (old) {
 		CK_STAILQ_FOREACH(object, &old->list, link)
--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -33,7 +33,9 @@
 	uint64_t fetch_sent_us; /**< send time of the outstanding fetch, or 0 */
 	char fetch_vm[KL_NAME_MAX]; /**< VM that the fetch was sent to */
 	kl_peer_fetch_t fetch;	    /**< the outstanding fetch */
-	uint64_t fetch_revision;    /**< of the first delta of it, or 0 */
+	/** Revisions that the VM named in its last hello, by feed. */
+	uint64_t fetch_vm_revisions[KL_FEED_COUNT];
+	uint64_t fetch_revision; /**< of the first delta of it, or 0 */
 	/** Objects received for the outstanding fetch. */
 	kl_object_list_t fetched_objects;
 } kl_sync_t;
--- a/control/sync_peer.c
+++ b/control/sync_peer.c
@@ -12,8 +12,7 @@
 #define FETCH_INTERVAL_US (200 * KL_MS) /* minimum time between fetches */
 #define TREE_FANOUT 4 /* children of a VM in its domain's tree */
 
-static bool find_newer_feed(const kl_peer_hello_t *hello, const kl_sync_t *sync,
-			    kl_feed_t *feed);
+static bool find_newer_feed(const kl_sync_t *sync, kl_feed_t *feed);
 static void send_fetch(kl_node_t *node, kl_sync_t *sync, const char *vm,
 		       const char *host, uint16_t port);
 static void start_fetch(kl_node_t *node, kl_sync_t *sync, const char *vm,
@@ -34,10 +33,13 @@
 	if (hello->wants_answer)
 		send_hello(node, sync, message->from, hello->host, hello->port,
 			   hello->sent_us, false);
-	if (find_newer_feed(hello, sync, &feed) &&
-	    now - sync->fetch_sent_us >= FETCH_INTERVAL_US)
-		start_fetch(node, sync, message->from, hello->host, hello->port,
-			    feed);
+	if (now - sync->fetch_sent_us >= FETCH_INTERVAL_US) {
+		memcpy(sync->fetch_vm_revisions, hello->feed_revisions,
+		       sizeof(sync->fetch_vm_revisions));
+		if (find_newer_feed(sync, &feed))
+			start_fetch(node, sync, message->from, hello->host,
+				    hello->port, feed);
+	}
 	/*
 	 * The age is taken off the time at which this VM sent its own hello, so
 	 * a late answer cannot make the confirmation appear newer than it is.
@@ -56,14 +58,20 @@
 		   member->host, member->port, 0, true);
 }
 
-/* Finds a feed of which the sender of a hello holds a higher revision. */
-static bool find_newer_feed(const kl_peer_hello_t *hello, const kl_sync_t *sync,
-			    kl_feed_t *feed)
+/*
+ * Finds the next feed of which the fetch VM has a higher revision, beginning
+ * after the one that was fetched last: one that changes all the time, or whose
+ * fetch fails, must not keep the others waiting.
+ */
+static bool find_newer_feed(const kl_sync_t *sync, kl_feed_t *feed)
 {
-	for (int i = 0; i < KL_FEED_COUNT; i++) {
-		if (hello->feed_revisions[i] <= sync->feeds[i].revision)
+	for (uint32_t i = 1; i <= KL_FEED_COUNT; i++) {
+		kl_feed_t next = (sync->fetch.feed + i) % KL_FEED_COUNT;
+
+		if (sync->fetch_vm_revisions[next] <=
+		    sync->feeds[next].revision)
 			continue;
-		*feed = i;
+		*feed = next;
 		return true;
 	}
 	return false;
@@ -125,6 +133,7 @@
 	const kl_peer_delta_t *delta = &message->delta;
 	const kl_peer_fetch_t *fetch = &delta->fetch;
 	const kl_object_t *object;
+	kl_feed_t feed;
 	kl_feed_update_t update = { .source = "peer",
 				    .peer = message->from,
 				    .sent_us = sync->fetch_sent_us };
@@ -165,6 +174,9 @@
 	if (kl_sync_apply(node, sync, &update))
 		kl_sync_announce(node, sync);
 	kl_object_list_clear(&sync->fetched_objects);
+	if (find_newer_feed(sync, &feed))
+		start_fetch(node, sync, message->from, message->hello.host,
+			    message->hello.port, feed);
 }
 
 static void start_fetch(kl_node_t *node, kl_sync_t *sync, const char *vm,
