Bound how long a configuration can hide behind a silent watch

Callers saw an older configuration on several VMs at once, more than 3 s after a version was acknowledged, from 4 s after trouble with the store's connections on: routes and keys that had been added were refused, and dropped ones served (rule CONFIG).

Cause: only the feed of terms is confirmed all the time. For the others a watch without events was taken as "nothing changed", but a watch on a lost connection looks the same. The watchers of all domains renew their watches with each change, so they were blind at the same time, and peers could not help.

One that got no answer is repeated at once; one that was refused waits for the next list that succeeds, so an outage costs fewer calls than before.

--- a/control/sync.c
+++ b/control/sync.c
@@ -25,6 +25,11 @@
 /* Minimum time between watches, so that one answer brings many changes. */
 #define WATCH_INTERVAL_US (100 * KL_MS)
 #define LIST_RETRY_US (300 * KL_MS) /* after a failed list */
+/*
+ * A watch that fails later than this got no answer, as on a connection that was
+ * lost without a reset; one that fails sooner was refused.
+ */
+#define WATCH_REFUSED_US (2 * KL_SEC)
 /* For this long after its start an unconfirmed VM lists without delay. */
 #define STARTUP_US (300 * KL_MS)
 #define STARTUP_LIST_US (200 * KL_MS) /* interval of these lists */
@@ -37,6 +42,8 @@
 			  kl_platform_answer_t *answer);
 static bool confirmation_overdue(const kl_node_t *node, const kl_sync_t *sync,
 				 uint64_t now);
+static void delay_watch(const kl_node_t *node, kl_feed_state_t *feed,
+			const kl_platform_answer_t *answer);
 static uint64_t newest_version(const kl_feed_state_t *feed,
 			       const kl_object_list_t *objects);
 static bool has_changes(const kl_objects_t *old,
@@ -186,7 +193,7 @@
 		/* Which VMs are watchers is known once all have registered. */
 		if (now - node->started_us >= WATCH_START_DELAY_US &&
 		    feed->loaded && !feed->needs_list && !feed->watch_sent_us &&
-		    now >= feed->next_watch_us) {
+		    !feed->watch_refused && now >= feed->next_watch_us) {
 			feed->watch_sent_us = now;
 			feed->next_watch_us = now + WATCH_INTERVAL_US;
 			send_call(node, feed, KL_PLATFORM_WATCH, i, now);
@@ -252,9 +259,6 @@
 			  kl_platform_answer_t *answer)
 {
 	kl_feed_state_t *feed = &sync->feeds[answer->feed];
-	uint64_t watch_timeout_us = node->tuning.feed_count > 1
-					    ? FEED_WATCH_TIMEOUT_US
-					    : WATCH_TIMEOUT_US;
 	kl_feed_update_t update = { .feed = answer->feed,
 				    .objects = answer->objects,
 				    .read_revision = answer->revision,
@@ -270,17 +274,16 @@
 	if (answer->op == KL_PLATFORM_WATCH &&
 	    answer->call_sent_us == feed->watch_sent_us) {
 		feed->watch_sent_us = 0;
-		/* A failed watch is repeated after LIST_TIMEOUT_US. */
 		if (answer->error)
-			feed->watch_sent_us = kl_node_now(node) -
-					      watch_timeout_us +
-					      LIST_TIMEOUT_US;
+			delay_watch(node, feed, answer);
 	}
 	if (answer->error == -KL_E_STALE_CONFIG)
 		feed->needs_list = true;
 	if (answer->error)
 		return;
 	if (answer->op == KL_PLATFORM_LIST) {
+		for (uint32_t i = 0; i < KL_FEED_COUNT; i++)
+			sync->feeds[i].watch_refused = false;
 		feed->needs_list = false;
 		if (answer->is_full_list)
 			feed->last_list_us = answer->call_sent_us;
@@ -302,6 +305,25 @@
 		kl_sync_confirm(node, sync, answer->call_sent_us);
 }
 
+/*
+ * After a failed watch.  With several feeds a watch without an answer is
+ * repeated at once, or changes would be missed for longer than its duration.
+ * One that was refused waits for the next successful list, since lists go on
+ * while the platform is down.  A single feed waits for LIST_TIMEOUT_US.
+ */
+static void delay_watch(const kl_node_t *node, kl_feed_state_t *feed,
+			const kl_platform_answer_t *answer)
+{
+	uint64_t now = kl_node_now(node);
+
+	if (node->tuning.feed_count > 1)
+		feed->watch_refused =
+			answer->error == -KL_E_UNAVAILABLE &&
+			now - answer->call_sent_us < WATCH_REFUSED_US;
+	else
+		feed->watch_sent_us = now - WATCH_TIMEOUT_US + LIST_TIMEOUT_US;
+}
+
 /*
  * With several feeds the revision of a feed is that of its newest object.  The
  * platform's revision also rises with changes of other feeds, so VMs with equal
--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -20,6 +20,7 @@
 	uint64_t next_list_us;	/**< earliest time of the next list */
 	uint64_t watch_sent_us; /**< send time of the outstanding watch, or 0 */
 	uint64_t next_watch_us; /**< earliest time of the next watch */
+	bool watch_refused;	/**< no watch until a list was successful */
 } kl_feed_state_t;
 
 /** State of the sync controller. */
--- a/standin/store.c
+++ b/standin/store.c
@@ -49,6 +49,7 @@
 			 json_int_t since_revision, int wait_ms);
 static void finish_watch(watch_t *entry);
 static void drop_history(void);
+static void forget_watches(void);
 static void on_watch_timeout(evutil_socket_t fd, short what, void *arg);
 static void on_watch_closed(struct evhttp_connection *connection, void *arg);
 static void handle_update(struct evhttp_request *request, const char *kind,
@@ -88,6 +89,8 @@
 		unavailable = value;
 	else if (!strcmp(name, "compact"))
 		drop_history();
+	else if (!strcmp(name, "silent"))
+		forget_watches();
 	else
 		return -1;
 	return 0;
@@ -105,6 +108,19 @@
 	}
 }
 
+static void forget_watches(void)
+{
+	watch_t *entry, *next;
+
+	CK_LIST_FOREACH_SAFE(entry, &watches, link, next) {
+		evhttp_connection_set_closecb(
+			evhttp_request_get_connection(entry->request), NULL,
+			NULL);
+		entry->request = NULL;
+		finish_watch(entry);
+	}
+}
+
 static void on_request(struct evhttp_request *request, void *arg)
 {
 	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
--- a/standin/store.h
+++ b/standin/store.h
@@ -25,7 +25,9 @@
 
 /**
  * Set a fault: "down" (all requests are answered with HTTP 503 while the value
- * is not 0) or "compact" (the history up to now is dropped, once).
+ * is not 0), "compact" (the history up to now is dropped, once) or "silent"
+ * (the watches that wait now never get an answer, but their connections stay
+ * open).
  *
  * @return 0, or -1 if there is no such fault
  */
--- a/tests/config_soak/main.c
+++ b/tests/config_soak/main.c
@@ -44,8 +44,10 @@
 	bool unnoticed;	     /* the VMs stay in touch */
 } fault_t;
 
-static void begin_relay(int vm);
-static void end_relay(int vm);
+static void begin_link_fault(int vm);
+static void begin_connection_fault(int vm);
+static void end_link_fault(int vm);
+static void set_link_fault(int vm, relay_fault_t fault);
 static void begin_kill(int vm);
 static void begin_stop(int vm);
 static void end_process(int vm);
@@ -60,9 +62,11 @@
 static void run_for(struct event_base *base, uint64_t ms, bool with_faults);
 
 static const fault_t faults[] = {
-	{ "store link", begin_relay, end_relay, false, false },
-	{ "store link", begin_relay, end_relay, false, false },
-	{ "store link", begin_relay, end_relay, false, false },
+	{ "store link", begin_link_fault, end_link_fault, false, false },
+	{ "store link", begin_link_fault, end_link_fault, false, false },
+	{ "all store links", begin_link_fault, end_link_fault, true, false },
+	{ "store connections", begin_connection_fault, NULL, false, false },
+	{ "all store connections", begin_connection_fault, NULL, true, false },
 	{ "kill", begin_kill, end_process, false, false },
 	{ "stop", begin_stop, end_process, false, false },
 	{ "pause", begin_pause, end_pause, false, false },
@@ -241,6 +245,8 @@
 		fault_end.due_at_us += RESTART_DELAY_MS * 1000;
 	if (fault->end)
 		g_array_append_val(fault_ends, fault_end);
+	else if (!fault->unnoticed)
+		history_disrupted(history, fault_end.vm, false);
 }
 
 static void end_faults(uint64_t now_us)
@@ -262,16 +268,35 @@
 	}
 }
 
-static void begin_relay(int vm)
+static void begin_link_fault(int vm)
+{
+	static const relay_fault_t lasting[] = { RELAY_DELAY,
+						 RELAY_HOLD_REPLIES,
+						 RELAY_REFUSE };
+
+	set_link_fault(vm,
+		       lasting[g_rand_int_range(fault_random, 0,
+						(gint)G_N_ELEMENTS(lasting))]);
+}
+
+/* The open connections are reset, or carry no data any more. */
+static void begin_connection_fault(int vm)
 {
-	relay_set_fault(
-		store_relays[vm],
-		g_rand_int_range(fault_random, RELAY_DELAY, RELAY_FAULT_COUNT));
+	set_link_fault(vm, g_rand_boolean(fault_random) ? RELAY_RESET
+							: RELAY_BLACKHOLE);
 }
 
-static void end_relay(int vm)
+static void end_link_fault(int vm)
 {
-	relay_set_fault(store_relays[vm], RELAY_FORWARD);
+	set_link_fault(vm, RELAY_FORWARD);
+}
+
+/* Sets a fault of a VM's link to the store, or of all if vm is -1. */
+static void set_link_fault(int vm, relay_fault_t fault)
+{
+	for (int i = 0; i < CONFIG_VMS; i++)
+		if (vm < 0 || vm == i)
+			relay_set_fault(store_relays[i], fault);
 }
 
 static void begin_kill(int vm)
