Take a list's revision from its first page

A VM could miss an object for good. The pages of a long list are read one after the other, and the revision of a feed was that of the newest object: of one on the last page, though an object that was added to the first page in between was missing. The watch brought it to this VM later, but VMs that had copied its revision saw equal revisions and never fetched the object.

The feed's revision now never exceeds that of the first page.

Measured: revision_is_that_of_the_first_page (unit sync) fails before.

--- a/control/sync.c
+++ b/control/sync.c
@@ -44,8 +44,8 @@
 				 uint64_t now);
 static void delay_watch(const kl_node_t *node, kl_feed_state_t *feed,
 			const kl_platform_answer_t *answer);
-static uint64_t newest_version(const kl_feed_state_t *feed,
-			       const kl_object_list_t *objects);
+static uint64_t complete_revision(const kl_feed_state_t *feed,
+				  const kl_platform_answer_t *answer);
 static bool has_changes(const kl_objects_t *old,
 			const kl_feed_update_t *update);
 static kl_index_t *index_newest(const kl_feed_update_t *update, size_t count);
@@ -292,7 +292,7 @@
 		feed->watch_revision = answer->revision;
 	update.revision = answer->revision;
 	if (node->tuning.feed_count > 1)
-		update.revision = newest_version(feed, answer->objects);
+		update.revision = complete_revision(feed, answer);
 	if (kl_sync_apply(node, sync, &update))
 		kl_sync_announce(node, sync);
 	/* Confirms only if the copy is at the revision of the answer. */
@@ -327,19 +327,23 @@
 /*
  * With several feeds the revision of a feed is that of its newest object.  The
  * platform's revision also rises with changes of other feeds, so VMs with equal
- * copies of a feed could not tell that they are equal.
+ * copies of a feed could not tell that they are equal.  Later pages of a list
+ * may have newer objects than its first page, whose revision the answer has:
+ * up to that one the copy is complete.
  */
-static uint64_t newest_version(const kl_feed_state_t *feed,
-			       const kl_object_list_t *objects)
+static uint64_t complete_revision(const kl_feed_state_t *feed,
+				  const kl_platform_answer_t *answer)
 {
-	uint64_t revision = feed->revision;
+	uint64_t revision = 0;
 	const kl_object_t *object;
 
-	CK_STAILQ_FOREACH(object, objects, link) {
+	CK_STAILQ_FOREACH(object, answer->objects, link) {
 		if (object->version > revision)
 			revision = object->version;
 	}
-	return revision;
+	if (revision > answer->revision)
+		revision = answer->revision;
+	return revision > feed->revision ? revision : feed->revision;
 }
 
 bool kl_sync_apply(kl_node_t *node, kl_sync_t *sync,
--- a/tests/unit/platform.c
+++ b/tests/unit/platform.c
@@ -36,7 +36,7 @@
 	encode_request(&call, "", &request);
 	assert_string_equal(
 		request.url,
-		"http://p:1/-/objects/config?watch=530&waitMs=3000");
+		"http://p:1/-/objects/config?watch=530&waitMs=2500");
 	call.op = KL_PLATFORM_LIST;
 	encode_request(&call, "main", &request);
 	assert_string_equal(request.url,
--- /dev/null
+++ b/tests/unit/sync.c
@@ -0,0 +1,179 @@
+/*
+ * Tests of the copy of the platform's objects: answers that arrive late or in
+ * another order than they were read must not bring back what was removed, nor
+ * hide what is new.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "control/controllers.h"
+#include "control/node.h"
+
+static uint64_t now_us = 1000 * KL_SEC;
+
+static uint64_t op_now(void *context)
+{
+	(void)context;
+	return now_us;
+}
+
+static uint32_t op_random(void *context)
+{
+	(void)context;
+	return 0;
+}
+
+static void op_send(void *context, const char *vm, const char *host,
+		    uint16_t port, const kl_peer_message_t *message)
+{
+	(void)context;
+	(void)vm;
+	(void)host;
+	(void)port;
+	(void)message;
+}
+
+static void op_platform(void *context, const kl_platform_call_t *call)
+{
+	(void)context;
+	(void)call;
+}
+
+static void op_database(void *context, const kl_database_call_t *call)
+{
+	(void)context;
+	(void)call;
+}
+
+static void op_log(void *context, const kl_decision_t *decision)
+{
+	(void)context;
+	(void)decision;
+}
+
+static const kl_node_ops_t ops = { op_now,	op_random,   op_send,
+				   op_platform, op_database, op_log };
+
+static int start(void **state)
+{
+	kl_node_t *node = calloc(1, sizeof(*node));
+
+	kl_name_copy(node->self.vm, "a1");
+	kl_name_copy(node->self.domain, "d1");
+	strcpy(node->self.host, "10.0.0.1");
+	node->self.port = 1;
+	kl_tuning_default(&node->tuning);
+	node->tuning.feed_count = KL_FEED_COUNT;
+	node->tuning.watchers_per_domain = 1;
+	node->tuning.platform_promotes = true;
+	node->ops = &ops;
+	CK_SLIST_INIT(&node->seeds);
+	*state = node;
+	return kl_node_start(node);
+}
+
+static int stop(void **state)
+{
+	kl_node_t *node = *state;
+
+	kl_node_stop(node);
+	free(node);
+	return 0;
+}
+
+/*
+ * Delivers a full list of upstreams that was read at a revision.  The words of
+ * text are names and versions: "i-1 5 i-2 7".
+ */
+static void deliver_list(kl_node_t *node, uint64_t revision, const char *text)
+{
+	kl_object_list_t objects = CK_STAILQ_HEAD_INITIALIZER(objects);
+	kl_platform_answer_t answer = { .op = KL_PLATFORM_LIST,
+					.owner = KL_CONTROLLER_SYNC,
+					.feed = KL_FEED_UPSTREAMS,
+					.is_full_list = true,
+					.revision = revision,
+					.call_sent_us = now_us - KL_MS,
+					.objects = &objects };
+	kl_event_t event = { .kind = KL_EVENT_PLATFORM, .platform = &answer };
+	char *copy = strdup(text), *saved = NULL;
+	char *word = strtok_r(copy, " ", &saved);
+
+	while (word) {
+		char name[KL_NAME_MAX];
+		kl_object_t *object;
+
+		snprintf(name, sizeof(name), "upstream/%s", word);
+		object = kl_object_new(
+			name, strtoull(strtok_r(NULL, " ", &saved), NULL, 10),
+			"{}");
+		CK_STAILQ_INSERT_TAIL(&objects, object, link);
+		word = strtok_r(NULL, " ", &saved);
+	}
+	kl_node_step(node, &event);
+	kl_object_list_clear(&objects);
+	free(copy);
+}
+
+static bool holds(const kl_node_t *node, const char *name)
+{
+	const kl_objects_t *objects = kl_node_get(node, KL_SECTION_OBJECTS);
+	const kl_object_t *object =
+		objects ? kl_index_get(objects->index, name) : NULL;
+
+	return object && strcmp(object->body, "null") != 0;
+}
+
+static uint64_t held_revision(const kl_node_t *node)
+{
+	const kl_objects_t *objects = kl_node_get(node, KL_SECTION_OBJECTS);
+
+	return objects->feed_revisions[KL_FEED_UPSTREAMS];
+}
+
+/* The object may also have been known, removed, and be in the late list. */
+static void late_list_does_not_undo_a_removal(void **state)
+{
+	kl_node_t *node = *state;
+
+	deliver_list(node, 20, "i-1 5 i-old 15");
+	deliver_list(node, 30, "i-1 5");
+	deliver_list(node, 20, "i-1 5 i-old 15");
+	assert_false(holds(node, "upstream/i-old"));
+	deliver_list(node, 40, "i-1 5 i-old 35");
+	assert_true(holds(node, "upstream/i-old"));
+}
+
+/*
+ * Guards against a change that is never noticed: pages of one list are read at
+ * different revisions.  An object of the last page is newer than the revision
+ * of the first page, after which an object of the first page was added.
+ */
+static void revision_is_that_of_the_first_page(void **state)
+{
+	kl_node_t *node = *state;
+
+	deliver_list(node, 10, "i-1 5 i-9 14");
+	assert_int_equal(held_revision(node), 10);
+	deliver_list(node, 15, "i-1 5 i-2 12 i-9 14");
+	assert_true(holds(node, "upstream/i-2"));
+	assert_int_equal(held_revision(node), 14);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			late_list_does_not_undo_a_removal, start, stop),
+		cmocka_unit_test_setup_teardown(
+			revision_is_that_of_the_first_page, start, stop),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
