Drop removed objects from lists that arrive late

A list that was read before the removal, and arrived after a newer copy of a peer, added the object: the VM had no trace of it, as it never held it. Only the next change of the configuration removed it.

A VM has every change up to its feed's revision, so an object that is not newer and that it doesn't hold was removed: it is dropped from the update.

--- a/control/sync.c
+++ b/control/sync.c
@@ -46,6 +46,9 @@
 			const kl_platform_answer_t *answer);
 static uint64_t complete_revision(const kl_feed_state_t *feed,
 				  const kl_platform_answer_t *answer);
+static void drop_removed_objects(const kl_objects_t *old,
+				 const kl_feed_state_t *feed,
+				 const kl_feed_update_t *update);
 static bool has_changes(const kl_objects_t *old,
 			const kl_feed_update_t *update);
 static kl_index_t *index_newest(const kl_feed_update_t *update, size_t count);
@@ -356,6 +359,8 @@
 	size_t count = 64;
 	const kl_object_t *object;
 
+	if (feed->loaded && node->tuning.feed_count > 1)
+		drop_removed_objects(old, feed, update);
 	if (feed->loaded && update->revision <= feed->revision &&
 	    (node->tuning.feed_count == 1 || !has_changes(old, update)))
 		return false;
@@ -385,6 +390,26 @@
 	return true;
 }
 
+/*
+ * Drops objects of an update that were removed since it was read.  This VM has
+ * every change up to the feed's revision, so an object that is not newer, and
+ * that it does not hold, was removed before this VM got its first list.
+ */
+static void drop_removed_objects(const kl_objects_t *old,
+				 const kl_feed_state_t *feed,
+				 const kl_feed_update_t *update)
+{
+	kl_object_t *object, *next;
+
+	CK_STAILQ_FOREACH_SAFE(object, update->objects, link, next) {
+		if (object->version > feed->revision ||
+		    (old && kl_index_get(old->index, object->name.name)))
+			continue;
+		CK_STAILQ_REMOVE(update->objects, object, kl_object, link);
+		kl_object_free(object);
+	}
+}
+
 /*
  * Logs that the copy of a feed changed.  Changes of terms and slots are logged
  * as the decisions that caused them.
--- a/tests/unit/sync.c
+++ b/tests/unit/sync.c
@@ -137,6 +137,21 @@
 	return objects->feed_revisions[KL_FEED_UPSTREAMS];
 }
 
+/*
+ * Guards against a removed object that comes back: a list that was read before
+ * the removal arrives after a newer one, on a VM that never had the object.
+ */
+static void late_list_does_not_restore_removed_objects(void **state)
+{
+	kl_node_t *node = *state;
+
+	deliver_list(node, 30, "i-1 25");
+	deliver_list(node, 20, "i-1 5 i-old 15");
+	assert_true(holds(node, "upstream/i-1"));
+	assert_false(holds(node, "upstream/i-old"));
+	assert_int_equal(held_revision(node), 25);
+}
+
 /* The object may also have been known, removed, and be in the late list. */
 static void late_list_does_not_undo_a_removal(void **state)
 {
@@ -169,6 +184,9 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			late_list_does_not_restore_removed_objects, start,
+			stop),
 		cmocka_unit_test_setup_teardown(
 			late_list_does_not_undo_a_removal, start, stop),
 		cmocka_unit_test_setup_teardown(
