Watch the platform in the place of a silent parent

A configuration came late to a whole failure domain after the VM that watches the platform for it had died: the dead VM kept its place in the order of names until it was forgotten, 60 s after its last message. The others asked the platform only when their confirmation was overdue, half of a lease, and stopped with the next confirmation, so each change waited for that time.

VMs whose record is gone have no place in the tree any more, and a VM whose parent was silent for 2.5 s watches the platform itself. The tree has a file of its own, which the rank and the announcements share.

Evidence: with a lease of 10 s a change was missing 3 s after it was written, three times of four, on both VMs that were left (watcher_dies, which fails before). The script has one failure domain, so that nobody else can tell.

--- a/board/sections.h
+++ b/board/sections.h
@@ -234,6 +234,8 @@
 	kl_index_t *index;
 	/** This VM lists and watches the platform's feeds for its domain. */
 	bool is_watcher;
+	/** The VM of its domain that tells this one of changes, or "". */
+	char parent[KL_NAME_MAX];
 } kl_members_t;
 
 /** The observed state of a database. */
--- a/control/member.c
+++ b/control/member.c
@@ -9,10 +9,11 @@
 
 #include "control/controllers.h"
 #include "control/prober.h"
+#include "control/tree.h"
 
 /*
- * Minimum times between passes that forget VMs, between updates of this VM's
- * record, and between checks of the other VMs.
+ * Minimum times between passes that forget VMs and check the parent, between
+ * updates of this VM's record, and between checks of the other VMs.
  */
 #define FORGET_INTERVAL_US (400 * KL_MS)
 #define REGISTER_INTERVAL_US (500 * KL_MS)
@@ -64,6 +65,8 @@
 			uint64_t now);
 static void forget_silent_vms(member_state_t *state, uint64_t now);
 static void publish_members(kl_node_t *node, member_state_t *state);
+static bool must_watch(const kl_node_t *node, const member_state_t *state,
+		       const kl_members_t *members);
 static void insert_sorted(member_state_t *state, vm_entry_t *vm);
 
 int kl_member_create(kl_node_t *node)
@@ -102,6 +105,7 @@
 {
 	member_state_t *state = node->state[KL_CONTROLLER_MEMBER];
 	const kl_objects_t *objects = kl_node_get(node, KL_SECTION_OBJECTS);
+	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
 	uint64_t now = kl_node_now(node);
 
 	if (event->kind == KL_EVENT_PEER && event->peer->kind == KL_PEER_HELLO)
@@ -114,6 +118,9 @@
 	if (now - state->last_forget_us >= FORGET_INTERVAL_US) {
 		state->last_forget_us = now;
 		forget_silent_vms(state, now);
+		state->members_changed |=
+			members &&
+			members->is_watcher != must_watch(node, state, members);
 	}
 	if (state->members_changed)
 		publish_members(node, state);
@@ -320,9 +327,7 @@
 {
 	const kl_config_t *config = kl_node_get(node, KL_SECTION_CONFIG);
 	kl_members_t *members = kl_members_new(state->count);
-	const kl_member_t *member;
 	vm_entry_t *vm;
-	uint32_t position = 0;
 
 	if (!members)
 		return;
@@ -344,20 +349,27 @@
 			 !strcmp(copy->name.name, node->self.vm));
 		kl_index_put(members->index, &copy->name);
 	}
-	members->is_watcher = false;
-	CK_STAILQ_FOREACH(member, &members->list, link) {
-		if (strcmp(member->domain, node->self.domain))
-			continue;
-		if (!strcmp(member->name.name, node->self.vm))
-			members->is_watcher =
-				position < node->tuning.watchers_per_domain;
-		position++;
-	}
+	members->is_watcher = must_watch(node, state, members);
 	state->members_changed = false;
 	members->version = ++state->published_version;
 	kl_node_publish(node, KL_SECTION_MEMBERS, &members->base);
 }
 
+/*
+ * Whether this VM watches the platform: as a root of its domain's tree, or
+ * while its parent is silent and so would not tell it of a change.
+ */
+static bool must_watch(const kl_node_t *node, const member_state_t *state,
+		       const kl_members_t *members)
+{
+	const kl_member_t *parent = kl_tree_parent(node, members);
+	const vm_entry_t *vm =
+		parent ? kl_index_get(state->index, parent->name.name) : NULL;
+
+	return !vm ||
+	       kl_node_now(node) - vm->member.last_message_us > IN_TOUCH_US;
+}
+
 /* Keeps the order of names, so that every VM builds the same tree. */
 static void insert_sorted(member_state_t *state, vm_entry_t *vm)
 {
--- a/control/sync_peer.c
+++ b/control/sync_peer.c
@@ -1,16 +1,12 @@
-/*
- * Exchange of objects between VMs: hellos, fetches and deltas.  The VMs of a
- * failure domain form a tree in the order of their names.  Its roots are the
- * watchers; every other VM has a parent, which announces new revisions to it.
- */
+/* Exchange of objects between VMs: hellos, fetches and deltas. */
 #include <stdlib.h>
 #include <string.h>
 
 #include "control/controllers.h"
 #include "control/sync_internal.h"
+#include "control/tree.h"
 
 #define FETCH_INTERVAL_US (200 * KL_MS) /* minimum time between fetches */
-#define TREE_FANOUT 4 /* children of a VM in its domain's tree */
 
 static bool find_newer_feed(const kl_sync_t *sync, kl_feed_t *feed);
 static void send_fetch(kl_node_t *node, kl_sync_t *sync, const char *vm,
@@ -20,8 +16,6 @@
 static void send_hello(kl_node_t *node, const kl_sync_t *sync, const char *vm,
 		       const char *host, uint16_t port, uint64_t echo_us,
 		       bool wants_answer);
-static uint32_t domain_index(const kl_node_t *node, const kl_members_t *members,
-			     const kl_member_t **table, uint32_t *count);
 
 void kl_sync_handle_hello(kl_node_t *node, kl_sync_t *sync,
 			  const kl_peer_message_t *message)
@@ -232,9 +226,9 @@
 {
 	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
 	const kl_member_t *member;
-	const kl_member_t *parent = NULL;
+	const kl_member_t *parent;
 	kl_seed_t *seed;
-	uint32_t chosen, own_index = 0, count;
+	uint32_t chosen;
 
 	if (!members || members->count < 2) {
 		CK_SLIST_FOREACH(seed, &node->seeds, link)
@@ -246,17 +240,7 @@
 		}
 		return;
 	}
-	own_index = domain_index(node, members, NULL, &count);
-	if (own_index >= node->tuning.watchers_per_domain) {
-		const kl_member_t *table[count + 1];
-
-		uint32_t parent_index =
-			(own_index - node->tuning.watchers_per_domain) /
-			TREE_FANOUT;
-
-		domain_index(node, members, table, &count);
-		parent = parent_index < count ? table[parent_index] : NULL;
-	}
+	parent = kl_tree_parent(node, members);
 	if (parent)
 		send_hello(node, sync, parent->name.name, parent->host,
 			   parent->port, 0, true);
@@ -276,23 +260,15 @@
 {
 	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
 	const kl_member_t *member;
-	uint32_t own_index, count, member_index = 0;
+	uint32_t chosen, member_index = 0;
 
 	if (!members || members->count < 2)
 		return;
-	own_index = domain_index(node, members, NULL, &count);
-	const kl_member_t *table[count + 1];
-	domain_index(node, members, table, &count);
-	for (uint32_t i = 0; i < TREE_FANOUT; i++) {
-		uint32_t child = node->tuning.watchers_per_domain +
-				 own_index * TREE_FANOUT + i;
-
-		if (child < count)
-			send_hello(node, sync, table[child]->name.name,
-				   table[child]->host, table[child]->port, 0,
-				   false);
-	}
-	uint32_t chosen = kl_node_random(node) % members->count;
+	for (member = kl_tree_next_child(node, members, NULL); member;
+	     member = kl_tree_next_child(node, members, member))
+		send_hello(node, sync, member->name.name, member->host,
+			   member->port, 0, false);
+	chosen = kl_node_random(node) % members->count;
 	CK_STAILQ_FOREACH(member, &members->list, link) {
 		if ((member_index++ == chosen || member_index == chosen + 1) &&
 		    strcmp(member->name.name, node->self.vm))
@@ -300,28 +276,3 @@
 				   member->port, 0, false);
 	}
 }
-
-/*
- * Finds this VM's index among the VMs of its domain, in the order of names.
- *
- * @param table receives these VMs, unless NULL
- * @param count receives their number
- */
-static uint32_t domain_index(const kl_node_t *node, const kl_members_t *members,
-			     const kl_member_t **table, uint32_t *count)
-{
-	const kl_member_t *member;
-	uint32_t own_index = 0;
-
-	*count = 0;
-	CK_STAILQ_FOREACH(member, &members->list, link) {
-		if (strcmp(member->domain, node->self.domain))
-			continue;
-		if (!strcmp(member->name.name, node->self.vm))
-			own_index = *count;
-		if (table)
-			table[*count] = member;
-		(*count)++;
-	}
-	return own_index;
-}
