Decode each entry of the store by itself

After a restart no daemon knew a database and every request got BUSY; running daemons missed every later change.

Cause: the whole response was decoded by one call, and the library refuses it for any part that it can't read. The class is a fault of one item that is charged to its container.

codec/json_slice finds members and elements without decoding them, with no stack for nesting; each entry is decoded by itself, its name and revision apart from the rest. What can't be read is logged as entry_unreadable once for each change. An upstream is then not used, an evacuation stands, records and the configuration keep their last contents.

Weighed: json-c and jansson decode nesting by recursion or refuse the whole text; yajl would do, but is not maintained.

Looked at for the same class: the native format (own documents, written by kumquatctl, which checks them), messages of peers (one datagram each), status rows of databases (one line each): each costs only itself.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 endif
 
 LIB_SOURCES = $(wildcard board/*.c control/*.c path/*.c)
-IO_SOURCES = $(wildcard front/*.c upstream/*.c platform/*.c peer/*.c)
+IO_SOURCES = $(wildcard codec/*.c front/*.c upstream/*.c platform/*.c peer/*.c)
 DAEMON_SOURCES = $(wildcard daemon/*.c)
 CTL_SOURCES = $(wildcard ctl/*.c)
 DB_SOURCES = $(wildcard standin/database*.c) front/pg_codec.c
--- a/board/sections.h
+++ b/board/sections.h
@@ -52,7 +52,8 @@
 	CK_STAILQ_ENTRY(kl_object) link;
 	uint64_t version; /**< revision of its last change */
 	kl_feed_t feed;
-	char *body; /**< JSON text; "null" for a removed object */
+	bool unreadable; /**< it exists, but its contents can't be read */
+	char *body;	 /**< JSON text; "null" for a removed object */
 } kl_object_t;
 
 typedef CK_STAILQ_HEAD(kl_object_list, kl_object) kl_object_list_t;
--- a/control/node.h
+++ b/control/node.h
@@ -85,7 +85,9 @@
 	 */
 	int error;
 	kl_feed_t feed;
-	bool is_full_list;	/**< objects has every object of the feed */
+	bool is_full_list; /**< objects has every object of the feed */
+	/** The feed's only object can't be read, so there are no documents. */
+	bool unreadable;
 	uint64_t call_sent_us;	/**< time of sending of the call */
 	uint64_t revision;	/**< the platform's; put: the new version */
 	char name[KL_NAME_MAX]; /**< as in the call */
--- a/control/sync.c
+++ b/control/sync.c
@@ -49,6 +49,10 @@
 static void drop_removed_objects(const kl_objects_t *old,
 				 const kl_feed_state_t *feed,
 				 const kl_feed_update_t *update);
+static void keep_unreadable_objects(kl_node_t *node, const kl_objects_t *old,
+				    const kl_feed_update_t *update);
+static void log_unreadable(kl_node_t *node, kl_feed_t feed, const char *name,
+			   uint64_t version);
 static bool has_changes(const kl_objects_t *old,
 			const kl_feed_update_t *update);
 static kl_index_t *index_newest(const kl_feed_update_t *update, size_t count);
@@ -282,6 +286,8 @@
 	}
 	if (answer->error == -KL_E_STALE_CONFIG)
 		feed->needs_list = true;
+	if (answer->unreadable)
+		log_unreadable(node, answer->feed, "", answer->revision);
 	if (answer->error)
 		return;
 	if (answer->op == KL_PLATFORM_LIST) {
@@ -361,6 +367,7 @@
 
 	if (feed->loaded && node->tuning.feed_count > 1)
 		drop_removed_objects(old, feed, update);
+	keep_unreadable_objects(node, old, update);
 	if (feed->loaded && update->revision <= feed->revision &&
 	    (node->tuning.feed_count == 1 || !has_changes(old, update)))
 		return false;
@@ -410,6 +417,53 @@
 	}
 }
 
+/*
+ * A record that can't be read keeps its last contents; one that was never read
+ * is left out.  An upstream is taken as removed, so that it is not used, and a
+ * mark stands whatever is in it.
+ */
+static void keep_unreadable_objects(kl_node_t *node, const kl_objects_t *old,
+				    const kl_feed_update_t *update)
+{
+	kl_object_t *object, *next;
+
+	CK_STAILQ_FOREACH_SAFE(object, update->objects, link, next) {
+		const kl_object_t *held =
+			old ? kl_index_get(old->index, object->name.name)
+			    : NULL;
+		char *body;
+
+		if (!object->unreadable)
+			continue;
+		if (!held || held->version < object->version)
+			log_unreadable(node, update->feed, object->name.name,
+				       object->version);
+		if (update->feed != KL_FEED_TERMS &&
+		    update->feed != KL_FEED_SLOTS)
+			continue;
+		body = held ? strdup(held->body) : NULL;
+		if (body) {
+			free(object->body);
+			object->body = body;
+			continue;
+		}
+		CK_STAILQ_REMOVE(update->objects, object, kl_object, link);
+		kl_object_free(object);
+	}
+}
+
+/* Logs an object whose contents can't be read; "" stands for a whole feed. */
+static void log_unreadable(kl_node_t *node, kl_feed_t feed, const char *name,
+			   uint64_t version)
+{
+	kl_decision_t decision = { .name = "entry_unreadable",
+				   .reason = name,
+				   .feed = kl_feed_name(feed),
+				   .position = version };
+
+	node->ops->log_decision(node->ops_context, &decision);
+}
+
 /*
  * Logs that the copy of a feed changed.  Changes of terms and slots are logged
  * as the decisions that caused them.
--- a/tests/unit/mutate.c
+++ b/tests/unit/mutate.c
@@ -87,20 +87,87 @@
 		kl_platform_answer_t answer = { .error = -KL_E_UNAVAILABLE };
 		kl_object_list_t objects;
 		char after[KL_NAME_MAX] = "";
-		json_t *json;
+		kl_json_slice_t body = { text, 0 };
 
 		CK_STAILQ_INIT(&objects);
 		answer.objects = &objects;
-		mutate(random, sample, strlen(sample), text);
-		json = json_loads(text, 0, NULL);
-		kl_format_objects.decode_response(&call, 200, json, &answer,
+		body.length = mutate(random, sample, strlen(sample), text);
+		kl_format_objects.decode_response(&call, 200, body, &answer,
 						  after);
-		json_decref(json);
 		kl_object_list_clear(&objects);
 	}
 	g_rand_free(random);
 }
 
+/*
+ * An entry with odd bytes, escapes and numbers inside its values, beside a
+ * sound entry that must arrive.
+ */
+static void odd_entries_leave_the_sound_one(void **state)
+{
+	static const char *const pieces[] = { "\\ud83e", "\\u0000",  "\\\"",
+					      "\\\\",	 "\xff\xfe", "\xc3" };
+	GRand *random = g_rand_new_with_seed(SEED);
+	(void)state;
+
+	for (int i = 0; i < INPUTS; i++) {
+		kl_platform_call_t call = { .op = i % 2 ? KL_PLATFORM_WATCH
+							: KL_PLATFORM_LIST,
+					    .feed = KL_FEED_UPSTREAMS };
+		kl_platform_answer_t answer = { .error = -KL_E_UNAVAILABLE };
+		kl_object_list_t objects = CK_STAILQ_HEAD_INITIALIZER(objects);
+		const kl_object_t *object, *sound = NULL;
+		GString *odd = g_string_new(NULL), *text = g_string_new("{");
+		char after[KL_NAME_MAX] = "";
+
+		for (int k = g_rand_int_range(random, 0, 8); k; k--) {
+			char byte = (char)g_rand_int(random);
+
+			if (g_rand_boolean(random))
+				g_string_append(odd,
+						pieces[g_rand_int_range(
+							random, 0,
+							G_N_ELEMENTS(pieces))]);
+			else if (byte != '"' && byte != '\\')
+				g_string_append_c(odd, byte);
+		}
+		g_string_append_printf(text, "\"%s\":[%s",
+				       i % 2 ? "events" : "items",
+				       i % 2 ? "{\"object\":" : "");
+		g_string_append(text, "{\"meta\":{\"name\":\"i-odd");
+		if (g_rand_boolean(random))
+			g_string_append_len(text, odd->str, (gssize)odd->len);
+		g_string_append(text, "\",\"revision\":7},\"spec\":{\"state\":"
+				      "\"");
+		g_string_append_len(text, odd->str, (gssize)odd->len);
+		g_string_append_printf(text, "\",\"slots\":%de%d}}",
+				       g_rand_int_range(random, -9, 9),
+				       g_rand_int_range(random, -999, 999));
+		g_string_append_printf(
+			text,
+			"%s{\"meta\":{\"name\":\"i-1\",\"revision\":5},"
+			"\"spec\":{\"service\":\"s\",\"address\":"
+			"\"10.0.0.9:80\",\"zone\":\"d\",\"state\":"
+			"\"ready\"}}%s],\"storeRevision\":9}",
+			i % 2 ? "},{\"object\":" : ",", i % 2 ? "}" : "");
+		answer.objects = &objects;
+		kl_format_objects.decode_response(
+			&call, 200, (kl_json_slice_t){ text->str, text->len },
+			&answer, after);
+		assert_int_equal(answer.error, 0);
+		CK_STAILQ_FOREACH(object, &objects, link) {
+			if (!strcmp(object->name.name, "upstream/i-1"))
+				sound = object;
+		}
+		assert_non_null(sound);
+		assert_string_not_equal(sound->body, "null");
+		kl_object_list_clear(&objects);
+		g_string_free(text, TRUE);
+		g_string_free(odd, TRUE);
+	}
+	g_rand_free(random);
+}
+
 static void lines_of_clients_and_databases_parse_safely(void **state)
 {
 	static const char *const samples[] = {
@@ -207,6 +274,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(store_answers_decode_safely),
+		cmocka_unit_test(odd_entries_leave_the_sound_one),
 		cmocka_unit_test(lines_of_clients_and_databases_parse_safely),
 		cmocka_unit_test(documents_and_records_decode_safely),
 		cmocka_unit_test(peer_messages_decode_safely),
--- a/tests/unit/platform.c
+++ b/tests/unit/platform.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include <cmocka.h>
 #include <event2/buffer.h>
+#include <glib.h>
 
 #include "platform/documents.h"
 #include "platform/format.h"
@@ -96,7 +97,7 @@
 			  kl_object_list_t *objects, char after[KL_NAME_MAX])
 {
 	kl_platform_call_t call = { .op = op, .feed = feed };
-	json_t *json = json_loads(text, 0, NULL);
+	kl_json_slice_t body = { text, strlen(text) };
 	bool more;
 
 	memset(answer, 0, sizeof(*answer));
@@ -104,9 +105,8 @@
 	answer->objects = objects;
 	answer->error = -KL_E_UNAVAILABLE;
 	after[0] = '\0';
-	more = kl_format_objects.decode_response(&call, status, json, answer,
+	more = kl_format_objects.decode_response(&call, status, body, answer,
 						 after);
-	json_decref(json);
 	return more;
 }
 
@@ -181,6 +181,119 @@
 	kl_object_list_clear(&objects);
 }
 
+#define ODD_FORMS 8 /* of odd_value() */
+#define DEEP_NESTING 100000
+#define LONG_TEXT_BYTES 1000000
+
+/* The value of a member that makes an entry unreadable, or odd; to be freed. */
+static char *odd_value(int form)
+{
+	static const char *const values[] = {
+		"\"v\\ud83e\"",		"\"v\xff\"", "\"v\\u0000\"", "1e999",
+		"99999999999999999999", "\"\""
+	};
+	char *text;
+
+	if (form < (int)(sizeof(values) / sizeof(*values)))
+		return strdup(values[form]);
+	if (form == ODD_FORMS - 1) {
+		text = calloc(1, LONG_TEXT_BYTES + 3);
+		memset(text, 'x', LONG_TEXT_BYTES + 2);
+		text[0] = text[LONG_TEXT_BYTES + 1] = '"';
+		return text;
+	}
+	text = calloc(1, 2 * DEEP_NESTING + 1);
+	memset(text, '[', DEEP_NESTING);
+	memset(text + DEEP_NESTING, ']', DEEP_NESTING);
+	return text;
+}
+
+/*
+ * Guards against one odd entry of another writer that ends a feed: the sound
+ * entries beside it must arrive, in a list and in a watch.
+ */
+static void odd_entries_cost_only_themselves(void **state)
+{
+	static const kl_platform_op_t ops[] = { KL_PLATFORM_LIST,
+						KL_PLATFORM_WATCH };
+	kl_platform_answer_t answer;
+	kl_object_list_t objects;
+	char after[KL_NAME_MAX];
+	(void)state;
+
+	for (int i = 0; i < 2 * ODD_FORMS; i++) {
+		char *value = odd_value(i / 2);
+		char *text;
+
+		text = g_strdup_printf(
+			i % 2 ? "{\"events\":[{\"object\":%s},{\"object\":"
+				"{\"meta\":{\"name\":\"i-odd\",\"revision\":7},"
+				"\"spec\":{\"configVersion\":%s}}},"
+				"{\"object\":%s}],\"storeRevision\":9}"
+			      : "{\"items\":[%s,{\"meta\":{\"name\":"
+				"\"i-odd\",\"revision\":7},\"spec\":"
+				"{\"configVersion\":%s}},%s],\"hasMore\":false,"
+				"\"storeRevision\":9}",
+			LISTED_JSON, value,
+			OBJECT_JSON("i-2", "6", UPSTREAM_SPEC_JSON));
+		decode_answer(ops[i % 2], KL_FEED_UPSTREAMS, 200, text, &answer,
+			      &objects, after);
+		assert_int_equal(answer.error, 0);
+		assert_int_equal(answer.revision, 9);
+		assert_string_not_equal(
+			find_object(&objects, "upstream/i-1")->body, "null");
+		assert_string_not_equal(
+			find_object(&objects, "upstream/i-2")->body, "null");
+		assert_string_equal(
+			find_object(&objects, "upstream/i-odd")->body, "null");
+		kl_object_list_clear(&objects);
+		g_free(text);
+		free(value);
+	}
+}
+
+/* A configuration that can't be read must not remove the one in force. */
+static void unreadable_configuration_is_no_empty_one(void **state)
+{
+	static const char object[] =
+		OBJECT_JSON("main", "7", "{\"routes\":[1e999]}");
+	kl_platform_answer_t answer;
+	kl_object_list_t objects;
+	char after[KL_NAME_MAX];
+	char *text =
+		g_strdup_printf("{\"items\":[%s],\"storeRevision\":9}", object);
+	(void)state;
+
+	decode_answer(KL_PLATFORM_LIST, KL_FEED_CONFIG, 200, text, &answer,
+		      &objects, after);
+	assert_int_equal(answer.error, -KL_E_INVALID);
+	g_free(text);
+	text = g_strdup_printf(
+		"{\"events\":[{\"object\":%s}],\"storeRevision\":9}", object);
+	decode_answer(KL_PLATFORM_WATCH, KL_FEED_CONFIG, 200, text, &answer,
+		      &objects, after);
+	assert_int_equal(answer.error, 0);
+	assert_true(answer.unreadable);
+	assert_false(answer.is_full_list);
+	g_free(text);
+}
+
+/* Guards against pages that repeat for ever. */
+static void page_without_a_name_ends_the_list(void **state)
+{
+	kl_platform_answer_t answer;
+	kl_object_list_t objects;
+	char after[KL_NAME_MAX];
+	(void)state;
+
+	assert_false(decode_answer(KL_PLATFORM_LIST, KL_FEED_UPSTREAMS, 200,
+				   "{\"items\":[{\"meta\":{\"name\":"
+				   "\"\\u0000\"}}],\"hasMore\":true,"
+				   "\"storeRevision\":9}",
+				   &answer, &objects, after));
+	assert_int_equal(answer.error, -KL_E_PROTOCOL);
+}
+
 static void http_statuses_map_to_errors(void **state)
 {
 	static const struct {
@@ -214,6 +327,13 @@
 		"\"state\":\"ready\"}",
 		"{\"service\":\"s\",\"address\":\"10.0.0.9:0\",\"zone\":\"d\","
 		"\"state\":\"ready\"}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.9:65616\",\"zone\":"
+		"\"d\",\"state\":\"ready\"}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.9:4294967376\","
+		"\"zone\":\"d\",\"state\":\"ready\"}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.9:80x\",\"zone\":"
+		"\"d\","
+		"\"state\":\"ready\"}",
 		"{\"service\":5,\"address\":\"10.0.0.9:80\",\"zone\":\"d\","
 		"\"state\":\"ready\"}",
 		"{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"d\","
@@ -227,7 +347,7 @@
 
 		CK_STAILQ_INIT(&objects);
 		kl_platform_kinds[KL_FEED_UPSTREAMS].decode(&objects, "i-1", 3,
-							    spec);
+							    false, spec);
 		assert_string_equal(CK_STAILQ_FIRST(&objects)->body, "null");
 		kl_object_list_clear(&objects);
 		json_decref(spec);
@@ -250,7 +370,8 @@
 	(void)state;
 
 	CK_STAILQ_INIT(&objects);
-	kl_platform_kinds[KL_FEED_CONFIG].decode(&objects, "main", 9, spec);
+	kl_platform_kinds[KL_FEED_CONFIG].decode(&objects, "main", 9, false,
+						 spec);
 	assert_non_null(strstr(find_object(&objects, "route/db1")->body,
 			       "\"kind\":\"session\""));
 	assert_non_null(find_object(&objects, "service/s"));
@@ -354,6 +475,9 @@
 			promotion_carries_lease_holder_and_fencing_token),
 		cmocka_unit_test(list_page_is_decoded),
 		cmocka_unit_test(removals_carry_the_store_revision),
+		cmocka_unit_test(odd_entries_cost_only_themselves),
+		cmocka_unit_test(unreadable_configuration_is_no_empty_one),
+		cmocka_unit_test(page_without_a_name_ends_the_list),
 		cmocka_unit_test(http_statuses_map_to_errors),
 		cmocka_unit_test(invalid_registrations_decode_to_null),
 		cmocka_unit_test(configuration_decodes_to_documents),
--- a/tests/unit/sync.c
+++ b/tests/unit/sync.c
@@ -57,6 +57,9 @@
 	(void)decision;
 }
 
+static void deliver_feed(kl_node_t *node, kl_feed_t feed, const char *prefix,
+			 uint64_t revision, const char *text);
+
 static const kl_node_ops_t ops = { op_now,	op_random,   op_send,
 				   op_platform, op_database, op_log };
 
@@ -88,15 +91,22 @@
 }
 
 /*
- * Delivers a full list of upstreams that was read at a revision.  The words of
- * text are names and versions: "i-1 5 i-2 7".
+ * Delivers a full list of upstreams, or of another feed, that was read at a
+ * revision.  The words of text are names and versions: "i-1 5 i-2 7".  After a
+ * version with "!" the object can't be read.
  */
 static void deliver_list(kl_node_t *node, uint64_t revision, const char *text)
+{
+	deliver_feed(node, KL_FEED_UPSTREAMS, "upstream/", revision, text);
+}
+
+static void deliver_feed(kl_node_t *node, kl_feed_t feed, const char *prefix,
+			 uint64_t revision, const char *text)
 {
 	kl_object_list_t objects = CK_STAILQ_HEAD_INITIALIZER(objects);
 	kl_platform_answer_t answer = { .op = KL_PLATFORM_LIST,
 					.owner = KL_CONTROLLER_SYNC,
-					.feed = KL_FEED_UPSTREAMS,
+					.feed = feed,
 					.is_full_list = true,
 					.revision = revision,
 					.call_sent_us = now_us - KL_MS,
@@ -109,10 +119,11 @@
 		char name[KL_NAME_MAX];
 		kl_object_t *object;
 
-		snprintf(name, sizeof(name), "upstream/%s", word);
-		object = kl_object_new(
-			name, strtoull(strtok_r(NULL, " ", &saved), NULL, 10),
-			"{}");
+		snprintf(name, sizeof(name), "%s%s", prefix, word);
+		word = strtok_r(NULL, " ", &saved);
+		object = kl_object_new(name, strtoull(word, NULL, 10),
+				       strchr(word, '!') ? "null" : "{}");
+		object->unreadable = strchr(word, '!') != NULL;
 		CK_STAILQ_INSERT_TAIL(&objects, object, link);
 		word = strtok_r(NULL, " ", &saved);
 	}
@@ -181,6 +192,32 @@
 	assert_int_equal(held_revision(node), 14);
 }
 
+/* A database whose entry can't be read is not used until it can be. */
+static void unreadable_upstream_is_not_used(void **state)
+{
+	kl_node_t *node = *state;
+
+	deliver_list(node, 10, "i-1 5 i-2 6!");
+	assert_true(holds(node, "upstream/i-1"));
+	assert_false(holds(node, "upstream/i-2"));
+	deliver_list(node, 20, "i-1 11! i-2 12");
+	assert_false(holds(node, "upstream/i-1"));
+	assert_true(holds(node, "upstream/i-2"));
+}
+
+/* A record that can't be read must not look as if nobody owned the slot. */
+static void unreadable_record_keeps_its_contents(void **state)
+{
+	kl_node_t *node = *state;
+
+	deliver_feed(node, KL_FEED_SLOTS, "slot/", 10, "1 5 2 6!");
+	assert_true(holds(node, "slot/1"));
+	assert_false(holds(node, "slot/2"));
+	deliver_feed(node, KL_FEED_SLOTS, "slot/", 20, "1 15! 2 16");
+	assert_true(holds(node, "slot/1"));
+	assert_true(holds(node, "slot/2"));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -191,6 +228,10 @@
 			late_list_does_not_undo_a_removal, start, stop),
 		cmocka_unit_test_setup_teardown(
 			revision_is_that_of_the_first_page, start, stop),
+		cmocka_unit_test_setup_teardown(unreadable_upstream_is_not_used,
+						start, stop),
+		cmocka_unit_test_setup_teardown(
+			unreadable_record_keeps_its_contents, start, stop),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
