Let each connection own the count of its running statement

Cause: the count was raised when a statement was sent and lowered by whoever found the statement in the stage "sent". The end of a session cleared the stage first, so nobody lowered it. The class is a count without an owner.

The connection that carries the statement owns its count: it ends with the answer or with the connection, on every way out. A statement whose client left goes on counting until the database has answered.

Both soaks check that they are 0 once the clients are gone; their daemons no longer inherit the connections of the soak's clients, which hid that.

--- a/daemon/counter.c
+++ b/daemon/counter.c
@@ -3,7 +3,7 @@
 #include "daemon/counter.h"
 #include "path/engine.h"
 
-/* Name and help text of a counter in the Prometheus format. */
+/* Name and help text of a metric in the Prometheus format. */
 typedef struct counter_row {
 	const char *name;
 	const char *help;
@@ -53,7 +53,19 @@
 					   "bad documents not installed" },
 };
 
+static const counter_row_t gauge_rows[KL_GAUGE_COUNT] = {
+	[KL_GAUGE_SESSIONS] = { "kl_sessions_open", "open sessions" },
+	[KL_GAUGE_WAITING_STMTS] = { "kl_statements_waiting",
+				     "statements that wait for an upstream or "
+				     "for tokens" },
+	[KL_GAUGE_QUEUED_STMTS] = { "kl_statements_queued",
+				    "statements that wait for a connection" },
+	[KL_GAUGE_RUNNING_STMTS] = { "kl_statements_running",
+				     "statements that run at upstreams" },
+};
+
 static uint64_t counters[KL_COUNTER_COUNT];
+static uint64_t gauges[KL_GAUGE_COUNT];
 static uint64_t latency_buckets[KL_ROUTE_KIND_COUNT][KL_STMT_END_COUNT]
 			       [KL_LATENCY_BUCKETS];
 static uint64_t latency_sums_us[KL_ROUTE_KIND_COUNT][KL_STMT_END_COUNT];
@@ -85,6 +97,26 @@
 	return ck_pr_load_64(&counters[counter]);
 }
 
+void kl_gauge_set(kl_gauge_t gauge, uint64_t value)
+{
+	ck_pr_store_64(&gauges[gauge], value);
+}
+
+uint64_t kl_gauge_get(kl_gauge_t gauge)
+{
+	return ck_pr_load_64(&gauges[gauge]);
+}
+
+const char *kl_gauge_name(kl_gauge_t gauge)
+{
+	return gauge_rows[gauge].name;
+}
+
+const char *kl_gauge_help(kl_gauge_t gauge)
+{
+	return gauge_rows[gauge].help;
+}
+
 const char *kl_counter_name(kl_counter_t counter)
 {
 	return counter_rows[counter].name;
--- a/daemon/counter.h
+++ b/daemon/counter.h
@@ -36,6 +36,27 @@
 	KL_COUNTER_COUNT
 } kl_counter_t;
 
+/** The gauges: what the process holds now. */
+typedef enum kl_gauge {
+	KL_GAUGE_SESSIONS,
+	KL_GAUGE_WAITING_STMTS,
+	KL_GAUGE_QUEUED_STMTS,
+	KL_GAUGE_RUNNING_STMTS,
+	KL_GAUGE_COUNT
+} kl_gauge_t;
+
+/** Set a gauge. */
+void kl_gauge_set(kl_gauge_t gauge, uint64_t value);
+
+/** @return a gauge's value */
+uint64_t kl_gauge_get(kl_gauge_t gauge);
+
+/** @return a gauge's name as a Prometheus metric */
+const char *kl_gauge_name(kl_gauge_t gauge);
+
+/** @return a gauge's Prometheus help text */
+const char *kl_gauge_help(kl_gauge_t gauge);
+
 /** Add to a counter. */
 void kl_counter_add(kl_counter_t counter, uint64_t amount);
 
--- a/daemon/line_worker.c
+++ b/daemon/line_worker.c
@@ -241,6 +241,7 @@
 {
 	const kl_engine_counts_t *now = kl_engine_counts(worker->engine);
 	kl_engine_counts_t *published = &worker->published_counts;
+	kl_engine_gauges_t gauges;
 
 	kl_counter_add(KL_COUNTER_READS_REPLICA,
 		       now->reads_replica - published->reads_replica);
@@ -262,6 +263,11 @@
 		       now->admitted - published->admitted);
 	if (now->finished != published->finished)
 		publish_latencies(now, published);
+	kl_engine_get_gauges(worker->engine, &gauges);
+	kl_gauge_set(KL_GAUGE_SESSIONS, gauges.sessions);
+	kl_gauge_set(KL_GAUGE_WAITING_STMTS, gauges.waiting_stmts);
+	kl_gauge_set(KL_GAUGE_QUEUED_STMTS, gauges.queued_stmts);
+	kl_gauge_set(KL_GAUGE_RUNNING_STMTS, gauges.running_stmts);
 	*published = *now;
 }
 
--- a/daemon/status.c
+++ b/daemon/status.c
@@ -108,6 +108,13 @@
 				    kl_counter_name(i), kl_counter_help(i),
 				    kl_counter_name(i), kl_counter_name(i),
 				    kl_counter_get(i));
+	for (int i = 0; i < KL_GAUGE_COUNT; i++)
+		evbuffer_add_printf(body,
+				    "# HELP %s %s\n# TYPE %s gauge\n"
+				    "%s %" PRIu64 "\n",
+				    kl_gauge_name(i), kl_gauge_help(i),
+				    kl_gauge_name(i), kl_gauge_name(i),
+				    kl_gauge_get(i));
 	add_latencies(body);
 	add_feeds(body, server->node);
 	reply(request, "text/plain; version=0.0.4", body);
--- a/path/engine.c
+++ b/path/engine.c
@@ -102,6 +102,24 @@
 	return &engine->counts;
 }
 
+void kl_engine_get_gauges(const kl_engine_t *engine, kl_engine_gauges_t *gauges)
+{
+	const kl_cluster_t *cluster;
+	const kl_endpoint_t *endpoint;
+	const kl_client_t *client;
+
+	memset(gauges, 0, sizeof(*gauges));
+	gauges->sessions = engine->client_count;
+	CK_LIST_FOREACH(client, &engine->waiting, waiting_link)
+		gauges->waiting_stmts++;
+	CK_STAILQ_FOREACH(cluster, &engine->clusters, link) {
+		CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
+			gauges->queued_stmts += endpoint->queue_length;
+			gauges->running_stmts += endpoint->running_stmts;
+		}
+	}
+}
+
 const kl_group_t *kl_engine_find_group(const kl_engine_t *engine,
 				       const char *service)
 {
--- a/path/engine.h
+++ b/path/engine.h
@@ -195,6 +195,18 @@
 /** Number of open sessions. */
 uint32_t kl_engine_client_count(const kl_engine_t *engine);
 
+/** What an engine holds now; all is 0 once the clients are gone. */
+typedef struct kl_engine_gauges {
+	uint64_t sessions;	/**< open sessions */
+	uint64_t waiting_stmts; /**< waiting for an upstream or for tokens */
+	uint64_t queued_stmts;	/**< waiting for a connection */
+	uint64_t running_stmts; /**< sent to a database and not answered */
+} kl_engine_gauges_t;
+
+/** Count what the engine holds now. */
+void kl_engine_get_gauges(const kl_engine_t *engine,
+			  kl_engine_gauges_t *gauges);
+
 /** Get the counters, valid as long as the engine. */
 const kl_engine_counts_t *kl_engine_counts(const kl_engine_t *engine);
 
--- a/path/engine_conn.c
+++ b/path/engine_conn.c
@@ -236,6 +236,22 @@
 	return engine->ops->conn_send(engine->context, conn->handle, message);
 }
 
+void kl_conn_stmt_sent(kl_conn_t *conn)
+{
+	kl_endpoint_t *endpoint = conn->endpoint;
+
+	if (!endpoint->running_stmts)
+		endpoint->last_progress_us = endpoint->cluster->engine->now_us;
+	endpoint->running_stmts++;
+	conn->runs_stmt = true;
+}
+
+void kl_conn_stmt_done(kl_conn_t *conn)
+{
+	conn->endpoint->running_stmts -= conn->runs_stmt;
+	conn->runs_stmt = false;
+}
+
 void kl_conn_release(kl_conn_t *conn)
 {
 	conn->client = NULL;
@@ -249,11 +265,8 @@
 
 void kl_conn_abandon(kl_conn_t *conn, bool open_transaction)
 {
-	if (conn->client) {
-		if (conn->client->stmt.stage == KL_STMT_SENT)
-			kl_endpoint_stmt_done(conn->endpoint);
+	if (conn->client)
 		conn->client->conn = NULL;
-	}
 	conn->client = NULL;
 	conn->primary_proven = false;
 	conn->stage_since_us = conn->endpoint->cluster->engine->now_us;
@@ -280,6 +293,7 @@
 
 	if (conn->client)
 		conn->client->conn = NULL;
+	kl_conn_stmt_done(conn);
 	CK_STAILQ_REMOVE(&endpoint->conns, conn, kl_conn, link);
 	endpoint->open_conns--;
 	free(conn);
@@ -308,6 +322,7 @@
 	if (client && client->stmt.stage != KL_STMT_NONE) {
 		kl_stmt_answered(client, result);
 	} else if (!client && !conn->pending_replies) {
+		kl_conn_stmt_done(conn);
 		if (result->transaction_status == 'I')
 			kl_conn_release(conn);
 		else
--- a/path/engine_endpoint.c
+++ b/path/engine_endpoint.c
@@ -228,18 +228,6 @@
 	}
 }
 
-void kl_endpoint_stmt_sent(kl_endpoint_t *endpoint)
-{
-	if (!endpoint->running_stmts)
-		endpoint->last_progress_us = endpoint->cluster->engine->now_us;
-	endpoint->running_stmts++;
-}
-
-void kl_endpoint_stmt_done(kl_endpoint_t *endpoint)
-{
-	endpoint->running_stmts--;
-}
-
 /*
  * Adapts the number of statements that may run at once at the upstream.  It
  * grows while the average latency is at most half of the objective.  It shrinks
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -184,6 +184,7 @@
 	uint64_t sent_us;	 /**< when the last statement was sent */
 	bool is_status_query;	 /**< KL_CONN_DETACHED: for a status reply */
 	/** its upstream was proven to be the primary at sent_us */
+	bool runs_stmt; /**< counted in the endpoint's running_stmts */
 	bool primary_proven;
 	/** replies to set-up, reset and status messages not yet received */
 	uint32_t pending_replies;
@@ -305,10 +306,6 @@
  */
 void kl_endpoint_failed(kl_endpoint_t *endpoint, bool refuses_conns,
 			uint64_t failing_since_us);
-/** Count a statement that was sent as running. */
-void kl_endpoint_stmt_sent(kl_endpoint_t *endpoint);
-/** End the count of a statement that was answered or given up. */
-void kl_endpoint_stmt_done(kl_endpoint_t *endpoint);
 /** Adapt the statement window to a latency and the latency objective. */
 void kl_endpoint_add_latency(kl_endpoint_t *endpoint, uint64_t latency_us,
 			     uint64_t target_latency_us);
@@ -339,6 +336,13 @@
 void kl_endpoint_dequeue(kl_client_t *client);
 /** Make a connection idle, for use by other statements. */
 void kl_conn_release(kl_conn_t *conn);
+/**
+ * Count the statement that was sent on a connection as running at its endpoint.
+ * The count ends with kl_conn_stmt_done() or with the connection.
+ */
+void kl_conn_stmt_sent(kl_conn_t *conn);
+/** End the count of a statement that was answered, if there is one. */
+void kl_conn_stmt_done(kl_conn_t *conn);
 /**
  * Detach a connection from its client.  If a transaction may be open, the
  * connection is closed, which rolls it back.  Else the connection becomes idle
--- a/path/engine_run.c
+++ b/path/engine_run.c
@@ -131,7 +131,7 @@
 		kl_stmt_conn_lost(client);
 		return;
 	}
-	kl_endpoint_stmt_sent(stmt->endpoint);
+	kl_conn_stmt_sent(conn);
 	if (client->transaction_status == 'I')
 		log_route(client);
 }
@@ -150,7 +150,7 @@
 		}
 		return;
 	}
-	kl_endpoint_stmt_done(stmt->endpoint);
+	kl_conn_stmt_done(client->conn);
 	kl_endpoint_add_latency(stmt->endpoint,
 				client->engine->now_us - stmt->sent_us,
 				client->route.target_latency_us);
@@ -299,8 +299,6 @@
 	bool sent = stmt->stage == KL_STMT_SENT;
 	char status_before = client->transaction_status;
 
-	if (sent)
-		kl_endpoint_stmt_done(stmt->endpoint);
 	if (client->conn)
 		kl_conn_close(client->conn);
 	client->conn = NULL;
@@ -375,7 +373,6 @@
 	if (stmt->stage != KL_STMT_SENT || engine->now_us < stmt->deadline_us)
 		return;
 	stmt->endpoint->may_be_down = true;
-	kl_endpoint_stmt_done(stmt->endpoint);
 	kl_conn_close(client->conn);
 	client->conn = NULL;
 	if (status_before == 'I' || stmt->verb == KL_VERB_COMMIT ||
--- a/tests/config_soak/main.c
+++ b/tests/config_soak/main.c
@@ -27,6 +27,7 @@
 #define FAULT_DURATION_END_MS 7000
 #define RESTART_DELAY_MS 800 /* least time until a daemon is restarted */
 #define CALM_MS 9000	     /* after the last fault; changes go on */
+#define CLOSE_MS 500	     /* until the probes' connections are closed */
 #define SEED_STEP 7919	     /* between the generators of one seed */
 
 /* The end of a fault that is going on. */
@@ -173,7 +174,8 @@
 	end_faults(UINT64_MAX);
 	run_for(base, CALM_MS, false);
 	probes_free(probes);
-	violations = history_report(history);
+	run_for(base, CLOSE_MS, false);
+	violations = history_report(history) + stand_check_idle();
 	for (int i = 0; i < CONFIG_VMS; i++) {
 		if (!stand_vm_failed(i))
 			continue;
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -339,6 +339,7 @@
 {
 	bool connections = !strcmp(args[0], "connections");
 	bool counts = !strcmp(args[0], "counts");
+	kl_engine_gauges_t gauges;
 	(void)count;
 
 	if (!strcmp(args[0], "sessions"))
@@ -346,6 +347,13 @@
 	for (uint32_t i = 0; connections && i < model->db_count; i++)
 		printf("%s: open %u\n", model->dbs[i].name,
 		       model->dbs[i].open_connections);
+	if (counts) {
+		kl_engine_get_gauges(model->engine, &gauges);
+		printf("sessions %" PRIu64 " waiting %" PRIu64
+		       " queued %" PRIu64 " running %" PRIu64 "\n",
+		       gauges.sessions, gauges.waiting_stmts,
+		       gauges.queued_stmts, gauges.running_stmts);
+	}
 	for (uint32_t i = 0; counts && i < model->bucket_count; i++)
 		printf("%s: sessions %llu\n", model->buckets[i]->name.name,
 		       (unsigned long long)model->buckets[i]->open_sessions);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -18,6 +18,7 @@
 #define WARM_UP_MS 6000 /* from the start to the first fault */
 /* Time after the last fault; clients must be served in its second half. */
 #define RECOVERY_MS 14000
+#define CLOSE_MS 500	   /* until the connections of clients are closed */
 #define WITHDRAWAL_MS 8000 /* from the withdrawal of the key to the end */
 /* Bounds of random times; a time is at least MIN and less than END. */
 #define FAULT_GAP_MIN_MS 100
@@ -200,6 +201,8 @@
 	clients_free(clients);
 	for (int i = 0; i < RELAY_COUNT; i++)
 		relay_free(relays[i]);
+	run_until(base, soak_now_us() + CLOSE_MS * 1000);
+	violations += stand_check_idle();
 	g_array_unref(pending_ends);
 	g_rand_free(fault_random);
 	g_rand_free(client_random);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -79,6 +79,12 @@
 void stand_vm_signal(int vm, int signal_number);
 /** Whether a VM's daemon crashed, or failed while it stopped on SIGTERM. */
 bool stand_vm_failed(int vm);
+/**
+ * Wait until no VM that runs has sessions or statements any more, a few seconds
+ * at most; no client may be there.
+ * @return VMs that still count some; each is printed
+ */
+int stand_check_idle(void);
 /** Set a fault of a database, such as "i-db1", or of the store, "store". */
 void stand_set_fault(const char *name, const char *fault, int value);
 /**
--- a/tests/soak/stand.c
+++ b/tests/soak/stand.c
@@ -14,6 +14,7 @@
 #include "tests/soak/soak.h"
 
 #define HTTP_TIMEOUT_MS 4000L	 /* of one HTTP request to the stand-in */
+#define IDLE_TIMEOUT_MS 6000	 /* until counts are 0 without clients */
 #define START_TIMEOUT_MS 5000	 /* until the stand-in answers */
 #define PROGRAM_LOAD_US 30000ull /* from fork() to main(), at most */
 #define PATH_SIZE 512
@@ -36,6 +37,9 @@
 static bool ended_before_main(int vm, int status);
 static char *http_request(const char *method, const char *path,
 			  const char *body);
+static char *http_request_to(int port, const char *method, const char *path,
+			     const char *body);
+static char *read_gauges(int vm);
 static size_t append_body(char *bytes, size_t size, size_t count, void *arg);
 
 int stand_start(const fleet_t *tested, const char *build, const char *folder,
@@ -152,6 +156,51 @@
 	       last_signal_at_us[vm] - started_at_us[vm] < PROGRAM_LOAD_US;
 }
 
+int stand_check_idle(void)
+{
+	int busy = 0;
+
+	for (int vm = 0; vm < fleet->vm_count; vm++) {
+		char *left = NULL;
+
+		for (int i = 0; i < IDLE_TIMEOUT_MS / 100; i++) {
+			g_free(left);
+			left = read_gauges(vm);
+			if (!left || !*left)
+				break;
+			g_usleep(100000);
+		}
+		if (left && *left) {
+			soak_violation("vm%d without clients has %s", vm, left);
+			busy++;
+		}
+		g_free(left);
+	}
+	return busy;
+}
+
+/*
+ * Returns the gauges of sessions and statements of a VM that are not 0, to be
+ * freed, or NULL if the VM does not answer.
+ */
+static char *read_gauges(int vm)
+{
+	char *metrics =
+		http_request_to(SOAK_STATUS_PORT + vm, "GET", "/metrics", NULL);
+	gchar **lines = metrics ? g_strsplit(metrics, "\n", -1) : NULL;
+	GString *left = g_string_new(NULL);
+
+	for (int i = 0; lines && lines[i]; i++) {
+		if ((g_str_has_prefix(lines[i], "kl_sessions_open ") ||
+		     g_str_has_prefix(lines[i], "kl_statements_")) &&
+		    !g_str_has_suffix(lines[i], " 0"))
+			g_string_append_printf(left, "%s ", lines[i]);
+	}
+	g_strfreev(lines);
+	free(metrics);
+	return g_string_free(left, !metrics);
+}
+
 void stand_set_fault(const char *name, const char *fault, int value)
 {
 	char path[128];
@@ -219,20 +268,27 @@
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
 	}
+	/* A daemon must not keep the connections of clients open. */
+	close_range(STDERR_FILENO + 1, ~0u, 0);
 	execv(program, arguments);
 	_exit(127);
 }
 
 static char *http_request(const char *method, const char *path,
 			  const char *body)
+{
+	return http_request_to(SOAK_STORE_PORT, method, path, body);
+}
+
+static char *http_request_to(int port, const char *method, const char *path,
+			     const char *body)
 {
 	GString *response = g_string_new(NULL);
 	CURL *curl = curl_easy_init();
 	char url[PATH_SIZE];
 	CURLcode code;
 
-	snprintf(url, sizeof(url), "http://%s:%d%s", fleet->host,
-		 SOAK_STORE_PORT, path);
+	snprintf(url, sizeof(url), "http://%s:%d%s", fleet->host, port, path);
 	curl_easy_setopt(curl, CURLOPT_URL, url);
 	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
 	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
