Take no request at a planned stop that the stop could cut off

A statement that still runs 100 ms before the end is answered TIMEOUT.

The PostgreSQL front end's sessions still end only when a check finds them idle: not changed, not tried.

--- a/daemon/line_worker.c
+++ b/daemon/line_worker.c
@@ -16,6 +16,8 @@
 
 #define IDLE_TICK_US 25000 /* interval of ticks while no request waits */
 #define BUSY_TICK_US 3000  /* interval of ticks if a request waits */
+/* At a planned stop the last answers are sent this long before its end. */
+#define ANSWER_MARGIN_US (100 * KL_MS)
 
 struct kl_line_worker {
 	const kl_settings_t *settings;
@@ -312,7 +314,9 @@
 	if (!worker)
 		return;
 	kl_engine_drain(worker->engine, now,
-			now + worker->settings->transaction_grace_ms * KL_MS);
+			now + worker->settings->transaction_grace_ms * KL_MS,
+			now + worker->settings->drain_ms * KL_MS -
+				ANSWER_MARGIN_US);
 	ck_pr_store_64(&worker->session_count,
 		       kl_engine_client_count(worker->engine));
 }
--- a/path/engine.c
+++ b/path/engine.c
@@ -10,6 +10,8 @@
  * transactions were ended.
  */
 #define DRAIN_REFUSE_US (300 * KL_MS)
+/* A session that was idle for this long is ended at a planned stop. */
+#define DRAIN_IDLE_US (50 * KL_MS)
 
 static void recheck_waiting(kl_engine_t *engine);
 static void check_clients(kl_engine_t *engine);
@@ -78,10 +80,11 @@
 }
 
 void kl_engine_drain(kl_engine_t *engine, uint64_t now_us,
-		     uint64_t transactions_until_us)
+		     uint64_t transactions_until_us, uint64_t end_us)
 {
 	kl_engine_enter(engine, now_us);
 	engine->drain_until_us = transactions_until_us;
+	engine->drain_end_us = end_us;
 	engine->refuse_from_us = transactions_until_us + DRAIN_REFUSE_US;
 	check_clients(engine);
 	kl_engine_exit(engine);
@@ -191,15 +194,20 @@
 		stage == KL_STMT_WAIT_UPSTREAM || stage == KL_STMT_WAIT_CONN);
 }
 
-/* Whether a planned stop ends the session: it is idle or its time is over. */
+/*
+ * Whether a planned stop ends a session that runs no statement.  A client that
+ * has just got its answer may be sending the next request.
+ */
 static bool must_end(const kl_client_t *client)
 {
 	const kl_engine_t *engine = client->engine;
+	bool time_is_over = engine->now_us >= engine->drain_until_us;
 
 	if (!engine->drain_until_us)
 		return false;
-	if (engine->now_us >= engine->drain_until_us)
-		return true;
-	return client->transaction_status == 'I' &&
-	       engine->ops->input_empty(engine->context, client->front);
+	if (client->transaction_status != 'I')
+		return time_is_over;
+	return engine->ops->input_empty(engine->context, client->front) &&
+	       (time_is_over ||
+		engine->now_us - client->idle_since_us >= DRAIN_IDLE_US);
 }
--- a/path/engine.h
+++ b/path/engine.h
@@ -183,11 +183,14 @@
 
 /**
  * Begin a planned stop: idle sessions end now, others when they become idle.
+ * No operation is taken that might not end in time; it is refused as not run.
  *
- * @param transactions_until_us time when sessions that are still open end
+ * @param transactions_until_us time from which operations are refused, and
+ *        transactions that are still open end
+ * @param end_us time at which statements that still run are given up
  */
 void kl_engine_drain(kl_engine_t *engine, uint64_t now_us,
-		     uint64_t transactions_until_us);
+		     uint64_t transactions_until_us, uint64_t end_us);
 
 /** Whether logins or statements wait that the next tick checks again. */
 bool kl_engine_has_waiting_stmts(const kl_engine_t *engine);
--- a/path/engine_client.c
+++ b/path/engine_client.c
@@ -225,6 +225,7 @@
 /* Runs another statement of an open transaction. */
 static void continue_txn(kl_client_t *client, const kl_parsed_stmt_t *parsed)
 {
+	const kl_engine_t *engine = client->engine;
 	kl_stmt_t *stmt = &client->stmt;
 	const char *workspace;
 	int error = kl_client_check_access(client, &workspace);
@@ -235,6 +236,10 @@
 	 */
 	if (!error && strcmp(workspace, client->workspace) && client->conn)
 		kl_conn_abandon(client->conn, true);
+	/* A planned stop leaves no time for another statement. */
+	if (engine->drain_until_us &&
+	    engine->now_us >= engine->drain_until_us && client->conn)
+		kl_conn_abandon(client->conn, true);
 	/* A transaction may finish after its route was removed. */
 	if (error == -KL_E_NOT_FOUND)
 		error = 0;
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -208,6 +208,8 @@
 	uint64_t last_sweep_us; /**< time of the last periodic work */
 	/** planned stop: time when open transactions are ended; else 0 */
 	uint64_t drain_until_us;
+	/** time when statements that still run are given up, or 0 */
+	uint64_t drain_end_us;
 	/** planned stop: time when waiting statements are refused; else 0 */
 	uint64_t refuse_from_us;
 	uint32_t client_count; /**< number of open sessions */
--- a/path/engine_run.c
+++ b/path/engine_run.c
@@ -370,7 +370,9 @@
 		kl_stmt_conn_lost(client);
 		return;
 	}
-	if (stmt->stage != KL_STMT_SENT || engine->now_us < stmt->deadline_us)
+	if (stmt->stage != KL_STMT_SENT ||
+	    (engine->now_us < stmt->deadline_us &&
+	     (!engine->drain_end_us || engine->now_us < engine->drain_end_us)))
 		return;
 	stmt->endpoint->may_be_down = true;
 	kl_conn_close(client->conn);
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -12,6 +12,8 @@
 #include "kumquatloft/share.h"
 #include "tests/engine_model.h"
 
+/* From the end of transactions to the end of a planned stop, milliseconds. */
+#define DRAIN_END_MS 2000
 #define WORDS_MAX 16 /* of one step */
 #define LINE_BYTES 512
 
@@ -326,12 +328,18 @@
 	model_run(model, strtoull(args[0], NULL, 10));
 }
 
-/* drain MS: planned stop; open transactions may go on for this long */
+/*
+ * drain MS [END_MS]: planned stop; open transactions may go on for MS, and
+ * statements that still run are given up after END_MS
+ */
 static void step_drain(char **args, int count)
 {
-	(void)count;
-	kl_engine_drain(model->engine, model->now_us,
-			model->now_us + strtoull(args[0], NULL, 10) * KL_MS);
+	uint64_t until_us = model->now_us + strtoull(args[0], NULL, 10) * KL_MS;
+	uint64_t end_us =
+		count > 1 ? model->now_us + strtoull(args[1], NULL, 10) * KL_MS
+			  : until_us + DRAIN_END_MS * KL_MS;
+
+	kl_engine_drain(model->engine, model->now_us, until_us, end_us);
 }
 
 /* show sessions|connections */
