--- a/tests/process/line.sh
+++ b/tests/process/line.sh
@@ -77,6 +77,16 @@
 request "QUERY 10 FLY"
 request "QUERY"
 
+echo "# a line feed in a text doesn't make two statements of one"
+request "QUERY 11 WRITE cake x
+QUERY 12 WRITE cake y"
+request "QUERY 13 BEGIN"
+request "QUERY 14 PREPARE s2
+QUERY 15 WRITE cake z"
+request "FLY"
+request "QUERY 16 COMMIT"
+request "QUERY 17 READ cake"
+
 echo "# read-your-writes through a session of the other VM"
 open_session 2 stock key-one
 request "QUERY 1 WRITE lustre gold"
