Let logins wait until a starting process has tokens

The first write after a start of the whole system was refused BUSY ("rate") though the plan was untouched (process descriptors in KNOWN-RED.txt, and what README's demo showed before).

Cause: a login was accepted as soon as there was a configuration. The statement then waited for tokens, but a new fleet claims its slots only 0.8 s after its start, and under load a route's timeout of 1 s ended before that. The phase "starting" also ended with the first slot that had an owner, while the workspace's own slots had none.

Logins wait for the end of the phase, 1.5 s at most (clients give up after 2 s), so that the first statement has its whole time; the phase ends once all slots have an owner, or after 2 s as before, and never comes back.

--- a/control/drain.c
+++ b/control/drain.c
@@ -4,11 +4,12 @@
 
 #include "control/controllers.h"
 
-/* A VM serves after this time also if no slot has an owner yet. */
+/* A VM serves after this time also if slots have no owner yet. */
 #define SLOTS_WAIT_US (2 * KL_SEC)
 
 typedef struct drain_state {
-	bool stopping; /* a planned stop has begun */
+	bool stopping;	 /* a planned stop has begun */
+	bool has_served; /* the phase was "serving" */
 } drain_state_t;
 
 static kl_phase_t current_phase(const kl_node_t *node,
@@ -47,6 +48,7 @@
 	next = kl_lifecycle_new(phase);
 	if (!next)
 		return;
+	state->has_served |= phase == KL_PHASE_SERVING;
 	kl_node_publish(node, KL_SECTION_LIFECYCLE, &next->base);
 	decision.reason = names[phase];
 	node->ops->log_decision(node->ops_context, &decision);
@@ -63,7 +65,8 @@
 	    (node->tuning.feed_count > 1 && CK_STAILQ_EMPTY(&config->services)))
 		return KL_PHASE_STARTING;
 	/* In a fleet that starts for the first time nobody has tokens yet. */
-	if (node->tuning.feed_count > 1 && !kl_share_any_slot_owned(node) &&
+	if (node->tuning.feed_count > 1 && !state->has_served &&
+	    !kl_share_all_slots_owned(node) &&
 	    kl_node_now(node) - node->started_us < SLOTS_WAIT_US)
 		return KL_PHASE_STARTING;
 	if (kl_config_marked(config, "vm", node->self.vm) ||
--- a/control/slot.c
+++ b/control/slot.c
@@ -222,12 +222,12 @@
 	return mask;
 }
 
-bool kl_slots_any_owned(const kl_slots_t *slots)
+bool kl_slots_all_owned(const kl_slots_t *slots)
 {
 	for (uint32_t i = 0; i < slots->count; i++)
-		if (slots->table[i].owner[0])
-			return true;
-	return false;
+		if (!slots->table[i].owner[0])
+			return false;
+	return true;
 }
 
 uint32_t kl_slots_owned(const kl_slots_t *slots)
--- a/path/engine_client.c
+++ b/path/engine_client.c
@@ -5,8 +5,8 @@
 
 #include "path/engine_internal.h"
 
-/* A login waits at most this long for the first configuration. */
-#define LOGIN_WAIT_US (1 * KL_SEC)
+/* A login waits at most this long for the end of the process's start. */
+#define LOGIN_WAIT_US (1500 * KL_MS)
 
 typedef void (*handler_t)(kl_client_t *client, const kl_parsed_stmt_t *parsed);
 
@@ -79,7 +79,11 @@
 				   .reason = kl_error_info(error)->name,
 				   .config_version = config_version(engine) };
 
-	if (error && !is_configured(engine) &&
+	/*
+	 * A process that starts has no configuration or no tokens yet.  Waiting
+	 * here leaves the first statement its whole time.
+	 */
+	if (!is_configured(engine) &&
 	    engine->now_us - client->idle_since_us < LOGIN_WAIT_US) {
 		kl_client_wait(client, KL_STMT_LOGIN);
 		return false;
