--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -53,6 +53,14 @@
 	uint64_t sent_us;   /**< when it was requested */
 } kl_feed_update_t;
 
+/**
+ * Log an object whose contents can't be read.
+ *
+ * @param name "" stands for the only object of the feed
+ */
+void kl_sync_log_unreadable(kl_node_t *node, kl_feed_t feed, const char *name,
+			    uint64_t version);
+
 /** Publish the objects with an update applied. @return whether any changed */
 bool kl_sync_apply(kl_node_t *node, kl_sync_t *sync,
 		   const kl_feed_update_t *update);
