Send a full list to VMs whose revision was skipped

Cause: a VM that was paused took one full list over several versions. It never held a route that was added and dropped meanwhile, so it had no trace of its removal. The changes that it passed on to a VM that had the route didn't name it; after that their revisions were equal, and nobody asked again. A VM knew only the removals before its first list as unknown.

Each feed now keeps the ranges of revisions since which every removal is known: a full list begins a new range, changes of a watch extend the newest one. A fetch since another revision is answered with all objects. In ordinary operation VMs ask from a revision that the answering one had too, and get the changes only.

--- a/control/sync.c
+++ b/control/sync.c
@@ -250,6 +250,7 @@
 				    .objects = answer->objects,
 				    .read_revision = answer->revision,
 				    .full = answer->is_full_list,
+				    .has_every_change = !answer->is_full_list,
 				    .source = answer->op == KL_PLATFORM_LIST
 						      ? "list"
 						      : "watch",
--- a/control/sync_apply.c
+++ b/control/sync_apply.c
@@ -23,6 +23,8 @@
 static void move_changed_objects(kl_objects_t *objects,
 				 const kl_feed_update_t *update,
 				 kl_index_t *changed_index);
+static void add_known_revision(kl_feed_state_t *feed,
+			       const kl_feed_update_t *update);
 static void log_update(kl_node_t *node, const kl_feed_state_t *feed,
 		       const kl_feed_update_t *update);
 
@@ -50,8 +52,6 @@
 	if (!objects || !objects->index)
 		return false;
 	feed->revision = update->revision;
-	if (!feed->loaded)
-		feed->min_delta_revision = update->full ? update->revision : 0;
 	feed->loaded = true;
 	changed_index = index_newest(update, count);
 	if (old)
@@ -59,6 +59,7 @@
 				       feed);
 	move_changed_objects(objects, update, changed_index);
 	kl_index_free(changed_index);
+	add_known_revision(feed, update);
 	log_update(node, feed, update);
 	for (int i = 0; i < KL_FEED_COUNT; i++) {
 		objects->feed_revisions[i] = sync->feeds[i].revision;
@@ -68,6 +69,36 @@
 	return true;
 }
 
+/*
+ * Adds the revision of the copy to those since which removals are known.  An
+ * object that was created and removed between two full lists is in neither, so
+ * another VM that has it can't learn of its removal from the changes.
+ */
+static void add_known_revision(kl_feed_state_t *feed,
+			       const kl_feed_update_t *update)
+{
+	uint32_t count = feed->known_range_count;
+	kl_revision_range_t *newest =
+		&feed->known_ranges[(count - 1) % KL_KNOWN_RANGES];
+
+	if (!update->has_every_change || !count) {
+		newest = &feed->known_ranges[count % KL_KNOWN_RANGES];
+		newest->first = update->has_every_change ? 0 : feed->revision;
+		feed->known_range_count++;
+	}
+	newest->last = feed->revision;
+}
+
+bool kl_sync_knows_removals(const kl_feed_state_t *feed, uint64_t since)
+{
+	for (uint32_t i = 0; i < KL_KNOWN_RANGES && i < feed->known_range_count;
+	     i++)
+		if (since >= feed->known_ranges[i].first &&
+		    since <= feed->known_ranges[i].last)
+			return true;
+	return false;
+}
+
 /*
  * Drops objects of an update that were removed since it was read.  This VM has
  * every change up to the feed's revision, so an object that is not newer, and
--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -7,14 +7,26 @@
 
 #include "control/node.h"
 
+#define KL_KNOWN_RANGES 16 /**< ranges of revisions kept for a feed */
+
+/** Revisions of a feed, the first and the last one included. */
+typedef struct kl_revision_range {
+	uint64_t first;
+	uint64_t last;
+} kl_revision_range_t;
+
 /** The state of one feed, and of the calls of the platform for it. */
 typedef struct kl_feed_state {
 	uint64_t revision;	 /**< this VM has every change up to it */
 	uint64_t watch_revision; /**< where the next watch starts */
-	/** This VM doesn't know which objects were removed before it. */
-	uint64_t min_delta_revision;
-	bool loaded;		/**< a full list has been applied */
-	bool needs_list;	/**< a full list must be requested */
+	/**
+	 * Newest ranges of revisions since which this VM knows every removal; a
+	 * ring.  It skips those between two full lists.
+	 */
+	kl_revision_range_t known_ranges[KL_KNOWN_RANGES];
+	uint32_t known_range_count; /**< ranges so far, also forgotten ones */
+	bool loaded;		    /**< a full list has been applied */
+	bool needs_list;	    /**< a full list must be requested */
 	uint64_t last_list_us;	/**< send time of the last full list applied */
 	uint64_t list_sent_us;	/**< send time of the outstanding list, or 0 */
 	uint64_t next_list_us;	/**< earliest time of the next list */
@@ -48,6 +60,9 @@
 	uint64_t revision;	   /**< of the feed once this is applied */
 	uint64_t read_revision;	   /**< the platform's, when this was read */
 	bool full;		   /**< any object not listed is removed */
+	/** Every change since the copy's revision is in it, also undone ones.
+	 */
+	bool has_every_change;
 	const char *source; /**< for the log: "list", "watch" or "peer" */
 	const char *peer;   /**< VM that it came from, or NULL */
 	uint64_t sent_us;   /**< when it was requested */
@@ -80,6 +95,12 @@
 /** Announce new revisions to the children in the tree and two random VMs. */
 void kl_sync_announce(kl_node_t *node, const kl_sync_t *sync);
 
+/**
+ * Whether this VM knows every removal since a revision, so that the changes
+ * since then bring a copy of that revision up to date.
+ */
+bool kl_sync_knows_removals(const kl_feed_state_t *feed, uint64_t since);
+
 /** Handle a message from another VM. */
 void kl_sync_handle_hello(kl_node_t *node, kl_sync_t *sync,
 			  const kl_peer_message_t *message);
--- a/control/sync_peer.c
+++ b/control/sync_peer.c
@@ -90,7 +90,7 @@
 	reply.hello.port = node->self.port;
 	reply.delta.fetch = *fetch;
 	reply.delta.revision = feed->revision;
-	reply.delta.is_full_list = since < feed->min_delta_revision;
+	reply.delta.is_full_list = !kl_sync_knows_removals(feed, since);
 	if (reply.delta.is_full_list)
 		since = 0;
 	CK_STAILQ_INIT(&reply.delta.objects);
--- a/tests/unit/sync.c
+++ b/tests/unit/sync.c
@@ -29,6 +29,8 @@
 	return 0;
 }
 
+static bool sent_full_list; /* the last delta was one */
+
 static void op_send(void *context, const char *vm, const char *host,
 		    uint16_t port, const kl_peer_message_t *message)
 {
@@ -36,7 +38,8 @@
 	(void)vm;
 	(void)host;
 	(void)port;
-	(void)message;
+	if (message->kind == KL_PEER_DELTA)
+		sent_full_list = message->delta.is_full_list;
 }
 
 static void op_platform(void *context, const kl_platform_call_t *call)
@@ -218,6 +221,36 @@
 	assert_true(holds(node, "slot/2"));
 }
 
+/* Whether the VM answers a fetch of the changes since a revision with all. */
+static bool answers_with_all(kl_node_t *node, uint64_t since)
+{
+	kl_peer_message_t message = { .kind = KL_PEER_FETCH,
+				      .from = "a2",
+				      .fetch = { .feed = KL_FEED_UPSTREAMS,
+						 .since_revision = since } };
+	kl_event_t event = { .kind = KL_EVENT_PEER, .peer = &message };
+
+	kl_node_step(node, &event);
+	return sent_full_list;
+}
+
+/*
+ * Guards against a removed route that another VM keeps: this VM was paused
+ * while the object was created and removed, and has no trace of it.  Its
+ * changes since a revision that it skipped must come as a full list.
+ */
+static void skipped_revisions_get_a_full_list(void **state)
+{
+	kl_node_t *node = *state;
+
+	deliver_list(node, 10, "i-1 10");
+	deliver_list(node, 30, "i-1 10 i-2 30");
+	assert_true(answers_with_all(node, 0));
+	assert_false(answers_with_all(node, 10));
+	assert_true(answers_with_all(node, 20));
+	assert_false(answers_with_all(node, 30));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -232,6 +265,8 @@
 						start, stop),
 		cmocka_unit_test_setup_teardown(
 			unreadable_record_keeps_its_contents, start, stop),
+		cmocka_unit_test_setup_teardown(
+			skipped_revisions_get_a_full_list, start, stop),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
