--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -60,8 +60,7 @@
 	uint64_t revision;	   /**< of the feed once this is applied */
 	uint64_t read_revision;	   /**< the platform's, when this was read */
 	bool full;		   /**< any object not listed is removed */
-	/** Every change since the copy's revision is in it, also undone ones.
-	 */
+	/** It has every change since the copy's revision, undone ones too. */
 	bool has_every_change;
 	const char *source; /**< for the log: "list", "watch" or "peer" */
 	const char *peer;   /**< VM that it came from, or NULL */
--- a/tests/unit/platform.c
+++ b/tests/unit/platform.c
@@ -276,6 +276,13 @@
 	assert_true(answer.unreadable);
 	assert_false(answer.is_full_list);
 	g_free(text);
+	/* Another object of the kind is nothing to read. */
+	decode_answer(KL_PLATFORM_LIST, KL_FEED_CONFIG, 200,
+		      "{\"items\":[" OBJECT_JSON(
+			      "other", "7", "1e999") "],\"storeRevision\":9}",
+		      &answer, &objects, after);
+	assert_int_equal(answer.error, 0);
+	assert_false(answer.unreadable);
 }
 
 /* Guards against pages that repeat for ever. */
