--- a/codec/json_slice.c
+++ b/codec/json_slice.c
@@ -71,7 +71,8 @@
 static void skip_space(cursor_t *cursor)
 {
 	while (cursor->next < cursor->end &&
-	       memchr(" \t\r\n", *cursor->next, 4))
+	       (*cursor->next == ' ' || *cursor->next == '\t' ||
+		*cursor->next == '\r' || *cursor->next == '\n'))
 		cursor->next++;
 }
 
--- a/tests/unit/mutate.c
+++ b/tests/unit/mutate.c
@@ -116,7 +116,8 @@
 					    .feed = KL_FEED_UPSTREAMS };
 		kl_platform_answer_t answer = { .error = -KL_E_UNAVAILABLE };
 		kl_object_list_t objects = CK_STAILQ_HEAD_INITIALIZER(objects);
-		const kl_object_t *object, *sound = NULL;
+		const kl_object_t *object;
+		bool sound_arrived = false;
 		GString *odd = g_string_new(NULL), *text = g_string_new("{");
 		char after[KL_NAME_MAX] = "";
 
@@ -157,10 +158,10 @@
 		assert_int_equal(answer.error, 0);
 		CK_STAILQ_FOREACH(object, &objects, link) {
 			if (!strcmp(object->name.name, "upstream/i-1"))
-				sound = object;
+				sound_arrived =
+					strcmp(object->body, "null") != 0;
 		}
-		assert_non_null(sound);
-		assert_string_not_equal(sound->body, "null");
+		assert_true(sound_arrived);
 		kl_object_list_clear(&objects);
 		g_string_free(text, TRUE);
 		g_string_free(odd, TRUE);
