Free outdated objects only after the update's index was searched

The daemon could read freed memory, and crash, while it applied an update: an object that was not newer than the one held was freed while the index of the update still had it, and the next look-up could compare names with it.

Outdated objects are collected and freed after the loop.

Measured: outdated_objects_are_dropped_safely (unit sync, 2,000 objects) fails under the address sanitizer before and passes now.

--- a/control/sync_apply.c
+++ b/control/sync_apply.c
@@ -271,16 +271,19 @@
 				 const kl_feed_update_t *update,
 				 kl_index_t *changed_index)
 {
+	kl_object_list_t outdated = CK_STAILQ_HEAD_INITIALIZER(outdated);
 	kl_object_t *entry;
 
 	while ((entry = CK_STAILQ_FIRST(update->objects))) {
 		CK_STAILQ_REMOVE_HEAD(update->objects, link);
+		/* The index may still compare names with an outdated entry. */
 		if (kl_index_get(changed_index, entry->name.name) != entry ||
 		    kl_index_get(objects->index, entry->name.name)) {
-			kl_object_free(entry);
+			CK_STAILQ_INSERT_TAIL(&outdated, entry, link);
 			continue;
 		}
 		CK_STAILQ_INSERT_TAIL(&objects->list, entry, link);
 		kl_index_put(objects->index, &entry->name);
 	}
+	kl_object_list_clear(&outdated);
 }
--- a/tests/unit/sync.c
+++ b/tests/unit/sync.c
@@ -251,6 +251,28 @@
 	assert_false(answers_with_all(node, 30));
 }
 
+#define MANY_OBJECTS 2000
+
+/*
+ * Guards against a use after free: objects that are not newer than those held
+ * are dropped, while the update's index is still searched.
+ */
+static void outdated_objects_are_dropped_safely(void **state)
+{
+	kl_node_t *node = *state;
+	char *text = calloc(MANY_OBJECTS + 1, 16);
+	size_t length = 0;
+
+	for (int i = 0; i < MANY_OBJECTS; i++)
+		length += (size_t)sprintf(text + length, "i-%d 5 ", i);
+	deliver_list(node, 10, text);
+	sprintf(text + length, "new 15");
+	deliver_list(node, 20, text);
+	assert_true(holds(node, "upstream/new"));
+	assert_true(holds(node, "upstream/i-0"));
+	free(text);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -265,6 +287,8 @@
 						start, stop),
 		cmocka_unit_test_setup_teardown(
 			unreadable_record_keeps_its_contents, start, stop),
+		cmocka_unit_test_setup_teardown(
+			outdated_objects_are_dropped_safely, start, stop),
 		cmocka_unit_test_setup_teardown(
 			skipped_revisions_get_a_full_list, start, stop),
 	};
