Log how old a mark is at most, and count what leaving databases get

Nothing told when a VM learned that a database leaves, how long after the acknowledgement that was, and which statements the database got afterwards, so the hypotheses could not be told apart.

Change: the store's revision is at most R at the time at which a request is sent whose answer has revision R. A VM keeps such samples, also from peers (an extension of the hello, which earlier versions ignore), and knows for each object the earliest time at which it can have been stored. upstream_leaves logs the greatest age, leaving_upstream_used each statement at such a database, kl_leaving_upstream_total counts them. No decision uses the age yet.

--- a/board/sections.c
+++ b/board/sections.c
@@ -183,6 +183,29 @@
 	return kl_index_get(config->mark_index, full) != NULL;
 }
 
+bool kl_config_upstream_marked(const kl_config_t *config, const char *upstream,
+			       const char *domain, uint64_t *after_us)
+{
+	static const char *const kinds[] = { "upstream", "domain",
+					     "databases" };
+	char full[KL_NAME_MAX * 2];
+	bool marked = false;
+
+	for (size_t i = 0; i < sizeof(kinds) / sizeof(*kinds); i++) {
+		const kl_mark_t *mark;
+
+		snprintf(full, sizeof(full), "%s/%s", kinds[i],
+			 i ? domain : upstream);
+		mark = kl_index_get(config->mark_index, full);
+		if (!mark)
+			continue;
+		if (!marked || mark->set_after_us < *after_us)
+			*after_us = mark->set_after_us;
+		marked = true;
+	}
+	return marked;
+}
+
 const kl_upstream_t *kl_service_find_upstream(const kl_service_t *service,
 					      const char *name)
 {
--- a/board/sections.h
+++ b/board/sections.h
@@ -51,6 +51,8 @@
 	kl_named_t name;
 	CK_STAILQ_ENTRY(kl_object) link;
 	uint64_t version; /**< revision of its last change */
+	/** That change was stored no earlier than this; 0: not known. */
+	uint64_t changed_after_us;
 	kl_feed_t feed;
 	bool unreadable; /**< it exists, but its contents can't be read */
 	char *body;	 /**< JSON text; "null" for a removed object */
@@ -105,7 +107,9 @@
 	char host[KL_HOST_MAX];
 	char domain[KL_NAME_MAX];
 	uint16_t port;
-	bool leaving;		 /**< registered as leaving, or marked */
+	bool leaving; /**< registered as leaving, or marked */
+	/** It became so no earlier than this; 0: not known. */
+	uint64_t leaving_after_us;
 	bool registered_primary; /**< according to its registration */
 	struct kl_service *service;
 } kl_upstream_t;
@@ -145,8 +149,13 @@
 
 /** A VM, failure domain or upstream that operators marked as leaving. */
 typedef struct kl_mark {
-	kl_named_t name; /**< "vm/NAME", "domain/NAME" or "upstream/NAME" */
+	/**
+	 * "vm/NAME", "upstream/NAME", "domain/NAME", or "databases/NAME" for
+	 * the databases of a failure domain
+	 */
+	kl_named_t name;
 	CK_STAILQ_ENTRY(kl_mark) link;
+	uint64_t set_after_us; /**< it was set no earlier; 0: not known */
 } kl_mark_t;
 
 /** The configuration in force. */
@@ -361,6 +370,15 @@
 bool kl_config_marked(const kl_config_t *config, const char *kind,
 		      const char *name);
 
+/**
+ * Whether operators marked an upstream, or its failure domain, as leaving.
+ *
+ * @param after_us set to the earliest time at which this can have been; 0: not
+ *                 known
+ */
+bool kl_config_upstream_marked(const kl_config_t *config, const char *upstream,
+			       const char *domain, uint64_t *after_us);
+
 /** Find an upstream of a service by name. @return the upstream or NULL */
 const kl_upstream_t *kl_service_find_upstream(const kl_service_t *service,
 					      const char *name);
--- a/control/config.c
+++ b/control/config.c
@@ -11,19 +11,22 @@
 #include "control/document.h"
 #include "control/document_check.h"
 
-/* A document, and its last valid version. */
-typedef struct document {
+/* An object with a document, and its last valid version. */
+typedef struct document_object {
 	kl_named_t name;
-	CK_STAILQ_ENTRY(document) link;
+	CK_STAILQ_ENTRY(document_object) link;
 	uint64_t version;	/* of the object */
 	char *body;		/* of the newest version */
 	bool newest_is_invalid; /* the newest version is refused */
 	json_t *valid_json;	/* the last valid version, or NULL */
-} document_t;
+	bool leaving;		/* it says "leaving" */
+	/* It says so since no earlier than this; 0: not known. */
+	uint64_t leaving_after_us;
+} document_object_t;
 
 /* State of the config controller. */
 typedef struct config_state {
-	CK_STAILQ_HEAD(, document) documents;
+	CK_STAILQ_HEAD(, document_object) documents;
 	kl_index_t *index;
 } config_state_t;
 
@@ -31,29 +34,38 @@
 static bool workspace_is_valid(json_t *json);
 static bool service_is_valid(json_t *json);
 static bool mark_is_valid(json_t *json);
-static void add_plan(kl_config_t *config, const char *name, json_t *json);
-static void add_workspace(kl_config_t *config, const char *name, json_t *json);
-static void add_service(kl_config_t *config, const char *name, json_t *json);
-static void add_mark(kl_config_t *config, const char *name, json_t *json);
+static void add_plan(kl_config_t *config, const kl_document_t *document);
+static void add_workspace(kl_config_t *config, const kl_document_t *document);
+static void add_service(kl_config_t *config, const kl_document_t *document);
+static void add_mark(kl_config_t *config, const kl_document_t *document);
 static const kl_document_kind_t *find_kind(const char *name);
 static void update_document(kl_node_t *node, config_state_t *state,
 			    const kl_object_t *object,
 			    const kl_document_kind_t *kind);
+static void update_leaving(document_object_t *document, json_t *json,
+			   uint64_t changed_after_us,
+			   const kl_document_kind_t *kind);
 static kl_config_t *build_config(config_state_t *state, uint64_t revision);
+static void add_document(kl_config_t *config, const kl_document_kind_t *kind,
+			 const document_object_t *object);
+static void log_leaving(kl_node_t *node, const kl_config_t *config,
+			const kl_config_t *old_config);
+static void log_leaving_upstream(kl_node_t *node, const kl_upstream_t *upstream,
+				 const kl_upstream_t *old_upstream);
 
 /*
  * In the order of building: workspaces refer to plans, upstreams to services
  * and marks.
  */
 static const kl_document_kind_t document_kinds[] = {
-	{ "plan/", plan_is_valid, add_plan },
-	{ "workspace/", workspace_is_valid, add_workspace },
-	{ "mark/", mark_is_valid, add_mark },
-	{ "service/", service_is_valid, add_service },
-	{ "upstream/", kl_upstream_document_is_valid,
-	  kl_upstream_document_add },
-	{ "route/", kl_route_document_is_valid, kl_route_document_add },
-	{ "limit/", kl_limit_document_is_valid, kl_limit_document_add },
+	{ "plan/", plan_is_valid, add_plan, false },
+	{ "workspace/", workspace_is_valid, add_workspace, false },
+	{ "mark/", mark_is_valid, add_mark, false },
+	{ "service/", service_is_valid, add_service, false },
+	{ "upstream/", kl_upstream_document_is_valid, kl_upstream_document_add,
+	  true },
+	{ "route/", kl_route_document_is_valid, kl_route_document_add, false },
+	{ "limit/", kl_limit_document_is_valid, kl_limit_document_add, false },
 };
 
 #define KIND_COUNT (sizeof(document_kinds) / sizeof(document_kinds[0]))
@@ -73,7 +85,7 @@
 void kl_config_destroy(kl_node_t *node)
 {
 	config_state_t *state = node->state[KL_CONTROLLER_CONFIG];
-	document_t *document, *next;
+	document_object_t *document, *next;
 
 	CK_STAILQ_FOREACH_SAFE(document, &state->documents, link, next) {
 		json_decref(document->valid_json);
@@ -106,9 +118,51 @@
 	if (!config)
 		return;
 	config->version = objects->feed_revisions[KL_FEED_CONFIG];
+	log_leaving(node, config, kl_node_get(node, KL_SECTION_CONFIG));
 	kl_node_publish(node, KL_SECTION_CONFIG, &config->base);
 }
 
+static void log_leaving(kl_node_t *node, const kl_config_t *config,
+			const kl_config_t *old_config)
+{
+	const kl_service_t *service, *old_service;
+	const kl_upstream_t *upstream;
+
+	CK_STAILQ_FOREACH(service, &config->services, link) {
+		old_service = old_config
+				      ? kl_index_get(old_config->service_index,
+						     service->name.name)
+				      : NULL;
+		CK_STAILQ_FOREACH(upstream, &service->upstreams, link)
+			log_leaving_upstream(
+				node, upstream,
+				old_service ? kl_service_find_upstream(
+						      old_service,
+						      upstream->name.name)
+					    : NULL);
+	}
+}
+
+/* The age is an upper bound; without one it isn't known. */
+static void log_leaving_upstream(kl_node_t *node, const kl_upstream_t *upstream,
+				 const kl_upstream_t *old_upstream)
+{
+	bool was_leaving = old_upstream && old_upstream->leaving;
+	kl_decision_t decision = { .name = upstream->leaving
+						   ? "upstream_leaves"
+						   : "upstream_returns",
+				   .service = upstream->service->name.name,
+				   .upstream = upstream->name.name,
+				   .reason = upstream->domain };
+
+	if (upstream->leaving == was_leaving)
+		return;
+	if (upstream->leaving && upstream->leaving_after_us)
+		decision.age_us =
+			kl_node_now(node) - upstream->leaving_after_us;
+	node->ops->log_decision(node->ops_context, &decision);
+}
+
 bool kl_document_check(const char *name, const char *body)
 {
 	const kl_document_kind_t *kind = find_kind(name);
@@ -124,7 +178,8 @@
 			    const kl_object_t *object,
 			    const kl_document_kind_t *kind)
 {
-	document_t *document = kl_index_get(state->index, object->name.name);
+	document_object_t *document =
+		kl_index_get(state->index, object->name.name);
 	json_t *json;
 
 	if (document && document->version == object->version)
@@ -154,14 +209,33 @@
 		json_decref(json);
 		return;
 	}
+	update_leaving(document, json, object->changed_after_us, kind);
 	json_decref(document->valid_json);
 	document->valid_json = json;
 }
 
+/*
+ * Keeps the time at which the document began to say "leaving": later versions
+ * that still say so make it no younger, nor does an entry that was lost for a
+ * while.
+ */
+static void update_leaving(document_object_t *document, json_t *json,
+			   uint64_t changed_after_us,
+			   const kl_document_kind_t *kind)
+{
+	bool leaving = json_is_true(json_object_get(json, "leaving"));
+
+	if (json_is_null(json) && kind->may_lapse)
+		return;
+	if (leaving && !document->leaving)
+		document->leaving_after_us = changed_after_us;
+	document->leaving = leaving;
+}
+
 static kl_config_t *build_config(config_state_t *state, uint64_t revision)
 {
 	size_t count = 0;
-	document_t *document;
+	document_object_t *document;
 	kl_config_t *config;
 
 	CK_STAILQ_FOREACH(document, &state->documents, link)
@@ -182,13 +256,25 @@
 				document->newest_is_invalid;
 			if (document->valid_json &&
 			    !json_is_null(document->valid_json))
-				document_kinds[i].add(config, name + length,
-						      document->valid_json);
+				add_document(config, &document_kinds[i],
+					     document);
 		}
 	}
 	return config;
 }
 
+static void add_document(kl_config_t *config, const kl_document_kind_t *kind,
+			 const document_object_t *object)
+{
+	kl_document_t document = {
+		.name = object->name.name + strlen(kind->prefix),
+		.json = object->valid_json,
+		.leaving_after_us = object->leaving_after_us
+	};
+
+	kind->add(config, &document);
+}
+
 static const kl_document_kind_t *find_kind(const char *name)
 {
 	for (size_t i = 0; i < KIND_COUNT; i++)
@@ -264,16 +350,16 @@
 			       &leaving);
 }
 
-static void add_plan(kl_config_t *config, const char *name, json_t *json)
+static void add_plan(kl_config_t *config, const kl_document_t *document)
 {
 	kl_plan_t *plan = calloc(1, sizeof(*plan));
 	json_int_t connections, rate, burst;
 
 	if (!plan)
 		return;
-	json_unpack(json, "{s:I,s:I,s:I}", "connections", &connections, "rate",
-		    &rate, "burst", &burst);
-	kl_name_copy(plan->name.name, name);
+	json_unpack(document->json, "{s:I,s:I,s:I}", "connections",
+		    &connections, "rate", &rate, "burst", &burst);
+	kl_name_copy(plan->name.name, document->name);
 	plan->max_connections = (uint32_t)connections;
 	plan->rate = (uint64_t)rate;
 	plan->burst = (uint64_t)burst;
@@ -281,7 +367,7 @@
 	kl_index_put(config->plan_index, &plan->name);
 }
 
-static void add_workspace(kl_config_t *config, const char *name, json_t *json)
+static void add_workspace(kl_config_t *config, const kl_document_t *document)
 {
 	kl_workspace_t *workspace = calloc(1, sizeof(*workspace));
 	const char *plan, *id, *hash;
@@ -291,8 +377,8 @@
 
 	if (!workspace)
 		return;
-	json_unpack(json, "{s:s,s:o}", "plan", &plan, "keys", &keys);
-	kl_name_copy(workspace->name.name, name);
+	json_unpack(document->json, "{s:s,s:o}", "plan", &plan, "keys", &keys);
+	kl_name_copy(workspace->name.name, document->name);
 	workspace->plan = kl_index_get(config->plan_index, plan);
 	CK_STAILQ_INIT(&workspace->keys);
 	CK_STAILQ_INSERT_TAIL(&config->workspaces, workspace, link);
@@ -314,7 +400,7 @@
 	}
 }
 
-static void add_service(kl_config_t *config, const char *name, json_t *json)
+static void add_service(kl_config_t *config, const kl_document_t *document)
 {
 	kl_service_t *service = calloc(1, sizeof(*service));
 	const char *anonymous_workspace = NULL, *upstream_name, *host, *domain;
@@ -324,9 +410,9 @@
 
 	if (!service)
 		return;
-	json_unpack(json, "{s:o,s:i,s?s}", "upstreams", &upstreams,
+	json_unpack(document->json, "{s:o,s:i,s?s}", "upstreams", &upstreams,
 		    "connections", &connections, "open", &anonymous_workspace);
-	kl_name_copy(service->name.name, name);
+	kl_name_copy(service->name.name, document->name);
 	CK_STAILQ_INIT(&service->upstreams);
 	service->max_upstream_connections = (uint32_t)connections;
 	service->anonymous = anonymous_workspace != NULL;
@@ -345,8 +431,8 @@
 		upstream->port = (uint16_t)port;
 		upstream->service = service;
 		upstream->leaving =
-			kl_config_marked(config, "upstream", upstream_name) ||
-			kl_config_marked(config, "domain", domain);
+			kl_config_upstream_marked(config, upstream_name, domain,
+						  &upstream->leaving_after_us);
 		service->upstream_count++;
 		CK_STAILQ_INSERT_TAIL(&service->upstreams, upstream, link);
 	}
@@ -354,18 +440,19 @@
 	kl_index_put(config->service_index, &service->name);
 }
 
-static void add_mark(kl_config_t *config, const char *name, json_t *json)
+static void add_mark(kl_config_t *config, const kl_document_t *document)
 {
 	kl_mark_t *mark;
 	int leaving;
 
-	json_unpack(json, "{s:b}", "leaving", &leaving);
+	json_unpack(document->json, "{s:b}", "leaving", &leaving);
 	if (!leaving)
 		return;
 	mark = calloc(1, sizeof(*mark));
 	if (!mark)
 		return;
-	kl_name_copy(mark->name.name, name);
+	kl_name_copy(mark->name.name, document->name);
+	mark->set_after_us = document->leaving_after_us;
 	CK_STAILQ_INSERT_TAIL(&config->marks, mark, link);
 	kl_index_put(config->mark_index, &mark->name);
 }
--- a/control/document_route.c
+++ b/control/document_route.c
@@ -25,32 +25,37 @@
 	       strlen(domain) < KL_NAME_MAX && port > 0 && port <= 65535;
 }
 
-void kl_upstream_document_add(kl_config_t *config, const char *name,
-			      json_t *json)
+void kl_upstream_document_add(kl_config_t *config,
+			      const kl_document_t *document)
 {
+	uint64_t marked_after_us = 0;
 	kl_upstream_t *upstream;
 	kl_service_t *service;
 	const char *service_name, *host, *domain;
 	int port, leaving, primary;
 
-	json_unpack(json, "{s:s,s:s,s:i,s:s,s:b,s:b}", "service", &service_name,
-		    "host", &host, "port", &port, "domain", &domain, "leaving",
-		    &leaving, "primary", &primary);
+	json_unpack(document->json, "{s:s,s:s,s:i,s:s,s:b,s:b}", "service",
+		    &service_name, "host", &host, "port", &port, "domain",
+		    &domain, "leaving", &leaving, "primary", &primary);
 	service = kl_index_get(config->service_index, service_name);
 	if (!service)
 		return;
 	upstream = calloc(1, sizeof(*upstream));
 	if (!upstream)
 		return;
-	kl_name_copy(upstream->name.name, name);
+	kl_name_copy(upstream->name.name, document->name);
 	memcpy(upstream->host, host, strlen(host) + 1);
 	kl_name_copy(upstream->domain, domain);
 	upstream->port = (uint16_t)port;
 	upstream->registered_primary = primary;
-	upstream->leaving = leaving ||
-			    kl_config_marked(config, "upstream", name) ||
-			    kl_config_marked(config, "domain", domain) ||
-			    kl_config_marked(config, "databases", domain);
+	upstream->leaving = leaving;
+	upstream->leaving_after_us = document->leaving_after_us;
+	if (kl_config_upstream_marked(config, document->name, domain,
+				      &marked_after_us)) {
+		if (!leaving || marked_after_us < upstream->leaving_after_us)
+			upstream->leaving_after_us = marked_after_us;
+		upstream->leaving = true;
+	}
 	upstream->service = service;
 	service->upstream_count++;
 	CK_STAILQ_INSERT_TAIL(&service->upstreams, upstream, link);
@@ -72,7 +77,7 @@
 	       priority >= 0;
 }
 
-void kl_route_document_add(kl_config_t *config, const char *name, json_t *json)
+void kl_route_document_add(kl_config_t *config, const kl_document_t *document)
 {
 	kl_route_rule_t *route = calloc(1, sizeof(*route));
 	const char *service, *kind;
@@ -80,11 +85,11 @@
 
 	if (!route)
 		return;
-	json_unpack(json, "{s:s,s:s,s:b,s:i,s:i,s:i,s:i}", "service", &service,
-		    "kind", &kind, "open", &anonymous, "max_age_ms",
+	json_unpack(document->json, "{s:s,s:s,s:b,s:i,s:i,s:i,s:i}", "service",
+		    &service, "kind", &kind, "open", &anonymous, "max_age_ms",
 		    &max_age_ms, "timeout_ms", &timeout_ms, "target_ms",
 		    &target_ms, "priority", &priority);
-	kl_name_copy(route->name.name, name);
+	kl_name_copy(route->name.name, document->name);
 	kl_name_copy(route->service, service);
 	route->kind = parse_route_kind(kind);
 	route->anonymous = anonymous;
@@ -105,12 +110,12 @@
 	       transaction_idle_ms >= 0;
 }
 
-void kl_limit_document_add(kl_config_t *config, const char *name, json_t *json)
+void kl_limit_document_add(kl_config_t *config, const kl_document_t *document)
 {
 	int transaction_idle_ms;
-	(void)name;
 
-	json_unpack(json, "{s:i}", "transaction_idle_ms", &transaction_idle_ms);
+	json_unpack(document->json, "{s:i}", "transaction_idle_ms",
+		    &transaction_idle_ms);
 	config->transaction_idle_ms = (uint32_t)transaction_idle_ms;
 }
 
--- a/control/peer_message.h
+++ b/control/peer_message.h
@@ -44,6 +44,9 @@
 	uint64_t echo_us;  /**< sent_us of the hello answered, or 0 */
 	uint64_t feed_revisions[KL_FEED_COUNT]; /**< held by the sender */
 	uint64_t confirmation_age_us;		/**< or KL_AGE_UNCONFIRMED */
+	/** The platform's store was at most at this revision; 0: not known. */
+	uint64_t store_revision;
+	uint64_t store_revision_age_us; /**< that long before sent_us */
 } kl_peer_hello_t;
 
 /** A request for the objects that changed since a revision. */
--- a/control/sync.c
+++ b/control/sync.c
@@ -279,6 +279,8 @@
 		if (answer->is_full_list)
 			feed->last_list_us = answer->call_sent_us;
 	}
+	kl_revision_times_add(&sync->revision_times, answer->revision,
+			      answer->call_sent_us);
 	if (answer->revision > feed->watch_revision)
 		feed->watch_revision = answer->revision;
 	update.revision = answer->revision;
--- a/control/sync_apply.c
+++ b/control/sync_apply.c
@@ -22,7 +22,8 @@
 				   kl_feed_state_t *feed);
 static void move_changed_objects(kl_objects_t *objects,
 				 const kl_feed_update_t *update,
-				 kl_index_t *changed_index);
+				 kl_index_t *changed_index,
+				 const kl_revision_times_t *revision_times);
 static void add_known_revision(kl_feed_state_t *feed,
 			       const kl_feed_update_t *update);
 static void log_update(kl_node_t *node, const kl_feed_state_t *feed,
@@ -53,11 +54,13 @@
 		return false;
 	feed->revision = update->revision;
 	feed->loaded = true;
+	kl_revision_times_seen(&sync->revision_times, update->read_revision);
 	changed_index = index_newest(update, count);
 	if (old)
 		copy_unchanged_objects(old, objects, update, changed_index,
 				       feed);
-	move_changed_objects(objects, update, changed_index);
+	move_changed_objects(objects, update, changed_index,
+			     &sync->revision_times);
 	kl_index_free(changed_index);
 	add_known_revision(feed, update);
 	log_update(node, feed, update);
@@ -262,6 +265,7 @@
 		    object->feed == update->feed)
 			feed->revision = copy->version;
 		copy->feed = object->feed;
+		copy->changed_after_us = object->changed_after_us;
 		CK_STAILQ_INSERT_TAIL(&objects->list, copy, link);
 		kl_index_put(objects->index, &copy->name);
 	}
@@ -269,7 +273,8 @@
 
 static void move_changed_objects(kl_objects_t *objects,
 				 const kl_feed_update_t *update,
-				 kl_index_t *changed_index)
+				 kl_index_t *changed_index,
+				 const kl_revision_times_t *revision_times)
 {
 	kl_object_list_t outdated = CK_STAILQ_HEAD_INITIALIZER(outdated);
 	kl_object_t *entry;
@@ -282,6 +287,8 @@
 			CK_STAILQ_INSERT_TAIL(&outdated, entry, link);
 			continue;
 		}
+		entry->changed_after_us = kl_revision_times_before(
+			revision_times, entry->version);
 		CK_STAILQ_INSERT_TAIL(&objects->list, entry, link);
 		kl_index_put(objects->index, &entry->name);
 	}
--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -6,6 +6,7 @@
 #define KL_SYNC_INTERNAL_H
 
 #include "control/node.h"
+#include "control/revision_time.h"
 
 #define KL_KNOWN_RANGES 16 /**< ranges of revisions kept for a feed */
 
@@ -38,6 +39,7 @@
 /** State of the sync controller. */
 typedef struct kl_sync {
 	kl_feed_state_t feeds[KL_FEED_COUNT];
+	kl_revision_times_t revision_times;
 	uint64_t confirmed_us; /**< as in kl_confirmation_t */
 	bool has_confirmation; /**< confirmed at least once */
 	/** When this VM's record was first seen, or 0 if it has none. */
--- a/control/sync_peer.c
+++ b/control/sync_peer.c
@@ -34,12 +34,18 @@
 			start_fetch(node, sync, message->from, hello->host,
 				    hello->port, feed);
 	}
+	if (!hello->echo_us || hello->echo_us > now)
+		return;
 	/*
-	 * The age is taken off the time at which this VM sent its own hello, so
-	 * a late answer cannot make the confirmation appear newer than it is.
+	 * Ages are taken off the time at which this VM sent its own hello, so a
+	 * late answer cannot make what it brings appear newer than it is.
 	 */
-	if (hello->echo_us && hello->echo_us <= now &&
-	    hello->confirmation_age_us < hello->echo_us &&
+	if (hello->store_revision &&
+	    hello->store_revision_age_us < hello->echo_us)
+		kl_revision_times_add(
+			&sync->revision_times, hello->store_revision,
+			hello->echo_us - hello->store_revision_age_us);
+	if (hello->confirmation_age_us < hello->echo_us &&
 	    hello->feed_revisions[KL_FEED_TERMS] ==
 		    sync->feeds[KL_FEED_TERMS].revision)
 		kl_sync_confirm(node, sync,
@@ -204,6 +210,8 @@
 {
 	kl_peer_message_t message = { .kind = KL_PEER_HELLO };
 	kl_peer_hello_t *hello = &message.hello;
+	const kl_revision_sample_t *sample =
+		kl_revision_times_newest(&sync->revision_times);
 	uint64_t now = kl_node_now(node);
 
 	memcpy(message.from, node->self.vm, sizeof(message.from));
@@ -219,6 +227,10 @@
 	hello->confirmation_age_us = sync->has_confirmation
 					     ? now - sync->confirmed_us
 					     : KL_AGE_UNCONFIRMED;
+	if (sample) {
+		hello->store_revision = sample->revision;
+		hello->store_revision_age_us = now - sample->time_us;
+	}
 	node->ops->send_to_peer(node->ops_context, vm, host, port, &message);
 }
 
--- a/daemon/counter.c
+++ b/daemon/counter.c
@@ -27,6 +27,9 @@
 				       "statements refused for other reasons" },
 	[KL_COUNTER_UNKNOWN_OUTCOMES] = { "kl_unknown_outcomes_total",
 					  "writes whose outcome is unknown" },
+	[KL_COUNTER_STMTS_LEAVING] = { "kl_leaving_upstream_total",
+				       "statements sent to upstreams that "
+				       "leave" },
 	[KL_COUNTER_RETRIES] = { "kl_retries_total", "statements sent again" },
 	[KL_COUNTER_PROOFS_LEASE] = { "kl_proofs_lease_total",
 				      "writes proven by lease" },
--- a/daemon/line_worker.c
+++ b/daemon/line_worker.c
@@ -263,6 +263,8 @@
 		       now->conns_closed - published->conns_closed);
 	kl_counter_add(KL_COUNTER_ADMITTED,
 		       now->admitted - published->admitted);
+	kl_counter_add(KL_COUNTER_STMTS_LEAVING,
+		       now->stmts_leaving - published->stmts_leaving);
 	if (now->finished != published->finished)
 		publish_latencies(now, published);
 	kl_engine_get_gauges(worker->engine, &gauges);
--- a/path/engine.h
+++ b/path/engine.h
@@ -152,11 +152,12 @@
 	uint64_t refused_other; /**< statements refused for another reason */
 	/** errors after which a statement may have run */
 	uint64_t unknown_outcomes;
-	uint64_t retries;      /**< tries of statements after the first one */
-	uint64_t conns_opened; /**< connections to databases */
-	uint64_t conns_closed; /**< connections to databases closed or lost */
-	uint64_t admitted;     /**< operations that got their tokens */
-	uint64_t finished;     /**< statements in the histograms below */
+	uint64_t retries;	/**< tries of statements after the first one */
+	uint64_t conns_opened;	/**< connections to databases */
+	uint64_t conns_closed;	/**< connections to databases closed or lost */
+	uint64_t admitted;	/**< operations that got their tokens */
+	uint64_t stmts_leaving; /**< statements sent to leaving upstreams */
+	uint64_t finished;	/**< statements in the histograms below */
 	/** number of statements in each bucket */
 	uint64_t latency_counts[KL_ROUTE_KIND_COUNT][KL_STMT_END_COUNT]
 			       [KL_LATENCY_BUCKETS];
--- a/path/engine_endpoint.c
+++ b/path/engine_endpoint.c
@@ -160,6 +160,7 @@
 	else if (!endpoint->leaving_since_us)
 		endpoint->leaving_since_us = now_us;
 	endpoint->leaving = upstream->leaving;
+	endpoint->leaving_after_us = upstream->leaving_after_us;
 	endpoint->even_conn_share =
 		db_conn_limit / live_vms ? db_conn_limit / live_vms : 1;
 	/*
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -52,6 +52,8 @@
 	uint64_t unregistered_since_us;
 	bool leaving;		   /**< operators take it out of service */
 	uint64_t leaving_since_us; /**< when leaving was set, or 0 */
+	/** It leaves since no earlier than this; 0: not known. */
+	uint64_t leaving_after_us;
 
 	/** current limit of this VM's connections to the database */
 	uint32_t conn_limit;
--- a/path/engine_run.c
+++ b/path/engine_run.c
@@ -45,6 +45,7 @@
 static void extend_deadlines(kl_client_t *client);
 static uint64_t queue_send_deadline(const kl_client_t *client);
 static void log_route(const kl_client_t *client);
+static void count_leaving(const kl_client_t *client);
 
 void kl_stmt_run(kl_client_t *client, kl_conn_t *conn)
 {
@@ -132,10 +133,33 @@
 		return;
 	}
 	kl_conn_stmt_sent(conn);
+	if (stmt->endpoint->leaving)
+		count_leaving(client);
 	if (client->transaction_status == 'I')
 		log_route(client);
 }
 
+/* Counts and logs a statement at a leaving upstream, with the mark's age. */
+static void count_leaving(const kl_client_t *client)
+{
+	kl_engine_t *engine = client->engine;
+	const kl_endpoint_t *endpoint = client->stmt.endpoint;
+	kl_decision_t decision = {
+		.name = "leaving_upstream_used",
+		.request = client->stmt.id,
+		.service = endpoint->cluster->name,
+		.upstream = endpoint->name,
+		.reason = client->transaction_status == 'I' ? "operation"
+							    : "transaction",
+		.age_us = endpoint->leaving_after_us
+				  ? engine->now_us - endpoint->leaving_after_us
+				  : 0
+	};
+
+	engine->counts.stmts_leaving++;
+	engine->ops->log_decision(engine->context, &decision);
+}
+
 void kl_stmt_answered(kl_client_t *client, const kl_stmt_result_t *result)
 {
 	kl_stmt_t *stmt = &client->stmt;
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -21,6 +21,15 @@
 	unsigned hyper age_us;
 };
 
+/*
+ * Follows the message of a hello.  VMs of earlier versions ignore it, and send
+ * none.
+ */
+struct kl_wire_hello_extension {
+	unsigned hyper store_revision;
+	unsigned hyper store_revision_age_us;
+};
+
 struct kl_wire_fetch {
 	unsigned int feed;
 	unsigned hyper since;
--- a/peer/peer_codec.c
+++ b/peer/peer_codec.c
@@ -43,6 +43,8 @@
 static void decode_positions(kl_peer_message_t *message,
 			     const kl_wire_message *wire);
 static int process_rpc_call(XDR *xdr, kl_wire_message *wire);
+static void encode_extension(XDR *xdr, const kl_peer_hello_t *hello);
+static void decode_extension(XDR *xdr, kl_peer_hello_t *hello);
 
 static const kind_codec_t kind_codecs[KL_PEER_KIND_COUNT] = {
 	[KL_PEER_HELLO] = { encode_hello, decode_hello },
@@ -71,8 +73,11 @@
 	wire.body.kind = message->kind;
 	kind_codecs[message->kind].encode(message, &wire);
 	xdrmem_create(&xdr, buffer, (u_int)size, XDR_ENCODE);
-	if (!process_rpc_call(&xdr, &wire))
+	if (!process_rpc_call(&xdr, &wire)) {
+		if (message->kind == KL_PEER_HELLO)
+			encode_extension(&xdr, &message->hello);
 		length = (int)xdr_getpos(&xdr);
+	}
 	xdr_destroy(&xdr);
 	if (message->kind == KL_PEER_DELTA)
 		free(wire.body.kl_wire_body_u.delta.objects.objects_val);
@@ -101,6 +106,8 @@
 	strncpy(message->hello.host, wire.host, KL_HOST_MAX - 1);
 	message->hello.port = (uint16_t)wire.port;
 	kind_codecs[message->kind].decode(message, &wire);
+	if (message->kind == KL_PEER_HELLO)
+		decode_extension(&xdr, &message->hello);
 	error = 0;
 out:
 	xdr_destroy(&xdr);
@@ -175,6 +182,28 @@
 	hello->confirmation_age_us = in->age_us;
 }
 
+static void encode_extension(XDR *xdr, const kl_peer_hello_t *hello)
+{
+	kl_wire_hello_extension out = { .store_revision = hello->store_revision,
+					.store_revision_age_us =
+						hello->store_revision_age_us };
+	u_int end = xdr_getpos(xdr);
+
+	/* Without room for it the hello goes alone. */
+	if (!xdr_kl_wire_hello_extension(xdr, &out))
+		xdr_setpos(xdr, end);
+}
+
+static void decode_extension(XDR *xdr, kl_peer_hello_t *hello)
+{
+	kl_wire_hello_extension in = { 0 };
+
+	if (!xdr_kl_wire_hello_extension(xdr, &in))
+		return;
+	hello->store_revision = in.store_revision;
+	hello->store_revision_age_us = in.store_revision_age_us;
+}
+
 static void encode_fetch_body(kl_wire_fetch *out, const kl_peer_fetch_t *fetch)
 {
 	out->feed = fetch->feed;
--- a/peer/peer_wire.h
+++ b/peer/peer_wire.h
@@ -34,6 +34,12 @@
 };
 typedef struct kl_wire_hello kl_wire_hello;
 
+struct kl_wire_hello_extension {
+	u_quad_t store_revision;
+	u_quad_t store_revision_age_us;
+};
+typedef struct kl_wire_hello_extension kl_wire_hello_extension;
+
 struct kl_wire_fetch {
 	u_int feed;
 	u_quad_t since;
@@ -138,6 +144,7 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_kl_wire_hello (XDR *, kl_wire_hello*);
+extern  bool_t xdr_kl_wire_hello_extension (XDR *, kl_wire_hello_extension*);
 extern  bool_t xdr_kl_wire_fetch (XDR *, kl_wire_fetch*);
 extern  bool_t xdr_kl_wire_object (XDR *, kl_wire_object*);
 extern  bool_t xdr_kl_wire_delta (XDR *, kl_wire_delta*);
@@ -150,6 +157,7 @@
 
 #else /* K&R C */
 extern bool_t xdr_kl_wire_hello ();
+extern bool_t xdr_kl_wire_hello_extension ();
 extern bool_t xdr_kl_wire_fetch ();
 extern bool_t xdr_kl_wire_object ();
 extern bool_t xdr_kl_wire_delta ();
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -28,6 +28,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_kl_wire_hello_extension (XDR *xdrs, kl_wire_hello_extension *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->store_revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->store_revision_age_us))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_kl_wire_fetch (XDR *xdrs, kl_wire_fetch *objp)
 {
--- a/tests/script_look.c
+++ b/tests/script_look.c
@@ -12,6 +12,7 @@
 
 /* await CONDITION...: advances the clock until it holds, 60 s at most. */
 static void show_position(vm_t *vm, const char *service);
+static void show_leaving(vm_t *vm, const char *service, const char *name);
 
 void step_await(char **words, int count)
 {
@@ -138,8 +139,29 @@
 	return 0;
 }
 
+/* Prints whether an upstream leaves, as a VM knows it, and since when. */
+static void show_leaving(vm_t *vm, const char *service, const char *name)
+{
+	const kl_config_t *config = kl_node_get(&vm->node, KL_SECTION_CONFIG);
+	const kl_upstream_t *upstream = kl_service_find_upstream(
+		kl_index_get(config->service_index, service), name);
+
+	if (!upstream)
+		printf("not registered\n");
+	else if (!upstream->leaving)
+		printf("in service\n");
+	else if (!upstream->leaving_after_us)
+		printf("leaving, not known since when\n");
+	else
+		printf("leaving for at most %llu ms\n",
+		       (unsigned long long)((script_world->now_us -
+					     upstream->leaving_after_us) /
+					    KL_MS));
+}
+
 /*
  * show group SERVICE | db NAME | calls VM | slots VM | config VM | plan VM PLAN
+ * | leaving VM SERVICE UPSTREAM
  *
  * calls tells whether the VM called databases since the last "show calls".
  */
@@ -187,6 +209,8 @@
 		vm->database_calls = 0;
 	} else if (!strcmp(words[0], "slots")) {
 		printf("%u\n", kl_share_owned_slot_count(&vm->node));
+	} else if (!strcmp(words[0], "leaving")) {
+		show_leaving(vm, words[2], words[3]);
 	} else if (!strcmp(words[0], "config")) {
 		const kl_config_t *config =
 			kl_node_get(&vm->node, KL_SECTION_CONFIG);
--- a/tests/unit/codec.c
+++ b/tests/unit/codec.c
@@ -90,6 +90,35 @@
 	kl_peer_message_clear(&decoded);
 }
 
+/* A VM of an earlier version sends hellos without the extension. */
+static void hello_extension_may_be_missing(void **state)
+{
+	kl_peer_message_t message = { .kind = KL_PEER_HELLO,
+				      .from = "a1",
+				      .hello = { .incarnation = 3,
+						 .store_revision = 8,
+						 .store_revision_age_us = 9 } };
+	size_t extension_length = 2 * sizeof(uint64_t);
+	kl_peer_message_t decoded;
+	char buffer[4096];
+	int length;
+	(void)state;
+
+	length = kl_peer_encode(&message, "127.0.0.1", 99, buffer,
+				sizeof(buffer));
+	assert_true(length > 0);
+	assert_int_equal(kl_peer_decode(&decoded, buffer, (size_t)length), 0);
+	assert_int_equal(decoded.hello.store_revision, 8);
+	assert_int_equal(decoded.hello.store_revision_age_us, 9);
+	kl_peer_message_clear(&decoded);
+	assert_int_equal(kl_peer_decode(&decoded, buffer,
+					(size_t)length - extension_length),
+			 0);
+	assert_int_equal(decoded.hello.incarnation, 3);
+	assert_int_equal(decoded.hello.store_revision, 0);
+	kl_peer_message_clear(&decoded);
+}
+
 static void peer_messages_survive_encoding(void **state)
 {
 	kl_peer_message_t message = { .kind = KL_PEER_DELTA };
@@ -156,6 +185,7 @@
 		cmocka_unit_test(invalid_lengths_are_protocol_errors),
 		cmocka_unit_test(reading_past_the_end_sets_overrun),
 		cmocka_unit_test(peer_messages_survive_encoding),
+		cmocka_unit_test(hello_extension_may_be_missing),
 		cmocka_unit_test(positions_survive_encoding),
 		cmocka_unit_test(
 			corrupt_datagrams_are_refused_or_decoded_safely),
