Reproduce statements at evacuated databases, failing

Nothing of ours evacuated a failure domain of databases.

Change: the database stand-in counts statements that reach it later than 5 s after the store's acknowledgement; the soak evacuates domains and takes that back beside its faults, with a generator of its own, so that the faults of a seed stay as they were, and checks the late statements of VMs in touch.

--- a/standin/line_database.c
+++ b/standin/line_database.c
@@ -16,6 +16,7 @@
 #include <time.h>
 
 #include "platform/line.h"
+#include "standin/late_statements.h"
 #include "standin/line_database.h"
 #include "standin/store.h"
 
@@ -53,6 +54,7 @@
 typedef struct database {
 	char id[32];
 	char host[48];
+	char domain[32]; /* failure domain, "eN" for the N-th database */
 	int port;
 	int primary;
 	int down;
@@ -152,6 +154,8 @@
 
 	snprintf(database->id, sizeof(database->id), "i-db%d",
 		 database_count + 1);
+	snprintf(database->domain, sizeof(database->domain), "e%d",
+		 database_count + 1);
 	snprintf(database->host, sizeof(database->host), "%s", host);
 	database->port = registered_port;
 	database->log = calloc(MAX_LOG_ENTRIES, sizeof(log_entry_t));
@@ -234,9 +238,9 @@
 		 database->port);
 	store_put("servers", database->id,
 		  json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:s,s:i}", "service",
-			    SERVICE_NAME, "address", address, "zone", "d1",
-			    "configVersion", "v1", "slots", 5, "state", "ready",
-			    "warmupLeftMs", 0, "dbRole",
+			    SERVICE_NAME, "address", address, "zone",
+			    database->domain, "configVersion", "v1", "slots", 5,
+			    "state", "ready", "warmupLeftMs", 0, "dbRole",
 			    database->primary ? "primary" : "replica",
 			    "sequence", 1));
 }
@@ -331,6 +335,8 @@
 	}
 	step_down_if_replaced(connection->database);
 	id = kl_line_next_word(&arguments);
+	late_statements_check(id, connection->database->id,
+			      connection->database->domain, connection->state);
 	command = kl_line_next_word(&arguments);
 	if (!strcmp(command, "SINCE")) {
 		kl_position_t required =
--- a/standin/line_main.c
+++ b/standin/line_main.c
@@ -1,7 +1,8 @@
 /*
  * kl-standin-line: stand-in for the platform's object store, its promotion
  * endpoint and a group of three databases with the line protocol, in one
- * process.  /standin/fault injects faults, /standin/log prints all commits.
+ * process.  /standin/fault injects faults, /standin/log prints all commits,
+ * /standin/late the statements that reached evacuated databases too late.
  *
  * PORT serves HTTP, the databases listen on the next three ports.  With RELAYS,
  * unless it is 0, they register the three ports after RELAYS instead, where
@@ -15,6 +16,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "standin/late_statements.h"
 #include "standin/line_database.h"
 #include "standin/store.h"
 
@@ -24,6 +26,7 @@
 static void on_promote(struct evhttp_request *request, void *arg);
 static void on_fault(struct evhttp_request *request, void *arg);
 static void on_log(struct evhttp_request *request, void *arg);
+static void on_late(struct evhttp_request *request, void *arg);
 static void on_sigterm(evutil_socket_t fd, short what, void *arg);
 static void send_status(struct evhttp_request *request, int status);
 
@@ -50,6 +53,7 @@
 	evhttp_set_cb(http, "/promote", on_promote, NULL);
 	evhttp_set_cb(http, "/standin/fault", on_fault, NULL);
 	evhttp_set_cb(http, "/standin/log", on_log, NULL);
+	evhttp_set_cb(http, "/standin/late", on_late, NULL);
 	/* Behind relays the databases register the ports of the relays. */
 	for (int i = 0; i < DATABASE_COUNT; i++)
 		if (line_database_start(base, host, port + 1 + i,
@@ -111,6 +115,16 @@
 	evbuffer_free(body);
 }
 
+static void on_late(struct evhttp_request *request, void *arg)
+{
+	struct evbuffer *body = evbuffer_new();
+	(void)arg;
+
+	late_statements_print(body);
+	evhttp_send_reply(request, 200, NULL, body);
+	evbuffer_free(body);
+}
+
 static void on_sigterm(evutil_socket_t fd, short what, void *arg)
 {
 	(void)fd;
--- a/standin/store.c
+++ b/standin/store.c
@@ -22,6 +22,7 @@
 	char *name;
 	json_t *spec;
 	json_int_t revision;
+	gint64 created_us; /* when the object was created */
 	int deleted;
 	int superseded; /* by a later change of the same object */
 } change_t;
@@ -77,6 +78,14 @@
 	record_change(kind, name, spec, 0);
 }
 
+int64_t store_age_ms(const char *kind, const char *name)
+{
+	const change_t *change = find_object(kind, name);
+
+	return change ? (g_get_monotonic_time() - change->created_us) / 1000
+		      : -1;
+}
+
 void store_remove(const char *kind, const char *name)
 {
 	if (find_object(kind, name))
@@ -299,6 +308,8 @@
 	change->name = strdup(name);
 	change->spec = spec;
 	change->deleted = deleted;
+	change->created_us =
+		current ? current->created_us : g_get_monotonic_time();
 	change->revision = ++revision;
 	CK_STAILQ_INSERT_TAIL(&changes, change, link);
 	CK_LIST_FOREACH_SAFE(entry, &watches, link, next) {
--- a/standin/store.h
+++ b/standin/store.h
@@ -9,6 +9,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <jansson.h>
+#include <stdint.h>
 
 /** Serve the store on an HTTP server, as its general callback. */
 void store_serve(struct evhttp *http, struct event_base *base);
@@ -20,6 +21,13 @@
  */
 void store_put(const char *kind, const char *name, json_t *spec);
 
+/**
+ * Time since an object was created, milliseconds.
+ *
+ * @return -1 if it does not exist
+ */
+int64_t store_age_ms(const char *kind, const char *name);
+
 /** Delete an object; no effect if it does not exist. */
 void store_remove(const char *kind, const char *name);
 
--- a/tests/engine_model.c
+++ b/tests/engine_model.c
@@ -17,6 +17,12 @@
 #define NETWORK_DELAY_US 500  /* between engine and database, one way */
 #define CONFIRM_INTERVAL_US (100 * KL_MS) /* of the group record */
 
+/*
+ * A statement that reaches a database later than this after the mark that takes
+ * it out of service is printed.
+ */
+#define LEAVE_LIMIT_US (5 * KL_SEC)
+
 /* A client: one that the script names, or one of a load. */
 typedef struct model_client {
 	char name[KL_NAME_MAX];
@@ -55,6 +61,7 @@
 	kl_stmt_result_t result;
 	char text[128];
 	kl_position_t min_position;
+	bool is_statement;  /* of a client, not the engine's own */
 	bool needs_no_slot; /* takes no time at the database either */
 } model_event_t;
 
@@ -82,6 +89,7 @@
 static void handle_event(model_t *model, model_event_t *event);
 static void run_statement(model_t *model, model_event_t *event);
 static void break_conns(model_t *model);
+static void check_mark(const model_t *model, const model_event_t *event);
 static void release_conn(model_conn_t *conn);
 static void start_load_statements(model_t *model);
 static kl_position_t log_end(const model_t *model, const model_db_t *db);
@@ -108,11 +116,12 @@
 model_t *model_new(void)
 {
 	model_t *model = calloc(1, sizeof(*model));
-	kl_engine_settings_t settings = { .data_path = { .lease_us =
-								 5 * KL_SEC },
-					  .statement_timeout_us = 3 * KL_SEC,
-					  .admit_wait_us = 30 * KL_MS,
-					  .connect_timeout_us = 500 * KL_MS };
+	kl_engine_settings_t settings = {
+		.data_path = { .lease_us = 5 * KL_SEC },
+		.statement_timeout_us = 3 * KL_SEC,
+		.admit_wait_us = 30 * KL_MS,
+		.connect_timeout_us = 500 * KL_MS
+	};
 
 	kl_name_copy(settings.data_path.domain, "d1");
 	model->now_us = KL_SEC;
@@ -334,6 +343,7 @@
 
 	snprintf(event.text, sizeof(event.text), "%s",
 		 msg->text ? msg->text : texts[msg->kind]);
+	event.is_statement = msg->kind == KL_CONN_MSG_STATEMENT;
 	event.needs_no_slot = msg->kind != KL_CONN_MSG_STATEMENT ||
 			      !strncmp(event.text, "BEGIN", 5) ||
 			      !strcmp(event.text, "ROLLBACK");
@@ -440,6 +450,8 @@
 		}
 		/* fall through */
 	case EVENT_ARRIVE:
+		if (event->is_statement)
+			check_mark(model, event);
 		if (!event->needs_no_slot && db->busy_slots >= db->slots) {
 			CK_STAILQ_INSERT_TAIL(&db->slot_queue, event, link);
 			return;
@@ -516,6 +528,23 @@
 	}
 }
 
+/* Print a statement that reached a marked database after the limit. */
+static void check_mark(const model_t *model, const model_event_t *event)
+{
+	const model_db_t *db = event->conn->db;
+
+	for (uint32_t i = 0; i < model->mark_count; i++) {
+		const model_mark_t *mark = &model->marks[i];
+
+		if (!mark->set || strcmp(mark->domain, db->domain) ||
+		    model->now_us - mark->set_at_us <= LEAVE_LIMIT_US)
+			continue;
+		printf("LATE: %s got \"%s\", %" PRIu64 " ms after the mark\n",
+		       db->name, event->text,
+		       (uint64_t)((model->now_us - mark->set_at_us) / KL_MS));
+	}
+}
+
 /* Take a connection out of its database's open_connections, once. */
 static void release_conn(model_conn_t *conn)
 {
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -19,9 +19,10 @@
 	char service[KL_NAME_MAX];
 	char domain[KL_NAME_MAX]; /**< failure domain */
 	bool primary;		  /**< accepts writes */
-	bool down;	/**< refuses connections and breaks open ones */
-	bool silent;	/**< accepts everything and answers nothing */
-	bool leaving;	/**< its registration says that it is shutting down */
+	bool down;    /**< refuses connections and breaks open ones */
+	bool silent;  /**< accepts everything and answers nothing */
+	bool leaving; /**< its registration says that it is shutting down */
+	uint64_t leaving_since_us;
 	bool absent;	/**< missing from the registry */
 	uint32_t slots; /**< statements and handshakes processed at once */
 	uint32_t busy_slots;
@@ -38,6 +39,14 @@
 	CK_STAILQ_HEAD(, model_event) slot_queue; /**< waiting for a slot */
 } model_db_t;
 
+/** A mark that takes the databases of a failure domain out of service. */
+typedef struct model_mark {
+	char domain[KL_NAME_MAX];
+	bool set;
+	uint64_t set_at_us;   /**< acknowledged to the operator */
+	uint64_t known_at_us; /**< earliest time that the VM knows, or 0 */
+} model_mark_t;
+
 /** A steady load of single statements, each in a session of its own. */
 typedef struct model_load {
 	char name[KL_NAME_MAX];
@@ -60,7 +69,9 @@
 	kl_board_t *board;
 	kl_reader_t *writer; /**< publishes to the blackboard */
 	kl_engine_t *engine;
-	bool trace;	 /**< print statements sent and health reports */
+	bool trace; /**< print statements sent and health reports */
+	model_mark_t marks[MODEL_ITEMS_MAX];
+	uint32_t mark_count;
 	bool lease_held; /**< confirmations of the group record are published */
 	bool draining;
 	uint64_t record_version;     /**< of the group record */
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -32,6 +32,7 @@
 
 static void step_db(char **args, int count);
 static void step_set(char **args, int count);
+static void set_leaving(model_db_t *db, bool leaving);
 static void step_route(char **args, int count);
 static void step_drop(char **args, int count);
 static void step_key(char **args, int count);
@@ -45,6 +46,7 @@
 static void step_leave(char **args, int count);
 static void step_load(char **args, int count);
 static void step_report(char **args, int count);
+static void step_mark(char **args, int count);
 static void step_run(char **args, int count);
 static void step_drain(char **args, int count);
 static void step_show(char **args, int count);
@@ -53,6 +55,7 @@
 static void step_shared(char **args, int count);
 static void republish_config(void);
 static void publish_config(void);
+static void add_marks(kl_config_t *config);
 static void publish_terms(void);
 static void publish_buckets(void);
 static void destroy_buckets(kl_snapshot_t *snapshot);
@@ -72,7 +75,7 @@
 	{ "run", 1, step_run },	      { "drain", 1, step_drain },
 	{ "show", 1, step_show },     { "trace", 1, step_trace },
 	{ "vms", 1, step_vms },	      { "shared", 1, step_shared },
-	{ "readd", 1, step_readd },
+	{ "readd", 1, step_readd },   { "mark", 2, step_mark },
 };
 
 int main(int argc, char **argv)
@@ -152,7 +155,7 @@
 	else if (!strcmp(args[1], "silent"))
 		db->silent = value;
 	else if (!strcmp(args[1], "leaving"))
-		db->leaving = value;
+		set_leaving(db, value);
 	else if (!strcmp(args[1], "absent"))
 		db->absent = value;
 	else if (!strcmp(args[1], "lag"))
@@ -172,6 +175,12 @@
 	republish_config();
 }
 
+static void set_leaving(model_db_t *db, bool leaving)
+{
+	db->leaving = leaving;
+	db->leaving_since_us = model->now_us;
+}
+
 /* route NAME KIND MAX_AGE_MS TIMEOUT_MS TARGET_MS [open] */
 static void step_route(char **args, int count)
 {
@@ -338,6 +347,27 @@
 	}
 }
 
+/*
+ * mark DOMAIN AGE_MS [unknown] | mark DOMAIN off: its databases are taken out
+ * of service since AGE_MS, which the VM learns now; "unknown": without the age
+ */
+static void step_mark(char **args, int count)
+{
+	model_mark_t *mark = NULL;
+
+	for (uint32_t i = 0; i < model->mark_count; i++)
+		if (!strcmp(model->marks[i].domain, args[0]))
+			mark = &model->marks[i];
+	if (!mark) {
+		mark = &model->marks[model->mark_count++];
+		kl_name_copy(mark->domain, args[0]);
+	}
+	mark->set = strcmp(args[1], "off") != 0;
+	mark->set_at_us = model->now_us - strtoull(args[1], NULL, 10) * KL_MS;
+	mark->known_at_us = count > 2 ? 0 : mark->set_at_us;
+	republish_config();
+}
+
 /* run MS: advances the clock */
 static void step_run(char **args, int count)
 {
@@ -401,6 +431,20 @@
 	kl_board_reclaim(model->writer);
 }
 
+static void add_marks(kl_config_t *config)
+{
+	for (uint32_t i = 0; i < model->mark_count; i++) {
+		kl_mark_t *mark = calloc(1, sizeof(*mark));
+
+		snprintf(mark->name.name, KL_NAME_MAX, "databases/%s",
+			 model->marks[i].domain);
+		mark->set_after_us = model->marks[i].known_at_us;
+		CK_STAILQ_INSERT_TAIL(&config->marks, mark, link);
+		if (model->marks[i].set)
+			kl_index_put(config->mark_index, &mark->name);
+	}
+}
+
 static void publish_config(void)
 {
 	static const char *const kinds[] = { "primary", "aged", "session" };
@@ -409,6 +453,7 @@
 	kl_members_t *members = kl_members_new(4);
 	kl_lifecycle_t *lifecycle = kl_lifecycle_new(KL_PHASE_SERVING);
 
+	add_marks(config);
 	kl_name_copy(service->name.name, "s");
 	CK_STAILQ_INIT(&service->upstreams);
 	CK_STAILQ_INSERT_TAIL(&config->services, service, link);
@@ -426,7 +471,12 @@
 		kl_name_copy(upstream->domain, db->domain);
 		strcpy(upstream->host, "10.0.0.1");
 		upstream->port = (uint16_t)(1000 + i);
-		upstream->leaving = db->leaving;
+		upstream->leaving =
+			db->leaving ||
+			kl_config_upstream_marked(config, db->name, db->domain,
+						  &upstream->leaving_after_us);
+		if (db->leaving)
+			upstream->leaving_after_us = db->leaving_since_us;
 		upstream->service = service;
 		service->upstream_count++;
 		CK_STAILQ_INSERT_TAIL(&service->upstreams, upstream, link);
--- a/tests/soak/client.c
+++ b/tests/soak/client.c
@@ -92,6 +92,7 @@
 	struct sockaddr_in address = { .sin_family = AF_INET };
 	int vm = g_rand_int_range(clients->random, 0, SOAK_VMS);
 
+	client->vm = vm;
 	address.sin_port = htons((uint16_t)(SOAK_LISTEN_RELAY_PORT + vm));
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	client->session_ready = false;
@@ -254,8 +255,8 @@
 static void send_statement(client_t *client)
 {
 	evbuffer_add_printf(bufferevent_get_output(client->stream),
-			    "QUERY c%u-%u-%d %s\r\n", client->index,
-			    client->write_attempts->len,
+			    "QUERY v%d-c%u-%u-%d %s\r\n", client->vm,
+			    client->index, client->write_attempts->len,
 			    client->statement_index,
 			    client->statements[client->statement_index]);
 }
--- a/tests/soak/client_internal.h
+++ b/tests/soak/client_internal.h
@@ -46,6 +46,7 @@
 	uint32_t index;
 	const char *key;
 	bool exceeds_rate; /* of workspace press */
+	int vm;		   /* that the session is connected to */
 	struct bufferevent *stream;
 	struct event *timer;
 	bool session_ready;  /* the login was answered with READY */
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -18,6 +18,7 @@
 #define WARM_UP_MS 6000 /* from the start to the first fault */
 /* Time after the last fault; clients must be served in its second half. */
 #define RECOVERY_MS 14000
+#define EVACUATION_ONLY_MS 12000 /* from the last fault to the recovery */
 #define CLOSE_MS 500	   /* until the connections of clients are closed */
 #define WITHDRAWAL_MS 8000 /* from the withdrawal of the key to the end */
 /* Bounds of random times; a time is at least MIN and less than END. */
@@ -28,7 +29,11 @@
 #define LONG_FAULT_ODDS 4 /* one fault in this many lasts longer */
 #define LONG_FAULT_EXTRA_MS 5000
 #define CLIENT_SEED_OFFSET \
-	1000000u		/* added to a seed for the clients' choices */
+	1000000u /* added to a seed for the clients' choices */
+#define EVACUATION_SEED_OFFSET 2000000u /* the same for the evacuations */
+/* Between two changes of the evacuated failure domains. */
+#define EVACUATION_GAP_MIN_MS 300
+#define EVACUATION_GAP_END_MS 9000
 #define PROCESS_DOWN_MIN_MS 600 /* least time until a daemon is restarted */
 #define RELAY_COUNT (2 * SOAK_VMS + SOAK_DATABASES)
 
@@ -49,6 +54,10 @@
 static const fleet_t fleet = { "127.0.0.1", SOAK_VMS, 1 };
 static relay_t *relays[RELAY_COUNT];
 static GRand *fault_random;
+/* Another generator, so that evacuations change no seed's faults. */
+static GRand *evacuation_random;
+static uint64_t next_evacuation_us; /* begins or ends then */
+static bool evacuated[SOAK_DATABASES];
 static GArray *pending_ends;
 static int config_version;
 static uint64_t started_at_us;
@@ -57,7 +66,11 @@
 static void inject_faults(struct event_base *base, uint64_t until_us);
 static uint64_t random_duration_us(void);
 static void end_faults(uint64_t now_us, bool all);
+static void change_evacuations(uint64_t now_us);
+static void end_evacuations(void);
+static void set_evacuation(int domain, bool on);
 static void run_until(struct event_base *base, uint64_t until_us);
+static int relay_vm(int target);
 static void begin_relay(int target);
 static void begin_kill(int target);
 static void begin_stop(int target);
@@ -69,6 +82,7 @@
 static void begin_store_down(int target);
 static void begin_configuration(int target);
 static void end_relay(int target);
+static void end_process(int target);
 static void end_database_down(int target);
 static void end_replica_lag(int target);
 static void end_pause(int target);
@@ -80,8 +94,8 @@
 	{ "relay", begin_relay, end_relay, RELAY_COUNT },
 	{ "relay", begin_relay, end_relay, RELAY_COUNT },
 	{ "relay", begin_relay, end_relay, RELAY_COUNT },
-	{ "kill", begin_kill, stand_vm_start, SOAK_VMS },
-	{ "stop", begin_stop, stand_vm_start, SOAK_VMS },
+	{ "kill", begin_kill, end_process, SOAK_VMS },
+	{ "stop", begin_stop, end_process, SOAK_VMS },
 	{ "pause", begin_pause, end_pause, SOAK_VMS },
 	{ "pause", begin_pause, end_pause, SOAK_VMS },
 	{ "reload", begin_reload, NULL, SOAK_VMS },
@@ -155,6 +169,8 @@
 	int violations;
 
 	fault_random = g_rand_new_with_seed(seed);
+	evacuation_random = g_rand_new_with_seed(seed + EVACUATION_SEED_OFFSET);
+	touch_reset();
 	pending_ends = g_array_new(FALSE, FALSE, sizeof(fault_end_t));
 	config_version = 1;
 	started_at_us = soak_now_us();
@@ -177,9 +193,13 @@
 	client_random = g_rand_new_with_seed(seed + CLIENT_SEED_OFFSET);
 	clients = clients_new(base, client_random);
 	run_until(base, started_at_us + WARM_UP_MS * 1000);
+	next_evacuation_us = soak_now_us();
 	inject_faults(base, started_at_us + WARM_UP_MS * 1000 +
 				    (uint64_t)seconds * 1000000);
 	end_faults(0, true);
+	/* Evacuations go on, now that the VMs are undisturbed. */
+	run_until(base, soak_now_us() + EVACUATION_ONLY_MS * 1000);
+	end_evacuations();
 	run_until(base, soak_now_us() + RECOVERY_MS * 500);
 	clients_expect_service(clients);
 	run_until(base, soak_now_us() + RECOVERY_MS * 500);
@@ -198,6 +218,9 @@
 		violations++;
 	}
 	free(log);
+	log = stand_late_statements();
+	violations += log ? touch_check_late_statements(log) : 1;
+	free(log);
 	clients_free(clients);
 	for (int i = 0; i < RELAY_COUNT; i++)
 		relay_free(relays[i]);
@@ -205,6 +228,7 @@
 	violations += stand_check_idle();
 	g_array_unref(pending_ends);
 	g_rand_free(fault_random);
+	g_rand_free(evacuation_random);
 	g_rand_free(client_random);
 	event_base_free(base);
 	return violations;
@@ -227,7 +251,7 @@
 		fault->begin(fault_end.target);
 		fault_end.end = fault->end;
 		fault_end.due_at_us = now + random_duration_us();
-		if (fault_end.end == stand_vm_start)
+		if (fault_end.end == end_process)
 			fault_end.due_at_us += PROCESS_DOWN_MIN_MS * 1000;
 		if (fault_end.end)
 			g_array_append_val(pending_ends, fault_end);
@@ -265,8 +289,45 @@
 		return;
 	/* A daemon that got SIGTERM while it was paused exits only now. */
 	g_usleep(PROCESS_DOWN_MIN_MS * 1000);
-	for (int i = 0; i < SOAK_VMS; i++)
-		stand_vm_start(i);
+	for (int i = 0; i < SOAK_VMS; i++) {
+		touch_begin(i);
+		end_process(i);
+	}
+}
+
+/* Evacuates a failure domain of the databases, or takes that back. */
+static void change_evacuations(uint64_t now_us)
+{
+	int domain;
+
+	if (!next_evacuation_us || now_us < next_evacuation_us)
+		return;
+	domain = g_rand_int_range(evacuation_random, 0, SOAK_DATABASES);
+	set_evacuation(domain, !evacuated[domain]);
+	next_evacuation_us =
+		now_us + (uint64_t)g_rand_int_range(evacuation_random,
+						    EVACUATION_GAP_MIN_MS,
+						    EVACUATION_GAP_END_MS) *
+				 1000;
+}
+
+static void end_evacuations(void)
+{
+	next_evacuation_us = 0;
+	for (int i = 0; i < SOAK_DATABASES; i++)
+		set_evacuation(i, false);
+}
+
+static void set_evacuation(int domain, bool on)
+{
+	char name[16];
+
+	printf("  %6.2f s evacuation of e%d %s\n",
+	       (double)(soak_now_us() - started_at_us) / 1e6, domain + 1,
+	       on ? "begins" : "ends");
+	snprintf(name, sizeof(name), "e%d", domain + 1);
+	stand_set_evacuation(name, on);
+	evacuated[domain] = on;
 }
 
 static void run_until(struct event_base *base, uint64_t until_us)
@@ -278,11 +339,19 @@
 		event_base_loopexit(base, &slice);
 		event_base_dispatch(base);
 		end_faults(now, false);
+		change_evacuations(now);
 	}
 }
 
+/* The VM that a relay belongs to, or TOUCH_ALL for one of a database. */
+static int relay_vm(int target)
+{
+	return target < 2 * SOAK_VMS ? target % SOAK_VMS : TOUCH_ALL;
+}
+
 static void begin_relay(int target)
 {
+	touch_begin(relay_vm(target));
 	relay_set_fault(
 		relays[target],
 		g_rand_int_range(fault_random, RELAY_DELAY, RELAY_REFUSE));
@@ -290,16 +359,19 @@
 
 static void begin_kill(int target)
 {
+	touch_begin(target);
 	stand_vm_signal(target, SIGKILL);
 }
 
 static void begin_stop(int target)
 {
+	touch_begin(target);
 	stand_vm_signal(target, SIGTERM);
 }
 
 static void begin_pause(int target)
 {
+	touch_begin(target);
 	stand_vm_signal(target, SIGSTOP);
 }
 
@@ -326,6 +398,7 @@
 static void begin_store_down(int target)
 {
 	(void)target;
+	touch_begin(TOUCH_ALL);
 	stand_set_fault("store", "down", 1);
 }
 
@@ -338,6 +411,13 @@
 static void end_relay(int target)
 {
 	relay_set_fault(relays[target], RELAY_FORWARD);
+	touch_end(relay_vm(target));
+}
+
+static void end_process(int target)
+{
+	stand_vm_start(target);
+	touch_end(target);
 }
 
 static void end_database_down(int target)
@@ -353,12 +433,14 @@
 static void end_pause(int target)
 {
 	stand_vm_signal(target, SIGCONT);
+	touch_end(target);
 }
 
 static void end_store_down(int target)
 {
 	(void)target;
 	stand_set_fault("store", "down", 0);
+	touch_end(TOUCH_ALL);
 }
 
 static void set_database_fault(int target, const char *fault, int value)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -92,9 +92,34 @@
  * @return whether the store acknowledged it
  */
 bool stand_put_configuration(const char *body);
+/** Evacuate a failure domain of the databases, or take that back. */
+void stand_set_evacuation(const char *domain, bool evacuated);
+/** The statements that reached evacuated databases late, a line each. */
+char *stand_late_statements(void);
 /** The committed writes, a line each. @return text to be freed, or NULL */
 char *stand_commit_log(void);
 
+/*
+ * Which VMs are in touch: rules with a time bound hold only for those that were
+ * undisturbed for TOUCH_WINDOW_US.
+ */
+#define TOUCH_WINDOW_US 4000000
+/** Stands for all VMs. */
+#define TOUCH_ALL (-1)
+
+void touch_reset(void);
+/** A disturbance of a VM, or of all, begins. */
+void touch_begin(int vm);
+/** It ends. */
+void touch_end(int vm);
+/**
+ * Check the late statements that stand_late_statements() returned, and print
+ * those of VMs in touch.
+ *
+ * @return how many these are
+ */
+int touch_check_late_statements(const char *lines);
+
 /** The clients, and the answers that they received. */
 typedef struct clients clients_t;
 
--- a/tests/soak/stand.c
+++ b/tests/soak/stand.c
@@ -222,6 +222,23 @@
 	return acknowledged;
 }
 
+void stand_set_evacuation(const char *domain, bool evacuated)
+{
+	char path[PATH_SIZE], body[PATH_SIZE];
+
+	snprintf(path, sizeof(path), "/-/objects/evacuations%s%s",
+		 evacuated ? "" : "/", evacuated ? "" : domain);
+	snprintf(body, sizeof(body), "{\"meta\":{\"name\":\"%s\"},\"spec\":{}}",
+		 domain);
+	free(http_request(evacuated ? "POST" : "DELETE", path,
+			  evacuated ? body : NULL));
+}
+
+char *stand_late_statements(void)
+{
+	return http_request("GET", "/standin/late", NULL);
+}
+
 char *stand_commit_log(void)
 {
 	return http_request("GET", "/standin/log", NULL);
