Count how long a leaving database may be used from its mark

Cause: a primary that leaves was used for 4 s after this VM learned of it. A VM that learned 1 s late or later (a watch that hung, a restart, an entry that came back) used it for longer than 5 s after the mark. Class: an age counted from when it was noticed, not from when it began.

Change: kl_upstream_use() decides from the earliest time at which the database can have begun to leave; without such a time it is not used. One function for primaries and replicas, asked by the engine's choice.

--- a/daemon/line_worker.c
+++ b/daemon/line_worker.c
@@ -140,6 +140,7 @@
 {
 	memset(engine_settings, 0, sizeof(*engine_settings));
 	engine_settings->data_path.lease_us = settings->lease_ms * KL_MS;
+	engine_settings->data_path.leave_us = kl_settings_leave_us(settings);
 	kl_name_copy(engine_settings->data_path.domain, settings->domain);
 	engine_settings->statement_timeout_us = settings->statement_ms * KL_MS;
 	engine_settings->admit_wait_us = settings->admit_wait_ms * KL_MS;
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -47,6 +47,7 @@
 	{ "connect_ms", FIELD(connect_ms), 50, 10000, 500 },
 	{ "log_lines", FIELD(log_lines), 1, 100000, 50 },
 	{ "down_ms", FIELD(down_ms), 0, 60000, 0 },
+	{ "leave_ms", FIELD(leave_ms), 100, 3600000, 5000 },
 	{ "drain_least_ms", FIELD(drain_least_ms), 0, 60000, 0 },
 };
 
@@ -126,6 +127,7 @@
 	NUMBER(connect_ms, CYAML_FLAG_OPTIONAL),
 	NUMBER(log_lines, CYAML_FLAG_OPTIONAL),
 	NUMBER(down_ms, CYAML_FLAG_OPTIONAL),
+	NUMBER(leave_ms, CYAML_FLAG_OPTIONAL),
 	NUMBER(drain_least_ms, CYAML_FLAG_OPTIONAL),
 	CYAML_FIELD_END
 };
@@ -185,6 +187,11 @@
 	return failed;
 }
 
+uint64_t kl_settings_leave_us(const kl_settings_t *settings)
+{
+	return (settings->leave_ms - settings->leave_ms / 5) * 1000ull;
+}
+
 void kl_settings_free(kl_settings_t *settings)
 {
 	cyaml_free(&config, &schema, settings, 0);
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -57,6 +57,8 @@
 	uint32_t connect_ms;	       /**< limit of a connection attempt */
 	uint32_t log_lines;	       /**< log lines a second of each kind of
 					    decision */
+	uint32_t leave_ms; /**< no statement reaches a database later than this
+				after it began to leave */
 	uint32_t drain_least_ms; /**< shortest duration of a planned stop */
 	uint32_t down_ms;	 /**< shortest time between the end of a process
 				      and the start of the next one at its
@@ -71,6 +73,12 @@
  */
 kl_settings_t *kl_settings_load(const char *path);
 
+/**
+ * How long statements are sent to a database that leaves, microseconds:
+ * leave_ms less a fifth for the way of a statement to it.
+ */
+uint64_t kl_settings_leave_us(const kl_settings_t *settings);
+
 /** Free settings. */
 void kl_settings_free(kl_settings_t *settings);
 
--- a/daemon/worker.c
+++ b/daemon/worker.c
@@ -33,6 +33,7 @@
 	workers->settings = settings;
 	workers->control = control;
 	workers->path_settings.lease_us = settings->lease_ms * KL_MS;
+	workers->path_settings.leave_us = kl_settings_leave_us(settings);
 	workers->path_settings.read_wait_us = settings->read_wait_ms * KL_MS;
 	workers->path_settings.stale_after_us =
 		settings->stale_after_ms * KL_MS;
--- a/path/engine_endpoint.c
+++ b/path/engine_endpoint.c
@@ -9,8 +9,6 @@
  * because the registry may have lost its entry while it was down.
  */
 #define UNREGISTERED_GRACE_US (3 * KL_SEC)
-/* A primary that operators take out of service stays in use for this long. */
-#define LEAVING_PRIMARY_US (4 * KL_SEC)
 /*
  * A replica that turned out to lack a position gets no reads beyond its known
  * position for this long.
@@ -50,6 +48,7 @@
 #define COST_OTHER_DOMAIN 4 /* it is in another failure domain */
 #define COST_PRIMARY 6	    /* it is the primary, which has writes to run */
 #define COST_MAY_LAG 5 /* it may lack the position that the statement needs */
+#define COST_LEAVING 1000000 /* it is leaving: any other one is preferred */
 
 static void update_cluster(kl_engine_t *engine, const kl_service_t *service,
 			   uint32_t live_vms);
@@ -60,6 +59,7 @@
 				       kl_cluster_t *cluster);
 static void check_registered(kl_engine_t *engine, kl_cluster_t *cluster);
 static bool is_usable(const kl_endpoint_t *endpoint, uint64_t now_us);
+static kl_upstream_use_t endpoint_use(const kl_endpoint_t *endpoint);
 static kl_endpoint_t *proven_primary(const kl_client_t *client,
 				     kl_cluster_t *cluster,
 				     const kl_group_t *group);
@@ -155,10 +155,8 @@
 	endpoint->port = upstream->port;
 	endpoint->accepts_stmts = true;
 	endpoint->unregistered_since_us = 0;
-	if (!upstream->leaving)
-		endpoint->leaving_since_us = 0;
-	else if (!endpoint->leaving_since_us)
-		endpoint->leaving_since_us = now_us;
+	if (upstream->leaving && !endpoint->leaving)
+		endpoint->leaving_seen_us = now_us;
 	endpoint->leaving = upstream->leaving;
 	endpoint->leaving_after_us = upstream->leaving_after_us;
 	endpoint->even_conn_share =
@@ -357,7 +355,7 @@
 			cost = placement_cost(client, endpoint, true);
 		} else {
 			if (!is_usable(endpoint, engine->now_us) ||
-			    endpoint->leaving ||
+			    !kl_endpoint_may_start(endpoint) ||
 			    (group && !strcmp(group->primary, endpoint->name)))
 				continue;
 			if (kl_position_compare(endpoint->position,
@@ -398,10 +396,31 @@
 	endpoint = kl_endpoint_find(cluster, group->primary);
 	if (!endpoint || !is_usable(endpoint, engine->now_us))
 		return NULL;
-	if (endpoint->leaving &&
-	    engine->now_us - endpoint->leaving_since_us > LEAVING_PRIMARY_US)
-		return NULL;
-	return endpoint;
+	return kl_endpoint_may_start(endpoint) ? endpoint : NULL;
+}
+
+static kl_upstream_use_t endpoint_use(const kl_endpoint_t *endpoint)
+{
+	const kl_engine_t *engine = endpoint->cluster->engine;
+
+	return kl_upstream_use(endpoint->leaving, endpoint->leaving_after_us,
+			       engine->now_us,
+			       engine->settings.data_path.leave_us);
+}
+
+bool kl_endpoint_may_start(const kl_endpoint_t *endpoint)
+{
+	const kl_group_t *group = kl_engine_find_group(
+		endpoint->cluster->engine, endpoint->cluster->name);
+	kl_upstream_use_t use = endpoint_use(endpoint);
+
+	return use == KL_USE_ANY || (use == KL_USE_STARTED && group &&
+				     !strcmp(group->primary, endpoint->name));
+}
+
+bool kl_endpoint_may_continue(const kl_endpoint_t *endpoint)
+{
+	return endpoint_use(endpoint) != KL_USE_NONE;
 }
 
 static bool is_usable(const kl_endpoint_t *endpoint, uint64_t now_us)
@@ -423,6 +442,8 @@
 		cost += COST_CONNECT;
 	if (strcmp(endpoint->domain, engine->settings.data_path.domain))
 		cost += COST_OTHER_DOMAIN;
+	if (endpoint->leaving)
+		cost += COST_LEAVING;
 	if (is_primary)
 		return cost + COST_PRIMARY;
 	if (kl_position_compare(endpoint->position, client->stmt.min_position) <
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -50,8 +50,8 @@
 	bool accepts_stmts;
 	/** time when it was first missing from the registry, or 0 */
 	uint64_t unregistered_since_us;
-	bool leaving;		   /**< operators take it out of service */
-	uint64_t leaving_since_us; /**< when leaving was set, or 0 */
+	bool leaving;		  /**< operators take it out of service */
+	uint64_t leaving_seen_us; /**< when leaving was last set here */
 	/** It leaves since no earlier than this; 0: not known. */
 	uint64_t leaving_after_us;
 
@@ -346,6 +346,13 @@
  * ask for a newer one if the samples are old.
  */
 void kl_cluster_update_samples(kl_cluster_t *cluster);
+/**
+ * Whether a new operation may be sent to an endpoint now; only what needs the
+ * primary may go to a primary that leaves.
+ */
+bool kl_endpoint_may_start(const kl_endpoint_t *endpoint);
+/** Whether a statement of an open transaction may be sent to it now. */
+bool kl_endpoint_may_continue(const kl_endpoint_t *endpoint);
 /** Choose the endpoint for a statement. @return NULL if none is suitable now */
 kl_endpoint_t *kl_endpoint_choose(const kl_client_t *client);
 /** Close all connections and free the clusters and endpoints. */
--- a/path/path.h
+++ b/path/path.h
@@ -41,10 +41,36 @@
 	 * ago, microseconds; 0: they are never refused for that
 	 */
 	uint64_t stale_after_us;
+	/**
+	 * a leaving upstream gets no statement later than this after it began
+	 * to leave, microseconds
+	 */
+	uint64_t leave_us;
 	/** this VM's failure domain; upstreams in it are preferred */
 	char domain[KL_NAME_MAX];
 } kl_path_settings_t;
 
+/** Which statements an upstream may get. */
+typedef enum kl_upstream_use {
+	KL_USE_ANY,
+	/**
+	 * It is leaving: only statements of open transactions, and of a primary
+	 * what no other upstream can run.
+	 */
+	KL_USE_STARTED,
+	KL_USE_NONE, /**< it has left, or may have */
+} kl_upstream_use_t;
+
+/**
+ * Decide which statements an upstream may get now.  Every path asks this again
+ * when it sends a statement, because the choice of the upstream may be old.
+ *
+ * @param leaving_after_us it leaves since no earlier than this; 0: not known,
+ *			   so that its time may be over
+ */
+kl_upstream_use_t kl_upstream_use(bool leaving, uint64_t leaving_after_us,
+				  uint64_t now_us, uint64_t leave_us);
+
 /** Load the blackboard's sections; call it inside a read section. */
 void kl_view_load(kl_view_t *view, const kl_reader_t *reader, uint64_t now_us);
 
--- a/tests/engine_model.c
+++ b/tests/engine_model.c
@@ -117,7 +117,7 @@
 {
 	model_t *model = calloc(1, sizeof(*model));
 	kl_engine_settings_t settings = {
-		.data_path = { .lease_us = 5 * KL_SEC },
+		.data_path = { .lease_us = 5 * KL_SEC, .leave_us = 4 * KL_SEC },
 		.statement_timeout_us = 3 * KL_SEC,
 		.admit_wait_us = 30 * KL_MS,
 		.connect_timeout_us = 500 * KL_MS
--- a/tests/world.c
+++ b/tests/world.c
@@ -45,6 +45,7 @@
 	world->admission_timeout_us = 200 * KL_MS;
 	kl_tuning_default(&world->tuning);
 	world->data_path_settings.lease_us = world->tuning.lease_duration_us;
+	world->data_path_settings.leave_us = 4 * KL_SEC;
 	world->data_path_settings.read_wait_us = 150 * KL_MS;
 	return world;
 }
