Look again at a leaving database when a statement is sent

Cause: the database was chosen when a statement was routed. While it waited for a connection or for the set-up of its session, a mark changed nothing. Class: a decision that is kept beyond the data it was made from.

Change: statements in the queue of a database that they may not be sent to any more choose another one, and each is checked when it is sent.

--- a/path/engine_conn.c
+++ b/path/engine_conn.c
@@ -32,6 +32,7 @@
 #define LONG_WAIT_DIVISOR 4
 
 static void assign_idle(kl_endpoint_t *endpoint);
+static void reroute_queue(kl_endpoint_t *endpoint);
 static bool has_long_wait(const kl_endpoint_t *endpoint);
 static bool allow_new_conn(kl_endpoint_t *endpoint);
 static void lower_conn_limit(kl_endpoint_t *endpoint);
@@ -122,6 +123,8 @@
 	kl_client_t *client, *next;
 	uint32_t needed = 0;
 
+	if (!kl_endpoint_may_start(endpoint))
+		reroute_queue(endpoint);
 	assign_idle(endpoint);
 	if (has_long_wait(endpoint) ||
 	    (endpoint->queue_length &&
@@ -140,6 +143,19 @@
 	}
 }
 
+/* Lets the queued statements choose another upstream. */
+static void reroute_queue(kl_endpoint_t *endpoint)
+{
+	kl_client_t *client, *next;
+
+	CK_STAILQ_FOREACH_SAFE(client, &endpoint->queue, queue_link, next) {
+		kl_endpoint_dequeue(client);
+		client->stmt.avoid_endpoint = endpoint;
+		client->stmt.endpoint = NULL;
+		kl_client_wait(client, KL_STMT_WAIT_UPSTREAM);
+	}
+}
+
 bool kl_endpoint_may_connect(const kl_endpoint_t *endpoint)
 {
 	return endpoint->cluster->engine->now_us -
@@ -373,7 +389,6 @@
 {
 	uint64_t now_us = endpoint->cluster->engine->now_us;
 	kl_conn_t *conn, *next;
-	kl_client_t *client, *next_client;
 
 	CK_STAILQ_FOREACH_SAFE(conn, &endpoint->conns, link, next) {
 		uint64_t stage_us = now_us - conn->stage_since_us;
@@ -403,16 +418,8 @@
 	if (endpoint->conn_limit < endpoint->even_conn_share &&
 	    now_us - endpoint->last_db_full_us > DB_FULL_HOLD_US)
 		endpoint->conn_limit = endpoint->even_conn_share;
-	/* Statements queued at a failing endpoint choose another one. */
-	if (endpoint->failing_since_us || !endpoint->accepts_stmts) {
-		CK_STAILQ_FOREACH_SAFE(client, &endpoint->queue, queue_link,
-				       next_client) {
-			kl_endpoint_dequeue(client);
-			client->stmt.avoid_endpoint = endpoint;
-			client->stmt.endpoint = NULL;
-			kl_client_wait(client, KL_STMT_WAIT_UPSTREAM);
-		}
-	}
+	if (endpoint->failing_since_us || !endpoint->accepts_stmts)
+		reroute_queue(endpoint);
 	if (!CK_STAILQ_EMPTY(&endpoint->queue))
 		kl_endpoint_serve_queue(endpoint);
 }
--- a/path/engine_run.c
+++ b/path/engine_run.c
@@ -119,6 +119,10 @@
 			reroute(client, 0, 0);
 			return;
 		}
+		if (!kl_endpoint_may_start(stmt->endpoint)) {
+			reroute(client, 0, 0);
+			return;
+		}
 		stmt->group_version = group ? group->version : 0;
 		stmt->on_primary = conn->primary_proven;
 		if (!conn->primary_proven)
