End open transactions at a database that has left

Callers saw: later statements and the commit of a transaction at a database of an evacuated domain, as long as the client kept it open.

Cause: a transaction goes on at its connection, whatever is marked.

Change: when the time of a leaving database is over, the connections of open transactions are closed, which rolls them back. The next statement, also COMMIT, is answered with ABORTED: nothing of it is kept, and nothing was sent.

--- a/path/engine.c
+++ b/path/engine.c
@@ -163,6 +163,9 @@
 			kl_stmt_check_deadlines(client);
 		else if (kl_drain_ends_idle(client))
 			kl_client_end_session(client, 0);
+		else if (client->transaction_status != 'I' && client->conn &&
+			 !kl_endpoint_may_continue(client->conn->endpoint))
+			kl_conn_abandon(client->conn, true);
 		else if (client->transaction_status == 'T' && client->conn &&
 			 idle_max_ms &&
 			 engine->now_us - client->idle_since_us >
--- a/path/engine_client.c
+++ b/path/engine_client.c
@@ -222,8 +222,9 @@
 	 */
 	if (!error && strcmp(workspace, client->workspace) && client->conn)
 		kl_conn_abandon(client->conn, true);
-	/* A planned stop leaves no time for another statement. */
-	if (kl_drain_time_is_over(engine) && client->conn)
+	/* Its database has left, or a planned stop leaves no time. */
+	if (client->conn && (kl_drain_time_is_over(engine) ||
+			     !kl_endpoint_may_continue(client->conn->endpoint)))
 		kl_conn_abandon(client->conn, true);
 	/* A transaction may finish after its route was removed. */
 	if (error == -KL_E_NOT_FOUND)
@@ -261,6 +262,8 @@
 {
 	kl_stmt_t *stmt = &client->stmt;
 
+	if (client->conn && !kl_endpoint_may_continue(client->conn->endpoint))
+		kl_conn_abandon(client->conn, true);
 	if (client->conn) {
 		stmt->endpoint = client->conn->endpoint;
 		stmt->deadline_us =
--- a/path/engine_run.c
+++ b/path/engine_run.c
@@ -127,6 +127,9 @@
 		stmt->on_primary = conn->primary_proven;
 		if (!conn->primary_proven)
 			message.min_position = stmt->min_position;
+	} else if (!kl_endpoint_may_continue(stmt->endpoint)) {
+		kl_stmt_conn_lost(client); /* the stage says: nothing sent */
+		return;
 	}
 	stmt->stage = KL_STMT_SENT;
 	stmt->sent_us = engine->now_us;
