Refuse at once what only a database that has left could run

Cause: a missing primary is waited for, as most failovers are short.

Change: it is refused at once, as not run, if every other database leaves too, fails or is gone, or if no planned change has come for 3 s.

--- a/path/engine_begin.c
+++ b/path/engine_begin.c
@@ -25,6 +25,11 @@
  * acknowledge it, so that its end is known.
  */
 #define FENCING_ACKS_US (1 * KL_SEC)
+/*
+ * If a primary leaves and none has replaced it after this time, something keeps
+ * the other databases from being promoted.
+ */
+#define PLANNED_CHANGE_US (3 * KL_SEC)
 
 static int copy_route(kl_client_t *client);
 static void set_min_position(kl_client_t *client);
@@ -32,6 +37,8 @@
 static bool take_tokens(kl_client_t *client);
 static void extend_queue_deadline(kl_client_t *client);
 static bool primary_is_late(const kl_client_t *client);
+static bool primary_has_left(const kl_client_t *client,
+			     const kl_group_t *group);
 
 void kl_client_begin_op(kl_client_t *client, const kl_parsed_stmt_t *parsed)
 {
@@ -250,6 +257,8 @@
 	if (engine->now_us > confirmation->confirmed_us + lease_us)
 		return engine->now_us - confirmation->confirmed_us - lease_us >
 		       LEASE_LOST_US;
+	if (primary_has_left(client, group))
+		return true;
 	/* The promoter waits a tenth longer than the lease. */
 	return group->state == KL_GROUP_FENCING &&
 	       engine->now_us - group->first_seen_us > FENCING_ACKS_US &&
@@ -257,6 +266,28 @@
 		       client->stmt.route_deadline_us;
 }
 
+/* Whether the primary may not be used any more and none will follow soon. */
+static bool primary_has_left(const kl_client_t *client, const kl_group_t *group)
+{
+	const kl_engine_t *engine = client->engine;
+	kl_cluster_t *cluster =
+		kl_cluster_find(client->engine, client->route.service);
+	const kl_endpoint_t *primary, *other;
+
+	primary = cluster ? kl_endpoint_find(cluster, group->primary) : NULL;
+	if (!primary || group->state != KL_GROUP_STABLE ||
+	    kl_endpoint_may_start(primary))
+		return false;
+	if (engine->now_us - primary->leaving_seen_us > PLANNED_CHANGE_US)
+		return true;
+	CK_STAILQ_FOREACH(other, &cluster->endpoints, link) {
+		if (other->accepts_stmts && !other->leaving &&
+		    !other->failing_since_us)
+			return false;
+	}
+	return true;
+}
+
 void kl_client_wait(kl_client_t *client, kl_stmt_stage_t stage)
 {
 	client->stmt.stage = stage;
