Let an endpoint without an entry leave with its failure domain

Callers saw: reads and writes at databases whose entry had lapsed when their domain was evacuated, for the 3 s in which they stay in use, and for a new 4 s when the entry came back.

Cause: mark and entry were joined only when a configuration was built, so an endpoint that outlives its entry kept the state from before the mark.

Change: the marks of its domain are applied to an endpoint without an entry, too. (The age of a mark already stays over a lapse.)

--- a/path/engine_endpoint.c
+++ b/path/engine_endpoint.c
@@ -58,6 +58,7 @@
 static void clear_old_position_samples(kl_engine_t *engine,
 				       kl_cluster_t *cluster);
 static void check_registered(kl_engine_t *engine, kl_cluster_t *cluster);
+static void update_marked(const kl_config_t *config, kl_endpoint_t *endpoint);
 static bool is_usable(const kl_endpoint_t *endpoint, uint64_t now_us);
 static kl_upstream_use_t endpoint_use(const kl_endpoint_t *endpoint);
 static kl_endpoint_t *proven_primary(const kl_client_t *client,
@@ -192,12 +193,29 @@
 			continue;
 		if (!endpoint->unregistered_since_us)
 			endpoint->unregistered_since_us = engine->now_us;
+		if (config)
+			update_marked(config, endpoint);
 		if (engine->now_us - endpoint->unregistered_since_us >
 		    UNREGISTERED_GRACE_US)
 			endpoint->accepts_stmts = false;
 	}
 }
 
+/* An endpoint that lost its entry still leaves with its failure domain. */
+static void update_marked(const kl_config_t *config, kl_endpoint_t *endpoint)
+{
+	uint64_t marked_after_us;
+
+	if (!kl_config_upstream_marked(config, endpoint->name, endpoint->domain,
+				       &marked_after_us))
+		return;
+	if (!endpoint->leaving)
+		endpoint->leaving_seen_us = endpoint->cluster->engine->now_us;
+	if (!endpoint->leaving || marked_after_us < endpoint->leaving_after_us)
+		endpoint->leaving_after_us = marked_after_us;
+	endpoint->leaving = true;
+}
+
 static void clear_old_position_samples(kl_engine_t *engine,
 				       kl_cluster_t *cluster)
 {
