Sample the log of a primary that has left, for reads at replicas

Callers saw: reads refused during an evacuation although a replica in another domain could serve them.

Cause: a read at a replica needs a position of the primary that is recent enough. It comes from the primary's answers; a primary that has left gets no statements, and its idle connections close, so its status wasn't queried either.

--- a/path/engine_status.c
+++ b/path/engine_status.c
@@ -23,10 +23,12 @@
 	endpoint = kl_endpoint_find(cluster, group->primary);
 	/*
 	 * Without a sample reads go to the primary, which costs less than
-	 * opening a connection for the query.
+	 * opening a connection for the query.  A primary that has left gets no
+	 * reads, and replicas can serve them only with samples.
 	 */
 	if (endpoint && endpoint->accepts_stmts &&
-	    kl_endpoint_longest_idle(endpoint))
+	    (kl_endpoint_longest_idle(endpoint) ||
+	     !kl_endpoint_may_start(endpoint)))
 		kl_endpoint_query_status(endpoint, true);
 }
 
