Apply the same rule to leaving databases in the PostgreSQL front end

Cause: only reads looked at the flag, and only when they were routed.

Change: the router, the queues of the pools and open transactions ask kl_upstream_use(). COMMIT of a transaction whose connection was lost between two statements is now an error, aborted, where it was the tag ROLLBACK, which a driver does not report.

--- a/daemon/worker_internal.h
+++ b/daemon/worker_internal.h
@@ -130,6 +130,8 @@
 	char upstream[KL_NAME_MAX];
 	char host[KL_HOST_MAX];
 	uint16_t port;
+	bool leaving; /**< as in kl_upstream_t */
+	uint64_t leaving_after_us;
 	uint32_t max_conns;  /**< limit of conn_count for new connections */
 	uint32_t conn_count; /**< its connections, established or not */
 	uint32_t busy_conns; /**< connections in use by sessions */
@@ -204,6 +206,9 @@
 /** Abort the session's request, release its resources and free it. */
 void kl_session_free(kl_session_t *session);
 
+/** Roll the open transaction back by closing its connection. */
+void kl_session_end_transaction(kl_session_t *session);
+
 /** End idle sessions whose access was withdrawn; on a drain, all idle ones. */
 void kl_session_sweep_all(kl_worker_t *worker, const kl_view_t *view);
 
@@ -289,6 +294,9 @@
 /** Queue a request; kl_request_execute() is called once it has a connection. */
 void kl_pool_enqueue(kl_pool_t *pool, kl_request_t *request);
 
+/** Whether a pool's upstream was leaving and gets no statements any more. */
+bool kl_pool_has_left(const kl_pool_t *pool);
+
 /** Return a connection that a session no longer needs to its pool. */
 void kl_pool_release_conn(kl_pool_conn_t *conn);
 
--- a/daemon/worker_pool.c
+++ b/daemon/worker_pool.c
@@ -15,6 +15,7 @@
 #define CONNECT_BACKOFF_US 100000      /* after a failed attempt to connect */
 
 static void open_conn(kl_pool_t *pool);
+static void update_leaving(kl_pool_t *pool, const kl_upstream_t *upstream);
 static void serve_queue(kl_pool_t *pool);
 static kl_pool_conn_t *find_idle_conn(kl_pool_t *pool);
 static void reroute_waiters(kl_pool_t *pool);
@@ -39,8 +40,10 @@
 
 	CK_STAILQ_FOREACH(pool, &worker->pools, link) {
 		if (!strcmp(pool->service, service) &&
-		    !strcmp(pool->upstream, upstream->name.name))
+		    !strcmp(pool->upstream, upstream->name.name)) {
+			update_leaving(pool, upstream);
 			return pool;
+		}
 	}
 	pool = calloc(1, sizeof(*pool));
 	if (!pool)
@@ -50,6 +53,7 @@
 	memcpy(pool->upstream, upstream->name.name, KL_NAME_MAX);
 	memcpy(pool->host, upstream->host, KL_HOST_MAX);
 	pool->port = upstream->port;
+	update_leaving(pool, upstream);
 	pool->max_conns = 1;
 	pool->avg_conn_use_us = KL_MS;
 	pool->fair_queue = kl_fair_queue_new();
@@ -58,6 +62,20 @@
 	return pool;
 }
 
+static void update_leaving(kl_pool_t *pool, const kl_upstream_t *upstream)
+{
+	pool->leaving = upstream->leaving;
+	pool->leaving_after_us = upstream->leaving_after_us;
+}
+
+bool kl_pool_has_left(const kl_pool_t *pool)
+{
+	return kl_upstream_use(pool->leaving, pool->leaving_after_us,
+			       kl_clock_us(),
+			       pool->worker->workers->path_settings.leave_us) ==
+	       KL_USE_NONE;
+}
+
 void kl_pool_enqueue(kl_pool_t *pool, kl_request_t *request)
 {
 	if (exceeds_deadline(pool, request)) {
@@ -181,6 +199,7 @@
 		}
 		memcpy(pool->host, upstream->host, KL_HOST_MAX);
 		pool->port = upstream->port;
+		update_leaving(pool, upstream);
 		pool->max_conns = service->max_upstream_connections / live_vms;
 		if (!pool->max_conns)
 			pool->max_conns = 1;
@@ -258,6 +277,11 @@
 	kl_waiter_t *waiter;
 	kl_pool_conn_t *conn;
 
+	/* The requests were routed before its time was over. */
+	if (kl_pool_has_left(pool)) {
+		reroute_waiters(pool);
+		return;
+	}
 	while (kl_fair_queue_workspace_count(pool->fair_queue)) {
 		conn = find_idle_conn(pool);
 		if (!conn)
--- a/daemon/worker_request.c
+++ b/daemon/worker_request.c
@@ -100,10 +100,19 @@
 {
 	kl_session_t *session = request->session;
 
+	if (session->pinned_conn &&
+	    kl_pool_has_left(session->pinned_conn->pool))
+		kl_session_end_transaction(session);
 	/* The connection was lost, which rolled back the transaction. */
 	if (!session->pinned_conn) {
-		if (kl_request_ends_transaction(request)) {
+		if (kl_request_ends_transaction(request))
 			session->transaction_status = 'I';
+		/* Its client may not have been told yet. */
+		if (request->statement.kind == KL_STATEMENT_COMMIT) {
+			kl_answer_error(request, -KL_E_ABORTED);
+			return;
+		}
+		if (kl_request_ends_transaction(request)) {
 			kl_answer_command_tag(request, "ROLLBACK");
 			return;
 		}
--- a/daemon/worker_run.c
+++ b/daemon/worker_run.c
@@ -29,6 +29,7 @@
 	conn->generation = request->generation;
 	if (!request->statement.stateless)
 		conn->needs_reset = true;
+	kl_counter_add(KL_COUNTER_STMTS_LEAVING, conn->pool->leaving);
 	if (!kl_db_conn_pq.send(conn->handle, &request->query))
 		return;
 	/* Nothing was sent, so the statement may be routed again. */
--- a/daemon/worker_session.c
+++ b/daemon/worker_session.c
@@ -113,6 +113,16 @@
 	free(session);
 }
 
+void kl_session_end_transaction(kl_session_t *session)
+{
+	kl_pool_conn_t *conn = session->pinned_conn;
+
+	session->pinned_conn = NULL;
+	session->transaction_status = 'E';
+	conn->session = NULL;
+	kl_pool_drop_conn(conn);
+}
+
 void kl_session_sweep_all(kl_worker_t *worker, const kl_view_t *view)
 {
 	kl_session_t *session, *next;
@@ -125,6 +135,9 @@
 		if (!session->logged_in)
 			continue;
 		recount(session, view);
+		if (session->pinned_conn && !session->request.stage &&
+		    kl_pool_has_left(session->pinned_conn->pool))
+			kl_session_end_transaction(session);
 		error = kl_authenticate(view, &worker->workers->path_settings,
 					session->key_hash, session->workspace,
 					session->service);
--- a/path/route.c
+++ b/path/route.c
@@ -4,9 +4,12 @@
 #include "path/path.h"
 
 static void route_write(const kl_view_t *view,
+			const kl_path_settings_t *settings,
 			const kl_route_request_t *request,
 			const kl_service_t *service, const kl_group_t *group,
 			kl_route_choice_t *choice);
+static void primary_has_left(const kl_service_t *service,
+			     kl_route_choice_t *choice);
 static void route_read(const kl_view_t *view,
 		       const kl_path_settings_t *settings,
 		       const kl_route_request_t *request,
@@ -45,7 +48,7 @@
 	if (request->read_only)
 		route_read(view, settings, request, service, group, choice);
 	else
-		route_write(view, request, service, group, choice);
+		route_write(view, settings, request, service, group, choice);
 }
 
 kl_cover_t kl_token_covered(const kl_token_t *token, const kl_group_t *group,
@@ -75,12 +78,12 @@
 }
 
 static void route_write(const kl_view_t *view,
+			const kl_path_settings_t *settings,
 			const kl_route_request_t *request,
 			const kl_service_t *service, const kl_group_t *group,
 			kl_route_choice_t *choice)
 {
 	const kl_observation_t *observed;
-	(void)request;
 
 	if (group->state != KL_GROUP_STABLE) {
 		wait_for_upstream(choice, "changing_primary");
@@ -91,6 +94,12 @@
 		wait_for_upstream(choice, "no_primary");
 		return;
 	}
+	if (kl_upstream_use(choice->upstream->leaving,
+			    choice->upstream->leaving_after_us, view->now_us,
+			    settings->leave_us) == KL_USE_NONE) {
+		primary_has_left(service, choice);
+		return;
+	}
 	observed =
 		kl_health_find(view->health, request->service, group->primary);
 	choice->verdict = KL_VERDICT_SEND;
@@ -123,7 +132,10 @@
 			view->health, request->service, upstream->name.name);
 		uint32_t cost;
 
-		if (upstream->leaving || !observed || !observed->sampled_us ||
+		if (kl_upstream_use(upstream->leaving,
+				    upstream->leaving_after_us, view->now_us,
+				    settings->leave_us) != KL_USE_ANY ||
+		    !observed || !observed->sampled_us ||
 		    observed->failing_since_us || observed->term != read_term ||
 		    !strcmp(upstream->name.name, group->primary) ||
 		    (request->avoid_upstream &&
@@ -163,7 +175,22 @@
 		wait_for_upstream(choice, "replicas_lag");
 		return;
 	}
-	route_write(view, request, service, group, choice);
+	route_write(view, settings, request, service, group, choice);
+}
+
+/* Waits for another primary, or refuses if no database could become one. */
+static void primary_has_left(const kl_service_t *service,
+			     kl_route_choice_t *choice)
+{
+	const kl_upstream_t *upstream;
+
+	choice->upstream = NULL;
+	wait_for_upstream(choice, "primary_has_left");
+	CK_STAILQ_FOREACH(upstream, &service->upstreams, link) {
+		if (!upstream->leaving)
+			return;
+	}
+	choice->verdict = KL_VERDICT_REFUSE;
 }
 
 /*
