Let clients of the soak hold transactions open beyond an evacuation

Change: one transaction in three has twelve statements with pauses of 0.7 s, as the users' clients have.

--- a/tests/soak/client.c
+++ b/tests/soak/client.c
@@ -10,8 +10,14 @@
 #include "tests/soak/client_internal.h"
 
 #define OPERATION_TIMEOUT_MS 3500 /* then the session is closed */
-#define RETRY_DELAY_MS 40	  /* before the next operation or connection */
-#define SESSION_OPERATIONS_END 25 /* a session has fewer operations */
+/*
+ * Pause in a long transaction: shorter than the configured limit of an idle
+ * transaction, and long enough that it outlasts the limit of an evacuation.
+ */
+#define LONG_PAUSE_MS 700
+#define LONG_ODDS 3	  /* one transaction in this many is a long one */
+#define RETRY_DELAY_MS 40 /* before the next operation or connection */
+#define SESSION_OPERATIONS_END 25	/* a session has fewer operations */
 #define ROUTE_MAX_AGE_US 2500000ull	/* maxStalenessMs of the route */
 #define KEY_REFUSAL_LIMIT_US 6000000ull /* from withdrawal to refusal */
 
@@ -129,13 +135,18 @@
 	(void)fd;
 	(void)events;
 
-	if (!client->stream && !client->clients->stopped)
+	if (!client->stream && !client->clients->stopped) {
 		connect_client(client);
-	else if (client->stream &&
-		 (client->operation_running || !client->session_ready))
+	} else if (client->stream && client->pausing) {
+		client->pausing = false;
+		schedule_timer(client, OPERATION_TIMEOUT_MS);
+		send_statement(client);
+	} else if (client->stream &&
+		   (client->operation_running || !client->session_ready)) {
 		end_session(client, NULL);
-	else if (client->stream)
+	} else if (client->stream) {
 		start_operation(client);
+	}
 }
 
 static void on_read(struct bufferevent *stream, void *arg)
@@ -194,6 +205,7 @@
 	}
 	choose_operation(client);
 	client->operation_running = true;
+	client->pausing = false;
 	client->statement_index = 0;
 	client->operation_start_us = soak_now_us();
 	client->required_write = oldest_allowed_write(client);
@@ -210,6 +222,7 @@
 		 client_index = client->index;
 
 	client->write_number = 0;
+	client->is_long = false;
 	client->is_read = client->exceeds_rate || choice < 5;
 	client->rolls_back = choice == 9;
 	if (client->is_read) {
@@ -225,8 +238,18 @@
 	snprintf(client->statements[client->statement_count > 1],
 		 sizeof(client->statements[0]), "WRITE i%u c%un%u",
 		 client_index, client_index, write);
-	snprintf(client->statements[2], sizeof(client->statements[0]), "%s",
-		 client->rolls_back ? "ROLLBACK" : "COMMIT");
+	client->is_long =
+		client->statement_count > 1 &&
+		!g_rand_int_range(client->clients->random, 0, LONG_ODDS);
+	if (client->is_long)
+		client->statement_count = OPERATION_STATEMENTS_MAX;
+	for (int i = 2; i < client->statement_count; i++)
+		snprintf(client->statements[i], sizeof(client->statements[0]),
+			 "READ i%u", client_index);
+	if (client->statement_count > 1)
+		snprintf(client->statements[client->statement_count - 1],
+			 sizeof(client->statements[0]), "%s",
+			 client->rolls_back ? "ROLLBACK" : "COMMIT");
 }
 
 /*
@@ -263,10 +286,14 @@
 
 static void finish_statement(client_t *client)
 {
-	if (++client->statement_index < client->statement_count)
-		send_statement(client);
-	else
+	if (++client->statement_index == client->statement_count) {
 		finish_operation(client);
+	} else if (client->is_long) {
+		client->pausing = true;
+		schedule_timer(client, LONG_PAUSE_MS);
+	} else {
+		send_statement(client);
+	}
 }
 
 static void finish_operation(client_t *client)
@@ -317,6 +344,7 @@
 		soak_write_attempt(client, client->write_number)->outcome =
 			OUTCOME_NOT_APPLIED;
 	client->operation_running = false;
+	client->pausing = false;
 	if (client->stream)
 		bufferevent_free(client->stream);
 	client->stream = NULL;
--- a/tests/soak/client_internal.h
+++ b/tests/soak/client_internal.h
@@ -11,7 +11,7 @@
 #define BAKERY_CLIENTS 10
 /* Clients of workspace press, which sends more than its rate. */
 #define PRESS_CLIENTS 3
-#define OPERATION_STATEMENTS_MAX 4 /* BEGIN, WRITE and COMMIT are three */
+#define OPERATION_STATEMENTS_MAX 12 /* of a long transaction */
 
 /* Outcome of a write by the answer that the client received. */
 typedef enum outcome {
@@ -55,6 +55,8 @@
 	char statements[OPERATION_STATEMENTS_MAX][64];
 	int statement_index, statement_count;
 	bool operation_running;
+	bool is_long; /* the operation pauses between its statements */
+	bool pausing; /* the next statement follows after a pause */
 	bool failed; /* unused */
 	bool is_read;
 	uint32_t write_number; /* of this operation, or 0 if it is a read */
