End a planned change of primary that has no successor

Callers saw: with all databases of a service but one in evacuated domains and that one down, the primary was replaced by another database that leaves, and that one by the next, without end: each time writes stopped for about a second, and the platform was called.

Cause: a planned change began whenever some database did not leave, and took one that leaves if no other answered.

Change: while the old primary works, only a database that does not leave is promoted. If none answers 0.5 s after fencing, the VM that claimed the term records the old primary again; the next attempt comes 2 s after the record. If the old primary fails, a database that leaves may still become primary, so that no acknowledged write is lost.

--- a/control/promote.c
+++ b/control/promote.c
@@ -28,6 +28,12 @@
 /* Delay per rank before a prober creates a group's first record. */
 #define CREATE_RANK_DELAY_US (500 * KL_MS)
 
+/*
+ * The first time that a primary is replaced because it leaves, and the time
+ * until the next attempt, are this long after its record was written.
+ */
+#define PLANNED_CHANGE_INTERVAL_US (2 * KL_SEC)
+
 /* Another prober takes over from a promoter that is inactive this long. */
 #define TAKEOVER_DELAY_US (1500 * KL_MS)
 
@@ -173,6 +179,7 @@
 	    ctx->base.now - failover->triggered_us <
 		    (uint64_t)ctx->base.prober_rank * RANK_DELAY_US)
 		return;
+	ctx->promotion->claimed_from_stable = ctx->base.group->term + 1;
 	claim_term(ctx, failed ? "primary_fails" : "primary_leaves");
 }
 
@@ -194,7 +201,7 @@
 {
 	const kl_tuning_t *tuning = &ctx->base.node->tuning;
 	kl_promotion_t *promotion = ctx->promotion;
-	uint64_t now = ctx->base.now;
+	uint64_t now = ctx->base.now, settled_us;
 	const char *best;
 	kl_group_t next;
 
@@ -211,11 +218,18 @@
 			return;
 		promotion->fencing_completed_us = now;
 	}
-	best = kl_promote_choose_candidate(
-		ctx, promotion->fencing_completed_us + IN_FLIGHT_WAIT_US);
+	settled_us = promotion->fencing_completed_us + IN_FLIGHT_WAIT_US;
+	best = kl_promote_choose_candidate(ctx, settled_us);
+	next = *ctx->base.group;
+	/* Nothing was promoted in a term that this VM claimed itself. */
+	if (!best && promotion->claimed_from_stable == next.term &&
+	    !strcmp(next.promoter, ctx->base.node->self.vm) &&
+	    kl_promote_no_successor(ctx, settled_us)) {
+		next.state = KL_GROUP_STABLE;
+		write_record(ctx, &next, "change_given_up", "no_successor");
+	}
 	if (!best)
 		return;
-	next = *ctx->base.group;
 	next.state = KL_GROUP_PROMOTING;
 	kl_name_copy(next.primary, best);
 	memcpy(next.promoter, ctx->base.node->self.vm, KL_NAME_MAX);
@@ -398,7 +412,9 @@
 	const kl_upstream_t *upstream =
 		kl_service_find_upstream(service, ctx->base.group->primary);
 
-	if (!upstream || !upstream->leaving)
+	if (!upstream || !upstream->leaving ||
+	    ctx->base.now - ctx->base.group->first_seen_us <
+		    PLANNED_CHANGE_INTERVAL_US)
 		return false;
 	CK_STAILQ_FOREACH(upstream, &service->upstreams, link) {
 		if (!upstream->leaving)
--- a/control/promote_choose.c
+++ b/control/promote_choose.c
@@ -14,7 +14,11 @@
 /* How long to wait for the status replies of slower replicas. */
 #define REPLIES_WAIT_US (500 * KL_MS)
 
+/* The old primary works if it replied to a query that is no older. */
+#define PRIMARY_REPLY_MAX_AGE_US (1 * KL_SEC)
+
 static bool has_acked(const kl_promote_ctx_t *ctx, const kl_member_t *member);
+static bool old_primary_works(const kl_promote_ctx_t *ctx);
 static bool has_newer_log(const kl_status_reply_t *reply,
 			  const kl_status_reply_t *other);
 static bool has_complete_log(const kl_status_reply_t *reply,
@@ -198,9 +202,36 @@
 	ctx->base.node->ops->call_database(ctx->base.node->ops_context, &call);
 }
 
+static bool old_primary_works(const kl_promote_ctx_t *ctx)
+{
+	const kl_status_reply_t *reply = kl_promotion_find_reply(
+		ctx->promotion, ctx->base.group->primary);
+
+	return reply && reply->reported_primary &&
+	       ctx->base.now - reply->query_sent_us < PRIMARY_REPLY_MAX_AGE_US;
+}
+
+bool kl_promote_no_successor(const kl_promote_ctx_t *ctx, uint64_t settled_us)
+{
+	const kl_upstream_t *upstream;
+
+	if (ctx->base.now < settled_us + REPLIES_WAIT_US ||
+	    !old_primary_works(ctx))
+		return false;
+	CK_STAILQ_FOREACH(upstream, &ctx->base.service->upstreams, link) {
+		if (!upstream->leaving &&
+		    strcmp(upstream->name.name, ctx->base.group->primary) &&
+		    kl_promotion_find_reply(ctx->promotion,
+					    upstream->name.name))
+			return false;
+	}
+	return true;
+}
+
 /*
  * A database that is not leaving is preferred to one that is; among them the
- * most recent log wins.
+ * most recent log wins.  While the old primary works nothing is gained by
+ * promoting another one that leaves.
  */
 const char *kl_promote_choose_candidate(kl_promote_ctx_t *ctx,
 					uint64_t settled_us)
@@ -212,6 +243,7 @@
 	const kl_status_reply_t *best = NULL;
 	const kl_upstream_t *upstream;
 	bool best_leaving = false, replies_missing = false;
+	bool is_planned = old_primary_works(ctx);
 	uint64_t now = ctx->base.now;
 
 	CK_STAILQ_FOREACH(upstream, &ctx->base.service->upstreams, link) {
@@ -219,7 +251,8 @@
 			kl_promotion_find_reply(promotion, upstream->name.name);
 
 		if (!strcmp(upstream->name.name, primary) ||
-		    !strcmp(upstream->name.name, promotion->failed_candidate))
+		    !strcmp(upstream->name.name, promotion->failed_candidate) ||
+		    (upstream->leaving && is_planned))
 			continue;
 		if (!reply) {
 			replies_missing |= !upstream->leaving;
--- a/control/promote_internal.h
+++ b/control/promote_internal.h
@@ -43,6 +43,8 @@
 	bool suspicion_logged;
 	/** Time since which the primary is not registered, or 0. */
 	uint64_t unregistered_since_us;
+	/** Term that this VM claimed from a stable record, or 0. */
+	uint64_t claimed_from_stable;
 	uint64_t fencing_completed_us; /**< when fencing was completed, or 0 */
 	/** Time of this VM's last promotion call in any term, or 0. */
 	uint64_t last_own_promotion_us;
@@ -132,6 +134,12 @@
 			      const kl_upstream_t *upstream,
 			      kl_database_op_t op, uint64_t term);
 
+/**
+ * Whether the change can't succeed now: the old primary works, and no database
+ * that isn't leaving answers.  Arguments as for kl_promote_choose_candidate().
+ */
+bool kl_promote_no_successor(const kl_promote_ctx_t *ctx, uint64_t settled_us);
+
 /**
  * Choose the database to promote.
  *
--- a/tests/soak/client_internal.h
+++ b/tests/soak/client_internal.h
@@ -57,7 +57,7 @@
 	bool operation_running;
 	bool is_long; /* the operation pauses between its statements */
 	bool pausing; /* the next statement follows after a pause */
-	bool failed; /* unused */
+	bool failed;  /* unused */
 	bool is_read;
 	uint32_t write_number; /* of this operation, or 0 if it is a read */
 	bool rolls_back;
@@ -79,6 +79,7 @@
 	GArray *stale_reads; /* stale_read_t, checked at the end */
 	GArray *press_spans; /* time_span_t of the statements served to press */
 	bool stopped;	     /* no further operations are started */
+	bool short_only;     /* no long transactions are started */
 	/* Each client must complete an operation after this time. */
 	uint64_t service_expected_from_us;
 	uint64_t key_withdrawn_at_us;
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -33,7 +33,7 @@
 #define EVACUATION_SEED_OFFSET 2000000u /* the same for the evacuations */
 /* Between two changes of the evacuated failure domains. */
 #define EVACUATION_GAP_MIN_MS 300
-#define EVACUATION_GAP_END_MS 9000
+#define EVACUATION_GAP_END_MS 5000
 #define PROCESS_DOWN_MIN_MS 600 /* least time until a daemon is restarted */
 #define RELAY_COUNT (2 * SOAK_VMS + SOAK_DATABASES)
 
@@ -200,6 +200,7 @@
 	/* Evacuations go on, now that the VMs are undisturbed. */
 	run_until(base, soak_now_us() + EVACUATION_ONLY_MS * 1000);
 	end_evacuations();
+	clients_end_long_operations(clients);
 	run_until(base, soak_now_us() + RECOVERY_MS * 500);
 	clients_expect_service(clients);
 	run_until(base, soak_now_us() + RECOVERY_MS * 500);
@@ -303,7 +304,9 @@
 	if (!next_evacuation_us || now_us < next_evacuation_us)
 		return;
 	domain = g_rand_int_range(evacuation_random, 0, SOAK_DATABASES);
-	set_evacuation(domain, !evacuated[domain]);
+	/* More begin than end, so that all are evacuated now and then. */
+	if (!evacuated[domain] || g_rand_boolean(evacuation_random))
+		set_evacuation(domain, !evacuated[domain]);
 	next_evacuation_us =
 		now_us + (uint64_t)g_rand_int_range(evacuation_random,
 						    EVACUATION_GAP_MIN_MS,
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -126,6 +126,8 @@
 clients_t *clients_new(struct event_base *base, GRand *random);
 /** Let the clients start no further operations. */
 void clients_stop(clients_t *clients);
+/** Let the clients begin no long transactions any more. */
+void clients_end_long_operations(clients_t *clients);
 /** Every client must complete an operation after this call. */
 void clients_expect_service(clients_t *clients);
 /** The second key was withdrawn at from_us; it must soon be refused. */
--- a/tests/world.c
+++ b/tests/world.c
@@ -243,6 +243,8 @@
 	g_hash_table_replace(world->objects, new->name.name, new);
 	kl_object_free(old);
 	crash_on_group_state(world, name, body);
+	if (world->platform_promotes && !strncmp(name, "group/", 6))
+		world_adopt_record_term(world, name + 6);
 }
 
 void world_run(world_t *world, uint64_t duration_us)
--- a/tests/world.h
+++ b/tests/world.h
@@ -198,6 +198,8 @@
 /** A service's group as the platform stores it; all zero if it has none. */
 kl_group_t world_group_record(world_t *world, const char *service);
 
+/** Whether a VM may send statements to an upstream that it knows. */
+bool world_may_use(vm_t *vm, const char *service, const char *upstream);
 /** Admit up to count statements of a workspace now. @return how many */
 uint64_t world_admit(vm_t *vm, const char *workspace, uint64_t count);
 
--- a/tests/world_caller.c
+++ b/tests/world_caller.c
@@ -61,6 +61,25 @@
 	}
 }
 
+bool world_may_use(vm_t *vm, const char *service, const char *upstream)
+{
+	const kl_service_t *known_service;
+	const kl_upstream_t *known;
+	kl_view_t view;
+
+	world_load_view(vm, &view);
+	known_service =
+		view.config ? kl_index_get(view.config->service_index, service)
+			    : NULL;
+	known = known_service
+			? kl_service_find_upstream(known_service, upstream)
+			: NULL;
+	return known &&
+	       kl_upstream_use(
+		       known->leaving, known->leaving_after_us, view.now_us,
+		       vm->world->data_path_settings.leave_us) != KL_USE_NONE;
+}
+
 uint64_t world_admit(vm_t *vm, const char *workspace, uint64_t count)
 {
 	kl_view_t view;
--- a/tests/world_promote.c
+++ b/tests/world_promote.c
@@ -120,6 +120,23 @@
 	return 0;
 }
 
+/*
+ * Databases have terms of their own there, which the record does not name.  The
+ * simulated ones use the record's, so a primary that is recorded again, without
+ * a promotion, takes its new term on.
+ */
+void world_adopt_record_term(world_t *world, const char *service)
+{
+	kl_group_t group = world_group_record(world, service);
+	db_t *db = world_find_db(world, group.primary);
+
+	if (!db || !db->is_primary || group.state != KL_GROUP_STABLE ||
+	    db->term >= group.term)
+		return;
+	db->term = group.term;
+	db->min_accepted_term = group.term;
+}
+
 /*
  * Records a promotion call in one database's state.
  *
