Abort a transaction that can't be acknowledged before its COMMIT is sent

Callers saw: an unknown outcome for transactions that were open when a planned change of primary began (10 to 12 in a change, beside 24 busy sessions).

Cause: the COMMIT was sent although the group's record had changed since the transaction began, so that its success could not be proven anyway.

Change: such a COMMIT is not sent; the connection is closed, and the client is told that nothing is kept (ABORTED), so it may repeat.

--- a/path/engine_run.c
+++ b/path/engine_run.c
@@ -40,6 +40,8 @@
 static bool is_commit(const kl_client_t *client,
 		      const kl_stmt_result_t *result);
 static bool still_primary(const kl_client_t *client);
+static bool commit_is_useless(const kl_client_t *client,
+			      const kl_group_t *group);
 static void fail_unproven(kl_client_t *client);
 static void update_txn(kl_client_t *client, const kl_stmt_result_t *result);
 static void extend_deadlines(kl_client_t *client);
@@ -127,7 +129,8 @@
 		stmt->on_primary = conn->primary_proven;
 		if (!conn->primary_proven)
 			message.min_position = stmt->min_position;
-	} else if (!kl_endpoint_may_continue(stmt->endpoint)) {
+	} else if (!kl_endpoint_may_continue(stmt->endpoint) ||
+		   commit_is_useless(client, group)) {
 		kl_stmt_conn_lost(client); /* the stage says: nothing sent */
 		return;
 	}
@@ -237,6 +240,18 @@
 	       group->version == version;
 }
 
+/*
+ * Whether the statement commits writes at a primary that may have been replaced
+ * since the transaction began: its success could not be reported.
+ */
+static bool commit_is_useless(const kl_client_t *client,
+			      const kl_group_t *group)
+{
+	return client->stmt.verb == KL_VERB_COMMIT && client->txn_wrote &&
+	       client->transaction_status == 'T' && group &&
+	       group->version != client->txn_group_version;
+}
+
 static void fail_unproven(kl_client_t *client)
 {
 	kl_conn_t *conn = client->conn;
