Lose no acknowledged write in a planned change of primary

Callers saw: an evacuation or a drain of the primary whose replicas lag by more than 2 s promotes a replica that lacks acknowledged writes.

Cause: the change waited 2 s for a complete log, whether the old primary had failed or only leaves.

Change: a change that was begun because the primary leaves waits for a replica with the complete log. After 5 s, and while the old primary works, it is given up and tried again. Changes that began with a failure keep their limit.

The soak's seeds have loopback addresses of their own, so that several run side by side.

--- a/control/promote.c
+++ b/control/promote.c
@@ -180,6 +180,7 @@
 		    (uint64_t)ctx->base.prober_rank * RANK_DELAY_US)
 		return;
 	ctx->promotion->claimed_from_stable = ctx->base.group->term + 1;
+	ctx->promotion->claimed_to_leave = !failed;
 	claim_term(ctx, failed ? "primary_fails" : "primary_leaves");
 }
 
--- a/control/promote_choose.c
+++ b/control/promote_choose.c
@@ -14,11 +14,15 @@
 /* How long to wait for the status replies of slower replicas. */
 #define REPLIES_WAIT_US (500 * KL_MS)
 
+/* How long a planned change waits for a replica with the complete log. */
+#define PLANNED_CATCH_UP_US (5 * KL_SEC)
+
 /* The old primary works if it replied to a query that is no older. */
 #define PRIMARY_REPLY_MAX_AGE_US (1 * KL_SEC)
 
 static bool has_acked(const kl_promote_ctx_t *ctx, const kl_member_t *member);
 static bool old_primary_works(const kl_promote_ctx_t *ctx);
+static bool is_planned(const kl_promote_ctx_t *ctx);
 static bool has_newer_log(const kl_status_reply_t *reply,
 			  const kl_status_reply_t *other);
 static bool has_complete_log(const kl_status_reply_t *reply,
@@ -211,6 +215,16 @@
 	       ctx->base.now - reply->query_sent_us < PRIMARY_REPLY_MAX_AGE_US;
 }
 
+/* Whether the change is made only because the primary leaves. */
+static bool is_planned(const kl_promote_ctx_t *ctx)
+{
+	const kl_promotion_t *promotion = ctx->promotion;
+
+	return promotion->claimed_to_leave &&
+	       promotion->claimed_from_stable == ctx->base.group->term &&
+	       old_primary_works(ctx);
+}
+
 bool kl_promote_no_successor(const kl_promote_ctx_t *ctx, uint64_t settled_us)
 {
 	const kl_upstream_t *upstream;
@@ -218,6 +232,9 @@
 	if (ctx->base.now < settled_us + REPLIES_WAIT_US ||
 	    !old_primary_works(ctx))
 		return false;
+	if (is_planned(ctx) &&
+	    ctx->base.now >= settled_us + PLANNED_CATCH_UP_US)
+		return true;
 	CK_STAILQ_FOREACH(upstream, &ctx->base.service->upstreams, link) {
 		if (!upstream->leaving &&
 		    strcmp(upstream->name.name, ctx->base.group->primary) &&
@@ -243,7 +260,7 @@
 	const kl_status_reply_t *best = NULL;
 	const kl_upstream_t *upstream;
 	bool best_leaving = false, replies_missing = false;
-	bool is_planned = old_primary_works(ctx);
+	bool primary_works = old_primary_works(ctx);
 	uint64_t now = ctx->base.now;
 
 	CK_STAILQ_FOREACH(upstream, &ctx->base.service->upstreams, link) {
@@ -252,7 +269,7 @@
 
 		if (!strcmp(upstream->name.name, primary) ||
 		    !strcmp(upstream->name.name, promotion->failed_candidate) ||
-		    (upstream->leaving && is_planned))
+		    (upstream->leaving && primary_works))
 			continue;
 		if (!reply) {
 			replies_missing |= !upstream->leaving;
@@ -271,10 +288,12 @@
 		return NULL;
 	/*
 	 * While the old primary answers, wait for a candidate that has all of
-	 * its log, so that no writes are lost.
+	 * its log, so that no writes are lost; in a planned change without a
+	 * limit here.
 	 */
 	if (old_primary && old_primary->reported_primary &&
-	    now < settled_us + ctx->base.node->tuning.catch_up_timeout_us &&
+	    (is_planned(ctx) ||
+	     now < settled_us + ctx->base.node->tuning.catch_up_timeout_us) &&
 	    (old_primary->query_sent_us < settled_us ||
 	     !has_complete_log(best, old_primary)))
 		return NULL;
--- a/control/promote_internal.h
+++ b/control/promote_internal.h
@@ -45,6 +45,8 @@
 	uint64_t unregistered_since_us;
 	/** Term that this VM claimed from a stable record, or 0. */
 	uint64_t claimed_from_stable;
+	bool claimed_to_leave; /**< because the primary leaves, though it works
+				*/
 	uint64_t fencing_completed_us; /**< when fencing was completed, or 0 */
 	/** Time of this VM's last promotion call in any term, or 0. */
 	uint64_t last_own_promotion_us;
@@ -136,7 +138,8 @@
 
 /**
  * Whether the change can't succeed now: the old primary works, and no database
- * that isn't leaving answers.  Arguments as for kl_promote_choose_candidate().
+ * that isn't leaving answers, or none with the complete log in a planned
+ * change. Arguments as for kl_promote_choose_candidate().
  */
 bool kl_promote_no_successor(const kl_promote_ctx_t *ctx, uint64_t settled_us);
 
--- a/tests/soak/client.c
+++ b/tests/soak/client.c
@@ -36,11 +36,12 @@
 static void end_session(client_t *client, const char *code);
 static bool means_not_applied(const char *code);
 
-clients_t *clients_new(struct event_base *base, GRand *random)
+clients_t *clients_new(struct event_base *base, const char *host, GRand *random)
 {
 	clients_t *clients = g_new0(clients_t, 1);
 
 	clients->base = base;
+	clients->host = host;
 	clients->random = random;
 	clients->stale_reads = g_array_new(FALSE, TRUE, sizeof(stale_read_t));
 	clients->press_spans = g_array_new(FALSE, TRUE, sizeof(time_span_t));
@@ -105,7 +106,7 @@
 
 	client->vm = vm;
 	address.sin_port = htons((uint16_t)(SOAK_LISTEN_RELAY_PORT + vm));
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	inet_pton(AF_INET, clients->host, &address.sin_addr);
 	client->session_ready = false;
 	client->session_acknowledged = 0;
 	client->operations_left =
--- a/tests/soak/client_internal.h
+++ b/tests/soak/client_internal.h
@@ -74,6 +74,7 @@
 
 struct clients {
 	struct event_base *base;
+	const char *host;
 	GRand *random;
 	client_t table[BAKERY_CLIENTS + PRESS_CLIENTS];
 	GArray *stale_reads; /* stale_read_t, checked at the end */
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -51,7 +51,8 @@
 	int target_count;	 /* targets are 0 to target_count - 1 */
 } fault_t;
 
-static const fleet_t fleet = { "127.0.0.1", SOAK_VMS, 1 };
+static char host[16]; /* loopback address of this seed */
+static const fleet_t fleet = { host, SOAK_VMS, 1 };
 static relay_t *relays[RELAY_COUNT];
 static GRand *fault_random;
 /* Another generator, so that evacuations change no seed's faults. */
@@ -141,6 +142,9 @@
 		int violations;
 
 		printf("seed %d\n", seed + i);
+		/* Seeds may run side by side. */
+		snprintf(host, sizeof(host), "127.2.%d.%d",
+			 (seed + i) / 250 % 250, (seed + i) % 250 + 1);
 		violations = stand_start(&fleet, build, folder,
 					 configuration(1, true))
 				     ? -1
@@ -191,7 +195,7 @@
 	 * draw depends on timing and must not change the faults of a seed.
 	 */
 	client_random = g_rand_new_with_seed(seed + CLIENT_SEED_OFFSET);
-	clients = clients_new(base, client_random);
+	clients = clients_new(base, fleet.host, client_random);
 	run_until(base, started_at_us + WARM_UP_MS * 1000);
 	next_evacuation_us = soak_now_us();
 	inject_faults(base, started_at_us + WARM_UP_MS * 1000 +
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -123,7 +123,9 @@
 /** The clients, and the answers that they received. */
 typedef struct clients clients_t;
 
-clients_t *clients_new(struct event_base *base, GRand *random);
+/** @param host loopback address of the VMs, stays in use */
+clients_t *clients_new(struct event_base *base, const char *host,
+		       GRand *random);
 /** Let the clients start no further operations. */
 void clients_stop(clients_t *clients);
 /** Let the clients begin no long transactions any more. */
