--- a/board/board.c
+++ b/board/board.c
@@ -122,6 +122,7 @@
 	kl_board_t *board = reader->board;
 	kl_snapshot_t *old = board->sections[section];
 
+	snapshot->sequence = old ? old->sequence + 1 : 1;
 	tsan_release(&board->sections[section]);
 	ck_pr_fence_store();
 	ck_pr_store_ptr(&board->sections[section], snapshot);
--- a/board/board.h
+++ b/board/board.h
@@ -30,6 +30,11 @@
 typedef struct kl_snapshot {
 	ck_epoch_entry_t epoch_entry; /**< defers the destruction */
 	void (*destroy)(struct kl_snapshot *snapshot);
+	/**
+	 * Rises with each publication of the section; set by kl_board_publish().
+	 * A new snapshot may have the address of an earlier one.
+	 */
+	uint64_t sequence;
 } kl_snapshot_t;
 
 typedef struct kl_board kl_board_t;
--- a/path/engine.c
+++ b/path/engine.c
@@ -6,6 +6,7 @@
 /* Time between sweeps of the clients and connections. */
 #define SWEEP_US (50 * KL_MS)
 
+static uint64_t sequence_of(const kl_snapshot_t *snapshot);
 static void recheck_waiting(kl_engine_t *engine);
 static void check_clients(kl_engine_t *engine);
 
@@ -46,12 +47,39 @@
 	engine->now_us = now_us;
 	kl_read_begin(engine->reader);
 	kl_view_load(&engine->view, engine->reader, now_us);
-	if (engine->view.config != engine->seen_config ||
-	    engine->view.terms != engine->seen_terms ||
-	    engine->view.members != engine->seen_members)
+	if (kl_engine_is_outdated(engine))
 		kl_endpoints_refresh(engine);
 }
 
+bool kl_engine_is_outdated(const kl_engine_t *engine)
+{
+	const kl_view_t *view = &engine->view;
+
+	return sequence_of(view->config ? &view->config->base : NULL) !=
+		       engine->seen_config ||
+	       sequence_of(view->terms ? &view->terms->base : NULL) !=
+		       engine->seen_terms ||
+	       sequence_of(view->members ? &view->members->base : NULL) !=
+		       engine->seen_members;
+}
+
+void kl_engine_set_updated(kl_engine_t *engine)
+{
+	const kl_view_t *view = &engine->view;
+
+	engine->seen_config =
+		sequence_of(view->config ? &view->config->base : NULL);
+	engine->seen_terms =
+		sequence_of(view->terms ? &view->terms->base : NULL);
+	engine->seen_members =
+		sequence_of(view->members ? &view->members->base : NULL);
+}
+
+static uint64_t sequence_of(const kl_snapshot_t *snapshot)
+{
+	return snapshot ? snapshot->sequence : 0;
+}
+
 void kl_engine_exit(kl_engine_t *engine)
 {
 	kl_read_end(engine->reader);
--- a/path/engine_endpoint.c
+++ b/path/engine_endpoint.c
@@ -77,9 +77,7 @@
 	const kl_service_t *service;
 	kl_cluster_t *cluster;
 
-	engine->seen_config = config;
-	engine->seen_terms = engine->view.terms;
-	engine->seen_members = members;
+	kl_engine_set_updated(engine);
 	if (config) {
 		CK_STAILQ_FOREACH(service, &config->services, link)
 			update_cluster(engine, service, live_vms);
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -204,10 +204,13 @@
 	kl_reader_t *reader;
 	uint64_t now_us; /**< time passed to the current call */
 	kl_view_t view;	 /**< valid only inside a call of the engine */
-	/** sections that the clusters and endpoints were last updated from */
-	const void *seen_config;
-	const void *seen_terms;
-	const void *seen_members;
+	/**
+	 * sequences of the snapshots that the clusters and endpoints were last
+	 * updated from; 0: of none
+	 */
+	uint64_t seen_config;
+	uint64_t seen_terms;
+	uint64_t seen_members;
 	uint64_t last_session_number;
 	uint64_t last_sweep_us; /**< time of the last periodic work */
 	/** planned stop: time when open transactions are ended; else 0 */
@@ -225,6 +228,10 @@
 };
 
 /* engine.c */
+/** Whether the sections changed that clusters and endpoints depend on. */
+bool kl_engine_is_outdated(const kl_engine_t *engine);
+/** Note that these have been updated from the current sections. */
+void kl_engine_set_updated(kl_engine_t *engine);
 /** Begin a call: enter a read section, update the endpoints if needed. */
 void kl_engine_enter(kl_engine_t *engine, uint64_t now_us);
 /** End a call: leave the read section. */
--- a/tests/unit/board.c
+++ b/tests/unit/board.c
@@ -124,6 +124,30 @@
 	return NULL;
 }
 
+static void keep_pair(kl_snapshot_t *snapshot)
+{
+	(void)snapshot;
+}
+
+/* A snapshot may get the address of one that was freed. */
+static void new_snapshots_are_told_from_old_ones(void **state)
+{
+	kl_board_t *board = kl_board_new();
+	kl_reader_t *writer = kl_reader_new(board);
+	pair_t reused = { .base = { .destroy = keep_pair } };
+	pair_t other = { .base = { .destroy = keep_pair } };
+	uint64_t sequence;
+	(void)state;
+
+	kl_board_publish(writer, KL_SECTION_CONFIG, &reused.base);
+	sequence = reused.base.sequence;
+	kl_board_publish(writer, KL_SECTION_CONFIG, &other.base);
+	kl_board_reclaim(writer);
+	kl_board_publish(writer, KL_SECTION_CONFIG, &reused.base);
+	assert_true(reused.base.sequence > sequence);
+	kl_board_free(board);
+}
+
 static void every_message_is_handled_once(void **state)
 {
 	struct event_base *base;
@@ -171,6 +195,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(readers_see_complete_snapshots_in_order),
+		cmocka_unit_test(new_snapshots_are_told_from_old_ones),
 		cmocka_unit_test(every_message_is_handled_once),
 		cmocka_unit_test(index_finds_names_and_rejects_duplicates),
 	};
--- a/tests/world.c
+++ b/tests/world.c
@@ -118,6 +118,8 @@
 	kl_node_t *node = &vm->node;
 	const vm_t *first = g_ptr_array_index(vm->world->vms, 0);
 
+	if (node->board)
+		kl_node_stop(node); /* the process has crashed */
 	memset(node, 0, sizeof(*node));
 	kl_name_copy(node->self.vm, vm->name);
 	kl_name_copy(node->self.domain, vm->domain);
