--- a/tests/process/evacuation_late.sh
+++ b/tests/process/evacuation_late.sh
@@ -50,3 +50,12 @@
 take_back e1
 session 5 2 orders
 echo "write: $(write_until_served 5 40)"
+
+echo "A VM is frozen, and the store drops its history."
+kill -STOP "$PID_a2"
+evacuate e1
+line_fault store compact 1
+pause 2.6
+kill -CONT "$PID_a2"
+writers 7
+late
