End no PostgreSQL session at a stop while its client may be sending

Callers saw: now and then, at a planned stop, a statement right after an answer that ended with a lost connection in place of 57P01, so that the caller can't know that it has not run (KNOWN-RED, process drain_running).

Change: as with the line protocol, a session is ended once it was idle for 50 ms, or at the end of the stop.

--- a/daemon/worker_answer.c
+++ b/daemon/worker_answer.c
@@ -85,6 +85,7 @@
 	free(request->text);
 	request->text = NULL;
 	request->stage = KL_STAGE_IDLE;
+	session->idle_since_us = kl_clock_us();
 	session->front_ops->ready(session->front, session->transaction_status);
 }
 
--- a/daemon/worker_internal.h
+++ b/daemon/worker_internal.h
@@ -104,6 +104,7 @@
 	uint64_t transaction_term;  /**< term in which it was begun */
 	struct kl_pool_conn *pinned_conn; /**< of the open transaction */
 	kl_request_t request;
+	uint64_t idle_since_us; /**< when the last statement was answered */
 } kl_session_t;
 
 /** A pooled upstream connection. */
--- a/daemon/worker_session.c
+++ b/daemon/worker_session.c
@@ -6,6 +6,9 @@
 
 #include "daemon/worker_internal.h"
 
+/* A session that was idle for this long is ended at a planned stop. */
+#define DRAIN_IDLE_US (50 * KL_MS)
+
 #define WORKERS_MAX 64		   /* upper bound of the setting workers */
 #define MAX_AGE_VALUE_MAX 86400000 /* of max_age, in its own unit */
 #define TEXT_OID 25		   /* OID of PostgreSQL's type text */
@@ -181,8 +184,14 @@
 /* Whether a planned stop may end the session. */
 static bool is_idle(const kl_session_t *session, uint64_t now_us)
 {
+	const kl_worker_t *worker = session->worker;
+
+	/* A client that has just got its answer may be sending a statement. */
+	if (now_us - session->idle_since_us < DRAIN_IDLE_US &&
+	    (!worker->drain_end_us || now_us < worker->drain_end_us))
+		return false;
 	return (session->transaction_status == 'I' ||
-		kl_worker_transactions_ended(session->worker, now_us)) &&
+		kl_worker_transactions_ended(worker, now_us)) &&
 	       session->front_ops->idle(session->front);
 }
 
--- a/tests/process/client.c
+++ b/tests/process/client.c
@@ -50,6 +50,7 @@
 static void step_close(char *arguments);
 static void on_notice(void *arg, const PGresult *result);
 static PGresult *run_query(client_t *client, const char *text);
+static PGresult *collect_result(client_t *client);
 static client_t *find_client(const char *name, bool create);
 static char *next_word(char **arguments);
 static void print_result(const char *name, PGresult *result);
@@ -170,12 +171,10 @@
 static void step_wait(char *arguments)
 {
 	client_t *client = find_client(next_word(&arguments), false);
-	PGresult *result;
+	PGresult *result = collect_result(client);
 
-	while ((result = PQgetResult(client->connection))) {
-		print_result(client->name, result);
-		PQclear(result);
-	}
+	print_result(client->name, result);
+	PQclear(result);
 }
 
 static void step_until(char *arguments)
@@ -287,18 +286,23 @@
 	snprintf(text, size, "%s", token ? token : "");
 }
 
+static PGresult *run_query(client_t *client, const char *text)
+{
+	if (!PQsendQuery(client->connection, text))
+		return PQmakeEmptyPGresult(client->connection,
+					   PGRES_FATAL_ERROR);
+	return collect_result(client);
+}
+
 /*
  * Returns the first error, or else the last result. PQexec would return the
  * last error, which is the lost connection, not the server's error before it.
  */
-static PGresult *run_query(client_t *client, const char *text)
+static PGresult *collect_result(client_t *client)
 {
 	PGresult *returned = NULL;
 	PGresult *result;
 
-	if (!PQsendQuery(client->connection, text))
-		return PQmakeEmptyPGresult(client->connection,
-					   PGRES_FATAL_ERROR);
 	while ((result = PQgetResult(client->connection))) {
 		if (returned && *sqlstate_of(returned)) {
 			PQclear(result);
