Wait for the phase before a test asks whether a VM is ready

Cause (KNOWN-RED, process line (address), failed once with 503): the test asked as soon as both VMs owned their slots. A VM serves only when it also knows that the slots of the others have owners.

Change: the test waits for the phase "serving", and still expects 200.

--- a/tests/process/line.sh
+++ b/tests/process/line.sh
@@ -59,6 +59,7 @@
 for n in 1 2; do
 	await_status $n '"state": "stable"' || exit 1
 	await_status $n '"slots": 12' || exit 1
+	await_status $n '"phase": "serving"' || exit 1
 done
 echo "ready: $(curl -s -o /dev/null -w '%{http_code}' http://127.0.0.1:17401/ready)"
 
