Split the simulated engine's clients and blackboard off

Change: engine_clients.c has the clients and loads, engine_board.c what a script publishes; the arguments that a script sets are in model_t. Code is moved; publish_config() and start_load_statements() are cut in parts.

--- a/tests/engine_model.c
+++ b/tests/engine_model.c
@@ -1,5 +1,5 @@
 /*
- * Simulated clients, databases and network around an engine.  Everything that
+ * Simulated databases and network around an engine.  Everything that
  * takes time is an event of a virtual clock, so that a run always gives the
  * same output.
  */
@@ -9,7 +9,7 @@
 #include <string.h>
 
 #include "platform/line.h"
-#include "tests/engine_model.h"
+#include "tests/engine_clients.h"
 
 #define CLOCK_STEP_US 1000
 #define TICK_INTERVAL_US 3000 /* between two ticks of the engine */
@@ -23,17 +23,6 @@
  */
 #define LEAVE_LIMIT_US (5 * KL_SEC)
 
-/* A client: one that the script names, or one of a load. */
-typedef struct model_client {
-	char name[KL_NAME_MAX];
-	model_load_t *load;   /* NULL if the script names the client */
-	kl_client_t *session; /* NULL once it has ended */
-	uint64_t started_at_us;
-	/* The session ended, or the statement of a load was answered. */
-	bool finished;
-	CK_STAILQ_ENTRY(model_client) link;
-} model_client_t;
-
 /* A connection to a simulated database. */
 struct model_conn {
 	CK_STAILQ_ENTRY(model_conn) link;
@@ -65,15 +54,6 @@
 	bool needs_no_slot; /* takes no time at the database either */
 } model_event_t;
 
-static CK_STAILQ_HEAD(, model_client) clients;
-
-static void op_accept_login(void *context, void *client);
-static void op_result(void *context, void *client,
-		      const kl_stmt_result_t *result);
-static void op_complete(void *context, void *client, char state);
-static void op_send_error(void *context, void *client, int error, char state);
-static bool op_input_empty(void *context, void *client);
-static void op_end_session(void *context, void *client, int error);
 static void *op_conn_open(void *context, const kl_conn_target_t *target,
 			  kl_conn_t *engine_conn);
 static int op_conn_send(void *context, void *conn, const kl_conn_msg_t *msg);
@@ -91,19 +71,15 @@
 static void break_conns(model_t *model);
 static void check_mark(const model_t *model, const model_event_t *event);
 static void release_conn(model_conn_t *conn);
-static void start_load_statements(model_t *model);
 static kl_position_t log_end(const model_t *model, const model_db_t *db);
-static model_client_t *find_client(const char *name);
-static void count_load_result(model_t *model, model_client_t *client,
-			      int error);
 
 static const kl_engine_ops_t ops = {
-	.accept_login = op_accept_login,
-	.send_result = op_result,
-	.send_complete = op_complete,
-	.send_error = op_send_error,
-	.input_empty = op_input_empty,
-	.end_session = op_end_session,
+	.accept_login = model_op_accept_login,
+	.send_result = model_op_result,
+	.send_complete = model_op_complete,
+	.send_error = model_op_send_error,
+	.input_empty = model_op_input_empty,
+	.end_session = model_op_end_session,
 	.conn_open = op_conn_open,
 	.conn_send = op_conn_send,
 	.conn_close = op_conn_close,
@@ -125,13 +101,14 @@
 
 	kl_name_copy(settings.data_path.domain, "d1");
 	model->now_us = KL_SEC;
+	model->vm_count = 1;
 	model->board = kl_board_new();
 	model->writer = kl_reader_new(model->board);
 	CK_STAILQ_INIT(&model->conns);
 	CK_STAILQ_INIT(&model->events);
 	for (int i = 0; i < MODEL_ITEMS_MAX; i++)
 		CK_STAILQ_INIT(&model->dbs[i].slot_queue);
-	CK_STAILQ_INIT(&clients);
+	model_clients_init();
 	model->engine = kl_engine_new(&settings, &ops, model,
 				      kl_reader_new(model->board));
 	return model;
@@ -141,7 +118,6 @@
 {
 	model_event_t *event;
 	model_conn_t *conn;
-	model_client_t *client;
 
 	kl_engine_free(model->engine);
 	for (int i = 0; i < MODEL_ITEMS_MAX; i++)
@@ -154,10 +130,7 @@
 		CK_STAILQ_REMOVE_HEAD(&model->conns, link);
 		free(conn);
 	}
-	while ((client = CK_STAILQ_FIRST(&clients))) {
-		CK_STAILQ_REMOVE_HEAD(&clients, link);
-		free(client);
-	}
+	model_clients_free();
 	kl_board_free(model->board);
 	for (uint32_t i = 0; i < model->bucket_count; i++)
 		kl_bucket_release(model->buckets[i]);
@@ -173,7 +146,7 @@
 		model->now_us += CLOCK_STEP_US;
 		if (model->now_us % CONFIRM_INTERVAL_US == 0)
 			model_confirm(model);
-		start_load_statements(model);
+		model_clients_tick(model);
 		break_conns(model);
 		CK_STAILQ_FOREACH_SAFE(event, &model->events, link, next) {
 			if (event->due_at_us > model->now_us)
@@ -208,114 +181,6 @@
 	return NULL;
 }
 
-void *model_client_login(model_t *model, const char *name, const char *route,
-			 const char *key)
-{
-	model_client_t *client = calloc(1, sizeof(*client));
-
-	kl_name_copy(client->name, name);
-	client->started_at_us = model->now_us;
-	CK_STAILQ_INSERT_TAIL(&clients, client, link);
-	client->session =
-		kl_client_new(model->engine, client, route, key, model->now_us);
-	return client;
-}
-
-void model_client_query(model_t *model, const char *name, const char *id,
-			const char *text)
-{
-	model_client_t *client = find_client(name);
-	kl_parsed_stmt_t command = { .id = id };
-
-	if (!client || !client->session) {
-		printf("%s is not connected\n", name);
-		return;
-	}
-	kl_line_parse_statement(text, &command);
-	kl_client_statement(client->session, &command, model->now_us);
-}
-
-void model_client_leave(model_t *model, const char *name)
-{
-	model_client_t *client = find_client(name);
-
-	if (!client || !client->session)
-		return;
-	kl_client_disconnected(client->session, model->now_us);
-	client->session = NULL;
-	client->finished = true;
-}
-
-static model_client_t *find_client(const char *name)
-{
-	model_client_t *client;
-
-	CK_STAILQ_FOREACH(client, &clients, link) {
-		if (!client->finished && !client->load &&
-		    !strcmp(client->name, name))
-			return client;
-	}
-	return NULL;
-}
-
-static void op_accept_login(void *context, void *arg)
-{
-	model_client_t *client = arg;
-	(void)context;
-
-	if (!client->load)
-		printf("%s < welcome\n", client->name);
-}
-
-static void op_result(void *context, void *arg, const kl_stmt_result_t *result)
-{
-	model_client_t *client = arg;
-
-	if (client->load)
-		count_load_result(context, client, 0);
-	else
-		printf("%s < %s, %c\n", client->name, result->bytes,
-		       result->transaction_status);
-}
-
-static void op_complete(void *context, void *arg, char state)
-{
-	model_client_t *client = arg;
-	(void)context;
-
-	printf("%s < completed by the proxy, %c\n", client->name, state);
-}
-
-static void op_send_error(void *context, void *arg, int error, char state)
-{
-	model_client_t *client = arg;
-
-	if (client->load)
-		count_load_result(context, client, error);
-	else
-		printf("%s < %s, %c\n", client->name,
-		       kl_error_info(error)->name, state);
-}
-
-static bool op_input_empty(void *context, void *client)
-{
-	(void)context;
-	(void)client;
-	return true;
-}
-
-static void op_end_session(void *context, void *arg, int error)
-{
-	model_client_t *client = arg;
-	(void)context;
-
-	client->session = NULL;
-	client->finished = true;
-	if (!client->load)
-		printf("%s < end, %s\n", client->name,
-		       kl_error_info(error)->name);
-}
-
 static void *op_conn_open(void *context, const kl_conn_target_t *target,
 			  kl_conn_t *engine_conn)
 {
@@ -590,60 +455,3 @@
 				       : 0);
 	return position;
 }
-
-/* Start the statements of loads that are due, and end answered sessions. */
-static void start_load_statements(model_t *model)
-{
-	for (uint32_t i = 0; i < model->load_count; i++) {
-		model_load_t *load = &model->loads[i];
-		kl_parsed_stmt_t command = { .id = "load" };
-		model_client_t *client;
-
-		while (load->next_start_at_us <= model->now_us &&
-		       load->next_start_at_us < load->end_at_us) {
-			load->next_start_at_us += load->interval_us;
-			load->started++;
-			client = calloc(1, sizeof(*client));
-			client->load = load;
-			client->started_at_us = model->now_us;
-			CK_STAILQ_INSERT_TAIL(&clients, client, link);
-			client->session = kl_client_new(model->engine, client,
-							load->route, load->key,
-							model->now_us);
-			if (!client->session) {
-				load->refused++;
-				continue;
-			}
-			kl_line_parse_statement(load->text, &command);
-			kl_client_statement(client->session, &command,
-					    model->now_us);
-		}
-	}
-	/* A load's session ends once its only statement was answered. */
-	model_client_t *client;
-	CK_STAILQ_FOREACH(client, &clients, link) {
-		if (!client->load || !client->finished || !client->session)
-			continue;
-		kl_client_disconnected(client->session, model->now_us);
-		client->session = NULL;
-	}
-}
-
-static void count_load_result(model_t *model, model_client_t *client, int error)
-{
-	model_load_t *load = client->load;
-	uint64_t latency_us = model->now_us - client->started_at_us;
-
-	client->finished = true;
-	if (!error && latency_us <= load->target_us) {
-		load->within_target++;
-	} else if (!error) {
-		load->late++;
-	} else if (kl_error_info(error)->not_run) {
-		load->refused++;
-		if (latency_us > load->longest_refusal_us)
-			load->longest_refusal_us = latency_us;
-	} else {
-		load->unknown++;
-	}
-}
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -70,6 +70,15 @@
 	kl_reader_t *writer; /**< publishes to the blackboard */
 	kl_engine_t *engine;
 	bool trace; /**< print statements sent and health reports */
+	/** arguments of the "route" steps; an empty name: it was dropped */
+	char routes[MODEL_ITEMS_MAX][6][KL_NAME_MAX];
+	uint32_t route_count;
+	/** workspace and key; no workspace: the key is withdrawn */
+	char keys[MODEL_ITEMS_MAX][2][KL_NAME_MAX];
+	uint32_t key_count;
+	uint32_t vm_count; /**< VMs among which connections are divided */
+	char recorded_primary[KL_NAME_MAX];
+	bool fencing; /**< state of the group's record; else it is stable */
 	model_mark_t marks[MODEL_ITEMS_MAX];
 	uint32_t mark_count;
 	bool lease_held; /**< confirmations of the group record are published */
@@ -98,6 +107,13 @@
 /** Publish a confirmation of the group record, if the lease is held. */
 void model_confirm(model_t *model);
 
+/* engine_board.c: each publishes sections from the state above. */
+void model_publish_config(model_t *model);
+void model_publish_terms(model_t *model);
+void model_publish_buckets(model_t *model);
+/** Publish the primary's log position as another VM sampled it. */
+void model_publish_position(model_t *model, uint64_t age_us);
+
 /** Number of commits made up to a time, microseconds. */
 uint64_t model_commits_at(const model_t *model, uint64_t time_us);
 
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -20,16 +20,6 @@
 typedef void (*step_handler_t)(char **args, int count);
 
 static model_t *model;
-/* Arguments of the "route" steps; an empty name stands for a dropped one. */
-static char routes[MODEL_ITEMS_MAX][6][KL_NAME_MAX];
-static uint32_t route_count;
-/* Workspace and key of the "key" steps; no workspace: the key is withdrawn. */
-static char keys[MODEL_ITEMS_MAX][2][KL_NAME_MAX];
-static uint32_t key_count;
-static uint32_t vm_count = 1; /* VMs among which connections are divided */
-static char recorded_primary[KL_NAME_MAX];
-static char group_state; /* of the group record: 's' stable, 'f' fencing */
-
 static void step_db(char **args, int count);
 static void step_set(char **args, int count);
 static void set_leaving(model_db_t *db, bool leaving);
@@ -53,12 +43,6 @@
 static void step_trace(char **args, int count);
 static void step_vms(char **args, int count);
 static void step_shared(char **args, int count);
-static void republish_config(void);
-static void publish_config(void);
-static void add_marks(kl_config_t *config);
-static void publish_terms(void);
-static void publish_buckets(void);
-static void destroy_buckets(kl_snapshot_t *snapshot);
 
 static const struct {
 	const char *name;
@@ -135,7 +119,7 @@
 	db->max_connections = (uint32_t)strtoul(args[3], NULL, 10);
 	db->statement_us = strtoull(args[4], NULL, 10) * KL_MS;
 	db->term = 1;
-	republish_config();
+	model_publish_config(model);
 }
 
 /*
@@ -172,7 +156,7 @@
 		db->primary = value;
 	else if (!strcmp(args[1], "term"))
 		db->term = value;
-	republish_config();
+	model_publish_config(model);
 }
 
 static void set_leaving(model_db_t *db, bool leaving)
@@ -185,19 +169,19 @@
 static void step_route(char **args, int count)
 {
 	for (int i = 0; i < 6 && i < count; i++)
-		kl_name_copy(routes[route_count][i], args[i]);
-	route_count++;
-	republish_config();
+		kl_name_copy(model->routes[model->route_count][i], args[i]);
+	model->route_count++;
+	model_publish_config(model);
 }
 
 /* drop ROUTE: removes it from the configuration */
 static void step_drop(char **args, int count)
 {
 	(void)count;
-	for (uint32_t i = 0; i < route_count; i++)
-		if (!strcmp(routes[i][0], args[0]))
-			routes[i][0][0] = '\0';
-	republish_config();
+	for (uint32_t i = 0; i < model->route_count; i++)
+		if (!strcmp(model->routes[i][0], args[0]))
+			model->routes[i][0][0] = '\0';
+	model_publish_config(model);
 }
 
 /* key WORKSPACE KEY: gives the key to the workspace */
@@ -206,22 +190,22 @@
 	uint32_t i = 0;
 	(void)count;
 
-	while (i < key_count && strcmp(keys[i][1], args[1]))
+	while (i < model->key_count && strcmp(model->keys[i][1], args[1]))
 		i++;
-	kl_name_copy(keys[i][0], args[0]);
-	kl_name_copy(keys[i][1], args[1]);
-	key_count += i == key_count;
-	republish_config();
+	kl_name_copy(model->keys[i][0], args[0]);
+	kl_name_copy(model->keys[i][1], args[1]);
+	model->key_count += i == model->key_count;
+	model_publish_config(model);
 }
 
 /* revoke KEY: withdraws it */
 static void step_revoke(char **args, int count)
 {
 	(void)count;
-	for (uint32_t i = 0; i < key_count; i++)
-		if (!strcmp(keys[i][1], args[0]))
-			keys[i][0][0] = '\0';
-	republish_config();
+	for (uint32_t i = 0; i < model->key_count; i++)
+		if (!strcmp(model->keys[i][1], args[0]))
+			model->keys[i][0][0] = '\0';
+	model_publish_config(model);
 }
 
 /* tokens WORKSPACE COUNT: sets its token bucket, which nothing refills */
@@ -237,7 +221,7 @@
 		bucket = kl_bucket_new(args[0]);
 		bucket->valid_until_us = UINT64_MAX;
 		model->buckets[model->bucket_count++] = bucket;
-		publish_buckets();
+		model_publish_buckets(model);
 	}
 	bucket->tokens_milli =
 		strtoll(args[1], NULL, 10) * KL_TOKENS_PER_STATEMENT;
@@ -254,7 +238,7 @@
 			continue;
 		model->buckets[i] = kl_bucket_new(args[0]);
 		model->buckets[i]->valid_until_us = UINT64_MAX;
-		publish_buckets();
+		model_publish_buckets(model);
 		kl_bucket_release(old);
 	}
 }
@@ -262,10 +246,10 @@
 /* primary NAME [fencing]: a new version of the group record names it */
 static void step_primary(char **args, int count)
 {
-	kl_name_copy(recorded_primary, args[0]);
-	group_state = count > 1 ? 'f' : 's';
+	kl_name_copy(model->recorded_primary, args[0]);
+	model->fencing = count > 1;
 	model->record_version++;
-	publish_terms();
+	model_publish_terms(model);
 	model_confirm(model);
 }
 
@@ -365,7 +349,7 @@
 	mark->set = strcmp(args[1], "off") != 0;
 	mark->set_at_us = model->now_us - strtoull(args[1], NULL, 10) * KL_MS;
 	mark->known_at_us = count > 2 ? 0 : mark->set_at_us;
-	republish_config();
+	model_publish_config(model);
 }
 
 /* run MS: advances the clock */
@@ -424,161 +408,17 @@
 	model->trace = !strcmp(args[0], "on");
 }
 
-/* Publish the configuration after a step changed it. */
-static void republish_config(void)
-{
-	publish_config();
-	kl_board_reclaim(model->writer);
-}
-
-static void add_marks(kl_config_t *config)
-{
-	for (uint32_t i = 0; i < model->mark_count; i++) {
-		kl_mark_t *mark = calloc(1, sizeof(*mark));
-
-		snprintf(mark->name.name, KL_NAME_MAX, "databases/%s",
-			 model->marks[i].domain);
-		mark->set_after_us = model->marks[i].known_at_us;
-		CK_STAILQ_INSERT_TAIL(&config->marks, mark, link);
-		if (model->marks[i].set)
-			kl_index_put(config->mark_index, &mark->name);
-	}
-}
-
-static void publish_config(void)
-{
-	static const char *const kinds[] = { "primary", "aged", "session" };
-	kl_config_t *config = kl_config_new(64);
-	kl_service_t *service = calloc(1, sizeof(*service));
-	kl_members_t *members = kl_members_new(4);
-	kl_lifecycle_t *lifecycle = kl_lifecycle_new(KL_PHASE_SERVING);
-
-	add_marks(config);
-	kl_name_copy(service->name.name, "s");
-	CK_STAILQ_INIT(&service->upstreams);
-	CK_STAILQ_INSERT_TAIL(&config->services, service, link);
-	kl_index_put(config->service_index, &service->name);
-	for (uint32_t i = 0; i < model->db_count; i++) {
-		const model_db_t *db = &model->dbs[i];
-		kl_upstream_t *upstream = calloc(1, sizeof(*upstream));
-
-		service->max_upstream_connections = db->max_connections;
-		if (db->absent) {
-			free(upstream);
-			continue;
-		}
-		kl_name_copy(upstream->name.name, db->name);
-		kl_name_copy(upstream->domain, db->domain);
-		strcpy(upstream->host, "10.0.0.1");
-		upstream->port = (uint16_t)(1000 + i);
-		upstream->leaving =
-			db->leaving ||
-			kl_config_upstream_marked(config, db->name, db->domain,
-						  &upstream->leaving_after_us);
-		if (db->leaving)
-			upstream->leaving_after_us = db->leaving_since_us;
-		upstream->service = service;
-		service->upstream_count++;
-		CK_STAILQ_INSERT_TAIL(&service->upstreams, upstream, link);
-	}
-	for (uint32_t i = 0; i < route_count; i++) {
-		kl_route_rule_t *route = calloc(1, sizeof(*route));
-
-		kl_name_copy(route->name.name, routes[i][0]);
-		kl_name_copy(route->service, "s");
-		for (int k = 0; k < KL_ROUTE_KIND_COUNT; k++)
-			if (!strcmp(routes[i][1], kinds[k]))
-				route->kind = k;
-		route->max_age_ms = (uint32_t)atoi(routes[i][2]);
-		route->statement_timeout_ms = (uint32_t)atoi(routes[i][3]);
-		route->target_latency_ms = (uint32_t)atoi(routes[i][4]);
-		route->anonymous = !strcmp(routes[i][5], "open");
-		CK_STAILQ_INSERT_TAIL(&config->routes, route, link);
-		if (route->name.name[0])
-			kl_index_put(config->route_index, &route->name);
-	}
-	for (uint32_t i = 0; i < key_count; i++) {
-		kl_workspace_t *workspace = calloc(1, sizeof(*workspace));
-		kl_key_t *key = calloc(1, sizeof(*key));
-		char hash[2 * KL_KEY_HASH_BYTES + 1];
-
-		kl_name_copy(workspace->name.name, keys[i][0]);
-		CK_STAILQ_INIT(&workspace->keys);
-		CK_STAILQ_INSERT_TAIL(&config->workspaces, workspace, link);
-		kl_key_hash(keys[i][1], hash);
-		kl_name_copy(key->hash.name, hash);
-		key->workspace = workspace;
-		key->withdrawn = !keys[i][0][0];
-		CK_STAILQ_INSERT_TAIL(&config->keys, key, config_link);
-		kl_index_put(config->key_index, &key->hash);
-	}
-	members->active_count = vm_count;
-	kl_board_publish(model->writer, KL_SECTION_CONFIG, &config->base);
-	kl_board_publish(model->writer, KL_SECTION_MEMBERS, &members->base);
-	kl_board_publish(model->writer, KL_SECTION_LIFECYCLE, &lifecycle->base);
-}
-
 /* vms N: number of VMs in service, this one included */
 static void step_vms(char **args, int count)
 {
 	(void)count;
-	vm_count = (uint32_t)strtoul(args[0], NULL, 10);
-	republish_config();
+	model->vm_count = (uint32_t)strtoul(args[0], NULL, 10);
+	model_publish_config(model);
 }
 
 /* shared AGE_MS: another VM sampled the primary's position that long ago */
 static void step_shared(char **args, int count)
 {
-	kl_positions_t *positions = kl_positions_new(4);
-	kl_primary_position_t *position = calloc(1, sizeof(*position));
 	(void)count;
-
-	kl_name_copy(position->name.name, "s");
-	position->group_version = model->record_version;
-	position->sampled_us =
-		model->now_us - strtoull(args[0], NULL, 10) * KL_MS;
-	position->term = 1;
-	position->number = model_commits_at(model, position->sampled_us);
-	CK_STAILQ_INSERT_TAIL(&positions->list, position, link);
-	kl_index_put(positions->index, &position->name);
-	kl_board_publish(model->writer, KL_SECTION_POSITIONS, &positions->base);
-	kl_board_reclaim(model->writer);
-}
-
-static void publish_terms(void)
-{
-	kl_terms_t *terms = kl_terms_new(4);
-	kl_group_t *group = calloc(1, sizeof(*group));
-
-	terms->revision = model->record_version;
-	kl_name_copy(group->name.name, "s");
-	kl_name_copy(group->primary, recorded_primary);
-	group->version = model->record_version;
-	group->first_seen_us = model->now_us;
-	group->term = model->record_version;
-	group->state = group_state == 's' ? KL_GROUP_STABLE : KL_GROUP_FENCING;
-	CK_STAILQ_INSERT_TAIL(&terms->groups, group, link);
-	kl_index_put(terms->index, &group->name);
-	kl_board_publish(model->writer, KL_SECTION_TERMS, &terms->base);
-	kl_board_reclaim(model->writer);
-}
-
-static void publish_buckets(void)
-{
-	kl_buckets_t *buckets = calloc(1, sizeof(*buckets));
-
-	buckets->base.destroy = destroy_buckets;
-	buckets->index = kl_index_new(MODEL_ITEMS_MAX);
-	for (uint32_t i = 0; i < model->bucket_count; i++)
-		kl_index_put(buckets->index, &model->buckets[i]->name);
-	kl_board_publish(model->writer, KL_SECTION_BUCKETS, &buckets->base);
-	kl_board_reclaim(model->writer);
-}
-
-static void destroy_buckets(kl_snapshot_t *snapshot)
-{
-	kl_buckets_t *buckets = (kl_buckets_t *)snapshot;
-
-	kl_index_free(buckets->index);
-	free(buckets);
+	model_publish_position(model, strtoull(args[0], NULL, 10) * KL_MS);
 }
