--- a/board/board.h
+++ b/board/board.h
@@ -31,8 +31,9 @@
 	ck_epoch_entry_t epoch_entry; /**< defers the destruction */
 	void (*destroy)(struct kl_snapshot *snapshot);
 	/**
-	 * Rises with each publication of the section; set by kl_board_publish().
-	 * A new snapshot may have the address of an earlier one.
+	 * Rises with each publication of the section; set by
+	 * kl_board_publish(). A new snapshot may have the address of an earlier
+	 * one.
 	 */
 	uint64_t sequence;
 } kl_snapshot_t;
