Split the line database stand-in's connections off

Change: line_session.c has the connections and statements, line_database.c the databases, their logs and the replication.

--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,7 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(BUILD)/kl-standin-database: $(call objects,$(DB_SOURCES)) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
-$(BUILD)/kl-standin-line: $(call objects,standin/store.c standin/late_statements.c standin/line_database.c standin/line_main.c platform/line.c) $(LIBRARY)
+$(BUILD)/kl-standin-line: $(call objects,standin/store.c standin/late_statements.c standin/line_database.c standin/line_session.c standin/line_main.c platform/line.c) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(BUILD)/kl-soak: $(call objects,$(wildcard tests/soak/*.c))
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
