--- a/control/promote.c
+++ b/control/promote.c
@@ -28,36 +28,18 @@
 /* Delay per rank before a prober creates a group's first record. */
 #define CREATE_RANK_DELAY_US (500 * KL_MS)
 
-/*
- * The first time that a primary is replaced because it leaves, and the time
- * until the next attempt, are this long after its record was written.
- */
-#define PLANNED_CHANGE_INTERVAL_US (2 * KL_SEC)
-
 /* Another prober takes over from a promoter that is inactive this long. */
 #define TAKEOVER_DELAY_US (1500 * KL_MS)
 
 /* A candidate that is not promoted in this time is abandoned. */
 #define CANDIDATE_TIMEOUT_US (5 * KL_SEC)
 
-/* A primary that refuses connections is suspected after this long. */
-#define REFUSED_SUSPECT_US (250 * KL_MS)
-
-/* A primary that is not registered is suspected after this long. */
-#define UNREGISTERED_SUSPECT_US (2500 * KL_MS)
-
 /* Requests that were sent before fencing was complete end in this time. */
 #define IN_FLIGHT_WAIT_US (120 * KL_MS)
 
-/* A record counts as current for this long after its last confirmation. */
-#define CONFIRMATION_MAX_AGE_US (1 * KL_SEC)
-
 /* Minimum time between rounds of status queries or promotion calls. */
 #define QUERY_INTERVAL_US (100 * KL_MS)
 
-/* A prober checks the primary if it received a suspicion this recently. */
-#define SUSPICION_MAX_AGE_US (1 * KL_SEC)
-
 /*
  * A promoter that another VM has followed does not promote again for this long
  * after its last call, so that two VMs never promote in turn.
@@ -71,15 +53,10 @@
 static void step_fencing(kl_promote_ctx_t *ctx);
 static void step_promoting(kl_promote_ctx_t *ctx);
 static void create_record(kl_promote_ctx_t *ctx);
-static bool primary_failed(kl_promote_ctx_t *ctx);
-static const char *failure_reason(kl_promote_ctx_t *ctx);
-static void log_suspicion(kl_promote_ctx_t *ctx);
-static bool primary_leaving(const kl_promote_ctx_t *ctx);
 static bool may_act(const kl_promote_ctx_t *ctx, uint64_t expected_us);
 static bool was_replaced_as_promoter(const kl_promote_ctx_t *ctx);
 static void claim_term(kl_promote_ctx_t *ctx, const char *reason);
 static void call_promote(kl_promote_ctx_t *ctx);
-static void check_suspected_primary(kl_promote_ctx_t *ctx);
 static void demote_old_primaries(kl_promote_ctx_t *ctx);
 static void write_record(kl_promote_ctx_t *ctx, kl_group_t *group,
 			 const char *decision_name, const char *reason);
@@ -159,14 +136,14 @@
 static void step_stable(kl_promote_ctx_t *ctx)
 {
 	kl_failover_t *failover = &ctx->promotion->failover;
-	bool failed = primary_failed(ctx);
-	bool leaving = primary_leaving(ctx);
+	bool failed = kl_promote_primary_failed(ctx);
+	bool leaving = kl_promote_primary_leaving(ctx);
 
 	demote_old_primaries(ctx);
 	if (failed)
 		kl_failover_report_suspicion(&ctx->base);
 	else
-		check_suspected_primary(ctx);
+		kl_promote_check_suspected(ctx);
 	if (ctx->base.prober_rank < 0)
 		return;
 	if (!(failed && kl_failover_has_quorum(&ctx->base)) && !leaving) {
@@ -336,117 +313,6 @@
 	       strcmp(ctx->base.group->promoter, ctx->base.node->self.vm);
 }
 
-/*
- * Whether this VM considers the primary failed: it has not been registered for
- * some time, or all requests to it have failed for some time.
- */
-static bool primary_failed(kl_promote_ctx_t *ctx)
-{
-	kl_promotion_t *promotion = ctx->promotion;
-
-	promotion->suspicion_reason = failure_reason(ctx);
-	if (!promotion->suspicion_reason)
-		promotion->suspicion_logged = false;
-	else if (!promotion->suspicion_logged)
-		log_suspicion(ctx);
-	return promotion->suspicion_reason != NULL;
-}
-
-static void log_suspicion(kl_promote_ctx_t *ctx)
-{
-	kl_promotion_t *promotion = ctx->promotion;
-	kl_node_t *node = ctx->base.node;
-	kl_decision_t decision = { .name = "primary_suspected",
-				   .service = ctx->base.group->name.name,
-				   .upstream = ctx->base.group->primary,
-				   .reason = promotion->suspicion_reason,
-				   .term = ctx->base.group->term };
-
-	promotion->suspicion_logged = true;
-	node->ops->log_decision(node->ops_context, &decision);
-}
-
-/* Returns why this VM considers the primary failed, or NULL if it does not. */
-static const char *failure_reason(kl_promote_ctx_t *ctx)
-{
-	kl_promotion_t *promotion = ctx->promotion;
-	const char *primary = ctx->base.group->primary;
-	const kl_confirmation_t *confirmation =
-		kl_node_get(ctx->base.node, KL_SECTION_CONFIRMATION);
-	uint64_t now = ctx->base.now;
-	uint64_t failing_since_us, failing_us;
-
-	if (kl_service_find_upstream(ctx->base.service, primary)) {
-		promotion->unregistered_since_us = 0;
-	} else if (!confirmation ||
-		   now - confirmation->confirmed_us > CONFIRMATION_MAX_AGE_US) {
-		/*
-		 * The registry may have lost the entry while the platform was
-		 * unavailable.
-		 */
-		promotion->unregistered_since_us = now;
-	} else {
-		if (!promotion->unregistered_since_us)
-			promotion->unregistered_since_us = now;
-		if (now - promotion->unregistered_since_us >
-		    UNREGISTERED_SUSPECT_US)
-			return "unregistered";
-	}
-	if (strcmp(promotion->failing_upstream, primary))
-		return NULL;
-	/* What failed before this database became primary doesn't count. */
-	failing_since_us = promotion->failing_since_us;
-	if (failing_since_us < ctx->base.group->first_seen_us)
-		failing_since_us = ctx->base.group->first_seen_us;
-	failing_us = now - failing_since_us;
-	if (promotion->upstream_refuses_connections)
-		return failing_us >= REFUSED_SUSPECT_US ? "refused" : NULL;
-	return failing_us >= ctx->base.node->tuning.suspect_after_us
-		       ? "unanswered"
-		       : NULL;
-}
-
-/* Whether the primary is leaving and another database isn't. */
-static bool primary_leaving(const kl_promote_ctx_t *ctx)
-{
-	const kl_service_t *service = ctx->base.service;
-	const kl_upstream_t *upstream =
-		kl_service_find_upstream(service, ctx->base.group->primary);
-
-	if (!upstream || !upstream->leaving ||
-	    ctx->base.now - ctx->base.group->first_seen_us <
-		    PLANNED_CHANGE_INTERVAL_US)
-		return false;
-	CK_STAILQ_FOREACH(upstream, &service->upstreams, link) {
-		if (!upstream->leaving)
-			return true;
-	}
-	return false;
-}
-
-/*
- * Queries the primary when another prober suspects it: this one may have no
- * requests of its own that show whether the primary works.
- */
-static void check_suspected_primary(kl_promote_ctx_t *ctx)
-{
-	const kl_suspicion_t *suspicion;
-	kl_failover_t *failover = &ctx->promotion->failover;
-
-	if (ctx->base.prober_rank < 0 ||
-	    ctx->base.now - failover->last_database_call_us < RETRY_INTERVAL_US)
-		return;
-	CK_STAILQ_FOREACH(suspicion, &failover->suspicions, link) {
-		if (suspicion->term != ctx->base.group->term ||
-		    ctx->base.now - suspicion->received_us >
-			    SUSPICION_MAX_AGE_US)
-			continue;
-		failover->last_database_call_us = ctx->base.now;
-		kl_promote_query(ctx, ctx->base.group->primary, true);
-		return;
-	}
-}
-
 /*
  * Tells databases that are registered as primary, but were replaced, to step
  * down.  The VM that promoted the new primary does this.
--- a/control/promote_internal.h
+++ b/control/promote_internal.h
@@ -29,6 +29,9 @@
 	uint64_t query_sent_us; /**< when the query was sent */
 } kl_status_reply_t;
 
+/* A record counts as current for this long after its last confirmation. */
+#define CONFIRMATION_MAX_AGE_US (1 * KL_SEC)
+
 /** State of one service's failover where the platform promotes databases. */
 typedef struct kl_promotion {
 	kl_failover_t failover; /**< first: its name is the index key */
@@ -136,6 +139,25 @@
 			      const kl_upstream_t *upstream,
 			      kl_database_op_t op, uint64_t term);
 
+/* promote_suspect.c */
+
+/**
+ * Whether this VM considers the primary failed: it has not been registered for
+ * some time, or all requests to it have failed for some time.
+ */
+bool kl_promote_primary_failed(kl_promote_ctx_t *ctx);
+
+/** Whether the primary is leaving and another database isn't. */
+bool kl_promote_primary_leaving(const kl_promote_ctx_t *ctx);
+
+/**
+ * Query the primary when another prober suspects it: this one may have no
+ * requests of its own that show whether the primary works.
+ */
+void kl_promote_check_suspected(kl_promote_ctx_t *ctx);
+
+/* promote_choose.c */
+
 /**
  * Whether the change can't succeed now: the old primary works, and no database
  * that isn't leaving answers, or none with the complete log in a planned
--- a/daemon/worker_internal.h
+++ b/daemon/worker_internal.h
@@ -217,6 +217,8 @@
 kl_bucket_t *kl_session_bucket(const kl_session_t *session,
 			       const kl_view_t *view);
 
+/* session_setting.c */
+
 /** Set kumquatloft.NAME. @return false if the name or value is invalid */
 bool kl_session_set_option(kl_session_t *session, const char *name,
 			   const char *value);
--- a/daemon/worker_session.c
+++ b/daemon/worker_session.c
@@ -1,4 +1,4 @@
-/* Client sessions: login, the settings kumquatloft.NAME, and closing. */
+/* Client sessions: login and closing. */
 #include <ck_pr.h>
 #include <sodium.h>
 #include <stdlib.h>
@@ -9,9 +9,7 @@
 /* A session that was idle for this long is ended at a planned stop. */
 #define DRAIN_IDLE_US (50 * KL_MS)
 
-#define WORKERS_MAX 64		   /* upper bound of the setting workers */
-#define MAX_AGE_VALUE_MAX 86400000 /* of max_age, in its own unit */
-#define TEXT_OID 25		   /* OID of PostgreSQL's type text */
+#define WORKERS_MAX 64 /* upper bound of the setting workers */
 
 /* A CancelRequest, posted to the inbox of each worker. */
 typedef struct cancel_message {
@@ -20,13 +18,6 @@
 	uint32_t secret;
 } cancel_message_t;
 
-/* A setting of the session; SET and SHOW know it as kumquatloft.NAME. */
-typedef struct session_setting {
-	const char *name;
-	bool (*set)(kl_session_t *session, const char *value);
-	void (*show)(const kl_session_t *session, char *text, size_t size);
-} session_setting_t;
-
 static void on_login(void *owner, const kl_login_t *login);
 static void on_query(void *owner, const kl_query_t *query);
 static void on_cancel(void *owner, uint32_t id, uint32_t secret);
@@ -37,13 +28,6 @@
 static kl_session_t *session_of(kl_message_t *message);
 static void finish_login(kl_session_t *session);
 static int check_login(kl_session_t *session, const kl_view_t *view);
-static bool set_session(kl_session_t *session, const char *value);
-static bool set_max_age(kl_session_t *session, const char *value);
-static bool set_repeatable(kl_session_t *session, const char *value);
-static void show_session(const kl_session_t *session, char *text, size_t size);
-static void show_max_age(const kl_session_t *session, char *text, size_t size);
-static void show_repeatable(const kl_session_t *session, char *text,
-			    size_t size);
 static void add_session(kl_worker_t *worker, kl_session_t *session);
 static void recount(kl_session_t *session, const kl_view_t *view);
 static bool is_idle(const kl_session_t *session, uint64_t now_us);
@@ -51,15 +35,6 @@
 static const kl_front_events_t front_events = { on_login, on_query, on_cancel,
 						on_closed };
 
-static const session_setting_t session_settings[] = {
-	{ "session", set_session, show_session },
-	{ "max_age", set_max_age, show_max_age },
-	{ "repeatable", set_repeatable, show_repeatable },
-};
-
-#define SESSION_SETTING_COUNT \
-	(sizeof(session_settings) / sizeof(session_settings[0]))
-
 void kl_session_accept(kl_worker_t *worker, int socket)
 {
 	kl_session_t *session = calloc(1, sizeof(*session));
@@ -172,15 +147,6 @@
 	return kl_index_get(view->buckets->index, session->workspace);
 }
 
-bool kl_session_set_option(kl_session_t *session, const char *name,
-			   const char *value)
-{
-	for (size_t i = 0; i < SESSION_SETTING_COUNT; i++)
-		if (!strcmp(session_settings[i].name, name))
-			return session_settings[i].set(session, value);
-	return false;
-}
-
 /* Whether a planned stop may end the session. */
 static bool is_idle(const kl_session_t *session, uint64_t now_us)
 {
@@ -211,9 +177,10 @@
 		kl_key_hash(login->key, session->key_hash);
 	kl_token_decode(&session->token, session->workspace, session->service,
 			login->session_token);
-	if ((*login->max_age && !set_max_age(session, login->max_age)) ||
-	    (*login->repeatable &&
-	     !set_repeatable(session, login->repeatable))) {
+	if ((*login->max_age &&
+	     !kl_session_set_option(session, "max_age", login->max_age)) ||
+	    (*login->repeatable && !kl_session_set_option(session, "repeatable",
+							  login->repeatable))) {
 		kl_session_close(session, -KL_E_INVALID);
 		return;
 	}
@@ -384,123 +351,3 @@
 	if (!session->target_worker)
 		kl_session_free(session);
 }
-
-static bool set_session(kl_session_t *session, const char *value)
-{
-	kl_token_decode(&session->token, session->workspace, session->service,
-			value);
-	return true;
-}
-
-/* A number, with the unit ms or s, by default ms; 0 removes the limit. */
-static bool set_max_age(kl_session_t *session, const char *value)
-{
-	char *end;
-	unsigned long long number = strtoull(value, &end, 10);
-
-	if (end == value || number > MAX_AGE_VALUE_MAX)
-		return false;
-	if (!strcmp(end, "s"))
-		session->max_age_us = number * KL_SEC;
-	else if (!*end || !strcmp(end, "ms"))
-		session->max_age_us = number * KL_MS;
-	else
-		return false;
-	return true;
-}
-
-static bool set_repeatable(kl_session_t *session, const char *value)
-{
-	bool on = !strcmp(value, "on") || !strcmp(value, "true");
-
-	if (!on && strcmp(value, "off") && strcmp(value, "false"))
-		return false;
-	session->repeatable = on;
-	return true;
-}
-
-static void show_session(const kl_session_t *session, char *text, size_t size)
-{
-	(void)size;
-	if (session->token.state == KL_TOKEN_KNOWN)
-		kl_token_encode(&session->token, session->workspace,
-				session->service, text);
-	else
-		strcpy(text, session->token.state == KL_TOKEN_NEW ? "new" : "");
-}
-
-static void show_max_age(const kl_session_t *session, char *text, size_t size)
-{
-	snprintf(text, size, "%llums",
-		 (unsigned long long)(session->max_age_us / KL_MS));
-}
-
-static void show_repeatable(const kl_session_t *session, char *text,
-			    size_t size)
-{
-	snprintf(text, size, "%s", session->repeatable ? "on" : "off");
-}
-
-/* The result of SHOW: one row with one column. */
-typedef struct show_result {
-	const char *name;
-	const char *text;
-} show_result_t;
-
-static int result_count(const void *rows)
-{
-	(void)rows;
-	return 1;
-}
-
-static const char *result_name(const void *rows, int column)
-{
-	(void)column;
-	return ((const show_result_t *)rows)->name;
-}
-
-static uint32_t result_type(const void *rows, int column)
-{
-	(void)rows;
-	(void)column;
-	return TEXT_OID;
-}
-
-static int result_format(const void *rows, int column)
-{
-	(void)rows;
-	(void)column;
-	return 0;
-}
-
-static const char *result_value(const void *rows, int row, int column,
-				size_t *length)
-{
-	const show_result_t *result = rows;
-	(void)row;
-	(void)column;
-
-	*length = strlen(result->text);
-	return result->text;
-}
-
-static const kl_rows_ops_t result_ops = { result_count,	 result_count,
-					  result_name,	 result_type,
-					  result_format, result_value };
-
-void kl_session_show_option(kl_session_t *session, const char *name)
-{
-	char text[KL_TOKEN_MAX + 16];
-	show_result_t result = { name, text };
-
-	for (size_t i = 0; i < SESSION_SETTING_COUNT; i++) {
-		if (strcmp(session_settings[i].name, name))
-			continue;
-		session_settings[i].show(session, text, sizeof(text));
-		session->front_ops->rows(session->front, &result_ops, &result);
-		session->front_ops->complete(session->front, "SHOW");
-		kl_answer_finish(&session->request);
-		return;
-	}
-	kl_answer_error(&session->request, -KL_E_INVALID);
-}
