--- a/bench/evacuation.sh
+++ b/bench/evacuation.sh
@@ -47,7 +47,7 @@
 done
 "$BUILD/tests/process/busy_sessions" 24 20 $((runs * 8 + 4)) 17001 17002 \
 	>/dev/null 2>&1 &
-exec 5<>/dev/tcp/127.0.0.1/17003
+exec 5<>/dev/tcp/$STAND_HOST/17003
 printf 'STARTUP orders key-one\r\n' >&5
 read -t 3 -r _ <&5
 pause 1
@@ -73,7 +73,7 @@
 	echo "run $run: first write at the new primary after $gap ms;" \
 		"$refused refused and $unknown unknown beside $admitted admitted"
 	curl -sf -X DELETE \
-		"http://127.0.0.1:$LINE_PORT/-/objects/evacuations/e$old" \
+		"http://$STAND_HOST:$LINE_PORT/-/objects/evacuations/e$old" \
 		>/dev/null
 	pause 3
 done
--- a/bench/load.c
+++ b/bench/load.c
@@ -110,9 +110,15 @@
 	const char *names[] = { "hostaddr",   "port",	  "user",
 				"dbname",     "password", "sslmode",
 				"gssencmode", "options",  NULL };
-	const char *values[] = { "127.0.0.1", port_text, workspace,
-				 service,     key,	 "disable",
-				 "disable",   options,	 NULL };
+	const char *values[] = { getenv("STAND_HOST"),
+				 port_text,
+				 workspace,
+				 service,
+				 key,
+				 "disable",
+				 "disable",
+				 options,
+				 NULL };
 	GRand *random = g_rand_new_with_seed((guint32)(uintptr_t)client);
 	PGconn *connection;
 	uint64_t next_us;
--- a/tests/process/busy_sessions.c
+++ b/tests/process/busy_sessions.c
@@ -104,7 +104,7 @@
 
 	address.sin_port =
 		htons((uint16_t)ports[session->at_first_port ? 0 : 1]);
-	inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+	inet_pton(AF_INET, getenv("STAND_HOST"), &address.sin_addr);
 	session->stream =
 		bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_setcb(session->stream, on_read, NULL, on_event, session);
--- a/tests/process/client.c
+++ b/tests/process/client.c
@@ -113,10 +113,16 @@
 				"dbname",   "password",	  "sslmode",
 				"options",  "gssencmode", "connect_timeout",
 				NULL };
-	const char *values[] = {
-		"127.0.0.1", port,    workspace, service, key,
-		"disable",   options, "disable", "10",	  NULL
-	};
+	const char *values[] = { getenv("STAND_HOST"),
+				 port,
+				 workspace,
+				 service,
+				 key,
+				 "disable",
+				 options,
+				 "disable",
+				 "10",
+				 NULL };
 	client_t *client = find_client(name, true);
 
 	while (*arguments) {
--- a/tests/process/config.sh
+++ b/tests/process/config.sh
@@ -6,7 +6,7 @@
 # Sends an incomplete startup packet and keeps the connection open; the end of
 # the test checks that the daemon closed it.
 {
-	timeout 20 bash -c 'exec 3<>/dev/tcp/127.0.0.1/17001
+	timeout 20 bash -c 'exec 3<>/dev/tcp/$STAND_HOST/17001
 		printf "\0\0\0\100\0\3\0\0user" >&3
 		cat <&3 >/dev/null' && echo "cut"
 } >"$STAND/half" &
--- a/tests/process/descriptors.sh
+++ b/tests/process/descriptors.sh
@@ -30,14 +30,14 @@
 line_daemon_start a1 d1 1
 ulimit -S -n "$soft"
 await_status 1 '"state": "stable"' || exit 1
-exec 5<>/dev/tcp/127.0.0.1/17001
+exec 5<>/dev/tcp/$STAND_HOST/17001
 echo "first session: $(request 5 'STARTUP stock key-one')"
 echo "write: $(request 5 'QUERY 1 WRITE fondant 1')"
 
 sessions=()
 refused=0
 for ((i = 0; i < 90; i++)); do
-	exec {fd}<>/dev/tcp/127.0.0.1/17001 || break
+	exec {fd}<>/dev/tcp/$STAND_HOST/17001 || break
 	printf 'STARTUP stock key-one\r\n' >&"$fd"
 	sessions+=("$fd")
 done
@@ -64,6 +64,6 @@
 	exec {fd}>&-
 done
 read -t 0.5 -r _ <>"$STAND/pause" || true
-exec 6<>/dev/tcp/127.0.0.1/17001
+exec 6<>/dev/tcp/$STAND_HOST/17001
 echo "new session: $(request 6 'STARTUP stock key-one')"
 echo "write: $(request 6 'QUERY 9 WRITE fondant 9')"
--- a/tests/process/evacuation.bash
+++ b/tests/process/evacuation.bash
@@ -17,7 +17,7 @@
 
 # Logs in to daemon N and sends statements; prints the first line of each answer.
 session() { # descriptor, number of the daemon, database
-	eval "exec $1<>/dev/tcp/127.0.0.1/1700$2"
+	eval "exec $1<>/dev/tcp/$STAND_HOST/1700$2"
 	printf 'STARTUP %s key-one\r\n' "$3" >&"$1"
 	read -t 3 -r answer <&"$1"
 }
@@ -42,7 +42,7 @@
 
 take_back() { # failure domain
 	curl -sf -X DELETE \
-		"http://127.0.0.1:$LINE_PORT/-/objects/evacuations/$1" >/dev/null
+		"http://$STAND_HOST:$LINE_PORT/-/objects/evacuations/$1" >/dev/null
 }
 
 # Repeats a write until it succeeds, as a client does.
@@ -58,7 +58,7 @@
 
 late() {
 	echo "late statements: $(curl -sf \
-		"http://127.0.0.1:$LINE_PORT/standin/late" | wc -l)"
+		"http://$STAND_HOST:$LINE_PORT/standin/late" | wc -l)"
 }
 
 # Starts the daemons a1 and a2 (d1) and b1 (d2).
--- a/tests/process/first_write.sh
+++ b/tests/process/first_write.sh
@@ -6,7 +6,7 @@
 
 first_write() {
 	local answer tries=500
-	until exec 5<>/dev/tcp/127.0.0.1/17001; do
+	until exec 5<>/dev/tcp/$STAND_HOST/17001; do
 		tries=$((tries - 1))
 		[ $tries != 0 ] || { echo "no connection"; return; }
 		read -t 0.005 -r _ <>"$STAND/pause" || true
--- a/tests/process/lib.bash
+++ b/tests/process/lib.bash
@@ -9,7 +9,7 @@
 	stop_processes
 	cat "$STAND"/*.log "$STAND"/*.err 2>/dev/null |
 		grep -A 12 -E "ERROR: AddressSanitizer|runtime error|WARNING: ThreadSanitizer"
-	rm -rf "$STAND"
+	stand_clean_up
 }
 trap clean_up EXIT
 client="$BUILD/tests/process/client"
@@ -46,7 +46,7 @@
 
 # Prints a metric of a daemon.
 counter() { # number of the daemon, name
-	curl -sf "http://127.0.0.1:$((17200 + $1))/metrics" |
+	curl -sf "http://$STAND_HOST:$((17200 + $1))/metrics" |
 		sed -n "s/^$2 //p"
 }
 
--- a/tests/process/line.sh
+++ b/tests/process/line.sh
@@ -36,7 +36,7 @@
 }
 
 open_session() { # number, database, key
-	exec 5<>"/dev/tcp/127.0.0.1/1700$1"
+	exec 5<>"/dev/tcp/$STAND_HOST/1700$1"
 	request "STARTUP $2 $3"
 }
 
@@ -61,7 +61,7 @@
 	await_status $n '"slots": 12' || exit 1
 	await_status $n '"phase": "serving"' || exit 1
 done
-echo "ready: $(curl -s -o /dev/null -w '%{http_code}' http://127.0.0.1:17401/ready)"
+echo "ready: $(curl -s -o /dev/null -w '%{http_code}' http://$STAND_HOST:17401/ready)"
 
 echo "# a session, its state and a transaction"
 await_write 1 key-one
@@ -132,7 +132,7 @@
 open_session 1 orders key-one
 
 echo "# the latencies of the other VM"
-curl -sf http://127.0.0.1:17202/metrics |
+curl -sf http://$STAND_HOST:17202/metrics |
 	grep -E '^kl_statement_seconds_count.*(session|primary).*served' |
 	sed 's/} [1-9][0-9]*$/} some/'
 
@@ -142,7 +142,7 @@
 request "QUERY 2 BEGIN"
 kill -TERM "$PID_a1"
 read -t 0.3 -r _ <>"$STAND/pause"
-echo "ready: $(curl -s -o /dev/null -w '%{http_code}' http://127.0.0.1:17401/ready)"
+echo "ready: $(curl -s -o /dev/null -w '%{http_code}' http://$STAND_HOST:17401/ready)"
 request "QUERY 3 WRITE lustre silver"
 request "QUERY 4 COMMIT"
 wait "$PID_a1"
--- a/tests/process/path.sh
+++ b/tests/process/path.sh
@@ -62,7 +62,7 @@
 for bytes in 'GET / HTTP/1.0\r\n\r\n' '\0\0\0\4' '\0\0\0\010\0\3\0\0' \
 	'\377\377\377\377\377\377\377\377' '\0\0\0\011\0\3\0\0u' ''; do
 	printf "$bytes" | timeout 3 bash -c \
-		'exec 3<>/dev/tcp/127.0.0.1/17001; cat >&3; sleep 0.1' 2>/dev/null
+		'exec 3<>/dev/tcp/$STAND_HOST/17001; cat >&3; sleep 0.1' 2>/dev/null
 done
 steps <<EOF
 connect five 17001 bakery orders $KEY session=new
--- a/tests/process/silent_watch.sh
+++ b/tests/process/silent_watch.sh
@@ -17,7 +17,7 @@
 
 login() { # number of the daemon, database
 	local answer
-	exec 5<>"/dev/tcp/127.0.0.1/1700$1"
+	exec 5<>"/dev/tcp/$STAND_HOST/1700$1"
 	printf 'STARTUP %s key-one\r\n' "$2" >&5
 	read -t 3 -r answer <&5
 	exec 5>&-
