--- a/daemon/main.c
+++ b/daemon/main.c
@@ -31,15 +31,16 @@
 
 static void block_signals(sigset_t *signals);
 static int serve(const kl_settings_t *settings, const char *path,
-		 sigset_t *signals);
+		 char *const *overrides, sigset_t *signals);
 static int server_start(server_t *server, const kl_settings_t *settings,
 			kl_control_thread_t *control);
 static void server_drain(const server_t *server);
 static void server_stop_accept(const server_t *server);
 static uint64_t server_sessions(const server_t *server);
 static void server_free(server_t *server);
-static void wait_for_stop_signal(const sigset_t *signals, const char *path);
-static void check_settings(const char *path);
+static void wait_for_stop_signal(const sigset_t *signals, const char *path,
+				 char *const *overrides);
+static void check_settings(const char *path, char *const *overrides);
 static void drain(const kl_settings_t *settings, kl_control_thread_t *control,
 		  const server_t *server, const sigset_t *signals);
 static bool wait_poll_interval(const sigset_t *signals);
@@ -47,10 +48,13 @@
 int main(int argc, char **argv)
 {
 	static gchar *path;
+	static gchar **overrides;
 	static gboolean check;
 	static const GOptionEntry entries[] = {
 		{ "settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
 		  "Settings file (YAML)", "FILE" },
+		{ "set", 0, 0, G_OPTION_ARG_STRING_ARRAY, &overrides,
+		  "Replace a numeric setting of the file", "NAME=VALUE" },
 		{ "check", 'c', 0, G_OPTION_ARG_NONE, &check,
 		  "Only check the settings", NULL },
 		{ NULL, 0, 0, 0, NULL, NULL, NULL },
@@ -78,15 +82,16 @@
 		fprintf(stderr, "--settings is missing\n");
 		goto out;
 	}
-	settings = kl_settings_load(path);
+	settings = kl_settings_load(path, overrides);
 	if (!settings)
 		goto out;
-	status = check ? EXIT_OK : serve(settings, path, &signals);
+	status = check ? EXIT_OK : serve(settings, path, overrides, &signals);
 out:
 	if (settings)
 		kl_settings_free(settings);
 	g_option_context_free(context);
 	g_free(path);
+	g_strfreev(overrides);
 	return status;
 }
 
@@ -101,7 +106,7 @@
 }
 
 static int serve(const kl_settings_t *settings, const char *path,
-		 sigset_t *signals)
+		 char *const *overrides, sigset_t *signals)
 {
 	kl_control_thread_t *control = NULL;
 	server_t server = { NULL, NULL };
@@ -116,7 +121,7 @@
 	if (!control || server_start(&server, settings, control))
 		goto out;
 	kl_log_event("started", settings->domain);
-	wait_for_stop_signal(signals, path);
+	wait_for_stop_signal(signals, path, overrides);
 	sigdelset(signals, SIGHUP);
 	drain(settings, control, &server, signals);
 	status = EXIT_OK;
@@ -167,21 +172,22 @@
 	kl_line_worker_free(server->line_worker);
 }
 
-static void wait_for_stop_signal(const sigset_t *signals, const char *path)
+static void wait_for_stop_signal(const sigset_t *signals, const char *path,
+				 char *const *overrides)
 {
 	int number;
 
 	while (!sigwait(signals, &number) && number == SIGHUP)
-		check_settings(path);
+		check_settings(path, overrides);
 }
 
 /*
  * Only checks the file.  Settings name this VM and its addresses, which cannot
  * change while the daemon runs.
  */
-static void check_settings(const char *path)
+static void check_settings(const char *path, char *const *overrides)
 {
-	kl_settings_t *settings = kl_settings_load(path);
+	kl_settings_t *settings = kl_settings_load(path, overrides);
 
 	kl_log_event("reload",
 		     settings ? "the settings file is valid; it takes "
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -56,7 +56,9 @@
 static int parse_port(const char *path, const char *name, const char *text,
 		      uint32_t *port);
 static uint32_t *number_field(kl_settings_t *settings, size_t offset);
-static int check_settings(kl_settings_t *settings, const char *path);
+static int check_settings(kl_settings_t *settings, const char *path,
+			  char *const *overrides);
+static int apply_override(kl_settings_t *settings, const char *override);
 static int find_line(const char *path, const char *name);
 static int report_invalid(const char *path, const char *name,
 			  const char *expected);
@@ -143,7 +145,7 @@
 	.flags = CYAML_CFG_DEFAULT,
 };
 
-kl_settings_t *kl_settings_load(const char *path)
+kl_settings_t *kl_settings_load(const char *path, char *const *overrides)
 {
 	kl_settings_t *settings = NULL;
 	cyaml_err_t error = cyaml_load_file(path, &config, &schema,
@@ -153,7 +155,7 @@
 		fprintf(stderr, "%s: %s\n", path, cyaml_strerror(error));
 		return NULL;
 	}
-	if (check_settings(settings, path)) {
+	if (check_settings(settings, path, overrides)) {
 		kl_settings_free(settings);
 		return NULL;
 	}
@@ -197,7 +199,8 @@
 	cyaml_free(&config, &schema, settings, 0);
 }
 
-static int check_settings(kl_settings_t *settings, const char *path)
+static int check_settings(kl_settings_t *settings, const char *path,
+			  char *const *overrides)
 {
 	char expected[80];
 	int failed = 0;
@@ -206,6 +209,8 @@
 			     &settings->listen_port);
 	failed |= parse_port(path, "ready", settings->ready,
 			     &settings->ready_port);
+	for (; overrides && *overrides; overrides++)
+		failed |= apply_override(settings, *overrides);
 	for (size_t i = 0; i < NUMBERS; i++) {
 		const number_row_t *row = &numbers[i];
 		uint32_t *value = number_field(settings, row->offset);
@@ -232,6 +237,33 @@
 	return failed;
 }
 
+/*
+ * Sets a numeric setting from "NAME=VALUE"; the range is checked with those of
+ * the file.  An empty value comes from a template that has none.
+ */
+static int apply_override(kl_settings_t *settings, const char *override)
+{
+	size_t length = strcspn(override, "=");
+	const char *text = override + length + (override[length] == '=');
+	char *end = NULL;
+	unsigned long value = strtoul(text, &end, 10);
+
+	for (size_t i = 0; i < NUMBERS; i++) {
+		if (strlen(numbers[i].name) != length ||
+		    strncmp(numbers[i].name, override, length))
+			continue;
+		if (*end || value > UINT32_MAX)
+			break;
+		if (*text)
+			*number_field(settings, numbers[i].offset) =
+				(uint32_t)value;
+		return 0;
+	}
+	fprintf(stderr, "--set %s: expected NAME=NUMBER of a numeric setting\n",
+		override);
+	return 1;
+}
+
 /* Sets *port to the port of IP:PORT; leaves it unchanged if text is NULL. */
 static int parse_port(const char *path, const char *name, const char *text,
 		      uint32_t *port)
--- a/tests/process/settings.sh
+++ b/tests/process/settings.sh
@@ -16,8 +16,10 @@
 platform: http://127.0.0.1:17300
 YAML
 	} | sed "${2:-}" >"$work/settings.yaml"
-	echo "> $1 ${2:-}"
-	"$BUILD/kumquatloftd" --settings "$work/settings.yaml" --check 2>&1 |
+	echo "> $1 ${2:-}${options:-}"
+	# shellcheck disable=SC2086
+	"$BUILD/kumquatloftd" --settings "$work/settings.yaml" --check \
+		${options:-} 2>&1 |
 		sed "s#$work/##"
 	echo "exit status ${PIPESTATUS[0]}"
 }
@@ -32,6 +34,11 @@
 check_settings "" "s/^host:.*/host: example.org/"
 check_settings "" "/^vm:/d"
 check_settings "" "s/^platform:.*/platform: ftp:x/"
+for option in leave_ms=4000 leave_ms= leave_ms=50 leave_ms=x colour=1; do
+	options="--set $option"
+	check_settings "workers: 4"
+done
+options=
 "$BUILD/kumquatloftd" 2>&1
 echo "exit status $?"
 "$BUILD/kumquatctl" plan set gold 2>&1
