Look a group up only for an upstream that leaves

Cause: whether a statement may be sent is asked for each one.

Change: the group's record is looked up only where the answer depends on it.

--- a/path/engine_endpoint.c
+++ b/path/engine_endpoint.c
@@ -426,12 +426,14 @@
 
 bool kl_endpoint_may_start(const kl_endpoint_t *endpoint)
 {
-	const kl_group_t *group = kl_engine_find_group(
-		endpoint->cluster->engine, endpoint->cluster->name);
 	kl_upstream_use_t use = endpoint_use(endpoint);
+	const kl_group_t *group;
 
-	return use == KL_USE_ANY || (use == KL_USE_STARTED && group &&
-				     !strcmp(group->primary, endpoint->name));
+	if (use != KL_USE_STARTED)
+		return use == KL_USE_ANY;
+	group = kl_engine_find_group(endpoint->cluster->engine,
+				     endpoint->cluster->name);
+	return group && !strcmp(group->primary, endpoint->name);
 }
 
 bool kl_endpoint_may_continue(const kl_endpoint_t *endpoint)
