Give up only planned changes of primary

Cause, found when the diff was read: a change that began because the primary fails could also be given up, when the old primary answered its status and no replica did within 0.5 s (a busy database answers late, or BUSY). The suspicion would begin the next one at once.

Change: only a change that began because the primary leaves is given up, or passes a database that leaves over; it waits 1.5 s for the first reply.

--- a/control/promote_choose.c
+++ b/control/promote_choose.c
@@ -14,6 +14,12 @@
 /* How long to wait for the status replies of slower replicas. */
 #define REPLIES_WAIT_US (500 * KL_MS)
 
+/*
+ * How long a planned change waits for the first reply of a database that does
+ * not leave: a busy one replies late.
+ */
+#define NO_SUCCESSOR_WAIT_US (1500 * KL_MS)
+
 /* How long a planned change waits for a replica with the complete log. */
 #define PLANNED_CATCH_UP_US (5 * KL_SEC)
 
@@ -228,12 +234,11 @@
 bool kl_promote_no_successor(const kl_promote_ctx_t *ctx, uint64_t settled_us)
 {
 	const kl_upstream_t *upstream;
+	uint64_t now = ctx->base.now;
 
-	if (ctx->base.now < settled_us + REPLIES_WAIT_US ||
-	    !old_primary_works(ctx))
+	if (!is_planned(ctx) || now < settled_us + NO_SUCCESSOR_WAIT_US)
 		return false;
-	if (is_planned(ctx) &&
-	    ctx->base.now >= settled_us + PLANNED_CATCH_UP_US)
+	if (now >= settled_us + PLANNED_CATCH_UP_US)
 		return true;
 	CK_STAILQ_FOREACH(upstream, &ctx->base.service->upstreams, link) {
 		if (!upstream->leaving &&
@@ -247,8 +252,8 @@
 
 /*
  * A database that is not leaving is preferred to one that is; among them the
- * most recent log wins.  While the old primary works nothing is gained by
- * promoting another one that leaves.
+ * most recent log wins.  A planned change gains nothing by promoting another
+ * one that leaves.
  */
 const char *kl_promote_choose_candidate(kl_promote_ctx_t *ctx,
 					uint64_t settled_us)
@@ -260,7 +265,7 @@
 	const kl_status_reply_t *best = NULL;
 	const kl_upstream_t *upstream;
 	bool best_leaving = false, replies_missing = false;
-	bool primary_works = old_primary_works(ctx);
+	bool planned = is_planned(ctx);
 	uint64_t now = ctx->base.now;
 
 	CK_STAILQ_FOREACH(upstream, &ctx->base.service->upstreams, link) {
@@ -269,7 +274,7 @@
 
 		if (!strcmp(upstream->name.name, primary) ||
 		    !strcmp(upstream->name.name, promotion->failed_candidate) ||
-		    (upstream->leaving && primary_works))
+		    (upstream->leaving && planned))
 			continue;
 		if (!reply) {
 			replies_missing |= !upstream->leaving;
@@ -292,7 +297,7 @@
 	 * limit here.
 	 */
 	if (old_primary && old_primary->reported_primary &&
-	    (is_planned(ctx) ||
+	    (planned ||
 	     now < settled_us + ctx->base.node->tuning.catch_up_timeout_us) &&
 	    (old_primary->query_sent_us < settled_us ||
 	     !has_complete_log(best, old_primary)))
--- a/control/promote_internal.h
+++ b/control/promote_internal.h
@@ -159,9 +159,9 @@
 /* promote_choose.c */
 
 /**
- * Whether the change can't succeed now: the old primary works, and no database
- * that isn't leaving answers, or none with the complete log in a planned
- * change. Arguments as for kl_promote_choose_candidate().
+ * Whether a planned change can't succeed now: no database that isn't leaving
+ * answers, or none has the complete log.  Arguments as for
+ * kl_promote_choose_candidate().
  */
 bool kl_promote_no_successor(const kl_promote_ctx_t *ctx, uint64_t settled_us);
 
