--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -69,8 +69,8 @@
  * Load and check settings.  Errors go to standard error with file and line, if
  * the line is known.
  *
- * @param overrides numeric settings "NAME=VALUE" that replace those of the
- *file, without a value they are ignored; ends with NULL, or is NULL
+ * @param overrides settings as "NAME=NUMBER", which replace those of the file;
+ *        one without a number is ignored; ends with NULL, or is NULL
  * @return settings to free with kl_settings_free(), or NULL on an error
  */
 kl_settings_t *kl_settings_load(const char *path, char *const *overrides);
