Add loss and jitter to the schedules of property leaving

Cause: the store and the peers answered evenly there.

Change: up to 5 % of the messages between VMs are lost and answers are up to 60 ms late, in any step; neither counts as a disturbance.

--- a/tests/property/leaving.cc
+++ b/tests/property/leaving.cc
@@ -52,7 +52,7 @@
 		vm_t *vm = vms_[target];
 		int db = std::get<1>(step) % kDbs;
 
-		switch (std::get<0>(step) % 14) {
+		switch (std::get<0>(step) % 15) {
 		case 0:
 		case 1:
 		case 2:
@@ -93,6 +93,11 @@
 		case 11:
 			lapse(db);
 			break;
+		case 12:
+			// Ordinary noise, which is no disturbance.
+			world_->jitter_us = std::get<2>(step) % 60 * KL_MS;
+			world_->peer_loss_percent = std::get<2>(step) % 6;
+			break;
 		default:
 			heal_vm(target);
 			break;
