--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -30,7 +30,8 @@
 #define LONG_FAULT_EXTRA_MS 5000
 #define CLIENT_SEED_OFFSET \
 	1000000u /* added to a seed for the clients' choices */
-#define EVACUATION_SEED_OFFSET 2000000u /* the same for the evacuations */
+#define EVACUATION_SEED_OFFSET \
+	2000000u /* added to a seed for the choices of evacuations */
 /* Between two changes of the evacuated failure domains. */
 #define EVACUATION_GAP_MIN_MS 300
 #define EVACUATION_GAP_END_MS 5000
--- a/tests/world_internal.h
+++ b/tests/world_internal.h
@@ -92,4 +92,7 @@
 /** Report to each VM that its clients use every service. */
 void world_report_service_use(world_t *world);
 
+/** Operations of the simulated VMs; the context is the vm_t. */
+extern const kl_node_ops_t world_node_ops;
+
 #endif
