Count the end of an outage as a disturbance in property leaving

The mark was set at the moment at which an outage of the platform began; the last step of the test ended the outage 4.8 s later without counting that, so VMs that could not have learned of the mark passed for being in touch. The users' rules count VMs as in touch 4 s after an outage has ended.

Change: both ends of an outage disturb all VMs, wherever it ends. The bound and the rest of the check stay.

--- a/tests/property/leaving.cc
+++ b/tests/property/leaving.cc
@@ -86,9 +86,7 @@
 			hang_watches();
 			break;
 		case 10:
-			world_->platform_down = !world_->platform_down;
-			for (int i = 0; i < kVms; i++)
-				disturb(i);
+			set_platform_down(!world_->platform_down);
 			break;
 		case 11:
 			lapse(db);
@@ -109,7 +107,7 @@
 	{
 		for (int i = 0; i < kVms; i++)
 			heal_vm(i);
-		world_->platform_down = false;
+		set_platform_down(false);
 		advance(12000);
 	}
 
@@ -132,6 +130,16 @@
 		marked_us_[db] = on ? world_->now_us : 0;
 	}
 
+	// The beginning and the end of an outage disturb all VMs.
+	void set_platform_down(bool down)
+	{
+		if (world_->platform_down == down)
+			return;
+		world_->platform_down = down;
+		for (int i = 0; i < kVms; i++)
+			disturb(i);
+	}
+
 	// Connections of all VMs to the platform are lost without a reset.
 	void hang_watches()
 	{
