Tell by its log whether a daemon of the soak died before main()

Traced: this process was forked 0.64 s before the signal and had logged nothing, and main() blocks SIGHUP before anything else. The soak took 30 ms for the longest load.

Change: a daemon that has logged something and dies of SIGHUP or SIGTERM has failed, however soon; one that has logged nothing had not reached main(). No time is involved any more.

--- a/tests/soak/stand.c
+++ b/tests/soak/stand.c
@@ -8,15 +8,15 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include "tests/soak/soak.h"
 
-#define HTTP_TIMEOUT_MS 4000L	 /* of one HTTP request to the stand-in */
-#define IDLE_TIMEOUT_MS 6000	 /* until counts are 0 without clients */
-#define START_TIMEOUT_MS 5000	 /* until the stand-in answers */
-#define PROGRAM_LOAD_US 30000ull /* from fork() to main(), at most */
+#define HTTP_TIMEOUT_MS 4000L /* of one HTTP request to the stand-in */
+#define IDLE_TIMEOUT_MS 6000  /* until counts are 0 without clients */
+#define START_TIMEOUT_MS 5000 /* until the stand-in answers */
 #define PATH_SIZE 512
 
 static char program_folder[PATH_SIZE];
@@ -28,13 +28,14 @@
 /* The daemon ended unasked, or with an error. */
 static bool failed[SOAK_VMS_MAX];
 static uint64_t started_at_us[SOAK_VMS_MAX];
-static uint64_t last_signal_at_us[SOAK_VMS_MAX];
+static long long log_bytes_at_start[SOAK_VMS_MAX];
 static pid_t store_pid;
 
 static pid_t start_process(const char *name, char *const arguments[]);
 static void write_settings(int vm);
 static void reap(int vm);
 static bool ended_before_main(int vm, int status);
+static long long log_bytes(int vm);
 static char *http_request(const char *method, const char *path,
 			  const char *body);
 static char *http_request_to(int port, const char *method, const char *path,
@@ -104,6 +105,7 @@
 	snprintf(name, sizeof(name), "vm%d", vm);
 	end_requested[vm] = false;
 	started_at_us[vm] = soak_now_us();
+	log_bytes_at_start[vm] = log_bytes(vm);
 	vm_pids[vm] = start_process(name, arguments);
 }
 
@@ -114,7 +116,6 @@
 		return;
 	if (signal_number == SIGKILL || signal_number == SIGTERM)
 		end_requested[vm] = true;
-	last_signal_at_us[vm] = soak_now_us();
 	kill(vm_pids[vm], signal_number);
 }
 
@@ -147,13 +148,22 @@
 /*
  * A signal that arrives while the program is being loaded takes its default
  * action, because no program can block it before main(). Such an end is no
- * fault of the daemon.
+ * fault of the daemon. main() blocks the signals before anything is logged.
  */
 static bool ended_before_main(int vm, int status)
 {
 	return WIFSIGNALED(status) &&
 	       (WTERMSIG(status) == SIGHUP || WTERMSIG(status) == SIGTERM) &&
-	       last_signal_at_us[vm] - started_at_us[vm] < PROGRAM_LOAD_US;
+	       log_bytes(vm) == log_bytes_at_start[vm];
+}
+
+static long long log_bytes(int vm)
+{
+	char path[PATH_SIZE + 32];
+	struct stat info;
+
+	snprintf(path, sizeof(path), "%s/vm%d.log", work_folder, vm);
+	return stat(path, &info) ? 0 : info.st_size;
 }
 
 int stand_check_idle(void)
