--- a/path/engine.c
+++ b/path/engine.c
@@ -9,6 +9,7 @@
 static uint64_t sequence_of(const kl_snapshot_t *snapshot);
 static void recheck_waiting(kl_engine_t *engine);
 static void check_clients(kl_engine_t *engine);
+static bool txn_must_end(const kl_client_t *client, uint64_t idle_max_ms);
 
 kl_engine_t *kl_engine_new(const kl_engine_settings_t *settings,
 			   const kl_engine_ops_t *ops, void *context,
@@ -175,6 +176,21 @@
 	}
 }
 
+/*
+ * Whether the open transaction of a client that runs no statement must end: its
+ * database has left, or it has been idle for too long.
+ */
+static bool txn_must_end(const kl_client_t *client, uint64_t idle_max_ms)
+{
+	uint64_t idle_us = client->engine->now_us - client->idle_since_us;
+
+	if (client->transaction_status == 'I' || !client->conn)
+		return false;
+	return !kl_endpoint_may_continue(client->conn->endpoint) ||
+	       (client->transaction_status == 'T' && idle_max_ms &&
+		idle_us > idle_max_ms * KL_MS);
+}
+
 static void check_clients(kl_engine_t *engine)
 {
 	uint64_t idle_max_ms =
@@ -191,13 +207,7 @@
 			kl_stmt_check_deadlines(client);
 		else if (kl_drain_ends_idle(client))
 			kl_client_end_session(client, 0);
-		else if (client->transaction_status != 'I' && client->conn &&
-			 !kl_endpoint_may_continue(client->conn->endpoint))
-			kl_conn_abandon(client->conn, true);
-		else if (client->transaction_status == 'T' && client->conn &&
-			 idle_max_ms &&
-			 engine->now_us - client->idle_since_us >
-				 idle_max_ms * KL_MS)
+		else if (txn_must_end(client, idle_max_ms))
 			kl_conn_abandon(client->conn, true);
 	}
 }
