Begin a test's planned stop only after its long statement was routed

The test sent SIGTERM right after the client had written the statement to its socket, which does not mean that the daemon has read it. One that arrives after the stop has begun is refused, truthfully.

Change: the test waits for the counter of routed writes. It expects what it expected.

--- a/tests/process/drain.sh
+++ b/tests/process/drain.sh
@@ -10,6 +10,10 @@
 send_step "exec open BEGIN"; show_answer
 send_step "exec open INSERT INTO stock VALUES ('tips', '1')"; show_answer
 send_step "send long INSERT INTO stock VALUES ('foil', '2')"; show_answer
+# The stop must come after the statement, which is the second one routed.
+until [ "$(counter 1 kl_writes_total)" = 2 ]; do
+	read -t 0.01 -r _ <>"$STAND/pause" || true
+done
 kill -TERM "$PID_a1"
 await_status 1 '"phase": "draining"'
 send_step "wait long"; show_answer
