--- a/tests/process/evacuation.bash
+++ b/tests/process/evacuation.bash
@@ -15,13 +15,14 @@
 	read -t "$1" -r _ <>"$STAND/pause" || true
 }
 
-# Logs in to daemon N and sends statements; prints the first line of each answer.
+# Logs in to a daemon; the session stays open.
 session() { # descriptor, number of the daemon, database
 	eval "exec $1<>/dev/tcp/$STAND_HOST/1700$2"
 	printf 'STARTUP %s key-one\r\n' "$3" >&"$1"
 	read -t 3 -r answer <&"$1"
 }
 
+# Sends a statement in a session; prints the first word of the answer, or the error.
 ask() { # descriptor, statement
 	local line first=
 	printf 'QUERY q%s %s\r\n' "$RANDOM" "$2" >&"$1"
