Add the settings of usage reports and of decisions under load

The slots come in a document of their own, since older versions refuse an upstream's document with a field that they don't know.

--- a/board/sections.h
+++ b/board/sections.h
@@ -111,6 +111,8 @@
 	/** It became so no earlier than this; 0: not known. */
 	uint64_t leaving_after_us;
 	bool registered_primary; /**< according to its registration */
+	/** statements that it executes at once; 0: not known */
+	uint32_t execution_slots;
 	struct kl_service *service;
 } kl_upstream_t;
 
--- a/control/config.c
+++ b/control/config.c
@@ -64,6 +64,8 @@
 	{ "service/", service_is_valid, add_service, false },
 	{ "upstream/", kl_upstream_document_is_valid, kl_upstream_document_add,
 	  true },
+	{ "capacity/", kl_capacity_document_is_valid, kl_capacity_document_add,
+	  false },
 	{ "route/", kl_route_document_is_valid, kl_route_document_add, false },
 	{ "limit/", kl_limit_document_is_valid, kl_limit_document_add, false },
 };
--- a/control/document_route.c
+++ b/control/document_route.c
@@ -61,6 +61,31 @@
 	CK_STAILQ_INSERT_TAIL(&service->upstreams, upstream, link);
 }
 
+bool kl_capacity_document_is_valid(json_t *json)
+{
+	int slots;
+
+	return !json_unpack_ex(json, NULL, JSON_STRICT, "{s:i}", "slots",
+			       &slots) &&
+	       slots > 0;
+}
+
+void kl_capacity_document_add(kl_config_t *config,
+			      const kl_document_t *document)
+{
+	kl_service_t *service;
+	kl_upstream_t *upstream;
+	int slots;
+
+	json_unpack(document->json, "{s:i}", "slots", &slots);
+	CK_STAILQ_FOREACH(service, &config->services, link) {
+		CK_STAILQ_FOREACH(upstream, &service->upstreams, link) {
+			if (!strcmp(upstream->name.name, document->name))
+				upstream->execution_slots = (uint32_t)slots;
+		}
+	}
+}
+
 bool kl_route_document_is_valid(json_t *json)
 {
 	const char *service, *kind;
--- a/daemon/line_worker.c
+++ b/daemon/line_worker.c
@@ -145,6 +145,9 @@
 	engine_settings->statement_timeout_us = settings->statement_ms * KL_MS;
 	engine_settings->admit_wait_us = settings->admit_wait_ms * KL_MS;
 	engine_settings->connect_timeout_us = settings->connect_ms * KL_MS;
+	engine_settings->priority_queues = settings->priority_queues;
+	engine_settings->slot_permits = settings->slot_permits;
+	engine_settings->domain_spill = settings->domain_spill;
 }
 
 static int open_listener(kl_line_worker_t *worker)
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -49,6 +49,11 @@
 	{ "down_ms", FIELD(down_ms), 0, 60000, 0 },
 	{ "leave_ms", FIELD(leave_ms), 100, 3600000, 5000 },
 	{ "drain_least_ms", FIELD(drain_least_ms), 0, 60000, 0 },
+	{ "usage_window_s", FIELD(usage_window_s), 0, 3600, 0 },
+	{ "usage_delay_s", FIELD(usage_delay_s), 1, 3600, 10 },
+	{ "priority_queues", FIELD(priority_queues), 0, 1, 0 },
+	{ "slot_permits", FIELD(slot_permits), 0, 1, 0 },
+	{ "domain_spill", FIELD(domain_spill), 0, 1, 0 },
 };
 
 static void print_message(cyaml_log_t level, void *context, const char *format,
@@ -131,6 +136,14 @@
 	NUMBER(down_ms, CYAML_FLAG_OPTIONAL),
 	NUMBER(leave_ms, CYAML_FLAG_OPTIONAL),
 	NUMBER(drain_least_ms, CYAML_FLAG_OPTIONAL),
+	CYAML_FIELD_STRING_PTR("duties",
+			       CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+			       kl_settings_t, duties, 0, 200),
+	NUMBER(usage_window_s, CYAML_FLAG_OPTIONAL),
+	NUMBER(usage_delay_s, CYAML_FLAG_OPTIONAL),
+	NUMBER(priority_queues, CYAML_FLAG_OPTIONAL),
+	NUMBER(slot_permits, CYAML_FLAG_OPTIONAL),
+	NUMBER(domain_spill, CYAML_FLAG_OPTIONAL),
 	CYAML_FIELD_END
 };
 
@@ -163,6 +176,7 @@
 	default_text(&settings->platform_format, "native");
 	default_text(&settings->front, "postgresql");
 	default_text(&settings->ready_path, "/ready");
+	default_text(&settings->duties, "");
 	if (check_choices(settings, path)) {
 		kl_settings_free(settings);
 		return NULL;
--- a/path/engine.h
+++ b/path/engine.h
@@ -127,6 +127,9 @@
 	uint64_t statement_timeout_us; /**< for routes without a timeout */
 	uint64_t admit_wait_us; /**< longest wait of a statement for tokens */
 	uint64_t connect_timeout_us; /**< time limit of a connection attempt */
+	bool priority_queues; /**< order waiting statements by priority */
+	bool slot_permits;    /**< share databases' slots with other VMs */
+	bool domain_spill;    /**< send reads to other failure domains */
 } kl_engine_settings_t;
 
 /** How a statement ended. */
--- a/path/engine_begin.c
+++ b/path/engine_begin.c
@@ -98,6 +98,7 @@
 	params->kind = route->kind;
 	params->max_age_us = route->max_age_ms * KL_MS;
 	params->target_latency_us = route->target_latency_ms * KL_MS;
+	params->priority = route->priority;
 	params->stmt_timeout_us =
 		route->statement_timeout_ms
 			? route->statement_timeout_ms * KL_MS
--- a/path/engine_endpoint.c
+++ b/path/engine_endpoint.c
@@ -152,6 +152,7 @@
 	memcpy(endpoint->host, upstream->host, KL_HOST_MAX);
 	memcpy(endpoint->domain, upstream->domain, KL_NAME_MAX);
 	endpoint->port = upstream->port;
+	endpoint->execution_slots = upstream->execution_slots;
 	endpoint->accepts_stmts = true;
 	endpoint->unregistered_since_us = 0;
 	if (upstream->leaving && !endpoint->leaving)
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -36,6 +36,7 @@
 	uint64_t max_age_us;	    /**< oldest data that a read may see */
 	uint64_t stmt_timeout_us;   /**< time limit of a statement */
 	uint64_t target_latency_us; /**< latency objective of an operation */
+	uint32_t priority;	    /**< 0 is the highest */
 } kl_route_params_t;
 
 /** An upstream, with its connections and its queue of statements. */
@@ -50,6 +51,8 @@
 	bool accepts_stmts;
 	/** time when it was first missing from the registry, or 0 */
 	uint64_t unregistered_since_us;
+	/** statements that the database executes at once; 0: not known */
+	uint32_t execution_slots;
 	bool leaving;		  /**< operators take it out of service */
 	uint64_t leaving_seen_us; /**< when leaving was last set here */
 	/** It leaves since no earlier than this; 0: not known. */
--- a/review/vm.c
+++ b/review/vm.c
@@ -244,6 +244,8 @@
 	else if (!strcmp(name, "platform.address"))
 		snprintf(text, sizeof(text), "%s:%d", ip_address(3, 1),
 			 store_port);
+	else if (!strcmp(name, "cloudApi.duties"))
+		snprintf(text, sizeof(text), "failover");
 	else if (!strcmp(name, "cloudApi.address"))
 		snprintf(text, sizeof(text), "%s:%d", ip_address(3, 1),
 			 vm->promote_port);
