--- a/peer/peer_codec.c
+++ b/peer/peer_codec.c
@@ -98,7 +98,8 @@
 	memset(&wire, 0, sizeof(wire));
 	xdrmem_create(&xdr, buffer, (u_int)length, XDR_DECODE);
 	if (process_rpc_call(&xdr, &wire) ||
-	    wire.body.kind >= KL_PEER_KIND_COUNT)
+	    wire.body.kind >= KL_PEER_KIND_COUNT ||
+	    !kind_codecs[wire.body.kind].decode)
 		goto out;
 	message->kind = wire.body.kind;
 	kl_name_copy(message->from, wire.from);
