Let reads wait for the first log position after a start

When all VMs start at once, none has a log position of a primary.

With position_wait_ms a read waits for the first position, and its VM asks others every 20 ms for it.

--- a/control/node.h
+++ b/control/node.h
@@ -200,6 +200,11 @@
 	uint64_t lease_duration_us;
 	uint64_t probe_interval_us;    /**< between connect probes */
 	uint64_t position_interval_us; /**< between position probes */
+	/**
+	 * between queries of other VMs for the first log position of a service;
+	 * 0: as for later ones
+	 */
+	uint64_t first_position_interval_us;
 	/** A primary that fails for this long is suspected. */
 	uint64_t suspect_after_us;
 	/**
--- a/control/position.c
+++ b/control/position.c
@@ -14,6 +14,11 @@
 
 /* Least time between two queries. */
 #define QUERY_INTERVAL_US (100 * KL_MS)
+/*
+ * The shorter interval for first positions is used for this long, since there
+ * may be no primary to report one.
+ */
+#define FIRST_QUERIES_US (500 * KL_MS)
 /* Positions are asked for during this time after a read needed one. */
 #define NEEDED_US (2 * KL_SEC)
 /* A position is asked for again once it is older than this. */
@@ -27,7 +32,8 @@
 typedef struct entry {
 	kl_primary_position_t position; /* first: its name is the index key */
 	CK_STAILQ_ENTRY(entry) link;
-	uint64_t needed_us; /* time when a read last needed it, or 0 */
+	uint64_t needed_us;	  /* time when a read last needed it, or 0 */
+	uint64_t first_needed_us; /* time when a read first needed it, or 0 */
 } entry_t;
 
 typedef struct position_state {
@@ -45,6 +51,8 @@
 			  const kl_peer_positions_t *answer);
 static bool update_entry(entry_t *entry, const kl_primary_position_t *position);
 static void send_query(kl_node_t *node, position_state_t *state);
+static uint64_t query_interval_us(const kl_node_t *node,
+				  const position_state_t *state);
 static const kl_member_t *choose_peer(const kl_node_t *node);
 static entry_t *find_entry(position_state_t *state, const char *service);
 static void publish(kl_node_t *node, const position_state_t *state);
@@ -99,6 +107,8 @@
 		return;
 	}
 	entry->needed_us = kl_node_now(node);
+	if (!entry->first_needed_us)
+		entry->first_needed_us = entry->needed_us;
 	send_query(node, state);
 }
 
@@ -187,7 +197,7 @@
 	const kl_member_t *peer;
 	entry_t *entry;
 
-	if (now - state->last_query_us < QUERY_INTERVAL_US)
+	if (now - state->last_query_us < query_interval_us(node, state))
 		return;
 	peer = choose_peer(node);
 	if (!peer)
@@ -212,6 +222,23 @@
 				peer->port, &query);
 }
 
+/* Returns a shorter interval while a service's first position is missing. */
+static uint64_t query_interval_us(const kl_node_t *node,
+				  const position_state_t *state)
+{
+	uint64_t first_us = node->tuning.first_position_interval_us;
+	uint64_t now = kl_node_now(node);
+	const entry_t *entry;
+
+	CK_STAILQ_FOREACH(entry, &state->entries, link) {
+		if (first_us && entry->first_needed_us &&
+		    !entry->position.term &&
+		    now - entry->first_needed_us < FIRST_QUERIES_US)
+			return first_us;
+	}
+	return QUERY_INTERVAL_US;
+}
+
 /* Chooses a random other VM of this failure domain. @return NULL if alone */
 static const kl_member_t *choose_peer(const kl_node_t *node)
 {
--- a/daemon/control_thread.c
+++ b/daemon/control_thread.c
@@ -25,6 +25,8 @@
  * to run less often.
  */
 #define LINE_TICK_US 20000
+/* Interval of queries for a first log position, if reads wait for it. */
+#define FIRST_POSITION_INTERVAL_US 20000
 
 struct kl_control_thread {
 	kl_node_t node;
@@ -262,6 +264,8 @@
 	tuning->confirm_interval_us = settings->confirm_ms * KL_MS;
 	tuning->probe_interval_us = settings->probe_ms * KL_MS;
 	tuning->suspect_after_us = settings->suspect_ms * KL_MS;
+	if (settings->position_wait_ms)
+		tuning->first_position_interval_us = FIRST_POSITION_INTERVAL_US;
 	tuning->slot_lease_us = settings->share_hold_s * KL_SEC;
 	tuning->slot_count = settings->slots;
 	tuning->min_downtime_us = settings->down_ms * KL_MS;
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -67,12 +67,14 @@
 	uint32_t usage_window_s; /**< length of a usage window; 0: no reports */
 	uint32_t usage_delay_s;	 /**< a window's report is due this long after
 				      the window's end */
-	uint32_t priority_queues; /**< 1: waiting statements are ordered by
-				       priority and workspace */
-	uint32_t slot_permits;	  /**< 1: VMs share the slots of each database
-				       by permits */
-	uint32_t domain_spill;	  /**< 1: reads leave the failure domain when
-				       its databases lack capacity */
+	uint32_t priority_queues;  /**< 1: waiting statements are ordered by
+					priority and workspace */
+	uint32_t slot_permits;	   /**< 1: VMs share the slots of each database
+					by permits */
+	uint32_t position_wait_ms; /**< limit of a read's wait for the primary's
+					log position; 0: none */
+	uint32_t domain_spill;	   /**< 1: reads leave the failure domain when
+					its databases lack capacity */
 } kl_settings_t;
 
 /**
--- a/path/engine.h
+++ b/path/engine.h
@@ -129,7 +129,9 @@
 	uint64_t connect_timeout_us; /**< time limit of a connection attempt */
 	bool priority_queues; /**< order waiting statements by priority */
 	bool slot_permits;    /**< share databases' slots with other VMs */
-	bool domain_spill;    /**< send reads to other failure domains */
+	/** longest wait of a read for the primary's log position; 0: none */
+	uint64_t position_wait_us;
+	bool domain_spill; /**< send reads to other failure domains */
 } kl_engine_settings_t;
 
 /** How a statement ended. */
--- a/path/engine_begin.c
+++ b/path/engine_begin.c
@@ -15,6 +15,12 @@
  */
 #define LATE_QUEUE_DIVISOR 2
 
+/*
+ * A read waits for a log position at most its latency objective divided by
+ * this.
+ */
+#define POSITION_WAIT_DIVISOR 8
+
 /*
  * A VM without a lease for this long is probably cut off from the platform;
  * statements are then refused at once, and may run through another VM.
@@ -33,6 +39,7 @@
 
 static int copy_route(kl_client_t *client);
 static void set_min_position(kl_client_t *client);
+static bool waits_for_position(kl_client_t *client);
 static uint64_t token_wait_us(const kl_client_t *client);
 static bool take_tokens(kl_client_t *client);
 static void extend_queue_deadline(kl_client_t *client);
@@ -143,6 +150,27 @@
 	}
 }
 
+/*
+ * Whether the read waits for a log position that the next reply of the primary
+ * or another VM will bring.  After a start no VM has one, and reads that all go
+ * to the primary would keep its writes waiting.
+ */
+static bool waits_for_position(kl_client_t *client)
+{
+	const kl_engine_t *engine = client->engine;
+	uint64_t wait_us = engine->settings.position_wait_us;
+
+	if (!wait_us || kl_client_needs_primary(client) ||
+	    client->stmt.min_position.term)
+		return false;
+	set_min_position(client);
+	if (wait_us > client->route.target_latency_us / POSITION_WAIT_DIVISOR)
+		wait_us =
+			client->route.target_latency_us / POSITION_WAIT_DIVISOR;
+	return !client->stmt.min_position.term &&
+	       engine->now_us < client->stmt.received_us + wait_us;
+}
+
 /*
  * Returns how long the statement may wait for tokens.  A process that starts
  * has none yet, which says nothing about the plan.
@@ -219,6 +247,10 @@
 	kl_engine_t *engine = client->engine;
 	kl_endpoint_t *endpoint = NULL;
 
+	if (waits_for_position(client)) {
+		kl_client_wait(client, KL_STMT_WAIT_UPSTREAM);
+		return;
+	}
 	if (engine->now_us >= stmt->retry_at_us)
 		endpoint = kl_endpoint_choose(client);
 	if (!endpoint) {
--- a/path/engine_position.c
+++ b/path/engine_position.c
@@ -5,6 +5,11 @@
 
 /* Least time between two reports of a cluster's position. */
 #define REPORT_INTERVAL_US (100 * KL_MS)
+/*
+ * The same for the first positions after a start: reads wait for them, and each
+ * interval doubles the number of VMs that have one.
+ */
+#define FIRST_REPORT_INTERVAL_US (20 * KL_MS)
 /* Reads need a newer sample when the newest one is older than this. */
 #define SAMPLE_OLD_US (400 * KL_MS)
 
@@ -35,6 +40,7 @@
 		positions ? kl_index_get(positions->index, cluster->name)
 			  : NULL;
 	kl_primary_position_t need = { .term = 0 };
+	uint64_t interval_us = REPORT_INTERVAL_US;
 
 	/* A position of another primary says nothing about this one. */
 	if (shared && shared->term && group &&
@@ -46,11 +52,13 @@
 		kl_log_samples_add(&cluster->position_samples, position,
 				   shared->sampled_us);
 	}
+	if (engine->settings.position_wait_us &&
+	    !cluster->position_samples.count)
+		interval_us = FIRST_REPORT_INTERVAL_US;
 	if (engine->now_us - kl_log_samples_newest_us(
 				     &cluster->position_samples) <
 		    SAMPLE_OLD_US ||
-	    engine->now_us - cluster->last_position_need_us <
-		    REPORT_INTERVAL_US)
+	    engine->now_us - cluster->last_position_need_us < interval_us)
 		return;
 	cluster->last_position_need_us = engine->now_us;
 	memcpy(need.name.name, cluster->name, KL_NAME_MAX);
--- a/tests/engine_model.c
+++ b/tests/engine_model.c
@@ -100,6 +100,7 @@
 	};
 
 	kl_name_copy(settings.data_path.domain, "d1");
+	model->settings = settings;
 	model->now_us = KL_SEC;
 	model->vm_count = 1;
 	model->board = kl_board_new();
@@ -109,11 +110,17 @@
 	for (int i = 0; i < MODEL_ITEMS_MAX; i++)
 		CK_STAILQ_INIT(&model->dbs[i].slot_queue);
 	model_clients_init();
-	model->engine = kl_engine_new(&settings, &ops, model,
-				      kl_reader_new(model->board));
+	model_new_engine(model);
 	return model;
 }
 
+void model_new_engine(model_t *model)
+{
+	kl_engine_free(model->engine);
+	model->engine = kl_engine_new(&model->settings, &ops, model,
+				      kl_reader_new(model->board));
+}
+
 void model_free(model_t *model)
 {
 	model_event_t *event;
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -67,7 +67,8 @@
 typedef struct model {
 	uint64_t now_us; /**< virtual clock */
 	kl_board_t *board;
-	kl_reader_t *writer; /**< publishes to the blackboard */
+	kl_reader_t *writer;	       /**< publishes to the blackboard */
+	kl_engine_settings_t settings; /**< of the engine */
 	kl_engine_t *engine;
 	bool trace; /**< print statements sent and health reports */
 	/** arguments of the "route" steps; an empty name: it was dropped */
@@ -99,6 +100,8 @@
 } model_t;
 
 model_t *model_new(void);
+/** Replace the engine by one with the model's settings; it has no clients. */
+void model_new_engine(model_t *model);
 void model_free(model_t *model);
 
 /** Advance the virtual clock, one millisecond a step. */
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -43,23 +43,25 @@
 static void step_trace(char **args, int count);
 static void step_vms(char **args, int count);
 static void step_shared(char **args, int count);
+static void step_setting(char **args, int count);
 
 static const struct {
 	const char *name;
 	int min_args;
 	step_handler_t handler;
 } steps[] = {
-	{ "db", 5, step_db },	      { "set", 3, step_set },
-	{ "route", 5, step_route },   { "drop", 1, step_drop },
-	{ "key", 2, step_key },	      { "revoke", 1, step_revoke },
-	{ "tokens", 2, step_tokens }, { "primary", 1, step_primary },
-	{ "lease", 1, step_lease },   { "login", 3, step_login },
-	{ "query", 3, step_query },   { "leave", 1, step_leave },
-	{ "load", 7, step_load },     { "report", 0, step_report },
-	{ "run", 1, step_run },	      { "drain", 1, step_drain },
-	{ "show", 1, step_show },     { "trace", 1, step_trace },
-	{ "vms", 1, step_vms },	      { "shared", 1, step_shared },
-	{ "readd", 1, step_readd },   { "mark", 2, step_mark },
+	{ "db", 5, step_db },		{ "set", 3, step_set },
+	{ "route", 5, step_route },	{ "drop", 1, step_drop },
+	{ "key", 2, step_key },		{ "revoke", 1, step_revoke },
+	{ "tokens", 2, step_tokens },	{ "primary", 1, step_primary },
+	{ "lease", 1, step_lease },	{ "login", 3, step_login },
+	{ "query", 3, step_query },	{ "leave", 1, step_leave },
+	{ "load", 7, step_load },	{ "report", 0, step_report },
+	{ "run", 1, step_run },		{ "drain", 1, step_drain },
+	{ "show", 1, step_show },	{ "trace", 1, step_trace },
+	{ "vms", 1, step_vms },		{ "shared", 1, step_shared },
+	{ "readd", 1, step_readd },	{ "mark", 2, step_mark },
+	{ "setting", 2, step_setting },
 };
 
 int main(int argc, char **argv)
@@ -422,3 +424,23 @@
 	(void)count;
 	model_publish_position(model, strtoull(args[0], NULL, 10) * KL_MS);
 }
+
+/* setting NAME NUMBER: of the engine; times in milliseconds; before clients */
+static void step_setting(char **args, int count)
+{
+	uint64_t number = strtoull(args[1], NULL, 10);
+	kl_engine_settings_t *settings = &model->settings;
+	(void)count;
+
+	if (!strcmp(args[0], "priority_queues"))
+		settings->priority_queues = number;
+	else if (!strcmp(args[0], "slot_permits"))
+		settings->slot_permits = number;
+	else if (!strcmp(args[0], "position_wait_ms"))
+		settings->position_wait_us = number * KL_MS;
+	else if (!strcmp(args[0], "domain_spill"))
+		settings->domain_spill = number;
+	else
+		printf("unknown setting\n");
+	model_new_engine(model);
+}
--- a/tests/script_run.c
+++ b/tests/script_run.c
@@ -431,6 +431,8 @@
 		script_world->tuning.confirm_interval_us = us;
 	else if (!strcmp(words[0], "suspect"))
 		script_world->tuning.suspect_after_us = us;
+	else if (!strcmp(words[0], "first_position"))
+		script_world->tuning.first_position_interval_us = us;
 	else if (!strcmp(words[0], "min_downtime"))
 		script_world->tuning.min_downtime_us = us;
 	else if (!strcmp(words[0], "stale_after"))
