Order waiting statements by priority and workspace

Each upstream's queue was served first in, first out, whatever the route's priority, so that under load the most urgent statements were served worst.

path/stmt_queue.c holds the queue. Its order is a table of functions: by arrival, as before, or with priority_queues by priority (path/stmt_order.c), then by the time of the upstream that the workspace used recently, divided by its plan's rate (path/upstream_time.c), then by deadline. The least urgent priority that waits gets a tenth of the time. A statement that can't be expected to be answered in time is refused before it waits.

With priority_queues 0 all outputs in tests/engine are unchanged.

--- a/path/engine.c
+++ b/path/engine.c
@@ -135,7 +135,7 @@
 		gauges->waiting_stmts++;
 	CK_STAILQ_FOREACH(cluster, &engine->clusters, link) {
 		CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
-			gauges->queued_stmts += endpoint->queue_length;
+			gauges->queued_stmts += endpoint->queue.length;
 			gauges->running_stmts += endpoint->running_stmts;
 		}
 	}
--- a/path/engine_begin.c
+++ b/path/engine_begin.c
@@ -231,6 +231,11 @@
 			kl_client_wait(client, KL_STMT_WAIT_UPSTREAM);
 		return;
 	}
+	extend_queue_deadline(client);
+	if (kl_endpoint_is_too_late(endpoint, client)) {
+		kl_client_refuse(client, -KL_E_DEADLINE);
+		return;
+	}
 	/*
 	 * Only after an upstream was chosen: a statement that cannot run must
 	 * not use up the plan's rate.
--- a/path/engine_conn.c
+++ b/path/engine_conn.c
@@ -28,12 +28,9 @@
 #define DB_FULL_HOLD_US (1500 * KL_MS)
 /* No connection is opened for this long after a failed attempt. */
 #define CONNECT_BACKOFF_US (30 * KL_MS)
-/* A statement's wait is long above its latency objective divided by this. */
-#define LONG_WAIT_DIVISOR 4
 
 static void assign_idle(kl_endpoint_t *endpoint);
 static void reroute_queue(kl_endpoint_t *endpoint);
-static bool has_long_wait(const kl_endpoint_t *endpoint);
 static bool allow_new_conn(kl_endpoint_t *endpoint);
 static void lower_conn_limit(kl_endpoint_t *endpoint);
 static uint32_t count_opening(const kl_endpoint_t *endpoint,
@@ -64,41 +61,14 @@
 	return best;
 }
 
-void kl_endpoint_enqueue(kl_endpoint_t *endpoint, kl_client_t *client)
-{
-	client->stmt.stage = KL_STMT_WAIT_CONN;
-	client->stmt.endpoint = endpoint;
-	endpoint->queue_length++;
-	CK_STAILQ_INSERT_TAIL(&endpoint->queue, client, queue_link);
-}
-
-void kl_endpoint_dequeue(kl_client_t *client)
-{
-	kl_endpoint_t *endpoint = client->stmt.endpoint;
-
-	endpoint->queue_length--;
-	CK_STAILQ_REMOVE(&endpoint->queue, client, kl_client, queue_link);
-}
-
-/*
- * Assigns idle connections to queued statements.  After a long wait the newest
- * statement is served first: it can still meet its latency objective, whereas
- * serving the oldest first would make all statements late.
- */
+/* Assigns idle connections to queued statements. */
 static void assign_idle(kl_endpoint_t *endpoint)
 {
-	kl_client_t *client, *chosen;
+	kl_client_t *chosen;
 	kl_conn_t *conn;
 
 	while (endpoint->running_stmts < endpoint->stmt_window) {
-		chosen = NULL;
-		CK_STAILQ_FOREACH(client, &endpoint->queue, queue_link) {
-			if (!kl_conn_find_idle(endpoint, client->workspace))
-				continue;
-			chosen = client;
-			if (!has_long_wait(endpoint))
-				break;
-		}
+		chosen = kl_endpoint_choose_queued(endpoint);
 		if (!chosen)
 			return;
 		conn = kl_conn_find_idle(endpoint, chosen->workspace);
@@ -108,47 +78,42 @@
 	}
 }
 
-static bool has_long_wait(const kl_endpoint_t *endpoint)
-{
-	const kl_client_t *oldest = CK_STAILQ_FIRST(&endpoint->queue);
-
-	return oldest &&
-	       endpoint->cluster->engine->now_us - oldest->stmt.received_us >
-		       oldest->route.target_latency_us / LONG_WAIT_DIVISOR;
-}
-
 void kl_endpoint_serve_queue(kl_endpoint_t *endpoint)
 {
 	uint64_t now_us = endpoint->cluster->engine->now_us;
-	kl_client_t *client, *next;
+	kl_stmt_queue_t *queue = &endpoint->queue;
+	kl_queued_stmt_t *queued = NULL;
 	uint32_t needed = 0;
 
 	if (!kl_endpoint_may_start(endpoint))
 		reroute_queue(endpoint);
 	assign_idle(endpoint);
-	if (has_long_wait(endpoint) ||
-	    (endpoint->queue_length &&
-	     endpoint->running_stmts >= endpoint->stmt_window))
+	if (kl_stmt_queue_waits_long(queue, now_us) ||
+	    (queue->length && endpoint->running_stmts >= endpoint->stmt_window))
 		endpoint->last_long_wait_us = now_us;
-	CK_STAILQ_FOREACH_SAFE(client, &endpoint->queue, queue_link, next) {
-		needed++;
-		if (count_opening(endpoint, client->workspace) >= needed ||
-		    endpoint->running_stmts + needed > endpoint->stmt_window ||
-		    !kl_endpoint_may_connect(endpoint))
+	while (endpoint->running_stmts + ++needed <= endpoint->stmt_window &&
+	       kl_endpoint_may_connect(endpoint)) {
+		queued = queue->order->next(queue, queued, now_us);
+		if (!queued)
+			return;
+		if (count_opening(endpoint, queued->workspace) >=
+		    queued->conns_needed)
 			continue;
 		if (endpoint->open_conns >= endpoint->conn_limit &&
 		    !allow_new_conn(endpoint))
 			continue;
-		kl_conn_open(endpoint, client->workspace);
+		kl_conn_open(endpoint, queued->workspace);
 	}
 }
 
 /* Lets the queued statements choose another upstream. */
 static void reroute_queue(kl_endpoint_t *endpoint)
 {
-	kl_client_t *client, *next;
+	kl_queued_stmt_t *queued;
+
+	while ((queued = CK_STAILQ_FIRST(&endpoint->queue.stmts))) {
+		kl_client_t *client = queued->client;
 
-	CK_STAILQ_FOREACH_SAFE(client, &endpoint->queue, queue_link, next) {
 		kl_endpoint_dequeue(client);
 		client->stmt.avoid_endpoint = endpoint;
 		client->stmt.endpoint = NULL;
@@ -258,13 +223,17 @@
 
 	if (!endpoint->running_stmts)
 		endpoint->last_progress_us = endpoint->cluster->engine->now_us;
+	kl_endpoint_stmt_sent(conn);
 	endpoint->running_stmts++;
 	conn->runs_stmt = true;
 }
 
 void kl_conn_stmt_done(kl_conn_t *conn)
 {
-	conn->endpoint->running_stmts -= conn->runs_stmt;
+	if (!conn->runs_stmt)
+		return;
+	kl_endpoint_stmt_done(conn);
+	conn->endpoint->running_stmts--;
 	conn->runs_stmt = false;
 }
 
@@ -320,6 +289,7 @@
 	kl_engine_t *engine = conn->endpoint->cluster->engine;
 
 	kl_engine_enter(engine, now_us);
+	kl_endpoint_connected(conn->endpoint, now_us - conn->stage_since_us);
 	kl_endpoint_answered(conn->endpoint, conn, position);
 	kl_conn_release(conn);
 	kl_engine_exit(engine);
@@ -412,7 +382,7 @@
 	    (endpoint->may_be_down || kl_endpoint_stalled(endpoint)))
 		kl_endpoint_query_status(endpoint, false);
 	if (endpoint->conn_limit > endpoint->even_conn_share &&
-	    CK_STAILQ_EMPTY(&endpoint->queue) &&
+	    !endpoint->queue.length &&
 	    endpoint->open_conns < endpoint->conn_limit)
 		endpoint->conn_limit--;
 	if (endpoint->conn_limit < endpoint->even_conn_share &&
@@ -420,7 +390,7 @@
 		endpoint->conn_limit = endpoint->even_conn_share;
 	if (endpoint->failing_since_us || !endpoint->accepts_stmts)
 		reroute_queue(endpoint);
-	if (!CK_STAILQ_EMPTY(&endpoint->queue))
+	if (endpoint->queue.length)
 		kl_endpoint_serve_queue(endpoint);
 }
 
--- a/path/engine_endpoint.c
+++ b/path/engine_endpoint.c
@@ -146,7 +146,8 @@
 		memcpy(endpoint->name, upstream->name.name, KL_NAME_MAX);
 		endpoint->stmt_window = WINDOW_INITIAL;
 		CK_STAILQ_INIT(&endpoint->conns);
-		CK_STAILQ_INIT(&endpoint->queue);
+		kl_stmt_queue_init(&endpoint->queue,
+				   kl_engine_stmt_order(cluster->engine));
 		CK_STAILQ_INSERT_TAIL(&cluster->endpoints, endpoint, link);
 	}
 	memcpy(endpoint->host, upstream->host, KL_HOST_MAX);
@@ -238,6 +239,7 @@
 			while (!CK_STAILQ_EMPTY(&endpoint->conns))
 				kl_conn_close(
 					CK_STAILQ_FIRST(&endpoint->conns));
+			kl_stmt_queue_clear(&endpoint->queue);
 			free(endpoint);
 		}
 		free(cluster);
@@ -454,7 +456,7 @@
 {
 	const kl_engine_t *engine = client->engine;
 	int64_t cost =
-		(int64_t)(endpoint->running_stmts + endpoint->queue_length) *
+		(int64_t)(endpoint->running_stmts + endpoint->queue.length) *
 		COST_STATEMENT;
 
 	if (!kl_conn_find_idle(endpoint, client->workspace))
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -7,6 +7,7 @@
 
 #include "path/engine.h"
 #include "path/session_state.h"
+#include "path/stmt_queue.h"
 
 /** Stages of a client's statement. */
 typedef enum kl_stmt_stage {
@@ -80,8 +81,8 @@
 	 * was running
 	 */
 	uint64_t last_progress_us;
-	bool may_be_down;      /**< to be checked by a status query */
-	uint32_t queue_length; /**< statements in the queue */
+	bool may_be_down;	 /**< to be checked by a status query */
+	uint64_t connect_avg_us; /**< mean time until a connection is open */
 	/** time when a queued statement was last found to wait long */
 	uint64_t last_long_wait_us;
 
@@ -96,9 +97,7 @@
 	uint64_t last_position_us; /**< time of the last position report */
 	kl_position_t position;	   /**< end of its log in that report */
 	CK_STAILQ_HEAD(, kl_conn) conns;
-	/** clients whose statements wait for a connection, in order of arrival
-	 */
-	CK_STAILQ_HEAD(, kl_client) queue;
+	kl_stmt_queue_t queue; /**< statements that wait for a connection */
 } kl_endpoint_t;
 
 /** The databases of a service. */
@@ -154,7 +153,7 @@
 /** A client's session. */
 struct kl_client {
 	CK_LIST_ENTRY(kl_client) link;
-	CK_STAILQ_ENTRY(kl_client) queue_link; /**< in an upstream's queue */
+	kl_queued_stmt_t queued; /**< its statement, in an upstream's queue */
 	CK_LIST_ENTRY(kl_client) waiting_link; /**< in engine->waiting */
 	bool on_waiting_list;		       /**< it is in that list */
 	kl_engine_t *engine;
@@ -192,6 +191,8 @@
 	bool is_status_query;	 /**< KL_CONN_DETACHED: for a status reply */
 	/** its upstream was proven to be the primary at sent_us */
 	bool runs_stmt; /**< counted in the endpoint's running_stmts */
+	kl_running_stmt_t
+		running; /**< that statement, as its queue counts it */
 	bool primary_proven;
 	/** replies to set-up, reset and status messages not yet received */
 	uint32_t pending_replies;
@@ -371,10 +372,6 @@
 /* engine_conn.c */
 /** Give idle connections to queued statements, and open more if needed. */
 void kl_endpoint_serve_queue(kl_endpoint_t *endpoint);
-/** Queue the client's statement for a connection. */
-void kl_endpoint_enqueue(kl_endpoint_t *endpoint, kl_client_t *client);
-/** Remove the client's statement from its queue. */
-void kl_endpoint_dequeue(kl_client_t *client);
 /** Make a connection idle, for use by other statements. */
 void kl_conn_release(kl_conn_t *conn);
 /**
@@ -409,6 +406,24 @@
  */
 void kl_conns_sweep(kl_engine_t *engine);
 
+/* engine_queue.c */
+/** The order of waiting statements that the settings choose. */
+const kl_stmt_order_t *kl_engine_stmt_order(const kl_engine_t *engine);
+/** Queue the client's statement for a connection. */
+void kl_endpoint_enqueue(kl_endpoint_t *endpoint, kl_client_t *client);
+/** Remove the client's statement from its queue. */
+void kl_endpoint_dequeue(kl_client_t *client);
+/** Whether the client's statement would be answered too late at an endpoint. */
+bool kl_endpoint_is_too_late(kl_endpoint_t *endpoint, kl_client_t *client);
+/** Choose a queued statement whose workspace has an idle connection. */
+kl_client_t *kl_endpoint_choose_queued(kl_endpoint_t *endpoint);
+/** Note the time that it took to open a connection. */
+void kl_endpoint_connected(kl_endpoint_t *endpoint, uint64_t connect_us);
+/** Tell the queue that the connection's statement was sent. */
+void kl_endpoint_stmt_sent(kl_conn_t *conn);
+/** Tell the queue that it ended. */
+void kl_endpoint_stmt_done(kl_conn_t *conn);
+
 /* engine_status.c */
 /** Query the primary's log position if no recent reply has reported it. */
 void kl_cluster_sample_primary(kl_cluster_t *cluster);
--- /dev/null
+++ b/path/engine_queue.c
@@ -0,0 +1,151 @@
+/* The queue of statements of an endpoint: what the module is told, and asked.
+ */
+#include <string.h>
+
+#include "path/engine_internal.h"
+
+static void describe(kl_client_t *client);
+static uint32_t priority_of(const kl_client_t *client);
+static void update_places(kl_endpoint_t *endpoint);
+static bool has_idle_conn(const void *context, const char *workspace);
+static uint32_t count_conns(const kl_endpoint_t *endpoint,
+			    kl_conn_stage_t stage);
+
+const kl_stmt_order_t *kl_engine_stmt_order(const kl_engine_t *engine)
+{
+	return engine->settings.priority_queues ? &kl_stmt_order_priority
+						: &kl_stmt_order_arrival;
+}
+
+void kl_endpoint_enqueue(kl_endpoint_t *endpoint, kl_client_t *client)
+{
+	client->stmt.stage = KL_STMT_WAIT_CONN;
+	client->stmt.endpoint = endpoint;
+	describe(client);
+	update_places(endpoint);
+	kl_stmt_queue_push(&endpoint->queue, &client->queued,
+			   client->engine->now_us);
+}
+
+void kl_endpoint_dequeue(kl_client_t *client)
+{
+	update_places(client->stmt.endpoint);
+	kl_stmt_queue_remove(&client->stmt.endpoint->queue, &client->queued,
+			     client->engine->now_us);
+}
+
+bool kl_endpoint_is_too_late(kl_endpoint_t *endpoint, kl_client_t *client)
+{
+	kl_stmt_queue_t *queue = &endpoint->queue;
+
+	describe(client);
+	update_places(endpoint);
+	return queue->order->too_late(queue, &client->queued,
+				      client->engine->now_us);
+}
+
+static void describe(kl_client_t *client)
+{
+	const kl_config_t *config = client->engine->view.config;
+	const kl_workspace_t *workspace =
+		config ? kl_index_get(config->workspace_index,
+				      client->workspace)
+		       : NULL;
+	kl_queued_stmt_t *queued = &client->queued;
+
+	memset(queued, 0, sizeof(*queued));
+	queued->client = client;
+	queued->workspace = client->workspace;
+	queued->weight = 1;
+	if (workspace && workspace->plan && workspace->plan->rate)
+		queued->weight = workspace->plan->rate;
+	queued->priority = priority_of(client);
+	queued->received_us = client->stmt.received_us;
+	queued->target_us = client->route.target_latency_us;
+	queued->deadline_us = client->stmt.queue_deadline_us;
+}
+
+static uint32_t priority_of(const kl_client_t *client)
+{
+	return client->route.priority < KL_PRIORITY_LEVELS
+		       ? client->route.priority
+		       : KL_PRIORITY_LEVELS - 1;
+}
+
+/* A connection that is being opened occupies a slot of the database, too. */
+static void update_places(kl_endpoint_t *endpoint)
+{
+	uint32_t idle, places = endpoint->stmt_window;
+
+	if (!endpoint->queue.order->keeps_time)
+		return;
+	idle = count_conns(endpoint, KL_CONN_IDLE);
+	if (places > endpoint->conn_limit)
+		places = endpoint->conn_limit;
+	kl_stmt_queue_set_places(&endpoint->queue, places,
+				 endpoint->open_conns - idle);
+}
+
+kl_client_t *kl_endpoint_choose_queued(kl_endpoint_t *endpoint)
+{
+	kl_queue_offer_t offer = { .now_us = endpoint->cluster->engine->now_us,
+				   .connect_us = endpoint->connect_avg_us,
+				   .has_conn = has_idle_conn,
+				   .context = endpoint };
+	uint32_t conns = count_conns(endpoint, KL_CONN_IDLE) +
+			 count_conns(endpoint, KL_CONN_OPENING);
+	kl_queued_stmt_t *queued;
+
+	if (endpoint->conn_limit > endpoint->open_conns)
+		conns += endpoint->conn_limit - endpoint->open_conns;
+	offer.places = endpoint->stmt_window - endpoint->running_stmts;
+	if (offer.places > conns)
+		offer.places = conns;
+	/* No place is kept for statements that can get no connection now. */
+	if (!kl_endpoint_may_connect(endpoint))
+		offer.places = endpoint->queue.length;
+	queued = endpoint->queue.order->choose(&endpoint->queue, &offer);
+	return queued ? queued->client : NULL;
+}
+
+static bool has_idle_conn(const void *context, const char *workspace)
+{
+	return kl_conn_find_idle(context, workspace) != NULL;
+}
+
+static uint32_t count_conns(const kl_endpoint_t *endpoint,
+			    kl_conn_stage_t stage)
+{
+	const kl_conn_t *conn;
+	uint32_t count = 0;
+
+	CK_STAILQ_FOREACH(conn, &endpoint->conns, link)
+		count += conn->stage == stage;
+	return count;
+}
+
+void kl_endpoint_connected(kl_endpoint_t *endpoint, uint64_t connect_us)
+{
+	uint64_t average_us = endpoint->connect_avg_us;
+
+	endpoint->connect_avg_us =
+		average_us ? (7 * average_us + connect_us) / 8 : connect_us;
+}
+
+void kl_endpoint_stmt_sent(kl_conn_t *conn)
+{
+	kl_endpoint_t *endpoint = conn->endpoint;
+
+	update_places(endpoint);
+	kl_stmt_queue_sent(&endpoint->queue, &conn->running, conn->workspace,
+			   priority_of(conn->client), conn->sent_us);
+}
+
+void kl_endpoint_stmt_done(kl_conn_t *conn)
+{
+	kl_endpoint_t *endpoint = conn->endpoint;
+
+	update_places(endpoint);
+	kl_stmt_queue_done(&endpoint->queue, &conn->running, conn->workspace,
+			   endpoint->cluster->engine->now_us);
+}
--- /dev/null
+++ b/path/stmt_order.c
@@ -0,0 +1,275 @@
+/* The order of waiting statements by priority, workspace and deadline. */
+#include <string.h>
+
+#include "path/stmt_queue.h"
+
+/* Part of the upstream's time that the least urgent waiting priority gets. */
+#define FLOOR_DIVISOR 10
+/*
+ * A statement is refused if its time is shorter than the expected wait and a
+ * third: more urgent statements and other workspaces may come meanwhile.
+ */
+#define WAIT_MARGIN_DIVISOR 3
+/*
+ * Waiting statements are served newest first once the oldest one is left with
+ * less time than as many mean run times.
+ */
+#define LATE_RUNS 2
+
+/* How the statements of one priority are compared. */
+typedef struct comparison {
+	uint64_t walk;
+	uint64_t run_us;     /* mean time of a statement */
+	uint64_t connect_us; /* time that opening a connection takes */
+	bool newest_first;
+} comparison_t;
+
+static kl_queued_stmt_t *choose_by_priority(kl_stmt_queue_t *queue,
+					    const kl_queue_offer_t *offer);
+static kl_queued_stmt_t *next_by_priority(kl_stmt_queue_t *queue,
+					  kl_queued_stmt_t *previous,
+					  uint64_t now_us);
+static bool too_late(kl_stmt_queue_t *queue, const kl_queued_stmt_t *stmt,
+		     uint64_t now_us);
+static void begin_walk(kl_stmt_queue_t *queue);
+static void find_conns(kl_stmt_queue_t *queue, const kl_queue_offer_t *offer);
+static void pass(kl_stmt_queue_t *queue, kl_queued_stmt_t *stmt);
+static uint32_t passed_of(const kl_time_flow_t *flow, uint64_t walk);
+static kl_queued_stmt_t *find_first(const kl_stmt_queue_t *queue,
+				    uint64_t connect_us, uint64_t now_us);
+static uint32_t first_priority(const kl_stmt_queue_t *queue);
+static bool is_overdue(const kl_stmt_queue_t *queue, uint32_t priority,
+		       uint64_t run_us, uint64_t now_us);
+static bool goes_before(const kl_queued_stmt_t *stmt,
+			const kl_queued_stmt_t *other,
+			const comparison_t *comparison);
+static uint64_t use_us(const kl_time_flow_t *flow,
+		       const comparison_t *comparison);
+static uint32_t waiting_before(const kl_stmt_queue_t *queue,
+			       const kl_queued_stmt_t *stmt);
+
+const kl_stmt_order_t kl_stmt_order_priority = {
+	.keeps_time = true,
+	.choose = choose_by_priority,
+	.next = next_by_priority,
+	.too_late = too_late,
+};
+
+/*
+ * A statement without a connection keeps its place while one is opened for it,
+ * so that it does not wait behind less urgent ones.
+ */
+static kl_queued_stmt_t *choose_by_priority(kl_stmt_queue_t *queue,
+					    const kl_queue_offer_t *offer)
+{
+	kl_queued_stmt_t *stmt;
+
+	begin_walk(queue);
+	find_conns(queue, offer);
+	for (uint32_t i = 0; i < offer->places; i++) {
+		stmt = find_first(queue, offer->connect_us, offer->now_us);
+		if (!stmt || offer->has_conn(offer->context, stmt->workspace))
+			return stmt;
+		pass(queue, stmt);
+	}
+	return NULL;
+}
+
+static kl_queued_stmt_t *next_by_priority(kl_stmt_queue_t *queue,
+					  kl_queued_stmt_t *previous,
+					  uint64_t now_us)
+{
+	kl_queued_stmt_t *stmt;
+
+	if (previous)
+		pass(queue, previous);
+	else
+		begin_walk(queue);
+	stmt = find_first(queue, 0, now_us);
+	if (stmt)
+		stmt->conns_needed = passed_of(stmt->flow, queue->walk) + 1;
+	return stmt;
+}
+
+/* Notes which workspaces have idle connections. */
+static void find_conns(kl_stmt_queue_t *queue, const kl_queue_offer_t *offer)
+{
+	kl_time_flow_t *flow;
+
+	CK_STAILQ_FOREACH(flow, &queue->time.flows, link)
+		flow->has_conn =
+			flow->waiting_count &&
+			offer->has_conn(offer->context, flow->workspace);
+}
+
+static void begin_walk(kl_stmt_queue_t *queue)
+{
+	queue->walk++;
+	memset(queue->passed, 0, sizeof(queue->passed));
+}
+
+/* Reserves a place for a statement in the current walk. */
+static void pass(kl_stmt_queue_t *queue, kl_queued_stmt_t *stmt)
+{
+	kl_time_flow_t *flow = stmt->flow;
+
+	stmt->walk = queue->walk;
+	queue->passed[stmt->priority]++;
+	flow->passed = passed_of(flow, queue->walk) + 1;
+	flow->walk = queue->walk;
+}
+
+/* Returns how many statements of a workspace a walk has passed. */
+static uint32_t passed_of(const kl_time_flow_t *flow, uint64_t walk)
+{
+	return flow->walk == walk ? flow->passed : 0;
+}
+
+/* Returns the first statement that the current walk has not passed yet. */
+static kl_queued_stmt_t *find_first(const kl_stmt_queue_t *queue,
+				    uint64_t connect_us, uint64_t now_us)
+{
+	uint32_t priority = first_priority(queue);
+	comparison_t comparison = { .walk = queue->walk,
+				    .connect_us = connect_us };
+	kl_queued_stmt_t *stmt, *first = NULL;
+
+	if (priority >= KL_PRIORITY_LEVELS)
+		return NULL;
+	comparison.run_us = kl_upstream_time_run_us(&queue->time, priority);
+	comparison.newest_first =
+		is_overdue(queue, priority, comparison.run_us, now_us);
+	CK_STAILQ_FOREACH(stmt, &queue->stmts, link) {
+		if (stmt->priority != priority || stmt->walk == queue->walk)
+			continue;
+		if (!first || goes_before(stmt, first, &comparison))
+			first = stmt;
+	}
+	return first;
+}
+
+/*
+ * Returns the most urgent priority that waits, or the least urgent one while it
+ * got less than its part of the upstream's time.
+ */
+static uint32_t first_priority(const kl_stmt_queue_t *queue)
+{
+	const kl_upstream_time_t *time = &queue->time;
+	uint64_t total_us = kl_upstream_time_used(time);
+	uint64_t lowest_us = 0;
+	uint32_t highest = KL_PRIORITY_LEVELS, lowest = 0;
+
+	for (uint32_t i = 0; i < KL_PRIORITY_LEVELS; i++) {
+		uint64_t passed_us =
+			queue->passed[i] * kl_upstream_time_run_us(time, i);
+
+		total_us += passed_us;
+		if (queue->waiting[i] <= queue->passed[i])
+			continue;
+		if (highest == KL_PRIORITY_LEVELS)
+			highest = i;
+		lowest = i;
+		lowest_us = time->used_us[i] + passed_us;
+	}
+	return lowest_us < total_us / FLOOR_DIVISOR ? lowest : highest;
+}
+
+/* Whether the oldest statement of a priority can hardly be served in time. */
+static bool is_overdue(const kl_stmt_queue_t *queue, uint32_t priority,
+		       uint64_t run_us, uint64_t now_us)
+{
+	const kl_queued_stmt_t *stmt;
+
+	CK_STAILQ_FOREACH(stmt, &queue->stmts, link) {
+		if (stmt->priority == priority)
+			return now_us + LATE_RUNS * run_us > stmt->deadline_us;
+	}
+	return false;
+}
+
+static bool goes_before(const kl_queued_stmt_t *stmt,
+			const kl_queued_stmt_t *other,
+			const comparison_t *comparison)
+{
+	uint64_t use = use_us(stmt->flow, comparison) * other->weight;
+	uint64_t other_use = use_us(other->flow, comparison) * stmt->weight;
+
+	if (use != other_use)
+		return use < other_use;
+	if (comparison->newest_first)
+		return stmt->deadline_us > other->deadline_us;
+	return stmt->deadline_us < other->deadline_us;
+}
+
+/*
+ * Returns the upstream's time that a workspace used, with that of a connection
+ * to be opened: an idle connection is used some times before another workspace
+ * gets its place.
+ */
+static uint64_t use_us(const kl_time_flow_t *flow,
+		       const comparison_t *comparison)
+{
+	uint64_t passed = passed_of(flow, comparison->walk);
+	uint64_t used_us = flow->used_us + passed * comparison->run_us;
+
+	return flow->has_conn ? used_us : used_us + comparison->connect_us;
+}
+
+static bool too_late(kl_stmt_queue_t *queue, const kl_queued_stmt_t *stmt,
+		     uint64_t now_us)
+{
+	const kl_upstream_time_t *time = &queue->time;
+	uint64_t run_us = kl_upstream_time_run_us(time, stmt->priority);
+	uint64_t total_us = kl_upstream_time_used(time);
+	uint64_t left_us = total_us;
+	uint32_t before = waiting_before(queue, stmt);
+	uint64_t work_us = (before + 1) * run_us;
+	uint64_t wait_us, time_us;
+
+	for (uint32_t i = 0; i < stmt->priority; i++) {
+		before += queue->waiting[i];
+		work_us += queue->waiting[i] * kl_upstream_time_run_us(time, i);
+		left_us -= time->used_us[i];
+	}
+	if (time->running + before < queue->places)
+		return false;
+	if (now_us >= stmt->deadline_us)
+		return true;
+	wait_us = kl_upstream_time_for(time, work_us, queue->places);
+	/* More urgent statements will take as much time as they did before. */
+	if (left_us < total_us / FLOOR_DIVISOR)
+		left_us = total_us / FLOOR_DIVISOR;
+	if (left_us)
+		wait_us = wait_us * total_us / left_us;
+	time_us = stmt->deadline_us - now_us;
+	/* A statement that takes long is not refused for that alone. */
+	if (run_us > time_us / 2)
+		run_us = time_us / 2;
+	return wait_us + wait_us / WAIT_MARGIN_DIVISOR + run_us > time_us;
+}
+
+/*
+ * Returns how many waiting statements of its priority a new statement finds
+ * before it: those of its workspace, and meanwhile as many of each other
+ * workspace as the weights allow.
+ */
+static uint32_t waiting_before(const kl_stmt_queue_t *queue,
+			       const kl_queued_stmt_t *stmt)
+{
+	const kl_time_flow_t *flow;
+	uint64_t own = 0, others = 0;
+
+	CK_STAILQ_FOREACH(flow, &queue->time.flows, link) {
+		if (!strcmp(flow->workspace, stmt->workspace))
+			own = flow->waiting[stmt->priority];
+	}
+	CK_STAILQ_FOREACH(flow, &queue->time.flows, link) {
+		uint64_t turns = (own + 1) * flow->weight / stmt->weight;
+
+		if (strcmp(flow->workspace, stmt->workspace))
+			others += turns < flow->waiting[stmt->priority]
+					  ? turns
+					  : flow->waiting[stmt->priority];
+	}
+	return (uint32_t)(own + others);
+}
