Let engine scripts set priorities, settings and run times

A step "engine" sets a setting of the engine, a route takes a priority, and a load's statement may state its run time.

--- a/tests/engine_board.c
+++ b/tests/engine_board.c
@@ -97,6 +97,7 @@
 		route->statement_timeout_ms = (uint32_t)atoi(arguments[3]);
 		route->target_latency_ms = (uint32_t)atoi(arguments[4]);
 		route->anonymous = !strcmp(arguments[5], "open");
+		route->priority = (uint32_t)atoi(arguments[6]);
 		CK_STAILQ_INSERT_TAIL(&config->routes, route, link);
 		if (route->name.name[0])
 			kl_index_put(config->route_index, &route->name);
--- a/tests/engine_model.c
+++ b/tests/engine_model.c
@@ -67,6 +67,7 @@
 		     model_conn_t *conn, model_event_t *event);
 static void serve_slot_queue(model_t *model, model_db_t *db);
 static void handle_event(model_t *model, model_event_t *event);
+static uint64_t statement_us(const model_event_t *event);
 static void run_statement(model_t *model, model_event_t *event);
 static void break_conns(model_t *model);
 static void check_mark(const model_t *model, const model_event_t *event);
@@ -92,14 +93,15 @@
 model_t *model_new(void)
 {
 	model_t *model = calloc(1, sizeof(*model));
-	kl_engine_settings_t settings = {
-		.data_path = { .lease_us = 5 * KL_SEC, .leave_us = 4 * KL_SEC },
-		.statement_timeout_us = 3 * KL_SEC,
-		.admit_wait_us = 30 * KL_MS,
-		.connect_timeout_us = 500 * KL_MS
-	};
 
-	kl_name_copy(settings.data_path.domain, "d1");
+	model->settings =
+		(kl_engine_settings_t){ .data_path = { .lease_us = 5 * KL_SEC,
+						       .leave_us = 4 * KL_SEC },
+					.statement_timeout_us = 3 * KL_SEC,
+					.admit_wait_us = 30 * KL_MS,
+					.connect_timeout_us = 500 * KL_MS };
+
+	kl_name_copy(model->settings.data_path.domain, "d1");
 	model->now_us = KL_SEC;
 	model->vm_count = 1;
 	model->board = kl_board_new();
@@ -109,11 +111,17 @@
 	for (int i = 0; i < MODEL_ITEMS_MAX; i++)
 		CK_STAILQ_INIT(&model->dbs[i].slot_queue);
 	model_clients_init();
-	model->engine = kl_engine_new(&settings, &ops, model,
-				      kl_reader_new(model->board));
+	model_restart_engine(model);
 	return model;
 }
 
+void model_restart_engine(model_t *model)
+{
+	kl_engine_free(model->engine);
+	model->engine = kl_engine_new(&model->settings, &ops, model,
+				      kl_reader_new(model->board));
+}
+
 void model_free(model_t *model)
 {
 	model_event_t *event;
@@ -327,7 +335,7 @@
 		schedule(model, EVENT_FINISH,
 			 event->handshake	? HANDSHAKE_US
 			 : event->needs_no_slot ? 0
-						: db->statement_us,
+						: statement_us(event),
 			 conn, event);
 		break;
 	case EVENT_FINISH:
@@ -355,6 +363,15 @@
 	free(event);
 }
 
+/* The run time that the statement states as "work=MS", or the database's. */
+static uint64_t statement_us(const model_event_t *event)
+{
+	const char *work = strstr(event->text, "work=");
+
+	return work ? strtoull(work + strlen("work="), NULL, 10) * KL_MS
+		    : event->conn->db->statement_us;
+}
+
 /*
  * Run a statement on its database, and break the connection in place of the
  * answer if the script asked for a lost answer.
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -69,9 +69,10 @@
 	kl_board_t *board;
 	kl_reader_t *writer; /**< publishes to the blackboard */
 	kl_engine_t *engine;
+	kl_engine_settings_t settings; /**< of the engine */
 	bool trace; /**< print statements sent and health reports */
 	/** arguments of the "route" steps; an empty name: it was dropped */
-	char routes[MODEL_ITEMS_MAX][6][KL_NAME_MAX];
+	char routes[MODEL_ITEMS_MAX][7][KL_NAME_MAX];
 	uint32_t route_count;
 	/** workspace and key; no workspace: the key is withdrawn */
 	char keys[MODEL_ITEMS_MAX][2][KL_NAME_MAX];
@@ -101,6 +102,9 @@
 model_t *model_new(void);
 void model_free(model_t *model);
 
+/** Replace the engine by one with the model's settings; no client is there. */
+void model_restart_engine(model_t *model);
+
 /** Advance the virtual clock, one millisecond a step. */
 void model_run(model_t *model, uint64_t ms);
 
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -24,6 +24,7 @@
 static void step_set(char **args, int count);
 static void set_leaving(model_db_t *db, bool leaving);
 static void step_route(char **args, int count);
+static void step_engine(char **args, int count);
 static void step_drop(char **args, int count);
 static void step_key(char **args, int count);
 static void step_revoke(char **args, int count);
@@ -60,6 +61,7 @@
 	{ "show", 1, step_show },     { "trace", 1, step_trace },
 	{ "vms", 1, step_vms },	      { "shared", 1, step_shared },
 	{ "readd", 1, step_readd },   { "mark", 2, step_mark },
+	{ "engine", 2, step_engine },
 };
 
 int main(int argc, char **argv)
@@ -165,15 +167,28 @@
 	db->leaving_since_us = model->now_us;
 }
 
-/* route NAME KIND MAX_AGE_MS TIMEOUT_MS TARGET_MS [open] */
+/* route NAME KIND MAX_AGE_MS TIMEOUT_MS TARGET_MS [open|keys [PRIORITY]] */
 static void step_route(char **args, int count)
 {
-	for (int i = 0; i < 6 && i < count; i++)
+	for (int i = 0; i < 7 && i < count; i++)
 		kl_name_copy(model->routes[model->route_count][i], args[i]);
 	model->route_count++;
 	model_publish_config(model);
 }
 
+/* engine SETTING VALUE: a new engine has this setting; before any login */
+static void step_engine(char **args, int count)
+{
+	bool value = strtoul(args[1], NULL, 10);
+	(void)count;
+
+	if (!strcmp(args[0], "priority_queues"))
+		model->settings.priority_queues = value;
+	else
+		printf("unknown setting\n");
+	model_restart_engine(model);
+}
+
 /* drop ROUTE: removes it from the configuration */
 static void step_drop(char **args, int count)
 {
@@ -288,8 +303,9 @@
 }
 
 /*
- * load NAME ROUTE KEY PER_SECOND DURATION_MS TARGET_MS VERB [y]: sends the
- * statement "VERB x" or "VERB x y" at a fixed rate
+ * load NAME ROUTE KEY PER_SECOND DURATION_MS TARGET_MS VERB [WORD]: sends the
+ * statement "VERB x" or "VERB x WORD" at a fixed rate; the word work=MS sets
+ * its run time
  */
 static void step_load(char **args, int count)
 {
@@ -302,8 +318,8 @@
 	load->next_start_at_us = model->now_us;
 	load->end_at_us = model->now_us + strtoull(args[4], NULL, 10) * KL_MS;
 	load->target_us = strtoull(args[5], NULL, 10) * KL_MS;
-	snprintf(load->text, sizeof(load->text), "%s x%s", args[6],
-		 count > 7 ? " y" : "");
+	snprintf(load->text, sizeof(load->text), "%s x%s%s", args[6],
+		 count > 7 ? " " : "", count > 7 ? args[7] : "");
 }
 
 /* report: results of all loads and statistics of all databases */
