Refuse statements early by the work expected before them

The first estimate counted only what waited already. A statement that the database did not run no longer counts as a short one. Queued statements are checked on each tick.

--- a/path/engine.c
+++ b/path/engine.c
@@ -90,6 +90,7 @@
 {
 	kl_engine_enter(engine, now_us);
 	recheck_waiting(engine);
+	kl_queues_check_deadlines(engine);
 	if (now_us - engine->last_sweep_us >= SWEEP_US) {
 		engine->last_sweep_us = now_us;
 		kl_endpoints_refresh(engine);
@@ -110,7 +111,7 @@
 
 bool kl_engine_has_waiting_stmts(const kl_engine_t *engine)
 {
-	return !CK_LIST_EMPTY(&engine->waiting);
+	return !CK_LIST_EMPTY(&engine->waiting) || kl_queues_need_check(engine);
 }
 
 uint32_t kl_engine_client_count(const kl_engine_t *engine)
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -131,6 +131,8 @@
 	uint64_t route_deadline_us; /**< no upstream was chosen */
 	uint64_t queue_deadline_us; /**< it got no connection */
 	uint64_t deadline_us;	    /**< the database did not reply */
+	/** time by which it is to be answered: the objective, or later */
+	uint64_t objective_us;
 	uint64_t retry_at_us;	/**< time before which no upstream is chosen */
 	uint64_t sent_us;	/**< when it was sent, or its set-up began */
 	uint64_t group_version; /**< of the group's record at sent_us */
@@ -417,6 +419,13 @@
 bool kl_endpoint_is_too_late(kl_endpoint_t *endpoint, kl_client_t *client);
 /** Choose a queued statement whose workspace has an idle connection. */
 kl_client_t *kl_endpoint_choose_queued(kl_endpoint_t *endpoint);
+/**
+ * Refuse the queued statements whose time is over; the order by arrival leaves
+ * this to the sweep of the clients.
+ */
+void kl_queues_check_deadlines(kl_engine_t *engine);
+/** Whether the next tick has queued statements to check. */
+bool kl_queues_need_check(const kl_engine_t *engine);
 /** Note the time that it took to open a connection. */
 void kl_endpoint_connected(kl_endpoint_t *endpoint, uint64_t connect_us);
 /** Tell the queue that the connection's statement was sent. */
--- a/path/engine_queue.c
+++ b/path/engine_queue.c
@@ -62,7 +62,7 @@
 	queued->priority = priority_of(client);
 	queued->received_us = client->stmt.received_us;
 	queued->target_us = client->route.target_latency_us;
-	queued->deadline_us = client->stmt.queue_deadline_us;
+	queued->deadline_us = client->stmt.objective_us;
 }
 
 static uint32_t priority_of(const kl_client_t *client)
@@ -149,3 +149,36 @@
 	kl_stmt_queue_done(&endpoint->queue, &conn->running, conn->workspace,
 			   endpoint->cluster->engine->now_us);
 }
+
+void kl_queues_check_deadlines(kl_engine_t *engine)
+{
+	kl_queued_stmt_t *queued, *next;
+	kl_cluster_t *cluster;
+	kl_endpoint_t *endpoint;
+
+	if (!kl_engine_stmt_order(engine)->keeps_time)
+		return;
+	CK_STAILQ_FOREACH(cluster, &engine->clusters, link) {
+		CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
+			CK_STAILQ_FOREACH_SAFE(queued, &endpoint->queue.stmts,
+					       link, next)
+				kl_stmt_check_deadlines(queued->client);
+		}
+	}
+}
+
+bool kl_queues_need_check(const kl_engine_t *engine)
+{
+	const kl_cluster_t *cluster;
+	const kl_endpoint_t *endpoint;
+
+	if (!kl_engine_stmt_order(engine)->keeps_time)
+		return false;
+	CK_STAILQ_FOREACH(cluster, &engine->clusters, link) {
+		CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
+			if (endpoint->queue.length)
+				return true;
+		}
+	}
+	return false;
+}
--- a/path/engine_run.c
+++ b/path/engine_run.c
@@ -184,6 +184,8 @@
 		}
 		return;
 	}
+	client->conn->running.not_run =
+		result->error && kl_error_info(result->error)->not_run;
 	kl_conn_stmt_done(client->conn);
 	kl_endpoint_add_latency(stmt->endpoint,
 				client->engine->now_us - stmt->sent_us,
@@ -337,6 +339,8 @@
 		stmt->route_deadline_us = until_us;
 	if (until_us > stmt->queue_deadline_us)
 		stmt->queue_deadline_us = until_us;
+	if (until_us > stmt->objective_us)
+		stmt->objective_us = until_us;
 }
 
 void kl_stmt_conn_lost(kl_client_t *client)
--- a/path/stmt_order.c
+++ b/path/stmt_order.c
@@ -3,25 +3,12 @@
 
 #include "path/stmt_queue.h"
 
-/* Part of the upstream's time that the least urgent waiting priority gets. */
-#define FLOOR_DIVISOR 10
-/*
- * A statement is refused if its time is shorter than the expected wait and a
- * third: more urgent statements and other workspaces may come meanwhile.
- */
-#define WAIT_MARGIN_DIVISOR 3
-/*
- * Waiting statements are served newest first once the oldest one is left with
- * less time than as many mean run times.
- */
-#define LATE_RUNS 2
-
 /* How the statements of one priority are compared. */
 typedef struct comparison {
 	uint64_t walk;
 	uint64_t run_us;     /* mean time of a statement */
 	uint64_t connect_us; /* time that opening a connection takes */
-	bool newest_first;
+	uint64_t served_us;  /* when a statement sent now is answered */
 } comparison_t;
 
 static kl_queued_stmt_t *choose_by_priority(kl_stmt_queue_t *queue,
@@ -29,8 +16,6 @@
 static kl_queued_stmt_t *next_by_priority(kl_stmt_queue_t *queue,
 					  kl_queued_stmt_t *previous,
 					  uint64_t now_us);
-static bool too_late(kl_stmt_queue_t *queue, const kl_queued_stmt_t *stmt,
-		     uint64_t now_us);
 static void begin_walk(kl_stmt_queue_t *queue);
 static void find_conns(kl_stmt_queue_t *queue, const kl_queue_offer_t *offer);
 static void pass(kl_stmt_queue_t *queue, kl_queued_stmt_t *stmt);
@@ -38,21 +23,17 @@
 static kl_queued_stmt_t *find_first(const kl_stmt_queue_t *queue,
 				    uint64_t connect_us, uint64_t now_us);
 static uint32_t first_priority(const kl_stmt_queue_t *queue);
-static bool is_overdue(const kl_stmt_queue_t *queue, uint32_t priority,
-		       uint64_t run_us, uint64_t now_us);
 static bool goes_before(const kl_queued_stmt_t *stmt,
 			const kl_queued_stmt_t *other,
 			const comparison_t *comparison);
 static uint64_t use_us(const kl_time_flow_t *flow,
 		       const comparison_t *comparison);
-static uint32_t waiting_before(const kl_stmt_queue_t *queue,
-			       const kl_queued_stmt_t *stmt);
 
 const kl_stmt_order_t kl_stmt_order_priority = {
 	.keeps_time = true,
 	.choose = choose_by_priority,
 	.next = next_by_priority,
-	.too_late = too_late,
+	.too_late = kl_stmt_too_late,
 };
 
 /*
@@ -137,8 +118,8 @@
 	if (priority >= KL_PRIORITY_LEVELS)
 		return NULL;
 	comparison.run_us = kl_upstream_time_run_us(&queue->time, priority);
-	comparison.newest_first =
-		is_overdue(queue, priority, comparison.run_us, now_us);
+	comparison.served_us = now_us + comparison.run_us +
+			       comparison.run_us / KL_RUN_RESERVE_DIVISOR;
 	CK_STAILQ_FOREACH(stmt, &queue->stmts, link) {
 		if (stmt->priority != priority || stmt->walk == queue->walk)
 			continue;
@@ -171,34 +152,28 @@
 		lowest = i;
 		lowest_us = time->used_us[i] + passed_us;
 	}
-	return lowest_us < total_us / FLOOR_DIVISOR ? lowest : highest;
-}
-
-/* Whether the oldest statement of a priority can hardly be served in time. */
-static bool is_overdue(const kl_stmt_queue_t *queue, uint32_t priority,
-		       uint64_t run_us, uint64_t now_us)
-{
-	const kl_queued_stmt_t *stmt;
-
-	CK_STAILQ_FOREACH(stmt, &queue->stmts, link) {
-		if (stmt->priority == priority)
-			return now_us + LATE_RUNS * run_us > stmt->deadline_us;
-	}
-	return false;
+	return lowest_us < total_us / KL_QUEUE_FLOOR_DIVISOR ? lowest : highest;
 }
 
+/*
+ * Under overload the newest statements go first: they can still meet their
+ * latency objective, whereas serving the oldest first would make all late.
+ */
 static bool goes_before(const kl_queued_stmt_t *stmt,
 			const kl_queued_stmt_t *other,
 			const comparison_t *comparison)
 {
+	bool late = stmt->deadline_us < comparison->served_us;
+	bool other_late = other->deadline_us < comparison->served_us;
 	uint64_t use = use_us(stmt->flow, comparison) * other->weight;
 	uint64_t other_use = use_us(other->flow, comparison) * stmt->weight;
 
+	if (late != other_late)
+		return other_late;
 	if (use != other_use)
 		return use < other_use;
-	if (comparison->newest_first)
-		return stmt->deadline_us > other->deadline_us;
-	return stmt->deadline_us < other->deadline_us;
+	return late ? stmt->deadline_us > other->deadline_us
+		    : stmt->deadline_us < other->deadline_us;
 }
 
 /*
@@ -214,62 +189,3 @@
 
 	return flow->has_conn ? used_us : used_us + comparison->connect_us;
 }
-
-static bool too_late(kl_stmt_queue_t *queue, const kl_queued_stmt_t *stmt,
-		     uint64_t now_us)
-{
-	const kl_upstream_time_t *time = &queue->time;
-	uint64_t run_us = kl_upstream_time_run_us(time, stmt->priority);
-	uint64_t total_us = kl_upstream_time_used(time);
-	uint64_t left_us = total_us;
-	uint32_t before = waiting_before(queue, stmt);
-	uint64_t work_us = (before + 1) * run_us;
-	uint64_t wait_us, time_us;
-
-	for (uint32_t i = 0; i < stmt->priority; i++) {
-		before += queue->waiting[i];
-		work_us += queue->waiting[i] * kl_upstream_time_run_us(time, i);
-		left_us -= time->used_us[i];
-	}
-	if (time->running + before < queue->places)
-		return false;
-	if (now_us >= stmt->deadline_us)
-		return true;
-	wait_us = kl_upstream_time_for(time, work_us, queue->places);
-	/* More urgent statements will take as much time as they did before. */
-	if (left_us < total_us / FLOOR_DIVISOR)
-		left_us = total_us / FLOOR_DIVISOR;
-	if (left_us)
-		wait_us = wait_us * total_us / left_us;
-	time_us = stmt->deadline_us - now_us;
-	/* A statement that takes long is not refused for that alone. */
-	if (run_us > time_us / 2)
-		run_us = time_us / 2;
-	return wait_us + wait_us / WAIT_MARGIN_DIVISOR + run_us > time_us;
-}
-
-/*
- * Returns how many waiting statements of its priority a new statement finds
- * before it: those of its workspace, and meanwhile as many of each other
- * workspace as the weights allow.
- */
-static uint32_t waiting_before(const kl_stmt_queue_t *queue,
-			       const kl_queued_stmt_t *stmt)
-{
-	const kl_time_flow_t *flow;
-	uint64_t own = 0, others = 0;
-
-	CK_STAILQ_FOREACH(flow, &queue->time.flows, link) {
-		if (!strcmp(flow->workspace, stmt->workspace))
-			own = flow->waiting[stmt->priority];
-	}
-	CK_STAILQ_FOREACH(flow, &queue->time.flows, link) {
-		uint64_t turns = (own + 1) * flow->weight / stmt->weight;
-
-		if (strcmp(flow->workspace, stmt->workspace))
-			others += turns < flow->waiting[stmt->priority]
-					  ? turns
-					  : flow->waiting[stmt->priority];
-	}
-	return (uint32_t)(own + others);
-}
--- a/path/stmt_queue.h
+++ b/path/stmt_queue.h
@@ -15,6 +15,14 @@
 
 #include "path/upstream_time.h"
 
+/** Part of the upstream's time that the least urgent waiting priority gets. */
+#define KL_QUEUE_FLOOR_DIVISOR 10
+/**
+ * A statement needs its mean run time and this part of it more to be answered
+ * in time.
+ */
+#define KL_RUN_RESERVE_DIVISOR 4
+
 struct kl_client;
 
 /** A waiting statement, embedded in its client. */
@@ -68,6 +76,10 @@
 			 uint64_t now_us);
 } kl_stmt_order_t;
 
+/** The function too_late() of the order by priority. */
+bool kl_stmt_too_late(kl_stmt_queue_t *queue, const kl_queued_stmt_t *stmt,
+		      uint64_t now_us);
+
 extern const kl_stmt_order_t kl_stmt_order_arrival;
 extern const kl_stmt_order_t kl_stmt_order_priority;
 
--- a/path/upstream_time.c
+++ b/path/upstream_time.c
@@ -91,6 +91,7 @@
 {
 	running->priority = priority;
 	running->sent_us = now_us;
+	running->not_run = false;
 	running->charged_us = kl_upstream_time_run_us(time, priority);
 	time->running++;
 	charge(time, workspace, priority, (int64_t)running->charged_us);
@@ -101,13 +102,15 @@
 			   const char *workspace, uint64_t now_us)
 {
 	uint64_t *average_us = &time->run_avg_us[running->priority];
-	uint64_t run_us = now_us - running->sent_us;
+	uint64_t run_us = running->not_run ? 0 : now_us - running->sent_us;
 
 	time->running--;
 	if (time->was_full)
 		time->full_run_us += run_us;
 	charge(time, workspace, running->priority,
 	       (int64_t)run_us - (int64_t)running->charged_us);
+	if (running->not_run)
+		return;
 	if (*average_us)
 		*average_us = ((AVERAGE_DIVISOR - 1) * *average_us + run_us) /
 			      AVERAGE_DIVISOR;
@@ -150,14 +153,14 @@
  * Until much was seen, each place is taken to be in use all the time, as if
  * this had been seen for as long as one statement runs.
  */
-uint64_t kl_upstream_time_for(const kl_upstream_time_t *time, uint64_t work_us,
-			      uint32_t places)
+uint64_t kl_upstream_time_work_in(const kl_upstream_time_t *time,
+				  uint64_t wait_us, uint32_t places)
 {
 	uint64_t assumed_us = kl_upstream_time_run_us(time, 0);
 	uint64_t full_us = time->full_us + assumed_us;
 	uint64_t run_us = time->full_run_us + places * assumed_us;
 
-	return run_us ? work_us * full_us / run_us : 0;
+	return full_us ? wait_us * run_us / full_us : wait_us * places;
 }
 
 uint64_t kl_upstream_time_used(const kl_upstream_time_t *time)
--- a/path/upstream_time.h
+++ b/path/upstream_time.h
@@ -53,6 +53,7 @@
 	uint32_t priority;   /**< below KL_PRIORITY_LEVELS */
 	uint64_t sent_us;    /**< when it was sent */
 	uint64_t charged_us; /**< mean time that was charged for it then */
+	bool not_run;	     /**< the database answered that it did not run */
 } kl_running_stmt_t;
 
 void kl_upstream_time_init(kl_upstream_time_t *time);
@@ -80,7 +81,10 @@
 			   const char *workspace, uint32_t priority,
 			   uint64_t now_us);
 
-/** End that count, and correct the charge by the time that it took. */
+/**
+ * End that count, and correct the charge by the time that it took: none if it
+ * did not run.
+ */
 void kl_upstream_time_done(kl_upstream_time_t *time,
 			   const kl_running_stmt_t *running,
 			   const char *workspace, uint64_t now_us);
@@ -90,14 +94,13 @@
 				 uint32_t priority);
 
 /**
- * Time that the upstream needs for some work, from what it did recently while
- * no place was free.
+ * Sum of the run times that the upstream works off in a time, from what it did
+ * recently while no place was free.
  *
- * @param work_us sum of the run times
  * @param places statements that may run at once
  */
-uint64_t kl_upstream_time_for(const kl_upstream_time_t *time, uint64_t work_us,
-			      uint32_t places);
+uint64_t kl_upstream_time_work_in(const kl_upstream_time_t *time,
+				  uint64_t wait_us, uint32_t places);
 
 /** Time that all priorities together used. */
 uint64_t kl_upstream_time_used(const kl_upstream_time_t *time);
