Count served, refused and queued statements by priority

Whether urgent statements are served first could not be seen from outside. The engine counts them by the priority of their route, at most 8 levels, and /metrics has kl_priority_served_total, kl_priority_refused_total and kl_priority_queued_seconds_total. The process test of the line protocol shows the counts of its two routes, so that a lost priority is seen.

--- a/daemon/counter.c
+++ b/daemon/counter.c
@@ -1,7 +1,6 @@
 #include <ck_pr.h>
 
 #include "daemon/counter.h"
-#include "path/engine.h"
 
 /* Name and help text of a metric in the Prometheus format. */
 typedef struct counter_row {
@@ -72,6 +71,27 @@
 static uint64_t latency_buckets[KL_ROUTE_KIND_COUNT][KL_STMT_END_COUNT]
 			       [KL_LATENCY_BUCKETS];
 static uint64_t latency_sums_us[KL_ROUTE_KIND_COUNT][KL_STMT_END_COUNT];
+static kl_priority_counts_t priorities[KL_PRIORITY_LEVELS];
+
+void kl_priorities_add(const kl_priority_counts_t *now,
+		       const kl_priority_counts_t *published)
+{
+	for (int i = 0; i < KL_PRIORITY_LEVELS; i++) {
+		ck_pr_add_64(&priorities[i].served,
+			     now[i].served - published[i].served);
+		ck_pr_add_64(&priorities[i].refused,
+			     now[i].refused - published[i].refused);
+		ck_pr_add_64(&priorities[i].queued_us,
+			     now[i].queued_us - published[i].queued_us);
+	}
+}
+
+void kl_priority_get(uint32_t priority, kl_priority_counts_t *counts)
+{
+	counts->served = ck_pr_load_64(&priorities[priority].served);
+	counts->refused = ck_pr_load_64(&priorities[priority].refused);
+	counts->queued_us = ck_pr_load_64(&priorities[priority].queued_us);
+}
 
 void kl_latency_add(uint32_t kind, uint32_t ending, uint32_t bucket,
 		    uint64_t statements, uint64_t total_us)
--- a/daemon/counter.h
+++ b/daemon/counter.h
@@ -9,6 +9,8 @@
 #include <stdint.h>
 #include <stdio.h>
 
+#include "path/engine.h"
+
 /** The counters; kl_counter_help() says what each one counts. */
 typedef enum kl_counter {
 	KL_COUNTER_SESSIONS,
@@ -83,6 +85,17 @@
 /** @return sum of the latencies in a histogram, microseconds */
 uint64_t kl_latency_sum_us(uint32_t kind, uint32_t ending);
 
+/**
+ * Add what an engine counted by priority since it was last published.
+ *
+ * @param now, published KL_PRIORITY_LEVELS entries each
+ */
+void kl_priorities_add(const kl_priority_counts_t *now,
+		       const kl_priority_counts_t *published);
+
+/** Get the sums of one priority over all engines. */
+void kl_priority_get(uint32_t priority, kl_priority_counts_t *counts);
+
 /** @return a counter's name as a Prometheus metric */
 const char *kl_counter_name(kl_counter_t counter);
 
--- a/daemon/line_worker.c
+++ b/daemon/line_worker.c
@@ -271,6 +271,7 @@
 		       now->stmts_leaving - published->stmts_leaving);
 	if (now->finished != published->finished)
 		publish_latencies(now, published);
+	kl_priorities_add(now->priorities, published->priorities);
 	kl_engine_get_gauges(worker->engine, &gauges);
 	kl_gauge_set(KL_GAUGE_SESSIONS, gauges.sessions);
 	kl_gauge_set(KL_GAUGE_WAITING_STMTS, gauges.waiting_stmts);
--- a/daemon/status.c
+++ b/daemon/status.c
@@ -22,6 +22,10 @@
 static void on_status(struct evhttp_request *request, void *arg);
 static void add_feeds(struct evbuffer *body, kl_node_t *node);
 static void add_latencies(struct evbuffer *body);
+static void add_priorities(struct evbuffer *body);
+static double get_served(const kl_priority_counts_t *counts);
+static double get_refused(const kl_priority_counts_t *counts);
+static double get_queued_s(const kl_priority_counts_t *counts);
 static void on_ready(struct evhttp_request *request, void *arg);
 static json_t *node_to_json(kl_node_t *node);
 static json_t *feeds_to_json(const kl_objects_t *objects);
@@ -116,6 +120,7 @@
 				    kl_gauge_name(i), kl_gauge_name(i),
 				    kl_gauge_get(i));
 	add_latencies(body);
+	add_priorities(body);
 	add_feeds(body, server->node);
 	reply(request, "text/plain; version=0.0.4", body);
 }
@@ -176,6 +181,52 @@
 	}
 }
 
+/* What became of the statements of each priority, and how long they waited. */
+static void add_priorities(struct evbuffer *body)
+{
+	static const struct {
+		const char *name;
+		const char *help;
+		double (*value)(const kl_priority_counts_t *counts);
+	} rows[] = {
+		{ "kl_priority_served_total", "statements that succeeded",
+		  get_served },
+		{ "kl_priority_refused_total", "statements that did not run",
+		  get_refused },
+		{ "kl_priority_queued_seconds_total",
+		  "time that statements waited for connections", get_queued_s },
+	};
+
+	for (size_t row = 0; row < sizeof(rows) / sizeof(*rows); row++) {
+		evbuffer_add_printf(body, "# HELP %s %s\n# TYPE %s counter\n",
+				    rows[row].name, rows[row].help,
+				    rows[row].name);
+		for (uint32_t i = 0; i < KL_PRIORITY_LEVELS; i++) {
+			kl_priority_counts_t counts;
+
+			kl_priority_get(i, &counts);
+			evbuffer_add_printf(body, "%s{priority=\"%u\"} %.15g\n",
+					    rows[row].name, i,
+					    rows[row].value(&counts));
+		}
+	}
+}
+
+static double get_served(const kl_priority_counts_t *counts)
+{
+	return (double)counts->served;
+}
+
+static double get_refused(const kl_priority_counts_t *counts)
+{
+	return (double)counts->refused;
+}
+
+static double get_queued_s(const kl_priority_counts_t *counts)
+{
+	return (double)counts->queued_us / 1e6;
+}
+
 static void on_status(struct evhttp_request *request, void *arg)
 {
 	kl_status_server_t *server = arg;
--- a/path/engine.h
+++ b/path/engine.h
@@ -12,6 +12,7 @@
 
 #include "control/node.h"
 #include "path/path.h"
+#include "path/upstream_time.h"
 #include "path/position.h"
 
 typedef struct kl_engine kl_engine_t;
@@ -146,6 +147,13 @@
 /** Upper bounds of the buckets, milliseconds; the last bucket has none. */
 extern const uint32_t kl_latency_bounds_ms[KL_LATENCY_BUCKETS];
 
+/** Statements of one priority; these counters never decrease. */
+typedef struct kl_priority_counts {
+	uint64_t served;    /**< statements that succeeded */
+	uint64_t refused;   /**< statements that did not run */
+	uint64_t queued_us; /**< time that statements waited for connections */
+} kl_priority_counts_t;
+
 /** Counters for the metrics; they never decrease. */
 typedef struct kl_engine_counts {
 	uint64_t reads_replica; /**< reads sent to a replica */
@@ -166,6 +174,7 @@
 			       [KL_LATENCY_BUCKETS];
 	/** sums of the latencies */
 	uint64_t latency_sums_us[KL_ROUTE_KIND_COUNT][KL_STMT_END_COUNT];
+	kl_priority_counts_t priorities[KL_PRIORITY_LEVELS];
 } kl_engine_counts_t;
 
 /**
--- a/path/engine_client.c
+++ b/path/engine_client.c
@@ -381,6 +381,10 @@
 	counts->finished++;
 	counts->latency_counts[kind][end][bucket]++;
 	counts->latency_sums_us[kind][end] += latency_us;
+	if (end == KL_STMT_END_SERVED)
+		counts->priorities[kl_client_priority(client)].served++;
+	else if (end == KL_STMT_END_REFUSED)
+		counts->priorities[kl_client_priority(client)].refused++;
 }
 
 static void finish_stmt(kl_client_t *client)
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -155,7 +155,8 @@
 /** A client's session. */
 struct kl_client {
 	CK_LIST_ENTRY(kl_client) link;
-	kl_queued_stmt_t queued; /**< its statement, in an upstream's queue */
+	kl_queued_stmt_t queued;  /**< its statement, in an upstream's queue */
+	uint64_t queued_since_us; /**< when it was queued */
 	CK_LIST_ENTRY(kl_client) waiting_link; /**< in engine->waiting */
 	bool on_waiting_list;		       /**< it is in that list */
 	kl_engine_t *engine;
@@ -411,6 +412,8 @@
 /* engine_queue.c */
 /** The order of waiting statements that the settings choose. */
 const kl_stmt_order_t *kl_engine_stmt_order(const kl_engine_t *engine);
+/** The priority of the client's route, below KL_PRIORITY_LEVELS. */
+uint32_t kl_client_priority(const kl_client_t *client);
 /** Queue the client's statement for a connection. */
 void kl_endpoint_enqueue(kl_endpoint_t *endpoint, kl_client_t *client);
 /** Remove the client's statement from its queue. */
--- a/path/engine_queue.c
+++ b/path/engine_queue.c
@@ -5,7 +5,6 @@
 #include "path/engine_internal.h"
 
 static void describe(kl_client_t *client);
-static uint32_t priority_of(const kl_client_t *client);
 static void update_places(kl_endpoint_t *endpoint);
 static bool has_idle_conn(const void *context, const char *workspace);
 static uint32_t count_conns(const kl_endpoint_t *endpoint,
@@ -22,6 +21,7 @@
 	client->stmt.stage = KL_STMT_WAIT_CONN;
 	client->stmt.endpoint = endpoint;
 	describe(client);
+	client->queued_since_us = client->engine->now_us;
 	update_places(endpoint);
 	kl_stmt_queue_push(&endpoint->queue, &client->queued,
 			   client->engine->now_us);
@@ -29,9 +29,14 @@
 
 void kl_endpoint_dequeue(kl_client_t *client)
 {
+	kl_engine_t *engine = client->engine;
+	kl_queued_stmt_t *queued = &client->queued;
+
 	update_places(client->stmt.endpoint);
-	kl_stmt_queue_remove(&client->stmt.endpoint->queue, &client->queued,
-			     client->engine->now_us);
+	kl_stmt_queue_remove(&client->stmt.endpoint->queue, queued,
+			     engine->now_us);
+	engine->counts.priorities[queued->priority].queued_us +=
+		engine->now_us - client->queued_since_us;
 }
 
 bool kl_endpoint_is_too_late(kl_endpoint_t *endpoint, kl_client_t *client)
@@ -59,13 +64,13 @@
 	queued->weight = 1;
 	if (workspace && workspace->plan && workspace->plan->rate)
 		queued->weight = workspace->plan->rate;
-	queued->priority = priority_of(client);
+	queued->priority = kl_client_priority(client);
 	queued->received_us = client->stmt.received_us;
 	queued->target_us = client->route.target_latency_us;
 	queued->deadline_us = client->stmt.objective_us;
 }
 
-static uint32_t priority_of(const kl_client_t *client)
+uint32_t kl_client_priority(const kl_client_t *client)
 {
 	return client->route.priority < KL_PRIORITY_LEVELS
 		       ? client->route.priority
@@ -138,7 +143,7 @@
 
 	update_places(endpoint);
 	kl_stmt_queue_sent(&endpoint->queue, &conn->running, conn->workspace,
-			   priority_of(conn->client), conn->sent_us);
+			   kl_client_priority(conn->client), conn->sent_us);
 }
 
 void kl_endpoint_stmt_done(kl_conn_t *conn)
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -41,6 +41,7 @@
 static void step_run(char **args, int count);
 static void step_drain(char **args, int count);
 static void step_show(char **args, int count);
+static void show_priorities(void);
 static void step_trace(char **args, int count);
 static void step_vms(char **args, int count);
 static void step_shared(char **args, int count);
@@ -389,7 +390,7 @@
 	kl_engine_drain(model->engine, model->now_us, until_us, end_us);
 }
 
-/* show sessions|connections */
+/* show sessions|connections|counts|priorities */
 static void step_show(char **args, int count)
 {
 	bool connections = !strcmp(args[0], "connections");
@@ -397,6 +398,8 @@
 	kl_engine_gauges_t gauges;
 	(void)count;
 
+	if (!strcmp(args[0], "priorities"))
+		show_priorities();
 	if (!strcmp(args[0], "sessions"))
 		printf("%u sessions\n", kl_engine_client_count(model->engine));
 	for (uint32_t i = 0; connections && i < model->db_count; i++)
@@ -417,6 +420,21 @@
 			       ->waiting_statements);
 }
 
+static void show_priorities(void)
+{
+	const kl_engine_counts_t *counts = kl_engine_counts(model->engine);
+
+	for (int i = 0; i < KL_PRIORITY_LEVELS; i++) {
+		const kl_priority_counts_t *row = &counts->priorities[i];
+
+		if (row->served || row->refused)
+			printf("priority %d: served %" PRIu64
+			       " refused %" PRIu64 " queued %" PRIu64 " ms\n",
+			       i, row->served, row->refused,
+			       row->queued_us / (uint64_t)KL_MS);
+	}
+}
+
 /* trace on|off: whether to print what is sent to databases */
 static void step_trace(char **args, int count)
 {
--- a/tests/process/line.sh
+++ b/tests/process/line.sh
@@ -136,6 +136,11 @@
 	grep -E '^kl_statement_seconds_count.*(session|primary).*served' |
 	sed 's/} [1-9][0-9]*$/} some/'
 
+echo "# the statements of each priority"
+curl -sf http://$STAND_HOST:17202/metrics |
+	grep -E '^kl_priority_served_total' |
+	sed 's/} [1-9][0-9]*$/} some/'
+
 echo "# reload, and a planned stop"
 kill -HUP "$PID_a1"
 request "QUERY 1 READ lustre"
