Keep connections in use, and refuse nothing that was taken

At 0.8 of the capacity with two connections for each workspace, half of the least urgent statements of two workspaces were refused: each urgent statement closed another workspace's connection, and opening one takes time of the database. It now does so only after a long wait.

--- a/path/engine_queue.c
+++ b/path/engine_queue.c
@@ -68,6 +68,7 @@
 	queued->received_us = client->stmt.received_us;
 	queued->target_us = client->route.target_latency_us;
 	queued->deadline_us = client->stmt.objective_us;
+	queued->limit_us = client->stmt.queue_deadline_us;
 }
 
 uint32_t kl_client_priority(const kl_client_t *client)
@@ -97,15 +98,15 @@
 				   .connect_us = endpoint->connect_avg_us,
 				   .has_conn = has_idle_conn,
 				   .context = endpoint };
-	uint32_t conns = count_conns(endpoint, KL_CONN_IDLE) +
-			 count_conns(endpoint, KL_CONN_OPENING);
+	uint32_t idle = count_conns(endpoint, KL_CONN_IDLE);
 	kl_queued_stmt_t *queued;
 
+	offer.new_conns = count_conns(endpoint, KL_CONN_OPENING);
 	if (endpoint->conn_limit > endpoint->open_conns)
-		conns += endpoint->conn_limit - endpoint->open_conns;
+		offer.new_conns += endpoint->conn_limit - endpoint->open_conns;
 	offer.places = endpoint->stmt_window - endpoint->running_stmts;
-	if (offer.places > conns)
-		offer.places = conns;
+	if (offer.places > idle + offer.new_conns)
+		offer.places = idle + offer.new_conns;
 	/* No place is kept for statements that can get no connection now. */
 	if (!kl_endpoint_may_connect(endpoint))
 		offer.places = endpoint->queue.length;
--- a/path/engine_run.c
+++ b/path/engine_run.c
@@ -395,8 +395,9 @@
 {
 	const kl_stmt_t *stmt = &client->stmt;
 	uint64_t wait_us = stmt->queue_deadline_us - stmt->received_us;
-	uint64_t reserve_us = stmt->endpoint->latency_avg_us +
-			      stmt->endpoint->latency_avg_us / 4;
+	const kl_stmt_queue_t *queue = &stmt->endpoint->queue;
+	uint64_t reserve_us = queue->order->reserve_us(
+		queue, &client->queued, stmt->endpoint->latency_avg_us);
 
 	if (reserve_us > wait_us - wait_us / 4)
 		reserve_us = wait_us - wait_us / 4;
--- a/path/stmt_order.c
+++ b/path/stmt_order.c
@@ -16,6 +16,8 @@
 static kl_queued_stmt_t *next_by_priority(kl_stmt_queue_t *queue,
 					  kl_queued_stmt_t *previous,
 					  uint64_t now_us);
+static uint64_t mean_run_us(const kl_stmt_queue_t *queue,
+			    const kl_queued_stmt_t *stmt, uint64_t latency_us);
 static void begin_walk(kl_stmt_queue_t *queue);
 static void find_conns(kl_stmt_queue_t *queue, const kl_queue_offer_t *offer);
 static void pass(kl_stmt_queue_t *queue, kl_queued_stmt_t *stmt);
@@ -34,24 +36,34 @@
 	.choose = choose_by_priority,
 	.next = next_by_priority,
 	.too_late = kl_stmt_too_late,
+	.reserve_us = mean_run_us,
 };
 
 /*
  * A statement without a connection keeps its place while one is opened for it,
- * so that it does not wait behind less urgent ones.
+ * so that it does not wait behind less urgent ones.  If another workspace's
+ * connection must be closed for that, it does so only after a long wait: each
+ * new connection takes time of the upstream.
  */
 static kl_queued_stmt_t *choose_by_priority(kl_stmt_queue_t *queue,
 					    const kl_queue_offer_t *offer)
 {
+	uint32_t places = offer->places, new_conns = offer->new_conns;
 	kl_queued_stmt_t *stmt;
 
 	begin_walk(queue);
 	find_conns(queue, offer);
-	for (uint32_t i = 0; i < offer->places; i++) {
+	while (places) {
 		stmt = find_first(queue, offer->connect_us, offer->now_us);
 		if (!stmt || offer->has_conn(offer->context, stmt->workspace))
 			return stmt;
 		pass(queue, stmt);
+		if (new_conns) {
+			new_conns--;
+			places--;
+		} else if (kl_queued_stmt_waits_long(stmt, offer->now_us)) {
+			places--;
+		}
 	}
 	return NULL;
 }
@@ -118,8 +130,7 @@
 	if (priority >= KL_PRIORITY_LEVELS)
 		return NULL;
 	comparison.run_us = kl_upstream_time_run_us(&queue->time, priority);
-	comparison.served_us = now_us + comparison.run_us +
-			       comparison.run_us / KL_RUN_RESERVE_DIVISOR;
+	comparison.served_us = now_us + comparison.run_us;
 	CK_STAILQ_FOREACH(stmt, &queue->stmts, link) {
 		if (stmt->priority != priority || stmt->walk == queue->walk)
 			continue;
@@ -156,15 +167,15 @@
 }
 
 /*
- * Under overload the newest statements go first: they can still meet their
- * latency objective, whereas serving the oldest first would make all late.
+ * What can't be answered before its limit any more goes last, the newest first:
+ * it would only make the others late.
  */
 static bool goes_before(const kl_queued_stmt_t *stmt,
 			const kl_queued_stmt_t *other,
 			const comparison_t *comparison)
 {
-	bool late = stmt->deadline_us < comparison->served_us;
-	bool other_late = other->deadline_us < comparison->served_us;
+	bool late = stmt->limit_us < comparison->served_us;
+	bool other_late = other->limit_us < comparison->served_us;
 	uint64_t use = use_us(stmt->flow, comparison) * other->weight;
 	uint64_t other_use = use_us(other->flow, comparison) * stmt->weight;
 
@@ -189,3 +200,12 @@
 
 	return flow->has_conn ? used_us : used_us + comparison->connect_us;
 }
+
+/* A reserve above the mean was kept when the statement was taken. */
+static uint64_t mean_run_us(const kl_stmt_queue_t *queue,
+			    const kl_queued_stmt_t *stmt, uint64_t latency_us)
+{
+	uint64_t run_us = kl_upstream_time_run_us(&queue->time, stmt->priority);
+
+	return run_us ? run_us : latency_us;
+}
--- a/path/stmt_queue.c
+++ b/path/stmt_queue.c
@@ -13,12 +13,16 @@
 					 uint64_t now_us);
 static bool never_too_late(kl_stmt_queue_t *queue, const kl_queued_stmt_t *stmt,
 			   uint64_t now_us);
+static uint64_t latency_and_quarter(const kl_stmt_queue_t *queue,
+				    const kl_queued_stmt_t *stmt,
+				    uint64_t latency_us);
 
 const kl_stmt_order_t kl_stmt_order_arrival = {
 	.keeps_time = false,
 	.choose = choose_by_arrival,
 	.next = next_by_arrival,
 	.too_late = never_too_late,
+	.reserve_us = latency_and_quarter,
 };
 
 void kl_stmt_queue_init(kl_stmt_queue_t *queue, const kl_stmt_order_t *order)
@@ -95,12 +99,16 @@
 	kl_upstream_time_done(&queue->time, running, workspace, now_us);
 }
 
+bool kl_queued_stmt_waits_long(const kl_queued_stmt_t *stmt, uint64_t now_us)
+{
+	return now_us - stmt->received_us > stmt->target_us / LONG_WAIT_DIVISOR;
+}
+
 bool kl_stmt_queue_waits_long(const kl_stmt_queue_t *queue, uint64_t now_us)
 {
 	const kl_queued_stmt_t *oldest = CK_STAILQ_FIRST(&queue->stmts);
 
-	return oldest && now_us - oldest->received_us >
-				 oldest->target_us / LONG_WAIT_DIVISOR;
+	return oldest && kl_queued_stmt_waits_long(oldest, now_us);
 }
 
 /*
@@ -145,3 +153,12 @@
 	(void)now_us;
 	return false;
 }
+
+static uint64_t latency_and_quarter(const kl_stmt_queue_t *queue,
+				    const kl_queued_stmt_t *stmt,
+				    uint64_t latency_us)
+{
+	(void)queue;
+	(void)stmt;
+	return latency_us + latency_us / KL_RUN_RESERVE_DIVISOR;
+}
--- a/path/stmt_queue.h
+++ b/path/stmt_queue.h
@@ -35,8 +35,9 @@
 	uint64_t received_us; /**< time of arrival */
 	uint64_t target_us;   /**< latency objective */
 	uint64_t deadline_us; /**< it is to be answered by then */
-	kl_time_flow_t *flow; /**< of its workspace, set in the queue */
-	uint64_t walk;	      /**< number of the last walk that passed it */
+	uint64_t limit_us; /**< it is refused if it can't be answered by then */
+	kl_time_flow_t *flow;  /**< of its workspace, set in the queue */
+	uint64_t walk;	       /**< number of the last walk that passed it */
 	uint32_t conns_needed; /**< set by next(): connections to be opened for
 				    it and those before it */
 } kl_queued_stmt_t;
@@ -46,6 +47,8 @@
 	uint64_t now_us;
 	/** statements that can be given an idle or a new connection now */
 	uint32_t places;
+	/** connections that can be opened without closing one */
+	uint32_t new_conns;
 	uint64_t connect_us; /**< time that opening a connection takes */
 	/** Whether a workspace has an idle connection. */
 	bool (*has_conn)(const void *context, const char *workspace);
@@ -74,6 +77,14 @@
 	 */
 	bool (*too_late)(kl_stmt_queue_t *queue, const kl_queued_stmt_t *stmt,
 			 uint64_t now_us);
+	/**
+	 * Time before its deadline at which a waiting statement must be sent.
+	 *
+	 * @param latency_us mean latency at the upstream
+	 */
+	uint64_t (*reserve_us)(const kl_stmt_queue_t *queue,
+			       const kl_queued_stmt_t *stmt,
+			       uint64_t latency_us);
 } kl_stmt_order_t;
 
 /** The function too_late() of the order by priority. */
@@ -127,7 +138,10 @@
 			const kl_running_stmt_t *running, const char *workspace,
 			uint64_t now_us);
 
-/** Whether the oldest statement waits for long, by its latency objective. */
+/** Whether a statement waits for long, by its latency objective. */
+bool kl_queued_stmt_waits_long(const kl_queued_stmt_t *stmt, uint64_t now_us);
+
+/** Whether the oldest statement waits for long. */
 bool kl_stmt_queue_waits_long(const kl_stmt_queue_t *queue, uint64_t now_us);
 
 #endif
