Expect urgent statements at their rate, not their share

With 80 VMs a VM has three connections to a database and statements in bursts. A tenth of the least urgent ones was refused although nothing ran in the pauses: the estimate took the more urgent ones' share of all that had run for their share of the upstream's capacity. It now divides by the capacity. The new script priority_many_vms answers all of them; before, 28 of 31 of each workspace.

--- a/path/stmt_refusal.c
+++ b/path/stmt_refusal.c
@@ -53,7 +53,7 @@
 			    const kl_queued_stmt_t *stmt, uint64_t during_us)
 {
 	const kl_upstream_time_t *time = &queue->time;
-	uint64_t total_us = kl_upstream_time_used(time);
+	uint64_t total_us = kl_upstream_time_capacity(time, queue->places);
 	uint64_t floor_us = during_us / KL_QUEUE_FLOOR_DIVISOR;
 	uint64_t urgent_us = 0, lower = 0;
 
@@ -80,7 +80,7 @@
 {
 	const kl_upstream_time_t *time = &queue->time;
 	uint64_t run_us = kl_upstream_time_run_us(time, stmt->priority);
-	uint64_t total_us = kl_upstream_time_used(time);
+	uint64_t total_us = kl_upstream_time_capacity(time, queue->places);
 	uint64_t equal_us =
 		share(during_us, time->used_us[stmt->priority], total_us);
 	uint64_t own_us = run_us, own_used_us = 0, sum_us;
--- a/path/upstream_time.c
+++ b/path/upstream_time.c
@@ -56,6 +56,7 @@
 
 	time->updated_us = now_us;
 	time->was_full = full;
+	time->all_us += passed_us;
 	if (full)
 		time->full_us += passed_us;
 	if (time->memory_us && now_us - time->last_decay_us >= time->memory_us)
@@ -71,6 +72,7 @@
 	kl_time_flow_t *flow, *next;
 
 	time->last_decay_us = now_us;
+	time->all_us >>= shift;
 	time->full_us >>= shift;
 	time->full_run_us >>= shift;
 	for (int i = 0; i < KL_PRIORITY_LEVELS; i++)
@@ -163,6 +165,15 @@
 	return full_us ? wait_us * run_us / full_us : wait_us * places;
 }
 
+uint64_t kl_upstream_time_capacity(const kl_upstream_time_t *time,
+				   uint32_t places)
+{
+	uint64_t used_us = kl_upstream_time_used(time);
+	uint64_t work_us = kl_upstream_time_work_in(time, time->all_us, places);
+
+	return work_us > used_us ? work_us : used_us;
+}
+
 uint64_t kl_upstream_time_used(const kl_upstream_time_t *time)
 {
 	uint64_t sum_us = 0;
--- a/path/upstream_time.h
+++ b/path/upstream_time.h
@@ -40,6 +40,7 @@
 	uint64_t run_avg_us[KL_PRIORITY_LEVELS];
 	uint32_t running;     /**< statements that run now */
 	uint64_t updated_us;  /**< time of the last update */
+	uint64_t all_us;      /**< recent time */
 	uint64_t full_us;     /**< recent time in which no place was free */
 	uint64_t full_run_us; /**< run time of what ended in that time */
 	bool was_full;	      /**< no place was free before the last update */
@@ -102,6 +103,10 @@
 uint64_t kl_upstream_time_work_in(const kl_upstream_time_t *time,
 				  uint64_t wait_us, uint32_t places);
 
+/** Sum of the run times that the upstream could have worked off recently. */
+uint64_t kl_upstream_time_capacity(const kl_upstream_time_t *time,
+				   uint32_t places);
+
 /** Time that all priorities together used. */
 uint64_t kl_upstream_time_used(const kl_upstream_time_t *time);
 
