--- a/path/stmt_queue.h
+++ b/path/stmt_queue.h
@@ -31,15 +31,16 @@
 	struct kl_client *client;
 	const char *workspace;
 	uint64_t weight;      /**< of the workspace: its plan's rate; above 0 */
-	uint32_t priority;    /**< below KL_PRIORITY_LEVELS */
 	uint64_t received_us; /**< time of arrival */
 	uint64_t target_us;   /**< latency objective */
 	uint64_t deadline_us; /**< it is to be answered by then */
-	uint64_t limit_us; /**< it is refused if it can't be answered by then */
-	kl_time_flow_t *flow;  /**< of its workspace, set in the queue */
+	uint64_t limit_us;    /**< it is refused if it can't be answered by then
+			       */
+	uint32_t priority;    /**< below KL_PRIORITY_LEVELS */
+	/* Set by the queue: */
+	uint32_t conns_needed; /**< connections for it and those before it */
 	uint64_t walk;	       /**< number of the last walk that passed it */
-	uint32_t conns_needed; /**< set by next(): connections to be opened for
-				    it and those before it */
+	kl_time_flow_t *flow;  /**< of its workspace */
 } kl_queued_stmt_t;
 
 /** What is known when a statement is chosen. */
@@ -121,7 +122,7 @@
 void kl_stmt_queue_set_places(kl_stmt_queue_t *queue, uint32_t places,
 			      uint32_t in_use);
 
-/** Append a statement; its fields up to deadline_us are set. */
+/** Append a statement, described by its fields up to priority. */
 void kl_stmt_queue_push(kl_stmt_queue_t *queue, kl_queued_stmt_t *stmt,
 			uint64_t now_us);
 
