Keep statements in the queue, and connections with their workspaces

The window grew to 31 statements in 4 slots, where they can't be overtaken and every kind seems to take as long: the floor of a tenth gave the least urgent kind 29 % of the work. With priority_queues at most two for each known slot are sent.

--- a/path/engine_conn.c
+++ b/path/engine_conn.c
@@ -31,7 +31,7 @@
 
 static void assign_idle(kl_endpoint_t *endpoint);
 static void reroute_queue(kl_endpoint_t *endpoint);
-static bool allow_new_conn(kl_endpoint_t *endpoint);
+static bool allow_new_conn(kl_endpoint_t *endpoint, const char *workspace);
 static void lower_conn_limit(kl_endpoint_t *endpoint);
 static uint32_t count_opening(const kl_endpoint_t *endpoint,
 			      const char *workspace);
@@ -100,7 +100,7 @@
 		    queued->conns_needed)
 			continue;
 		if (endpoint->open_conns >= endpoint->conn_limit &&
-		    !allow_new_conn(endpoint))
+		    !allow_new_conn(endpoint, queued->workspace))
 			continue;
 		kl_conn_open(endpoint, queued->workspace);
 	}
@@ -134,11 +134,13 @@
  * Other VMs may not need their shares; if they do, the database refuses the
  * connection.
  */
-static bool allow_new_conn(kl_endpoint_t *endpoint)
+static bool allow_new_conn(kl_endpoint_t *endpoint, const char *workspace)
 {
 	uint64_t now_us = endpoint->cluster->engine->now_us;
-	kl_conn_t *conn = kl_endpoint_longest_idle(endpoint);
+	kl_conn_t *conn = NULL;
 
+	if (kl_endpoint_may_replace(endpoint, workspace))
+		conn = kl_endpoint_longest_idle(endpoint);
 	if (conn) {
 		kl_conn_close(conn);
 		return true;
--- a/path/engine_endpoint.c
+++ b/path/engine_endpoint.c
@@ -154,6 +154,10 @@
 	memcpy(endpoint->domain, upstream->domain, KL_NAME_MAX);
 	endpoint->port = upstream->port;
 	endpoint->execution_slots = upstream->execution_slots;
+	if (endpoint->stmt_window >
+	    kl_endpoint_window_max(endpoint, WINDOW_MAX))
+		endpoint->stmt_window =
+			kl_endpoint_window_max(endpoint, WINDOW_MAX);
 	endpoint->accepts_stmts = true;
 	endpoint->unregistered_since_us = 0;
 	if (upstream->leaving && !endpoint->leaving)
@@ -269,7 +273,8 @@
 			endpoint->stmt_window = WINDOW_MIN;
 		endpoint->window_replies = 0;
 	} else if (++endpoint->window_replies >= endpoint->stmt_window &&
-		   endpoint->stmt_window < WINDOW_MAX) {
+		   endpoint->stmt_window <
+			   kl_endpoint_window_max(endpoint, WINDOW_MAX)) {
 		endpoint->window_replies = 0;
 		endpoint->stmt_window++;
 	}
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -420,6 +420,13 @@
 void kl_endpoint_dequeue(kl_client_t *client);
 /** Whether the client's statement would be answered too late at an endpoint. */
 bool kl_endpoint_is_too_late(kl_endpoint_t *endpoint, kl_client_t *client);
+/**
+ * Most statements that this VM runs at an endpoint at once; the order by
+ * priority needs them to wait here, not inside the database.
+ *
+ * @param most allowed whatever the database's slots are
+ */
+uint32_t kl_endpoint_window_max(const kl_endpoint_t *endpoint, uint32_t most);
 /** Choose a queued statement whose workspace has an idle connection. */
 kl_client_t *kl_endpoint_choose_queued(kl_endpoint_t *endpoint);
 /**
@@ -429,6 +436,13 @@
 void kl_queues_check_deadlines(kl_engine_t *engine);
 /** Whether the next tick has queued statements to check. */
 bool kl_queues_need_check(const kl_engine_t *engine);
+/**
+ * Whether another workspace's idle connection may be closed for one of this
+ * workspace.  In the order by priority only if it has none for its operations,
+ * because each new connection takes time of the database.
+ */
+bool kl_endpoint_may_replace(const kl_endpoint_t *endpoint,
+			     const char *workspace);
 /** Note the time that it took to open a connection. */
 void kl_endpoint_connected(kl_endpoint_t *endpoint, uint64_t connect_us);
 /** Tell the queue that the connection's statement was sent. */
--- a/path/engine_queue.c
+++ b/path/engine_queue.c
@@ -4,9 +4,16 @@
 
 #include "path/engine_internal.h"
 
+/*
+ * Statements sent at once for each slot of the database: one that runs and one
+ * that is on its way or follows at once.  What is sent can't be overtaken.
+ */
+#define STMTS_PER_SLOT 2
+
 static void describe(kl_client_t *client);
 static void update_places(kl_endpoint_t *endpoint);
 static bool has_idle_conn(const void *context, const char *workspace);
+static bool may_replace_conn(const void *context, const char *workspace);
 static uint32_t count_conns(const kl_endpoint_t *endpoint,
 			    kl_conn_stage_t stage);
 
@@ -92,11 +99,21 @@
 				 endpoint->open_conns - idle);
 }
 
+uint32_t kl_endpoint_window_max(const kl_endpoint_t *endpoint, uint32_t most)
+{
+	uint32_t stmts = endpoint->execution_slots * STMTS_PER_SLOT;
+
+	if (!endpoint->queue.order->keeps_time || !stmts || stmts > most)
+		return most;
+	return stmts;
+}
+
 kl_client_t *kl_endpoint_choose_queued(kl_endpoint_t *endpoint)
 {
 	kl_queue_offer_t offer = { .now_us = endpoint->cluster->engine->now_us,
 				   .connect_us = endpoint->connect_avg_us,
 				   .has_conn = has_idle_conn,
+				   .may_replace = may_replace_conn,
 				   .context = endpoint };
 	uint32_t idle = count_conns(endpoint, KL_CONN_IDLE);
 	kl_queued_stmt_t *queued;
@@ -119,6 +136,29 @@
 	return kl_conn_find_idle(context, workspace) != NULL;
 }
 
+bool kl_endpoint_may_replace(const kl_endpoint_t *endpoint,
+			     const char *workspace)
+{
+	const kl_conn_t *conn;
+
+	if (!endpoint->queue.order->keeps_time)
+		return true;
+	CK_STAILQ_FOREACH(conn, &endpoint->conns, link) {
+		bool in_transaction =
+			conn->client && conn->client->transaction_status != 'I';
+
+		if (conn->stage != KL_CONN_DETACHED && !in_transaction &&
+		    !strcmp(conn->workspace, workspace))
+			return false;
+	}
+	return true;
+}
+
+static bool may_replace_conn(const void *context, const char *workspace)
+{
+	return kl_endpoint_may_replace(context, workspace);
+}
+
 static uint32_t count_conns(const kl_endpoint_t *endpoint,
 			    kl_conn_stage_t stage)
 {
--- a/path/stmt_order.c
+++ b/path/stmt_order.c
@@ -61,7 +61,9 @@
 		if (new_conns) {
 			new_conns--;
 			places--;
-		} else if (kl_queued_stmt_waits_long(stmt, offer->now_us)) {
+		} else if (kl_queued_stmt_waits_long(stmt, offer->now_us) &&
+			   offer->may_replace(offer->context,
+					      stmt->workspace)) {
 			places--;
 		}
 	}
--- a/path/stmt_queue.h
+++ b/path/stmt_queue.h
@@ -53,7 +53,9 @@
 	uint64_t connect_us; /**< time that opening a connection takes */
 	/** Whether a workspace has an idle connection. */
 	bool (*has_conn)(const void *context, const char *workspace);
-	const void *context; /**< passed to has_conn() */
+	/** Whether another workspace's connection may be closed for it. */
+	bool (*may_replace)(const void *context, const char *workspace);
+	const void *context; /**< passed to these */
 } kl_queue_offer_t;
 
 typedef struct kl_stmt_queue kl_stmt_queue_t;
--- a/tests/engine_board.c
+++ b/tests/engine_board.c
@@ -70,6 +70,7 @@
 	kl_name_copy(upstream->domain, db->domain);
 	strcpy(upstream->host, "10.0.0.1");
 	upstream->port = (uint16_t)(1000 + index);
+	upstream->execution_slots = db->slots;
 	upstream->leaving = db->leaving || kl_config_upstream_marked(
 						   config, db->name, db->domain,
 						   &upstream->leaving_after_us);
--- a/tests/unit/stmt_queue.c
+++ b/tests/unit/stmt_queue.c
@@ -74,7 +74,8 @@
 {
 	kl_queue_offer_t offer = { .now_us = now_us,
 				   .places = 1,
-				   .has_conn = always };
+				   .has_conn = always,
+				   .may_replace = always };
 	kl_queued_stmt_t *stmt = queue.order->choose(&queue, &offer);
 	kl_running_stmt_t running;
 
