--- a/path/engine_queue.c
+++ b/path/engine_queue.c
@@ -1,5 +1,4 @@
-/* The queue of statements of an endpoint: what the module is told, and asked.
- */
+/* The queue of statements of an endpoint. */
 #include <string.h>
 
 #include "path/engine_internal.h"
--- a/path/upstream_time.h
+++ b/path/upstream_time.h
@@ -38,10 +38,10 @@
 	uint64_t used_us[KL_PRIORITY_LEVELS]; /**< the same by priority */
 	/** mean time of a statement, moving average; 0: not known */
 	uint64_t run_avg_us[KL_PRIORITY_LEVELS];
-	uint32_t running;     /**< statements that run now */
-	uint64_t updated_us;  /**< time of the last update */
-	uint64_t all_us;      /**< recent time */
-	uint64_t full_us;     /**< recent time in which no place was free */
+	uint32_t running;    /**< statements that run now */
+	uint64_t updated_us; /**< time of the last update */
+	uint64_t all_us;  /**< recent time, whether places were free or not */
+	uint64_t full_us; /**< recent time in which no place was free */
 	uint64_t full_run_us; /**< run time of what ended in that time */
 	bool was_full;	      /**< no place was free before the last update */
 	/** half of what was used is forgotten in this time */
