--- a/path/stmt_refusal.c
+++ b/path/stmt_refusal.c
@@ -4,9 +4,9 @@
 #include "path/stmt_queue.h"
 
 /*
- * This part of the time that a statement may wait is a reserve.  With a
- * quarter, one in fifty refusals of workspaces with seven times their load came
- * after a wait; with half, statements of the others were refused needlessly.
+ * This part of the time that a statement may wait is a reserve, because what
+ * arrives meanwhile is only estimated.  A smaller one refuses more statements
+ * after a wait, a larger one refuses more that could be served.
  */
 #define WAIT_MARGIN_DIVISOR 3
 
