--- a/control/node.h
+++ b/control/node.h
@@ -65,7 +65,7 @@
 	kl_controller_id_t owner; /**< receives the answer */
 	uint64_t sent_us;	  /**< time of sending */
 	kl_feed_t feed;		  /**< list, watch: the feed to read */
-	/** List, watch: the changes since this revision; 0: all objects. */
+	/** List, watch: the changes since this version; 0: all objects. */
 	uint64_t since_revision;
 	char name[KL_NAME_MAX]; /**< of the object; promote: the service */
 	/** Put: the object's version, 0 to create it; promote: the term. */
@@ -88,8 +88,11 @@
 	bool is_full_list; /**< objects has every object of the feed */
 	/** The feed's only object can't be read, so there are no documents. */
 	bool unreadable;
-	uint64_t call_sent_us;	/**< time of sending of the call */
-	uint64_t revision;	/**< the platform's; put: the new version */
+	uint64_t call_sent_us; /**< time of sending of the call */
+	/** Of the store, rises when it is restored from a copy; 0: none. */
+	uint64_t era;
+	/** The platform's, as a version; put: the new version. */
+	uint64_t revision;
 	char name[KL_NAME_MAX]; /**< as in the call */
 	/** Objects listed, or changed; the receiver may move entries out. */
 	kl_object_list_t *objects;
--- a/standin/store.c
+++ b/standin/store.c
@@ -7,13 +7,15 @@
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
 #include <glib.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "standin/store.h"
 
 #define OBJECTS_PATH "/-/objects/"
-#define MAX_WATCH_MS 30000 /* a longer waitMs of a watch is cut to this */
+#define OWN_KINDS "kumquatloft-" /* kinds that only the VMs write */
+#define MAX_WATCH_MS 30000	 /* a longer waitMs of a watch is cut to this */
 
 /* One change; the newest change of an object is its current state. */
 typedef struct change {
@@ -22,7 +24,8 @@
 	char *name;
 	json_t *spec;
 	json_int_t revision;
-	gint64 created_us; /* when the object was created */
+	gint64 created_us;  /* when the object was created */
+	gint64 recorded_us; /* when the change was made */
 	int deleted;
 	int superseded; /* by a later change of the same object */
 } change_t;
@@ -38,8 +41,12 @@
 
 static CK_STAILQ_HEAD(, change) changes = CK_STAILQ_HEAD_INITIALIZER(changes);
 static CK_LIST_HEAD(, watch) watches = CK_LIST_HEAD_INITIALIZER(watches);
+/* Changes of operators and databases that a drill lost; see drill(). */
+static CK_STAILQ_HEAD(, change) lost = CK_STAILQ_HEAD_INITIALIZER(lost);
 static struct event_base *event_base;
 static json_int_t revision = 1;
+static int era;		/* of the header Store-Era; 0: answers have none */
+static int rewrite_ms;	/* lost changes are made again so long after a drill */
 static int unavailable; /* if set, requests are answered with 503 */
 /* Watches from an earlier revision are answered with 410. */
 static json_int_t first_kept_revision;
@@ -50,6 +57,10 @@
 			 json_int_t since_revision, int wait_ms);
 static void finish_watch(watch_t *entry);
 static void drop_history(void);
+static void drill(int copy_age_ms);
+static void mark_superseded(void);
+static void on_rewrite(evutil_socket_t fd, short what, void *arg);
+static void change_free(change_t *change);
 static void forget_watches(void);
 static void on_watch_timeout(evutil_socket_t fd, short what, void *arg);
 static void on_watch_closed(struct evhttp_connection *connection, void *arg);
@@ -100,6 +111,12 @@
 		drop_history();
 	else if (!strcmp(name, "silent"))
 		forget_watches();
+	else if (!strcmp(name, "era"))
+		era = value;
+	else if (!strcmp(name, "rewrite_ms"))
+		rewrite_ms = value;
+	else if (!strcmp(name, "drill"))
+		drill(value);
 	else
 		return -1;
 	return 0;
@@ -130,6 +147,79 @@
 	}
 }
 
+/*
+ * Restores the store from a copy: changes that are younger are lost, and their
+ * revisions are assigned again.  Those of operators and databases are made
+ * again after rewrite_ms.
+ */
+static void drill(int copy_age_ms)
+{
+	gint64 copied_us = g_get_monotonic_time() - 1000LL * copy_age_ms;
+	struct timeval delay = { rewrite_ms / 1000, rewrite_ms % 1000 * 1000 };
+	change_t *change, *next;
+	watch_t *entry, *next_watch;
+
+	era += era != 0;
+	revision = 1;
+	CK_STAILQ_FOREACH_SAFE(change, &changes, link, next) {
+		if (change->recorded_us <= copied_us) {
+			revision = change->revision;
+			continue;
+		}
+		CK_STAILQ_REMOVE(&changes, change, change, link);
+		if (strncmp(change->kind, OWN_KINDS, strlen(OWN_KINDS)) != 0)
+			CK_STAILQ_INSERT_TAIL(&lost, change, link);
+		else
+			change_free(change);
+	}
+	mark_superseded();
+	if (first_kept_revision > revision)
+		first_kept_revision = revision;
+	CK_LIST_FOREACH_SAFE(entry, &watches, link, next_watch) {
+		if (entry->since_revision > revision)
+			finish_watch(entry);
+	}
+	event_base_once(event_base, -1, EV_TIMEOUT, on_rewrite, NULL, &delay);
+}
+
+/* Finds out again which changes are followed by one of the same object. */
+static void mark_superseded(void)
+{
+	change_t *change, *later;
+
+	CK_STAILQ_FOREACH(change, &changes, link) {
+		change->superseded = 0;
+		for (later = CK_STAILQ_NEXT(change, link); later;
+		     later = CK_STAILQ_NEXT(later, link))
+			change->superseded |=
+				!strcmp(change->kind, later->kind) &&
+				!strcmp(change->name, later->name);
+	}
+}
+
+static void on_rewrite(evutil_socket_t fd, short what, void *arg)
+{
+	change_t *change;
+	(void)fd;
+	(void)what;
+	(void)arg;
+
+	while ((change = CK_STAILQ_FIRST(&lost))) {
+		CK_STAILQ_REMOVE_HEAD(&lost, link);
+		record_change(change->kind, change->name,
+			      json_incref(change->spec), change->deleted);
+		change_free(change);
+	}
+}
+
+static void change_free(change_t *change)
+{
+	json_decref(change->spec);
+	free(change->kind);
+	free(change->name);
+	free(change);
+}
+
 static void on_request(struct evhttp_request *request, void *arg)
 {
 	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
@@ -182,7 +272,7 @@
 	struct timeval wait = { ms / 1000, ms % 1000 * 1000 };
 	watch_t *entry;
 
-	if (since_revision < first_kept_revision) {
+	if (since_revision < first_kept_revision || since_revision > revision) {
 		send_json(request, 410, json_object());
 		return;
 	}
@@ -215,7 +305,8 @@
 	if (request) {
 		evhttp_connection_set_closecb(
 			evhttp_request_get_connection(request), NULL, NULL);
-		if (entry->since_revision < first_kept_revision)
+		if (entry->since_revision < first_kept_revision ||
+		    entry->since_revision > revision)
 			send_json(request, 410, json_object());
 		else
 			send_json(request, 200,
@@ -308,6 +399,7 @@
 	change->name = strdup(name);
 	change->spec = spec;
 	change->deleted = deleted;
+	change->recorded_us = g_get_monotonic_time();
 	change->created_us =
 		current ? current->created_us : g_get_monotonic_time();
 	change->revision = ++revision;
@@ -364,8 +456,13 @@
 {
 	struct evbuffer *body = evbuffer_new();
 	char *text = json_dumps(json, JSON_COMPACT);
+	char era_text[16];
 
 	evbuffer_add_printf(body, "%s", text);
+	snprintf(era_text, sizeof(era_text), "%d", era);
+	if (era)
+		evhttp_add_header(evhttp_request_get_output_headers(request),
+				  "Store-Era", era_text);
 	evhttp_add_header(evhttp_request_get_output_headers(request),
 			  "Content-Type", "application/json");
 	evhttp_send_reply(request, status, NULL, body);
--- a/standin/store.h
+++ b/standin/store.h
@@ -33,9 +33,12 @@
 
 /**
  * Set a fault: "down" (all requests are answered with HTTP 503 while the value
- * is not 0), "compact" (the history up to now is dropped, once) or "silent"
- * (the watches that wait now never get an answer, but their connections stay
- * open).
+ * is not 0), "compact" (the history up to now is dropped, once), "silent" (the
+ * watches that wait now never get an answer, but their connections stay open),
+ * "era" (answers have the header Store-Era with the value), "drill" (the store
+ * is restored from a copy that is that many milliseconds old, and its era rises
+ * by 1) or "rewrite_ms" (so long after a drill the lost changes of operators
+ * and databases are made again).
  *
  * @return 0, or -1 if there is no such fault
  */
