Add a drill of the store to the simulated fleet

The script steps era and drill restore the simulated store from an older copy; what operators and databases wrote since is written again later. The steps of the store have a file of their own.

--- a/tests/script.h
+++ b/tests/script.h
@@ -28,4 +28,9 @@
 void step_peerless(char **words, int count);
 void step_sample(char **words, int count);
 
+/* Steps that act on the platform's store. */
+void step_platform(char **words, int count);
+void step_era(char **words, int count);
+void step_drill(char **words, int count);
+
 #endif
--- a/tests/script_look.c
+++ b/tests/script_look.c
@@ -13,6 +13,7 @@
 /* await CONDITION...: advances the clock until it holds, 60 s at most. */
 static void show_position(vm_t *vm, const char *service);
 static void show_leaving(vm_t *vm, const char *service, const char *name);
+static void show_known(vm_t *vm, const char *service);
 
 void step_await(char **words, int count)
 {
@@ -161,7 +162,7 @@
 
 /*
  * show group SERVICE | db NAME | calls VM | slots VM | config VM | plan VM PLAN
- * | leaving VM SERVICE UPSTREAM
+ * | leaving VM SERVICE UPSTREAM | known VM SERVICE
  *
  * calls tells whether the VM called databases since the last "show calls".
  */
@@ -183,6 +184,18 @@
 					    KL_MS));
 }
 
+/* Prints a group as a VM knows it. */
+static void show_known(vm_t *vm, const char *service)
+{
+	const kl_group_t *group = world_vm_group(vm, service);
+
+	if (group)
+		printf("term %llu primary %s\n",
+		       (unsigned long long)group->term, group->primary);
+	else
+		printf("not known\n");
+}
+
 void step_show(char **words, int count)
 {
 	vm_t *vm = world_find_vm(script_world, words[1]);
@@ -203,6 +216,8 @@
 		       db->is_primary ? "primary" : "replica",
 		       (unsigned long long)db->term,
 		       (unsigned long long)db->min_accepted_term, db->log->len);
+	} else if (!strcmp(words[0], "known")) {
+		show_known(vm, words[2]);
 	} else if (!strcmp(words[0], "calls")) {
 		printf("%s\n",
 		       vm->database_calls ? "asks databases" : "asks none");
--- a/tests/script_run.c
+++ b/tests/script_run.c
@@ -33,7 +33,6 @@
 static void step_start(char **words, int count);
 static void step_freeze(char **words, int count);
 static void step_thaw(char **words, int count);
-static void step_platform(char **words, int count);
 static void step_net(char **words, int count);
 static void step_register(char **words, int count);
 static void step_begin(char **words, int count);
@@ -90,6 +89,8 @@
 	{ "leaves", 1, step_leaves },
 	{ "violations", 0, step_violations },
 	{ "crash_on", 2, step_crash_on },
+	{ "era", 1, step_era },
+	{ "drill", 2, step_drill },
 	{ "unreported", 2, step_unreported },
 	{ "fails", 2, step_fails },
 	{ "peerless", 2, step_peerless },
@@ -288,16 +289,6 @@
 	world_thaw_vm(world_find_vm(script_world, words[0]));
 }
 
-/* platform up | down | lose [COUNT]: lose drops answers to updates. */
-static void step_platform(char **words, int count)
-{
-	if (!strcmp(words[0], "lose"))
-		script_world->put_answers_to_lose =
-			count > 1 ? (int)script_parse_number(words[1]) : 1;
-	else
-		script_world->platform_down = !strcmp(words[0], "down");
-}
-
 /* net loss PERCENT | double PERCENT | jitter MS */
 static void step_net(char **words, int count)
 {
--- a/tests/world.c
+++ b/tests/world.c
@@ -23,6 +23,8 @@
 	world->dbs = g_ptr_array_new();
 	world->workloads = g_ptr_array_new();
 	world->pending_writes = g_ptr_array_new_with_free_func(g_free);
+	world->history = world_history_new();
+	world->lost_writes = world_history_new();
 	world->events = g_sequence_new(NULL);
 	world->random = g_rand_new_with_seed(seed);
 	world->objects = g_hash_table_new(g_str_hash, g_str_equal);
@@ -79,6 +81,8 @@
 	g_ptr_array_free(world->dbs, TRUE);
 	g_ptr_array_free(world->workloads, TRUE);
 	g_ptr_array_free(world->pending_writes, TRUE);
+	g_ptr_array_free(world->history, TRUE);
+	g_ptr_array_free(world->lost_writes, TRUE);
 	g_rand_free(world->random);
 	g_free(world);
 }
@@ -231,6 +235,7 @@
 
 	g_hash_table_replace(world->objects, new->name.name, new);
 	kl_object_free(old);
+	world_record_write(world, name, body);
 	crash_on_group_state(world, name, body);
 	if (world->platform_promotes && !strncmp(name, "group/", 6))
 		world_adopt_record_term(world, name + 6);
@@ -387,6 +392,7 @@
 
 	world->last_tick_at_us = world->now_us;
 	world_replicate(world);
+	world_rewrite_lost(world);
 	if (world->platform_promotes) {
 		world_complete_promotions(world);
 		world_report_passive_checks(world);
--- a/tests/world.h
+++ b/tests/world.h
@@ -111,6 +111,10 @@
 	GRand *random;
 	GHashTable *objects; /**< the platform's store: name to kl_object_t */
 	uint64_t revision;   /**< of the store, rises with each update */
+	uint64_t era;	    /**< of the store, rises with each drill; 0: none */
+	GPtrArray *history; /**< writes of the store, the oldest first */
+	GPtrArray *lost_writes; /**< in a drill, that are written again */
+	uint64_t rewrite_at_us; /**< time at which they are, or 0 */
 	bool platform_down;
 	int platform_partition;	    /**< like vm.partition */
 	int put_answers_to_lose;    /**< the next updates lose their answer */
@@ -168,6 +172,14 @@
 void world_put_service(world_t *world, const char *service, int conn_limit);
 /** Write an object to the platform's store; body "null" deletes it. */
 void world_put_object(world_t *world, const char *name, const char *body);
+/**
+ * Restore the platform's store from a copy.  The era rises, if there is one.
+ *
+ * @param age_us age of the copy; later writes are lost
+ * @param rewrite_us what operators and databases wrote since the copy is
+ *                   written again after this time
+ */
+void world_drill(world_t *world, uint64_t age_us, uint64_t rewrite_us);
 /** Write a VM's object; the state "gone" deletes it. */
 void world_register_vm(vm_t *vm, const char *state);
 /** Let the platform promote databases; call it before adding VMs. */
--- a/tests/world_fake.c
+++ b/tests/world_fake.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "control/store_era.h"
 #include "tests/world_internal.h"
 
 static uint64_t silent_call_us(const kl_platform_call_t *call);
@@ -52,6 +53,10 @@
 				delay_us = CALL_TIMEOUT_US;
 			}
 		}
+	} else if (call->op == KL_PLATFORM_WATCH &&
+		   call->since_revision > world->revision) {
+		world->platform_reads++;
+		answer->error = -KL_E_STALE_CONFIG;
 	} else {
 		world->platform_reads++;
 		/* A watch without changes is tried again until it times out. */
@@ -68,6 +73,9 @@
 				       call->op == KL_PLATFORM_LIST;
 	}
 	answer->revision = world->revision;
+	answer->era = world->era;
+	answer->objects = &event->answer_objects;
+	kl_store_era_add(answer);
 	/* Jitter lets answers overtake each other. */
 	if (world->jitter_us)
 		delay_us += g_rand_int(world->random) % world->jitter_us;
--- a/tests/world_internal.h
+++ b/tests/world_internal.h
@@ -79,6 +79,15 @@
 /** Report to each VM whether its clients' requests to each database fail. */
 void world_report_passive_checks(world_t *world);
 
+/** Create the list of the store's writes. */
+GPtrArray *world_history_new(void);
+
+/** Add the store's newest write to its history. */
+void world_record_write(world_t *world, const char *name, const char *body);
+
+/** Write again what a drill lost, once it is due. */
+void world_rewrite_lost(world_t *world);
+
 /** Queue an event for delivery in delay_us microseconds. */
 void world_schedule(world_t *world, world_event_t *event, uint64_t delay_us);
 
--- a/tests/world_node.c
+++ b/tests/world_node.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "control/store_era.h"
 #include "tests/world_internal.h"
 
 static uint64_t node_now(void *context);
@@ -78,6 +79,7 @@
 	event->vm = vm;
 	event->sender_incarnation = vm->node.self.incarnation;
 	event->platform_call = *call;
+	kl_store_era_remove(&event->platform_call);
 	event->call_body = g_strdup(call->body);
 	CK_STAILQ_INIT(&event->answer_objects);
 	CK_STAILQ_INIT(&event->peer_message.delta.objects);
