Carry the store's era in hellos, fetches and deltas

Without it a VM can't tell a revision of a restored store from the same one before. The versions with their eras follow the message, as the extension of hellos does, and only if the store has an era; the other fields have plain revisions, so VMs of earlier versions go on. Versions that are not those of the message, or of a later era than it, are refused. The unit tests of the codec pass. tests/unit/mutate crashes at kinds that have numbers but no codec yet, as it did before this change.

--- a/control/peer_message.h
+++ b/control/peer_message.h
@@ -47,9 +47,10 @@
 	bool wants_answer; /**< the receiver replies with a hello of its own */
 	uint64_t sent_us;  /**< sender's clock at sending */
 	uint64_t echo_us;  /**< sent_us of the hello answered, or 0 */
-	uint64_t feed_revisions[KL_FEED_COUNT]; /**< held by the sender */
-	uint64_t confirmation_age_us;		/**< or KL_AGE_UNCONFIRMED */
-	/** The platform's store was at most at this revision; 0: not known. */
+	/** Versions held by the sender (control/store_era.h). */
+	uint64_t feed_revisions[KL_FEED_COUNT];
+	uint64_t confirmation_age_us; /**< or KL_AGE_UNCONFIRMED */
+	/** The platform's store was at most at this version; 0: not known. */
 	uint64_t store_revision;
 	uint64_t store_revision_age_us; /**< that long before sent_us */
 } kl_peer_hello_t;
@@ -70,6 +71,9 @@
 	kl_object_list_t objects;
 } kl_peer_delta_t;
 
+/** Newest eras of the store whose first revisions are known. */
+#define KL_STORE_ERAS 4
+
 /** Most services in a query for log positions, or in its answer. */
 #define KL_PEER_POSITIONS_MAX 16
 
@@ -97,6 +101,11 @@
 typedef struct kl_peer_message {
 	kl_peer_kind_t kind;
 	char from[KL_NAME_MAX]; /**< name of the VM that sends it */
+	/** Hello, fetch, delta: newest era of the store known; 0: none. */
+	uint64_t store_era;
+	/** Hello: lowest revisions seen in that era and those before; 0: none.
+	 */
+	uint64_t first_revisions[KL_STORE_ERAS];
 	kl_peer_hello_t hello;
 	kl_peer_fetch_t fetch;
 	kl_peer_delta_t delta;
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -10,6 +10,8 @@
 const KL_WIRE_OBJECTS = 256;
 const KL_WIRE_FEEDS = 8;
 const KL_WIRE_POSITIONS = 16;
+const KL_WIRE_ERAS = 8;
+const KL_WIRE_VERSIONS = 258;
 
 struct kl_wire_hello {
 	unsigned hyper incarnation;
@@ -30,6 +32,18 @@
 	unsigned hyper store_revision_age_us;
 };
 
+/*
+ * Follows a hello with its extension, a fetch or a delta if the store has an
+ * era.  VMs of earlier versions ignore it, and send none.  The versions are
+ * those of the message, in its order, with their eras; other fields have the
+ * plain revisions.
+ */
+struct kl_wire_store_era {
+	unsigned hyper era;
+	unsigned hyper first_revisions<KL_WIRE_ERAS>;
+	unsigned hyper versions<KL_WIRE_VERSIONS>;
+};
+
 struct kl_wire_fetch {
 	unsigned int feed;
 	unsigned hyper since;
--- a/peer/peer_codec.c
+++ b/peer/peer_codec.c
@@ -5,7 +5,7 @@
 
 #include "kumquatloft/kind.h"
 #include "peer/peer_codec.h"
-#include "peer/peer_wire.h"
+#include "peer/peer_era.h"
 
 typedef struct kind_codec {
 	void (*encode)(const kl_peer_message_t *message, kl_wire_message *wire);
@@ -61,6 +61,7 @@
 int kl_peer_encode(const kl_peer_message_t *message, const char *host,
 		   uint16_t port, char *buffer, size_t size)
 {
+	kl_peer_message_t plain = *message;
 	kl_wire_message wire;
 	int length = -KL_E_INVALID;
 	XDR xdr;
@@ -71,11 +72,13 @@
 	wire.host = (char *)host;
 	wire.port = port;
 	wire.body.kind = message->kind;
-	kind_codecs[message->kind].encode(message, &wire);
+	kl_peer_era_remove(&plain);
+	kind_codecs[message->kind].encode(&plain, &wire);
 	xdrmem_create(&xdr, buffer, (u_int)size, XDR_ENCODE);
 	if (!process_rpc_call(&xdr, &wire)) {
 		if (message->kind == KL_PEER_HELLO)
-			encode_extension(&xdr, &message->hello);
+			encode_extension(&xdr, &plain.hello);
+		kl_peer_era_encode(&xdr, message);
 		length = (int)xdr_getpos(&xdr);
 	}
 	xdr_destroy(&xdr);
@@ -109,7 +112,10 @@
 	kind_codecs[message->kind].decode(message, &wire);
 	if (message->kind == KL_PEER_HELLO)
 		decode_extension(&xdr, &message->hello);
-	error = 0;
+	if (xdr_getpos(&xdr) < length)
+		error = kl_peer_era_decode(&xdr, message);
+	else
+		error = 0;
 out:
 	xdr_destroy(&xdr);
 	xdr_free((xdrproc_t)xdr_kl_wire_message, (char *)&wire);
@@ -252,7 +258,7 @@
 			&out->objects.objects_val[out->objects.objects_len++];
 
 		entry->name = (char *)object->name.name;
-		entry->changed = object->version;
+		entry->changed = kl_version_revision(object->version);
 		entry->body = object->body;
 	}
 }
--- a/peer/peer_wire.h
+++ b/peer/peer_wire.h
@@ -19,6 +19,8 @@
 #define KL_WIRE_OBJECTS 256
 #define KL_WIRE_FEEDS 8
 #define KL_WIRE_POSITIONS 16
+#define KL_WIRE_ERAS 8
+#define KL_WIRE_VERSIONS 258
 
 struct kl_wire_hello {
 	u_quad_t incarnation;
@@ -40,6 +42,19 @@
 };
 typedef struct kl_wire_hello_extension kl_wire_hello_extension;
 
+struct kl_wire_store_era {
+	u_quad_t era;
+	struct {
+		u_int first_revisions_len;
+		u_quad_t *first_revisions_val;
+	} first_revisions;
+	struct {
+		u_int versions_len;
+		u_quad_t *versions_val;
+	} versions;
+};
+typedef struct kl_wire_store_era kl_wire_store_era;
+
 struct kl_wire_fetch {
 	u_int feed;
 	u_quad_t since;
@@ -145,6 +160,7 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_kl_wire_hello (XDR *, kl_wire_hello*);
 extern  bool_t xdr_kl_wire_hello_extension (XDR *, kl_wire_hello_extension*);
+extern  bool_t xdr_kl_wire_store_era (XDR *, kl_wire_store_era*);
 extern  bool_t xdr_kl_wire_fetch (XDR *, kl_wire_fetch*);
 extern  bool_t xdr_kl_wire_object (XDR *, kl_wire_object*);
 extern  bool_t xdr_kl_wire_delta (XDR *, kl_wire_delta*);
@@ -158,6 +174,7 @@
 #else /* K&R C */
 extern bool_t xdr_kl_wire_hello ();
 extern bool_t xdr_kl_wire_hello_extension ();
+extern bool_t xdr_kl_wire_store_era ();
 extern bool_t xdr_kl_wire_fetch ();
 extern bool_t xdr_kl_wire_object ();
 extern bool_t xdr_kl_wire_delta ();
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -40,6 +40,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_kl_wire_store_era (XDR *xdrs, kl_wire_store_era *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->era))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->first_revisions.first_revisions_val, (u_int *) &objp->first_revisions.first_revisions_len, KL_WIRE_ERAS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->versions.versions_val, (u_int *) &objp->versions.versions_len, KL_WIRE_VERSIONS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_kl_wire_fetch (XDR *xdrs, kl_wire_fetch *objp)
 {
--- a/tests/unit/codec.c
+++ b/tests/unit/codec.c
@@ -9,6 +9,7 @@
 
 #include "front/pg_codec.h"
 #include "kumquatloft/kind.h"
+#include "control/store_era.h"
 #include "peer/peer_codec.h"
 
 static int read_message(const void *bytes, size_t length, bool startup,
@@ -119,6 +120,75 @@
 	kl_peer_message_clear(&decoded);
 }
 
+static int encode_era_delta(char *buffer, size_t size, uint64_t era)
+{
+	kl_peer_message_t message = {
+		.kind = KL_PEER_DELTA,
+		.store_era = era,
+		.delta = { .fetch = { .since_revision =
+					      kl_store_version(2, 5) },
+			   .revision = kl_store_version(3, 4) }
+	};
+	int length;
+
+	CK_STAILQ_INIT(&message.delta.objects);
+	CK_STAILQ_INSERT_TAIL(
+		&message.delta.objects,
+		kl_object_new("mark/a", kl_store_version(2, 9), "{}"), link);
+	length = kl_peer_encode(&message, "127.0.0.1", 99, buffer, size);
+	kl_object_list_clear(&message.delta.objects);
+	return length;
+}
+
+/*
+ * A VM of an earlier version reads plain revisions, and sends no eras: what it
+ * sends must not look newer than any era.
+ */
+static void eras_follow_the_message(void **state)
+{
+	kl_peer_message_t decoded;
+	char buffer[4096];
+	int length = encode_era_delta(buffer, sizeof(buffer), 3);
+	/* The era and three versions, with the lengths of both lists. */
+	size_t era_length = sizeof(uint64_t) * (1 + KL_STORE_ERAS + 3) +
+			    2 * sizeof(uint32_t);
+	(void)state;
+
+	assert_true(length > 0);
+	assert_int_equal(kl_peer_decode(&decoded, buffer, (size_t)length), 0);
+	assert_int_equal(decoded.store_era, 3);
+	assert_int_equal(decoded.delta.fetch.since_revision,
+			 kl_store_version(2, 5));
+	assert_int_equal(decoded.delta.revision, kl_store_version(3, 4));
+	assert_int_equal(CK_STAILQ_FIRST(&decoded.delta.objects)->version,
+			 kl_store_version(2, 9));
+	kl_peer_message_clear(&decoded);
+	assert_int_equal(
+		kl_peer_decode(&decoded, buffer, (size_t)length - era_length),
+		0);
+	assert_int_equal(decoded.store_era, 0);
+	assert_int_equal(decoded.delta.revision, 4);
+	assert_int_equal(CK_STAILQ_FIRST(&decoded.delta.objects)->version, 9);
+	kl_peer_message_clear(&decoded);
+}
+
+/* Guards against versions of an era that the sender does not know itself. */
+static void malformed_eras_of_messages_are_refused(void **state)
+{
+	kl_peer_message_t decoded;
+	char buffer[4096];
+	int length = encode_era_delta(buffer, sizeof(buffer), 2);
+	(void)state;
+
+	assert_int_equal(kl_peer_decode(&decoded, buffer, (size_t)length),
+			 -KL_E_PROTOCOL);
+	kl_peer_message_clear(&decoded);
+	length = encode_era_delta(buffer, sizeof(buffer), KL_ERA_MAX + 1);
+	assert_int_equal(kl_peer_decode(&decoded, buffer, (size_t)length),
+			 -KL_E_PROTOCOL);
+	kl_peer_message_clear(&decoded);
+}
+
 static void peer_messages_survive_encoding(void **state)
 {
 	kl_peer_message_t message = { .kind = KL_PEER_DELTA };
@@ -187,6 +257,8 @@
 		cmocka_unit_test(peer_messages_survive_encoding),
 		cmocka_unit_test(hello_extension_may_be_missing),
 		cmocka_unit_test(positions_survive_encoding),
+		cmocka_unit_test(eras_follow_the_message),
+		cmocka_unit_test(malformed_eras_of_messages_are_refused),
 		cmocka_unit_test(
 			corrupt_datagrams_are_refused_or_decoded_safely),
 	};
--- a/tests/unit/mutate.c
+++ b/tests/unit/mutate.c
@@ -245,6 +245,7 @@
 	kl_peer_message_t message = {
 		.from = "vm-1",
 		.subject = "bakery",
+		.store_era = 2,
 		.hello = { .domain = "d", .host = "10.0.0.1" },
 		.positions = { .count = 2,
 			       .list = { { .service = "orders", .term = 1 },
