Keep configuration, marks and terms when the store is restored from a copy

The copy's older contents replaced what VMs held: a withdrawn key was valid again, an evacuated domain in use, and a group's record fell back, so that a promotion used a token twice. Now answers of an older era than known are refused, a rise of the era lists every feed, and objects of the copy that are older than those held are withheld until the operator's writes are restored. A record with a lower term is written again by a prober, and a change of a record that may be from the copy raises the term by more than the lost ones can have. Confirmations of the new era count from 1 s after its rise.

--- a/board/sections.h
+++ b/board/sections.h
@@ -50,11 +50,14 @@
 typedef struct kl_object {
 	kl_named_t name;
 	CK_STAILQ_ENTRY(kl_object) link;
-	uint64_t version; /**< revision of its last change */
+	/** Of its last change: the store's era and revision. */
+	uint64_t version;
 	/** That change was stored no earlier than this; 0: not known. */
 	uint64_t changed_after_us;
 	kl_feed_t feed;
 	bool unreadable; /**< it exists, but its contents can't be read */
+	/** The store was restored from a copy, and has older contents. */
+	bool store_is_behind;
 	char *body;	 /**< JSON text; "null" for a removed object */
 } kl_object_t;
 
@@ -210,6 +213,7 @@
 	kl_term_start_t history[KL_TERM_HISTORY_MAX]; /**< oldest term first */
 	uint32_t history_count;
 	uint64_t first_seen_us; /**< when this VM first saw this version */
+	bool store_is_behind;	/**< as in kl_object_t */
 } kl_group_t;
 
 /** The recorded states of all groups. */
--- a/control/config.c
+++ b/control/config.c
@@ -10,6 +10,7 @@
 #include "control/controllers.h"
 #include "control/document.h"
 #include "control/document_check.h"
+#include "control/store_era.h"
 
 /* An object with a document, and its last valid version. */
 typedef struct document_object {
@@ -119,7 +120,8 @@
 	config = build_config(state, objects->revision);
 	if (!config)
 		return;
-	config->version = objects->feed_revisions[KL_FEED_CONFIG];
+	config->version =
+		kl_version_revision(objects->feed_revisions[KL_FEED_CONFIG]);
 	log_leaving(node, config, kl_node_get(node, KL_SECTION_CONFIG));
 	kl_node_publish(node, KL_SECTION_CONFIG, &config->base);
 }
@@ -205,7 +207,8 @@
 	if (document->newest_is_invalid) {
 		kl_decision_t refused = { .name = "document_refused",
 					  .reason = object->name.name,
-					  .position = object->version };
+					  .position = kl_version_revision(
+						  object->version) };
 
 		node->ops->log_decision(node->ops_context, &refused);
 		json_decref(json);
--- a/control/controllers.h
+++ b/control/controllers.h
@@ -14,6 +14,12 @@
 void kl_sync_request_list(kl_node_t *node, kl_feed_t feed);
 /** Time of the request for the last full list of a feed received, or 0. */
 uint64_t kl_sync_last_list_us(const kl_node_t *node, kl_feed_t feed);
+/** Newest era of the store that is known (control/store_era.h); 0: none. */
+uint64_t kl_sync_era(const kl_node_t *node);
+/** Lowest revision of the store that was seen in that era, or 0. */
+uint64_t kl_sync_first_revision(const kl_node_t *node);
+/** Number of answers and messages of older eras. */
+uint64_t kl_sync_refused_era_count(const kl_node_t *node);
 /** Send a hello to a VM and request an answer. */
 void kl_sync_send_hello(kl_node_t *node, const kl_member_t *member);
 
--- a/control/promote.c
+++ b/control/promote.c
@@ -17,13 +17,7 @@
 #include "control/controllers.h"
 #include "control/group_record.h"
 #include "control/promote_internal.h"
-
-/*
- * The prober of rank N, one of the VMs that monitor the primary, waits N times
- * this long before it acts, so that probers rarely compete for the conditional
- * update.
- */
-#define RANK_DELAY_US (150 * KL_MS)
+#include "control/store_era.h"
 
 /* Delay per rank before a prober creates a group's first record. */
 #define CREATE_RANK_DELAY_US (500 * KL_MS)
@@ -58,8 +52,6 @@
 static void claim_term(kl_promote_ctx_t *ctx, const char *reason);
 static void call_promote(kl_promote_ctx_t *ctx);
 static void demote_old_primaries(kl_promote_ctx_t *ctx);
-static void write_record(kl_promote_ctx_t *ctx, kl_group_t *group,
-			 const char *decision_name, const char *reason);
 
 static void (*const steps[KL_GROUP_STATE_COUNT])(kl_promote_ctx_t *ctx) = {
 	[KL_GROUP_STABLE] = step_stable,
@@ -81,7 +73,8 @@
 	if (!node->tuning.platform_promotes)
 		return; /* the failover controller acts instead */
 	kl_promote_handle_event(state, event, ctx.base.now);
-	if (!config || !terms || !ctx.base.members)
+	if (!config || !terms || !ctx.base.members ||
+	    kl_version_era(terms->revision) != kl_sync_era(node))
 		return;
 	CK_STAILQ_FOREACH(ctx.base.service, &config->services, link) {
 		const char *name = ctx.base.service->name.name;
@@ -100,6 +93,8 @@
 		if (promotion->failover.record_version !=
 		    ctx.base.group->version)
 			kl_promotion_reset(promotion, ctx.base.group);
+		if (!kl_promote_rewrite(&ctx))
+			continue;
 		steps[ctx.base.group->state](&ctx);
 	}
 }
@@ -111,7 +106,8 @@
 static void create_record(kl_promote_ctx_t *ctx)
 {
 	const kl_upstream_t *upstream, *first = NULL;
-	kl_group_t group = { .state = KL_GROUP_STABLE, .term = 1 };
+	kl_group_t group = { .state = KL_GROUP_STABLE,
+			     .term = kl_promote_first_term(ctx) };
 	kl_promotion_t *promotion = ctx->promotion;
 
 	CK_STAILQ_FOREACH(upstream, &ctx->base.service->upstreams, link) {
@@ -130,7 +126,7 @@
 	group.name = ctx->base.service->name;
 	group.primary[0] = '\0';
 	kl_name_copy(group.primary, first->name.name);
-	write_record(ctx, &group, "group_recorded", "registered");
+	kl_promote_write_record(ctx, &group, "group_recorded", "registered");
 }
 
 static void step_stable(kl_promote_ctx_t *ctx)
@@ -154,9 +150,9 @@
 		failover->triggered_us = ctx->base.now;
 	if (was_replaced_as_promoter(ctx) ||
 	    ctx->base.now - failover->triggered_us <
-		    (uint64_t)ctx->base.prober_rank * RANK_DELAY_US)
+		    (uint64_t)ctx->base.prober_rank * KL_PROMOTE_RANK_DELAY_US)
 		return;
-	ctx->promotion->claimed_from_stable = ctx->base.group->term + 1;
+	ctx->promotion->claimed_from_stable = kl_promote_next_term(ctx);
 	ctx->promotion->claimed_to_leave = !failed;
 	claim_term(ctx, failed ? "primary_fails" : "primary_leaves");
 }
@@ -169,10 +165,10 @@
 {
 	kl_group_t next = *ctx->base.group;
 
-	next.term++;
+	next.term = kl_promote_next_term(ctx);
 	next.state = KL_GROUP_FENCING;
 	memcpy(next.promoter, ctx->base.node->self.vm, KL_NAME_MAX);
-	write_record(ctx, &next, "term_won", reason);
+	kl_promote_write_record(ctx, &next, "term_won", reason);
 }
 
 static void step_fencing(kl_promote_ctx_t *ctx)
@@ -204,14 +200,16 @@
 	    !strcmp(next.promoter, ctx->base.node->self.vm) &&
 	    kl_promote_no_successor(ctx, settled_us)) {
 		next.state = KL_GROUP_STABLE;
-		write_record(ctx, &next, "change_given_up", "no_successor");
+		kl_promote_write_record(ctx, &next, "change_given_up",
+					"no_successor");
 	}
 	if (!best)
 		return;
 	next.state = KL_GROUP_PROMOTING;
 	kl_name_copy(next.primary, best);
 	memcpy(next.promoter, ctx->base.node->self.vm, KL_NAME_MAX);
-	write_record(ctx, &next, "candidate_chosen", "highest_position");
+	kl_promote_write_record(ctx, &next, "candidate_chosen",
+				"highest_position");
 }
 
 static void step_promoting(kl_promote_ctx_t *ctx)
@@ -230,9 +228,10 @@
 		 * and no two VMs may use the same token.  The reason "silent"
 		 * means that the former promoter was inactive.
 		 */
-		next.term++;
+		next.term = kl_promote_next_term(ctx);
 		memcpy(next.promoter, ctx->base.node->self.vm, KL_NAME_MAX);
-		write_record(ctx, &next, "promotion_taken_up", "silent");
+		kl_promote_write_record(ctx, &next, "promotion_taken_up",
+					"silent");
 		return;
 	}
 	reply = kl_promotion_find_reply(promotion, group->primary);
@@ -241,7 +240,7 @@
 		promotion->new_primary_term = reply->term;
 		/* "leads": the database reports itself as the primary. */
 		next.state = KL_GROUP_STABLE;
-		write_record(ctx, &next, "promoted", "leads");
+		kl_promote_write_record(ctx, &next, "promoted", "leads");
 		return;
 	}
 	if (promotion->candidate_not_running ||
@@ -299,9 +298,9 @@
 	if (!strcmp(ctx->base.group->promoter, ctx->base.node->self.vm))
 		return true;
 	return ctx->base.prober_rank >= 0 && !was_replaced_as_promoter(ctx) &&
-	       state_age_us >
-		       expected_us + TAKEOVER_DELAY_US +
-			       (uint64_t)ctx->base.prober_rank * RANK_DELAY_US;
+	       state_age_us > expected_us + TAKEOVER_DELAY_US +
+				      (uint64_t)ctx->base.prober_rank *
+					      KL_PROMOTE_RANK_DELAY_US;
 }
 
 /* Whether another VM took over after this one promoted a short time ago. */
@@ -341,8 +340,8 @@
  * Logs the decision and sends a conditional update of the group's record,
  * unless the last attempt was too recent.
  */
-static void write_record(kl_promote_ctx_t *ctx, kl_group_t *group,
-			 const char *decision_name, const char *reason)
+void kl_promote_write_record(kl_promote_ctx_t *ctx, kl_group_t *group,
+			     const char *decision_name, const char *reason)
 {
 	kl_node_t *node = ctx->base.node;
 	kl_failover_t *failover = &ctx->promotion->failover;
--- a/control/promote_internal.h
+++ b/control/promote_internal.h
@@ -32,6 +32,13 @@
 /* A record counts as current for this long after its last confirmation. */
 #define CONFIRMATION_MAX_AGE_US (1 * KL_SEC)
 
+/**
+ * The prober of rank N, one of the VMs that monitor the primary, waits N times
+ * this long before it acts, so that probers rarely compete for the conditional
+ * update.
+ */
+#define KL_PROMOTE_RANK_DELAY_US (150 * KL_MS)
+
 /** State of one service's failover where the platform promotes databases. */
 typedef struct kl_promotion {
 	kl_failover_t failover; /**< first: its name is the index key */
@@ -139,6 +146,30 @@
 			      const kl_upstream_t *upstream,
 			      kl_database_op_t op, uint64_t term);
 
+/**
+ * Log a decision and send a conditional update of the group's record, unless
+ * the last attempt was too recent.
+ */
+void kl_promote_write_record(kl_promote_ctx_t *ctx, kl_group_t *group,
+			     const char *decision_name, const char *reason);
+
+/* promote_rewrite.c */
+
+/**
+ * Write the group's record again if the store was restored from a copy with an
+ * older one.
+ *
+ * @return whether the store has the record that is held, so that the next step
+ *         may be taken
+ */
+bool kl_promote_rewrite(kl_promote_ctx_t *ctx);
+
+/** Term of the next change, which no change that the store lost has used. */
+uint64_t kl_promote_next_term(const kl_promote_ctx_t *ctx);
+
+/** Term of a group's first record. */
+uint64_t kl_promote_first_term(const kl_promote_ctx_t *ctx);
+
 /* promote_suspect.c */
 
 /**
--- a/control/revision_time.c
+++ b/control/revision_time.c
@@ -1,6 +1,7 @@
 #include <stddef.h>
 
 #include "control/revision_time.h"
+#include "control/store_era.h"
 
 static kl_revision_sample_t *newest_sample(kl_revision_times_t *times);
 
@@ -35,7 +36,11 @@
 	for (uint32_t i = 0; i < KL_REVISION_SAMPLES; i++) {
 		const kl_revision_sample_t *sample = &times->samples[i];
 
-		if (sample->revision < revision && sample->time_us > before_us)
+		/* A restored store assigns the revisions of its copy again. */
+		if (sample->revision < revision &&
+		    kl_version_era(sample->revision) ==
+			    kl_version_era(revision) &&
+		    sample->time_us > before_us)
 			before_us = sample->time_us;
 	}
 	return before_us;
--- a/control/sync.c
+++ b/control/sync.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "control/controllers.h"
+#include "control/store_era.h"
 #include "control/sync_internal.h"
 
 /*
@@ -177,6 +178,10 @@
 						      (2 * CONFIRM_OVERDUE_US);
 			send_call(node, feed, KL_PLATFORM_LIST, i, now);
 		}
+		/* Changes since a version of an older era aren't known. */
+		if (feed->loaded && !feed->needs_list &&
+		    kl_version_era(feed->watch_revision) != sync->era)
+			kl_sync_list_again(node, sync, i, now);
 		/* Which VMs are watchers is known once all have registered. */
 		if (now - node->started_us >= WATCH_START_DELAY_US &&
 		    feed->loaded && !feed->needs_list && !feed->watch_sent_us &&
@@ -242,6 +247,44 @@
 	node->ops->call_platform(node->ops_context, &call);
 }
 
+void kl_sync_list_again(const kl_node_t *node, kl_sync_t *sync, kl_feed_t feed,
+			uint64_t now)
+{
+	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
+	kl_feed_state_t *state = &sync->feeds[feed];
+
+	state->needs_list = true;
+	state->watch_refused = false;
+	state->list_sent_us = 0;
+	state->watch_sent_us = 0;
+	state->next_list_us = now;
+	/* The others can fetch it from their peers meanwhile. */
+	if (members && !members->is_watcher && sync->has_confirmation)
+		state->next_list_us +=
+			kl_node_random(node) % (2 * CONFIRM_OVERDUE_US);
+}
+
+uint64_t kl_sync_era(const kl_node_t *node)
+{
+	const kl_sync_t *sync = node->state[KL_CONTROLLER_SYNC];
+
+	return sync->era;
+}
+
+uint64_t kl_sync_first_revision(const kl_node_t *node)
+{
+	const kl_sync_t *sync = node->state[KL_CONTROLLER_SYNC];
+
+	return sync->first_revisions[0];
+}
+
+uint64_t kl_sync_refused_era_count(const kl_node_t *node)
+{
+	const kl_sync_t *sync = node->state[KL_CONTROLLER_SYNC];
+
+	return sync->refused_era_count;
+}
+
 static void handle_answer(kl_node_t *node, kl_sync_t *sync,
 			  kl_platform_answer_t *answer)
 {
@@ -255,16 +298,22 @@
 						      ? "list"
 						      : "watch",
 				    .sent_us = answer->call_sent_us };
+	bool is_watch = answer->op == KL_PLATFORM_WATCH &&
+			answer->call_sent_us == feed->watch_sent_us;
 
 	if (answer->op == KL_PLATFORM_LIST &&
 	    answer->call_sent_us == feed->list_sent_us)
 		feed->list_sent_us = 0;
-	if (answer->op == KL_PLATFORM_WATCH &&
-	    answer->call_sent_us == feed->watch_sent_us) {
+	if (is_watch) {
 		feed->watch_sent_us = 0;
 		if (answer->error)
 			delay_watch(node, feed, answer);
 	}
+	if (!kl_sync_accept_answer(node, sync, answer))
+		return;
+	/* A watch that was given up when the era rose lacks changes. */
+	if (sync->era && answer->op == KL_PLATFORM_WATCH && !is_watch)
+		return;
 	if (answer->error == -KL_E_STALE_CONFIG)
 		feed->needs_list = true;
 	if (answer->unreadable)
@@ -347,7 +396,8 @@
 {
 	kl_confirmation_t *confirmation;
 
-	if (sync->has_confirmation && sent_us <= sync->confirmed_us)
+	if ((sync->has_confirmation && sent_us <= sync->confirmed_us) ||
+	    sent_us < sync->settled_us)
 		return;
 	kl_sync_update_registration(node, sync, kl_node_now(node));
 	if (node->tuning.feed_count > 1 &&
--- a/control/sync_apply.c
+++ b/control/sync_apply.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "control/store_era.h"
 #include "control/sync_internal.h"
 
 static void drop_removed_objects(const kl_objects_t *old,
@@ -12,14 +13,13 @@
 				 const kl_feed_update_t *update);
 static void keep_unreadable_objects(kl_node_t *node, const kl_objects_t *old,
 				    const kl_feed_update_t *update);
-static bool has_changes(const kl_objects_t *old,
+static bool has_changes(const kl_sync_t *sync, const kl_objects_t *old,
 			const kl_feed_update_t *update);
 static kl_index_t *index_newest(const kl_feed_update_t *update, size_t count);
-static void copy_unchanged_objects(const kl_objects_t *old,
-				   kl_objects_t *objects,
-				   const kl_feed_update_t *update,
-				   kl_index_t *changed_index,
-				   kl_feed_state_t *feed);
+static void
+copy_unchanged_objects(const kl_sync_t *sync, const kl_objects_t *old,
+		       kl_objects_t *objects, const kl_feed_update_t *update,
+		       kl_index_t *changed_index, kl_feed_state_t *feed);
 static void move_changed_objects(kl_objects_t *objects,
 				 const kl_feed_update_t *update,
 				 kl_index_t *changed_index,
@@ -42,8 +42,9 @@
 	if (feed->loaded && node->tuning.feed_count > 1)
 		drop_removed_objects(old, feed, update);
 	keep_unreadable_objects(node, old, update);
+	kl_sync_withhold(node, sync, old, update);
 	if (feed->loaded && update->revision <= feed->revision &&
-	    (node->tuning.feed_count == 1 || !has_changes(old, update)))
+	    (node->tuning.feed_count == 1 || !has_changes(sync, old, update)))
 		return false;
 	if (old) {
 		CK_STAILQ_FOREACH(object, &old->list, link)
@@ -57,8 +58,8 @@
 	kl_revision_times_seen(&sync->revision_times, update->read_revision);
 	changed_index = index_newest(update, count);
 	if (old)
-		copy_unchanged_objects(old, objects, update, changed_index,
-				       feed);
+		copy_unchanged_objects(sync, old, objects, update,
+				       changed_index, feed);
 	move_changed_objects(objects, update, changed_index,
 			     &sync->revision_times);
 	kl_index_free(changed_index);
@@ -164,7 +165,7 @@
 	kl_decision_t decision = { .name = "entry_unreadable",
 				   .reason = name,
 				   .feed = kl_feed_name(feed),
-				   .position = version };
+				   .position = kl_version_revision(version) };
 
 	node->ops->log_decision(node->ops_context, &decision);
 }
@@ -176,22 +177,23 @@
 static void log_update(kl_node_t *node, const kl_feed_state_t *feed,
 		       const kl_feed_update_t *update)
 {
-	kl_decision_t decision = { .name = "feed_updated",
-				   .reason = update->source,
-				   .feed = kl_feed_name(update->feed),
-				   .peer = update->peer,
-				   .position = feed->revision,
-				   .age_us = update->sent_us
-						     ? kl_node_now(node) -
-							       update->sent_us
-						     : 0 };
+	kl_decision_t decision = {
+		.name = "feed_updated",
+		.reason = update->source,
+		.feed = kl_feed_name(update->feed),
+		.peer = update->peer,
+		.position = kl_version_revision(feed->revision),
+		.age_us = update->sent_us ? kl_node_now(node) - update->sent_us
+					  : 0
+	};
 
 	if (update->feed != KL_FEED_TERMS && update->feed != KL_FEED_SLOTS)
 		node->ops->log_decision(node->ops_context, &decision);
 }
 
 /* Whether an update has newer objects, or lacks objects that are held. */
-static bool has_changes(const kl_objects_t *old, const kl_feed_update_t *update)
+static bool has_changes(const kl_sync_t *sync, const kl_objects_t *old,
+			const kl_feed_update_t *update)
 {
 	const kl_object_t *object;
 	uint32_t old_count = 0, new_count = 0;
@@ -209,7 +211,8 @@
 	CK_STAILQ_FOREACH(object, &old->list, link)
 		old_count += object->feed == update->feed &&
 			     object->version <= update->read_revision &&
-			     strcmp(object->body, "null");
+			     strcmp(object->body, "null") &&
+			     !kl_sync_is_lost(sync, object, update);
 	return old_count > new_count;
 }
 
@@ -236,11 +239,10 @@
  * Copies the objects that an update has no newer version of.  Those that a full
  * list lacks become removed ones, with the body "null".
  */
-static void copy_unchanged_objects(const kl_objects_t *old,
-				   kl_objects_t *objects,
-				   const kl_feed_update_t *update,
-				   kl_index_t *changed_index,
-				   kl_feed_state_t *feed)
+static void
+copy_unchanged_objects(const kl_sync_t *sync, const kl_objects_t *old,
+		       kl_objects_t *objects, const kl_feed_update_t *update,
+		       kl_index_t *changed_index, kl_feed_state_t *feed)
 {
 	const kl_object_t *object;
 
@@ -250,7 +252,8 @@
 		bool removed = update->full && object->feed == update->feed &&
 			       !other &&
 			       object->version <= update->read_revision &&
-			       strcmp(object->body, "null");
+			       strcmp(object->body, "null") &&
+			       !kl_sync_is_lost(sync, object, update);
 		kl_object_t *copy;
 
 		if (other && other->version > object->version)
@@ -265,6 +268,7 @@
 		    object->feed == update->feed)
 			feed->revision = copy->version;
 		copy->feed = object->feed;
+		copy->store_is_behind = object->store_is_behind;
 		copy->changed_after_us = object->changed_after_us;
 		CK_STAILQ_INSERT_TAIL(&objects->list, copy, link);
 		kl_index_put(objects->index, &copy->name);
--- /dev/null
+++ b/control/sync_era.c
@@ -0,0 +1,113 @@
+/*
+ * The store's era: learns it from answers and messages, and refuses those of an
+ * older one.
+ */
+#include "control/store_era.h"
+#include "control/sync_internal.h"
+
+/*
+ * Confirmations of a new era count this long after this VM learned of it: the
+ * newest terms that any VM holds are written again by then.
+ */
+#define SETTLE_US (1 * KL_SEC)
+
+static void rise(kl_node_t *node, kl_sync_t *sync, uint64_t era);
+static void list_all(kl_node_t *node, kl_sync_t *sync);
+static void add_first_revision(kl_sync_t *sync, uint32_t age,
+			       uint64_t revision);
+
+bool kl_sync_accept_answer(kl_node_t *node, kl_sync_t *sync,
+			   const kl_platform_answer_t *answer)
+{
+	kl_decision_t decision = { .name = "era_refused",
+				   .reason = "answer",
+				   .feed = kl_feed_name(answer->feed),
+				   .position = answer->era };
+
+	/* Without an answer of the store the era is not known. */
+	if (!answer->era && answer->error)
+		return true;
+	if (answer->era < sync->era) {
+		sync->refused_era_count++;
+		node->ops->log_decision(node->ops_context, &decision);
+		return false;
+	}
+	if (answer->era > sync->era) {
+		rise(node, sync, answer->era);
+		list_all(node, sync);
+		/* It began in the old era, and lacks changes of the new one. */
+		if (answer->op == KL_PLATFORM_WATCH)
+			return false;
+	}
+	if (answer->era && answer->revision)
+		add_first_revision(sync, 0,
+				   kl_version_revision(answer->revision));
+	return true;
+}
+
+bool kl_sync_accept_message(kl_node_t *node, kl_sync_t *sync,
+			    const kl_peer_message_t *message)
+{
+	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
+	uint64_t difference = sync->era - message->store_era;
+
+	if (message->store_era > sync->era) {
+		rise(node, sync, message->store_era);
+		if (members && members->is_watcher)
+			list_all(node, sync);
+		difference = 0;
+	}
+	for (uint32_t i = 0; i < KL_STORE_ERAS; i++)
+		if (message->first_revisions[i] &&
+		    i + difference < KL_STORE_ERAS)
+			add_first_revision(sync, (uint32_t)(i + difference),
+					   message->first_revisions[i]);
+	sync->refused_era_count += difference != 0;
+	return difference == 0;
+}
+
+static void rise(kl_node_t *node, kl_sync_t *sync, uint64_t era)
+{
+	kl_decision_t decision = { .name = "era_rose",
+				   .reason = sync->era ? "store_restored"
+						       : "first",
+				   .position = era };
+	uint64_t rise = era - sync->era;
+
+	for (uint32_t i = KL_STORE_ERAS; i-- > 0;)
+		sync->first_revisions[i] =
+			i >= rise ? sync->first_revisions[i - rise] : 0;
+	if (sync->era)
+		sync->settled_us = kl_node_now(node) + SETTLE_US;
+	sync->era = era;
+	for (uint32_t i = 0; i < KL_FEED_COUNT; i++)
+		sync->feeds[i].has_withheld = false;
+	sync->fetch_vm[0] = '\0'; /* a delta that is on its way is older */
+	sync->fetch_sent_us = 0;
+	kl_object_list_clear(&sync->fetched_objects);
+	node->ops->log_decision(node->ops_context, &decision);
+}
+
+/* Feeds that were not loaded yet are being listed already. */
+static void list_all(kl_node_t *node, kl_sync_t *sync)
+{
+	uint64_t now = kl_node_now(node);
+
+	for (uint32_t i = 0; i < KL_FEED_COUNT; i++)
+		if (sync->feeds[i].loaded)
+			kl_sync_list_again(node, sync, i, now);
+}
+
+/* A lower one tells that more of what was withheld is newer than the copy. */
+static void add_first_revision(kl_sync_t *sync, uint32_t age, uint64_t revision)
+{
+	uint64_t *first = &sync->first_revisions[age];
+
+	if (*first && *first <= revision)
+		return;
+	*first = revision;
+	for (uint32_t i = 0; i < KL_FEED_COUNT; i++) {
+		sync->feeds[i].needs_list |= sync->feeds[i].has_withheld;
+		sync->feeds[i].has_withheld = false;
+	}
+}
--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -34,6 +34,9 @@
 	uint64_t watch_sent_us; /**< send time of the outstanding watch, or 0 */
 	uint64_t next_watch_us; /**< earliest time of the next watch */
 	bool watch_refused;	/**< no watch until a list was successful */
+	/** Objects of the store's era were withheld as older than those held.
+	 */
+	bool has_withheld;
 } kl_feed_state_t;
 
 /** State of the sync controller. */
@@ -51,6 +54,11 @@
 	/** Revisions that the VM named in its last hello, by feed. */
 	uint64_t fetch_vm_revisions[KL_FEED_COUNT];
 	uint64_t fetch_revision; /**< of the first delta of it, or 0 */
+	uint64_t era; /**< newest of the store that is known; 0: none */
+	/** Lowest revisions seen in that era and in those before it; 0: none */
+	uint64_t first_revisions[KL_STORE_ERAS];
+	uint64_t settled_us; /**< confirmations of the era count from then on */
+	uint64_t refused_era_count; /**< answers and messages of older eras */
 	/** Objects received for the outstanding fetch. */
 	kl_object_list_t fetched_objects;
 } kl_sync_t;
@@ -102,6 +110,34 @@
  */
 bool kl_sync_knows_removals(const kl_feed_state_t *feed, uint64_t since);
 
+/**
+ * Learn the store's era from an answer.  If it rose, every feed is listed.
+ *
+ * @return whether the answer is of the newest era that is known
+ */
+bool kl_sync_accept_answer(kl_node_t *node, kl_sync_t *sync,
+			   const kl_platform_answer_t *answer);
+
+/** The same for a message; the sender's feeds are fetched if the era rose. */
+bool kl_sync_accept_message(kl_node_t *node, kl_sync_t *sync,
+			    const kl_peer_message_t *message);
+
+/** List a feed again, without regard to calls that are under way. */
+void kl_sync_list_again(const kl_node_t *node, kl_sync_t *sync, kl_feed_t feed,
+			uint64_t now);
+
+/**
+ * Change an update of a new era, if the store was restored from a copy that is
+ * older than what this VM holds: configuration of the copy is taken out, and
+ * records of groups that fell back keep the contents held.
+ */
+void kl_sync_withhold(kl_node_t *node, kl_sync_t *sync, const kl_objects_t *old,
+		      const kl_feed_update_t *update);
+
+/** Whether a full list lacks an object because the store lost it. */
+bool kl_sync_is_lost(const kl_sync_t *sync, const kl_object_t *held,
+		     const kl_feed_update_t *update);
+
 /** Handle a message from another VM. */
 void kl_sync_handle_hello(kl_node_t *node, kl_sync_t *sync,
 			  const kl_peer_message_t *message);
--- a/control/sync_peer.c
+++ b/control/sync_peer.c
@@ -22,11 +22,14 @@
 {
 	const kl_peer_hello_t *hello = &message->hello;
 	uint64_t now = kl_node_now(node);
+	bool accepted = kl_sync_accept_message(node, sync, message);
 	kl_feed_t feed;
 
 	if (hello->wants_answer)
 		send_hello(node, sync, message->from, hello->host, hello->port,
 			   hello->sent_us, false);
+	if (!accepted)
+		return;
 	if (now - sync->fetch_sent_us >= FETCH_INTERVAL_US) {
 		memcpy(sync->fetch_vm_revisions, hello->feed_revisions,
 		       sizeof(sync->fetch_vm_revisions));
@@ -89,8 +92,10 @@
 	uint32_t skip = fetch->skip;
 	size_t bytes = 0;
 
+	kl_sync_accept_message(node, sync, message);
 	if (!objects)
 		return;
+	reply.store_era = sync->era;
 	memcpy(reply.from, node->self.vm, sizeof(reply.from));
 	memcpy(reply.hello.host, node->self.host, sizeof(node->self.host));
 	reply.hello.port = node->self.port;
@@ -138,7 +143,8 @@
 				    .peer = message->from,
 				    .sent_us = sync->fetch_sent_us };
 
-	if (strcmp(message->from, sync->fetch_vm) ||
+	if (!kl_sync_accept_message(node, sync, message) ||
+	    strcmp(message->from, sync->fetch_vm) ||
 	    fetch->feed != sync->fetch.feed ||
 	    fetch->since_revision != sync->fetch.since_revision ||
 	    fetch->skip != sync->fetch.skip ||
@@ -194,6 +200,7 @@
 		       const char *host, uint16_t port)
 {
 	kl_peer_message_t message = { .kind = KL_PEER_FETCH,
+				      .store_era = sync->era,
 				      .fetch = sync->fetch };
 
 	sync->fetch_sent_us = kl_node_now(node);
@@ -208,7 +215,8 @@
 		       const char *host, uint16_t port, uint64_t echo_us,
 		       bool wants_answer)
 {
-	kl_peer_message_t message = { .kind = KL_PEER_HELLO };
+	kl_peer_message_t message = { .kind = KL_PEER_HELLO,
+				      .store_era = sync->era };
 	kl_peer_hello_t *hello = &message.hello;
 	const kl_revision_sample_t *sample =
 		kl_revision_times_newest(&sync->revision_times);
@@ -227,6 +235,8 @@
 	hello->confirmation_age_us = sync->has_confirmation
 					     ? now - sync->confirmed_us
 					     : KL_AGE_UNCONFIRMED;
+	memcpy(message.first_revisions, sync->first_revisions,
+	       sizeof(message.first_revisions));
 	if (sample) {
 		hello->store_revision = sample->revision;
 		hello->store_revision_age_us = now - sample->time_us;
--- /dev/null
+++ b/control/sync_withhold.c
@@ -0,0 +1,231 @@
+/*
+ * What of a new era of the store is not accepted, because the store was
+ * restored from a copy that is older than what this VM holds.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/group_record.h"
+#include "control/store_era.h"
+#include "control/sync_internal.h"
+
+#define GROUP_PREFIX "group/"
+
+static bool is_configuration(kl_feed_t feed);
+static bool is_group(const kl_object_t *object);
+static uint64_t first_revision_after(const kl_sync_t *sync, uint64_t version);
+static bool is_outdated(const kl_sync_t *sync, const kl_object_t *object,
+			uint64_t held_version);
+static void withhold_configuration(kl_node_t *node, kl_sync_t *sync,
+				   const kl_objects_t *old,
+				   const kl_feed_update_t *update);
+static void keep_newer_records(kl_node_t *node, const kl_objects_t *old,
+			       const kl_feed_update_t *update);
+static void add_missing_records(const kl_objects_t *old,
+				const kl_feed_update_t *update);
+static const kl_object_t *find(const kl_object_list_t *list, const char *name);
+static bool record_is_ahead(const char *body, const char *other_body);
+static uint64_t progress(const kl_group_t *group);
+static void set_body(kl_object_t *object, const char *text);
+static void log_object(kl_node_t *node, const char *event,
+		       const kl_object_t *object, kl_feed_t feed);
+
+/* What operators and databases write, and write again after a drill. */
+static bool is_configuration(kl_feed_t feed)
+{
+	return feed == KL_FEED_CONFIG || feed == KL_FEED_UPSTREAMS ||
+	       feed == KL_FEED_MARKS;
+}
+
+static bool is_group(const kl_object_t *object)
+{
+	return !strncmp(object->name.name, GROUP_PREFIX, strlen(GROUP_PREFIX));
+}
+
+/*
+ * The lowest revision that was seen in the eras after that of a version.  What
+ * has a higher one in these eras is not from a copy of that version's era.
+ */
+static uint64_t first_revision_after(const kl_sync_t *sync, uint64_t version)
+{
+	uint64_t lowest = UINT64_MAX;
+
+	for (uint64_t i = 0;
+	     i < KL_STORE_ERAS && i < sync->era - kl_version_era(version); i++)
+		if (sync->first_revisions[i] &&
+		    sync->first_revisions[i] < lowest)
+			lowest = sync->first_revisions[i];
+	return lowest;
+}
+
+/* Whether an object is from a copy that is older than what is held. */
+static bool is_outdated(const kl_sync_t *sync, const kl_object_t *object,
+			uint64_t held_version)
+{
+	uint64_t revision = kl_version_revision(object->version);
+
+	return kl_version_era(held_version) < kl_version_era(object->version) &&
+	       revision < kl_version_revision(held_version) &&
+	       revision <= first_revision_after(sync, held_version);
+}
+
+bool kl_sync_is_lost(const kl_sync_t *sync, const kl_object_t *held,
+		     const kl_feed_update_t *update)
+{
+	if (held->store_is_behind)
+		return true;
+	return is_configuration(held->feed) &&
+	       kl_version_era(held->version) <
+		       kl_version_era(update->read_revision) &&
+	       kl_version_revision(held->version) >
+		       first_revision_after(sync, held->version);
+}
+
+void kl_sync_withhold(kl_node_t *node, kl_sync_t *sync, const kl_objects_t *old,
+		      const kl_feed_update_t *update)
+{
+	if (!sync->era || !old || !sync->feeds[update->feed].loaded)
+		return;
+	if (is_configuration(update->feed))
+		withhold_configuration(node, sync, old, update);
+	if (update->feed != KL_FEED_TERMS)
+		return;
+	keep_newer_records(node, old, update);
+	if (update->full)
+		add_missing_records(old, update);
+}
+
+/*
+ * Takes objects out of an update that are from an older copy than what is held.
+ * One that is not held was removed, if this VM's copy was complete beyond it.
+ */
+static void withhold_configuration(kl_node_t *node, kl_sync_t *sync,
+				   const kl_objects_t *old,
+				   const kl_feed_update_t *update)
+{
+	kl_feed_state_t *feed = &sync->feeds[update->feed];
+	kl_object_t *object, *next;
+
+	CK_STAILQ_FOREACH_SAFE(object, update->objects, link, next) {
+		const kl_object_t *held =
+			kl_index_get(old->index, object->name.name);
+
+		if (!is_outdated(sync, object,
+				 held ? held->version : feed->revision) ||
+		    (held && !strcmp(held->body, object->body)))
+			continue;
+		if (!feed->has_withheld)
+			log_object(node, "object_withheld", object,
+				   update->feed);
+		feed->has_withheld = true;
+		if (!held) {
+			/* Keeps that it was removed, and until when. */
+			set_body(object, "null");
+			object->version = feed->revision;
+			continue;
+		}
+		CK_STAILQ_REMOVE(update->objects, object, kl_object, link);
+		kl_object_free(object);
+	}
+}
+
+/*
+ * Replaces the records of groups that are behind those held.  They keep the
+ * store's version, so that they can be written again conditionally.
+ */
+static void keep_newer_records(kl_node_t *node, const kl_objects_t *old,
+			       const kl_feed_update_t *update)
+{
+	kl_object_t *object;
+
+	CK_STAILQ_FOREACH(object, update->objects, link) {
+		const kl_object_t *held =
+			kl_index_get(old->index, object->name.name);
+
+		if (!held || !is_group(object) ||
+		    held->version >= object->version ||
+		    (!held->store_is_behind &&
+		     kl_version_era(held->version) ==
+			     kl_version_era(object->version)) ||
+		    !record_is_ahead(held->body, object->body))
+			continue;
+		log_object(node, "record_behind", object, update->feed);
+		set_body(object, held->body);
+		object->store_is_behind = true;
+	}
+}
+
+/* Adds the records that the store lost; revision 0 lets them be created. */
+static void add_missing_records(const kl_objects_t *old,
+				const kl_feed_update_t *update)
+{
+	uint64_t era = kl_version_era(update->read_revision);
+	const kl_object_t *held;
+
+	CK_STAILQ_FOREACH(held, &old->list, link) {
+		kl_object_t *object;
+
+		if (!is_group(held) || !strcmp(held->body, "null") ||
+		    kl_version_era(held->version) >= era ||
+		    find(update->objects, held->name.name))
+			continue;
+		object = kl_object_new(held->name.name,
+				       kl_store_version(era, 0), held->body);
+		if (!object)
+			return;
+		object->store_is_behind = true;
+		CK_STAILQ_INSERT_TAIL(update->objects, object, link);
+	}
+}
+
+static const kl_object_t *find(const kl_object_list_t *list, const char *name)
+{
+	const kl_object_t *object;
+
+	CK_STAILQ_FOREACH(object, list, link)
+		if (!strcmp(object->name.name, name))
+			return object;
+	return NULL;
+}
+
+/* Whether a group's record is of a later step than another one. */
+static bool record_is_ahead(const char *body, const char *other_body)
+{
+	kl_group_t group = { 0 }, other = { 0 };
+
+	if (kl_group_decode(&group, body))
+		return false;
+	if (kl_group_decode(&other, other_body))
+		return true;
+	return group.term > other.term || (group.term == other.term &&
+					   progress(&group) > progress(&other));
+}
+
+/* A term is stable last, after it was claimed. */
+static uint64_t progress(const kl_group_t *group)
+{
+	return group->state == KL_GROUP_STABLE ? KL_GROUP_STATE_COUNT
+					       : group->state;
+}
+
+static void set_body(kl_object_t *object, const char *text)
+{
+	char *body = strdup(text);
+
+	if (!body)
+		return;
+	free(object->body);
+	object->body = body;
+}
+
+static void log_object(kl_node_t *node, const char *event,
+		       const kl_object_t *object, kl_feed_t feed)
+{
+	kl_decision_t decision = { .name = event,
+				   .reason = object->name.name,
+				   .feed = kl_feed_name(feed),
+				   .position = kl_version_revision(
+					   object->version) };
+
+	node->ops->log_decision(node->ops_context, &decision);
+}
--- a/control/terms.c
+++ b/control/terms.c
@@ -52,6 +52,7 @@
 			group->version = object->version;
 			group->first_seen_us = kl_node_now(node);
 		}
+		group->store_is_behind = object->store_is_behind;
 		CK_STAILQ_INSERT_TAIL(&terms->groups, group, link);
 		kl_index_put(terms->index, &group->name);
 	}
--- a/daemon/status.c
+++ b/daemon/status.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 
 #include "control/controllers.h"
+#include "control/store_era.h"
 #include "daemon/counter.h"
 #include "daemon/log.h"
 #include "daemon/status.h"
@@ -21,6 +22,7 @@
 static void on_metrics(struct evhttp_request *request, void *arg);
 static void on_status(struct evhttp_request *request, void *arg);
 static void add_feeds(struct evbuffer *body, kl_node_t *node);
+static void add_era(struct evbuffer *body, const kl_node_t *node);
 static void add_latencies(struct evbuffer *body);
 static void on_ready(struct evhttp_request *request, void *arg);
 static json_t *node_to_json(kl_node_t *node);
@@ -117,6 +119,7 @@
 				    kl_gauge_get(i));
 	add_latencies(body);
 	add_feeds(body, server->node);
+	add_era(body, server->node);
 	reply(request, "text/plain; version=0.0.4", body);
 }
 
@@ -133,10 +136,26 @@
 	for (kl_feed_t feed = 0; objects && feed < KL_FEED_COUNT; feed++)
 		evbuffer_add_printf(
 			body, "kl_feed_revision{feed=\"%s\"} %" PRIu64 "\n",
-			kl_feed_name(feed), objects->feed_revisions[feed]);
+			kl_feed_name(feed),
+			kl_version_revision(objects->feed_revisions[feed]));
 	kl_read_end(node->reader);
 }
 
+/* How often the store was restored from a copy, and what that made invalid. */
+static void add_era(struct evbuffer *body, const kl_node_t *node)
+{
+	evbuffer_add_printf(
+		body,
+		"# HELP kl_store_era newest era of the platform's store\n"
+		"# TYPE kl_store_era gauge\n"
+		"kl_store_era %" PRIu64 "\n"
+		"# HELP kl_store_era_refused_total answers and messages of an "
+		"older era\n"
+		"# TYPE kl_store_era_refused_total counter\n"
+		"kl_store_era_refused_total %" PRIu64 "\n",
+		kl_sync_era(node), kl_sync_refused_era_count(node));
+}
+
 /* One histogram for each kind of route and each way that statements end. */
 static void add_latencies(struct evbuffer *body)
 {
@@ -238,8 +257,8 @@
 	for (kl_feed_t feed = 0; objects && feed < KL_FEED_COUNT; feed++)
 		json_object_set_new(
 			feeds, kl_feed_name(feed),
-			json_integer(
-				(json_int_t)objects->feed_revisions[feed]));
+			json_integer((json_int_t)kl_version_revision(
+				objects->feed_revisions[feed])));
 	return feeds;
 }
 
