Keep slots within the plan, and register again, after a drill of the store

A VM whose registration was lost updated a record that the store didn't have, and was never confirmed again; its writes ended as replaced. Removed records are now created.

--- a/control/member.c
+++ b/control/member.c
@@ -125,7 +125,9 @@
 	kl_platform_call_t call = { .op = KL_PLATFORM_PUT,
 				    .owner = KL_CONTROLLER_MEMBER,
 				    .sent_us = kl_node_now(node),
-				    .version = vm->record_version };
+				    .version = vm->record_removed
+						       ? 0
+						       : vm->record_version };
 	json_t *json = json_pack("{s:s,s:s,s:i,s:s}", "domain",
 				 self ? node->self.domain : member->domain,
 				 "host", self ? node->self.host : member->host,
@@ -194,6 +196,7 @@
 	const char *domain, *host, *state;
 	int port;
 
+	vm->record_removed = !strcmp(object->body, "null");
 	vm->member.registered = false;
 	vm->member.leaving = false;
 	vm->member.last_message_us = 0;
--- a/control/member_internal.h
+++ b/control/member_internal.h
@@ -18,6 +18,7 @@
 	CK_STAILQ_ENTRY(kl_vm_entry) link;
 	kl_member_t member;
 	uint64_t record_version; /* 0 for a VM known from hellos only */
+	bool record_removed;	 /* so that it can only be created */
 	char registered_host[KL_HOST_MAX]; /* host in the record, or "" */
 	/* time of the first hello by a check after its last message, or 0 */
 	uint64_t unanswered_since_us;
--- a/control/slot.c
+++ b/control/slot.c
@@ -9,6 +9,7 @@
 
 #include "control/controllers.h"
 #include "control/slot_internal.h"
+#include "control/store_era.h"
 #include "kumquatloft/share.h"
 
 /* A slot is not used before the former owner's token loans have expired. */
@@ -24,6 +25,7 @@
 				       const slot_t *slot);
 static bool is_usable(const kl_node_t *node, const kl_slots_t *slots,
 		      const slot_t *slot);
+static uint64_t claim_wait_us(const kl_node_t *node);
 
 kl_slots_t *kl_slots_new(uint32_t count)
 {
@@ -73,13 +75,20 @@
 		char name[KL_NAME_MAX];
 		const kl_object_t *object;
 		slot_t *slot = &slots->table[i];
-		bool from_earlier_process;
+		bool from_earlier_process, was_own;
 
 		snprintf(name, sizeof(name), SLOT_PREFIX "%u", i);
 		object = kl_index_get(objects->index, name);
 		if (!object || object->version <= slot->record_version)
 			continue;
+		was_own = kl_slot_is_own(slots, slot);
+		if (!was_own && slot->record_version &&
+		    kl_version_era(object->version) >
+			    kl_version_era(slot->record_version))
+			slot->unused_until_us =
+				kl_node_now(node) + claim_wait_us(node);
 		from_earlier_process = reset_state(node, slot, object->version);
+		slot->record_removed = !strcmp(object->body, "null");
 		if (!decode_record(slot, object->body))
 			slot->owner[0] = '\0';
 		slot->from_earlier_process =
@@ -104,6 +113,7 @@
 		return;
 	log_claim(node, slot, answer->name);
 	created = !slot->record_version;
+	slot->record_removed = false;
 	slot->from_earlier_process = reset_state(node, slot, answer->revision);
 	slot->created_here = created;
 	memcpy(slot->owner, node->self.vm, KL_NAME_MAX);
@@ -237,6 +247,7 @@
 		slot->from_earlier_process ? node->tuning.min_downtime_us : 0;
 
 	return kl_slot_is_own(slots, slot) && !slot->revoked &&
+	       kl_node_now(node) >= slot->unused_until_us &&
 	       (slot->created_here ||
 		kl_node_now(node) - owned_since_us + unused_us >=
 			TRANSFER_WAIT_US);
@@ -353,15 +364,22 @@
 
 /*
  * The owner of a slot may use it for slot_lease_us after its last confirmation,
- * by its own clock, which may run slower by a tenth.  A VM whose record is gone
- * gets no confirmation, and gives its slots up when it learns of it.
+ * by its own clock, which may run slower by a tenth.
+ */
+static uint64_t claim_wait_us(const kl_node_t *node)
+{
+	return node->tuning.slot_lease_us + node->tuning.slot_lease_us / 10;
+}
+
+/*
+ * A VM whose record is gone gets no confirmation, and gives its slots up when
+ * it learns of it.
  */
 bool kl_slot_is_claimable(const kl_node_t *node, const kl_slots_t *slots,
 			  const slot_t *slot, uint64_t now)
 {
-	uint64_t lease_us = node->tuning.slot_lease_us;
+	uint64_t lease_us = claim_wait_us(node);
 
-	lease_us += lease_us / 10;
 	if (!slot->owner[0])
 		return true;
 	if (slot->revoked)
--- a/control/slot_balance.c
+++ b/control/slot_balance.c
@@ -235,7 +235,9 @@
 	kl_platform_call_t call = { .op = KL_PLATFORM_PUT,
 				    .owner = KL_CONTROLLER_SHARE,
 				    .sent_us = kl_node_now(node),
-				    .version = slot->record_version };
+				    .version = slot->record_removed
+						       ? 0
+						       : slot->record_version };
 	json_t *json;
 	char *body;
 
--- a/tests/world_fake.c
+++ b/tests/world_fake.c
@@ -6,6 +6,7 @@
 #include "tests/world_internal.h"
 
 static uint64_t silent_call_us(const kl_platform_call_t *call);
+static uint64_t stored_version(const world_t *world, const kl_object_t *object);
 static void list_changed_objects(world_t *world, const kl_platform_call_t *call,
 				 kl_object_list_t *list);
 static void run_database_call(db_t *db, world_t *world,
@@ -43,7 +44,7 @@
 			world, event->vm, event->call_body, call->version);
 	} else if (call->op == KL_PLATFORM_PUT) {
 		world->platform_writes++;
-		if ((object ? object->version : 0) != call->version) {
+		if (stored_version(world, object) != call->version) {
 			answer->error = -KL_E_CONFLICT;
 		} else {
 			world_put_object(world, call->name, event->call_body);
@@ -82,6 +83,18 @@
 	world_schedule(world, event, delay_us);
 }
 
+/*
+ * Version that an update must expect.  A platform with feeds forgets an object
+ * that is removed, so that it can only be created again.
+ */
+static uint64_t stored_version(const world_t *world, const kl_object_t *object)
+{
+	if (!object ||
+	    (world->platform_promotes && !strcmp(object->body, "null")))
+		return 0;
+	return object->version;
+}
+
 /*
  * Time after which a call without an answer ends, as in the daemon: the watches
  * of urgent feeds are short.
