Pass on what VMs withhold after a drill of the store

A VM that starts between the drill and the operator's writes took the copy's contents: script drill_restart, a rolling restart of all VMs, ended with a withdrawn key in force on all. Now a VM that holds what the store lost raises its revision of the feed, answers fetches with the whole feed, and a withheld object replaces the one of the copy.

--- a/control/slot_internal.h
+++ b/control/slot_internal.h
@@ -16,8 +16,8 @@
 	uint16_t port;		 /* of the owner */
 	uint64_t incarnation;	 /* of the owner */
 	bool revoked; /* the owner must stop using it once it learns so */
-	uint64_t record_version; /* last seen, for conditional updates */
 	bool record_removed;	 /* so that it can only be created */
+	uint64_t record_version; /* last seen, for conditional updates */
 	uint64_t first_seen_us;	 /* when this version was first seen */
 	/*
 	 * Not usable until then: the store was restored from a copy, and
--- a/control/sync_apply.c
+++ b/control/sync_apply.c
@@ -11,6 +11,8 @@
 static void drop_removed_objects(const kl_objects_t *old,
 				 const kl_feed_state_t *feed,
 				 const kl_feed_update_t *update);
+static bool is_withheld(const kl_object_t *object,
+			const kl_feed_update_t *update);
 static void keep_unreadable_objects(kl_node_t *node, const kl_objects_t *old,
 				    const kl_feed_update_t *update);
 static bool has_changes(const kl_sync_t *sync, const kl_objects_t *old,
@@ -24,8 +26,6 @@
 				 const kl_feed_update_t *update,
 				 kl_index_t *changed_index,
 				 const kl_revision_times_t *revision_times);
-static void add_known_revision(kl_feed_state_t *feed,
-			       const kl_feed_update_t *update);
 static void log_update(kl_node_t *node, const kl_feed_state_t *feed,
 		       const kl_feed_update_t *update);
 
@@ -63,7 +63,8 @@
 	move_changed_objects(objects, update, changed_index,
 			     &sync->revision_times);
 	kl_index_free(changed_index);
-	add_known_revision(feed, update);
+	kl_sync_offer_withheld(sync, objects, update);
+	kl_sync_add_known_revision(feed, update);
 	log_update(node, feed, update);
 	for (int i = 0; i < KL_FEED_COUNT; i++) {
 		objects->feed_revisions[i] = sync->feeds[i].revision;
@@ -73,36 +74,6 @@
 	return true;
 }
 
-/*
- * Adds the revision of the copy to those since which removals are known.  An
- * object that was created and removed between two full lists is in neither, so
- * another VM that has it can't learn of its removal from the changes.
- */
-static void add_known_revision(kl_feed_state_t *feed,
-			       const kl_feed_update_t *update)
-{
-	uint32_t count = feed->known_range_count;
-	kl_revision_range_t *newest =
-		&feed->known_ranges[(count - 1) % KL_KNOWN_RANGES];
-
-	if (!update->has_every_change || !count) {
-		newest = &feed->known_ranges[count % KL_KNOWN_RANGES];
-		newest->first = update->has_every_change ? 0 : feed->revision;
-		feed->known_range_count++;
-	}
-	newest->last = feed->revision;
-}
-
-bool kl_sync_knows_removals(const kl_feed_state_t *feed, uint64_t since)
-{
-	for (uint32_t i = 0; i < KL_KNOWN_RANGES && i < feed->known_range_count;
-	     i++)
-		if (since >= feed->known_ranges[i].first &&
-		    since <= feed->known_ranges[i].last)
-			return true;
-	return false;
-}
-
 /*
  * Drops objects of an update that were removed since it was read.  This VM has
  * every change up to the feed's revision, so an object that is not newer, and
@@ -116,6 +87,7 @@
 
 	CK_STAILQ_FOREACH_SAFE(object, update->objects, link, next) {
 		if (object->version > feed->revision ||
+		    is_withheld(object, update) ||
 		    (old && kl_index_get(old->index, object->name.name)))
 			continue;
 		CK_STAILQ_REMOVE(update->objects, object, kl_object, link);
@@ -123,6 +95,14 @@
 	}
 }
 
+/* Whether the VM that sent an object holds it, though the store lost it. */
+static bool is_withheld(const kl_object_t *object,
+			const kl_feed_update_t *update)
+{
+	return kl_version_era(object->version) <
+	       kl_version_era(update->read_revision);
+}
+
 /*
  * A record that can't be read keeps its last contents; one that was never read
  * is left out.  An upstream is taken as removed, so that it is not used, and a
@@ -202,7 +182,7 @@
 		const kl_object_t *held =
 			kl_index_get(old->index, object->name.name);
 
-		if (!held || held->version < object->version)
+		if (!held || kl_sync_replaces(sync, object, held))
 			return true;
 		new_count += strcmp(object->body, "null") != 0;
 	}
@@ -256,7 +236,7 @@
 			       !kl_sync_is_lost(sync, object, update);
 		kl_object_t *copy;
 
-		if (other && other->version > object->version)
+		if (other && kl_sync_replaces(sync, other, object))
 			continue;
 		copy = kl_object_new(object->name.name,
 				     removed ? update->read_revision
--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -104,6 +104,14 @@
 /** Announce new revisions to the children in the tree and two random VMs. */
 void kl_sync_announce(kl_node_t *node, const kl_sync_t *sync);
 
+/**
+ * Add the revision of a feed's copy to those since which removals are known.
+ * An object that was created and removed between two full lists is in neither,
+ * so another VM that has it can't learn of its removal from the changes.
+ */
+void kl_sync_add_known_revision(kl_feed_state_t *feed,
+				const kl_feed_update_t *update);
+
 /**
  * Whether this VM knows every removal since a revision, so that the changes
  * since then bring a copy of that revision up to date.
@@ -134,6 +142,20 @@
 void kl_sync_withhold(kl_node_t *node, kl_sync_t *sync, const kl_objects_t *old,
 		      const kl_feed_update_t *update);
 
+/**
+ * Whether an object replaces the one held: it is newer, or the one held is from
+ * a copy of the store that is older than the object, which another VM withheld.
+ */
+bool kl_sync_replaces(const kl_sync_t *sync, const kl_object_t *object,
+		      const kl_object_t *held);
+
+/**
+ * Raise the revision of a feed after a full list if this VM holds objects that
+ * the store lost, so that VMs that started later fetch them.
+ */
+void kl_sync_offer_withheld(kl_sync_t *sync, const kl_objects_t *objects,
+			    const kl_feed_update_t *update);
+
 /** Whether a full list lacks an object because the store lost it. */
 bool kl_sync_is_lost(const kl_sync_t *sync, const kl_object_t *held,
 		     const kl_feed_update_t *update);
--- a/control/sync_withhold.c
+++ b/control/sync_withhold.c
@@ -69,6 +69,42 @@
 	       revision <= first_revision_after(sync, held_version);
 }
 
+bool kl_sync_replaces(const kl_sync_t *sync, const kl_object_t *object,
+		      const kl_object_t *held)
+{
+	return object->version > held->version ||
+	       (is_configuration(held->feed) &&
+		is_outdated(sync, held, object->version) &&
+		strcmp(object->body, held->body) != 0);
+}
+
+/*
+ * All objects that the store has were read in its new era, so one of an older
+ * era is not there.  Every list of the era has the changes up to its first
+ * revision, which is at least that of the copy.
+ */
+void kl_sync_offer_withheld(kl_sync_t *sync, const kl_objects_t *objects,
+			    const kl_feed_update_t *update)
+{
+	uint64_t first = kl_store_version(sync->era, sync->first_revisions[0]);
+	kl_feed_state_t *feed = &sync->feeds[update->feed];
+	bool holds_lost = false;
+	const kl_object_t *object;
+
+	if (!update->full || !is_configuration(update->feed) ||
+	    update->read_revision < first)
+		return;
+	CK_STAILQ_FOREACH(object, &objects->list, link)
+		holds_lost |= object->feed == update->feed &&
+			      kl_version_era(object->version) < sync->era;
+	if (!holds_lost)
+		return;
+	if (feed->revision < first)
+		feed->revision = first;
+	/* They are in no list of changes, so others need a full one. */
+	feed->known_range_count = 0;
+}
+
 bool kl_sync_is_lost(const kl_sync_t *sync, const kl_object_t *held,
 		     const kl_feed_update_t *update)
 {
