Settle longer after a drill on a VM whose lease had ended

Such a VM may have missed a term, and the restored store shows it the former one as current. Script drill_lease: without a wait a write was acknowledged at a replaced primary (trial with both waits 0); with 1 s, and 3 s after a lapsed lease, none is. A list of no objects has the store's era, too. Script drill_failover restores the store at three steps of a change of primary.

--- a/control/store_era.c
+++ b/control/store_era.c
@@ -42,8 +42,9 @@
 
 	if (!answer->era)
 		return;
-	/* 0: the answer has none. */
-	if (answer->revision)
+	/* An update may be answered without one; a list of no objects has 0. */
+	if (answer->revision || answer->op == KL_PLATFORM_LIST ||
+	    answer->op == KL_PLATFORM_WATCH)
 		answer->revision =
 			kl_store_version(answer->era, answer->revision);
 	CK_STAILQ_FOREACH(object, answer->objects, link)
--- a/control/sync_era.c
+++ b/control/sync_era.c
@@ -7,9 +7,11 @@
 
 /*
  * Confirmations of a new era count this long after this VM learned of it: the
- * newest terms that any VM holds are written again by then.
+ * newest terms that any VM holds are written again by then.  A VM whose lease
+ * had ended may have missed a term, and waits longer; it served no writes.
  */
 #define SETTLE_US (1 * KL_SEC)
+#define SETTLE_LAPSED_US (3 * KL_SEC)
 
 static void rise(kl_node_t *node, kl_sync_t *sync, uint64_t era);
 static void list_all(kl_node_t *node, kl_sync_t *sync);
@@ -39,7 +41,7 @@
 		if (answer->op == KL_PLATFORM_WATCH)
 			return false;
 	}
-	if (answer->era && answer->revision)
+	if (answer->era && !answer->error)
 		add_first_revision(sync, 0,
 				   kl_version_revision(answer->revision));
 	return true;
@@ -73,12 +75,16 @@
 						       : "first",
 				   .position = era };
 	uint64_t rise = era - sync->era;
+	uint64_t now = kl_node_now(node);
+	bool lapsed = !sync->has_confirmation ||
+		      now - sync->confirmed_us > node->tuning.lease_duration_us;
 
 	for (uint32_t i = KL_STORE_ERAS; i-- > 0;)
 		sync->first_revisions[i] =
 			i >= rise ? sync->first_revisions[i - rise] : 0;
 	if (sync->era)
-		sync->settled_us = kl_node_now(node) + SETTLE_US;
+		sync->settled_us =
+			now + (lapsed ? SETTLE_LAPSED_US : SETTLE_US);
 	sync->era = era;
 	for (uint32_t i = 0; i < KL_FEED_COUNT; i++)
 		sync->feeds[i].has_withheld = false;
@@ -103,6 +109,8 @@
 {
 	uint64_t *first = &sync->first_revisions[age];
 
+	if (!revision)
+		revision = 1; /* 0 stands for none */
 	if (*first && *first <= revision)
 		return;
 	*first = revision;
