--- /dev/null
+++ b/tests/unit/sync_era.c
@@ -0,0 +1,241 @@
+/*
+ * Tests of the copy of the platform's objects across a restore of the store
+ * from an older copy: late answers, and what a VM that was cut off holds.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "control/controllers.h"
+#include "control/store_era.h"
+
+static uint64_t now_us = 1000 * KL_SEC;
+static uint64_t watch_sent_us; /* of the last watch of marks */
+static uint32_t mark_lists;    /* lists of marks sent */
+
+static uint64_t op_now(void *context)
+{
+	(void)context;
+	return now_us;
+}
+
+static uint32_t op_random(void *context)
+{
+	(void)context;
+	return 0;
+}
+
+static void op_send(void *context, const char *vm, const char *host,
+		    uint16_t port, const kl_peer_message_t *message)
+{
+	(void)context;
+	(void)vm;
+	(void)host;
+	(void)port;
+	(void)message;
+}
+
+static void op_platform(void *context, const kl_platform_call_t *call)
+{
+	(void)context;
+	if (call->feed != KL_FEED_MARKS)
+		return;
+	mark_lists += call->op == KL_PLATFORM_LIST;
+	if (call->op == KL_PLATFORM_WATCH)
+		watch_sent_us = call->sent_us;
+}
+
+static void op_database(void *context, const kl_database_call_t *call)
+{
+	(void)context;
+	(void)call;
+}
+
+static void op_log(void *context, const kl_decision_t *decision)
+{
+	(void)context;
+	(void)decision;
+}
+
+static const kl_node_ops_t ops = { op_now,	op_random,   op_send,
+				   op_platform, op_database, op_log };
+
+static int start(void **state)
+{
+	kl_node_t *node = calloc(1, sizeof(*node));
+
+	kl_name_copy(node->self.vm, "a1");
+	kl_name_copy(node->self.domain, "d1");
+	strcpy(node->self.host, "10.0.0.1");
+	node->self.port = 1;
+	kl_tuning_default(&node->tuning);
+	node->tuning.feed_count = KL_FEED_COUNT;
+	node->tuning.watchers_per_domain = 1;
+	node->ops = &ops;
+	CK_SLIST_INIT(&node->seeds);
+	*state = node;
+	return kl_node_start(node);
+}
+
+static int stop(void **state)
+{
+	kl_node_t *node = *state;
+
+	kl_node_stop(node);
+	free(node);
+	return 0;
+}
+
+/* Delivers an answer with one mark, or with none if its name is NULL. */
+static void deliver(kl_node_t *node, kl_platform_op_t op, uint64_t era,
+		    uint64_t revision, const char *name, uint64_t version,
+		    const char *body)
+{
+	kl_object_list_t objects = CK_STAILQ_HEAD_INITIALIZER(objects);
+	kl_platform_answer_t answer = { .op = op,
+					.owner = KL_CONTROLLER_SYNC,
+					.feed = KL_FEED_MARKS,
+					.is_full_list = op == KL_PLATFORM_LIST,
+					.revision = revision,
+					.era = era,
+					.call_sent_us =
+						op == KL_PLATFORM_WATCH
+							? watch_sent_us
+							: now_us - KL_MS,
+					.objects = &objects };
+	kl_event_t event = { .kind = KL_EVENT_PLATFORM, .platform = &answer };
+
+	if (name)
+		CK_STAILQ_INSERT_TAIL(&objects,
+				      kl_object_new(name, version, body), link);
+	kl_store_era_add(&answer);
+	kl_node_step(node, &event);
+	kl_object_list_clear(&objects);
+}
+
+static void deliver_list(kl_node_t *node, uint64_t era, uint64_t revision,
+			 const char *name, uint64_t version, const char *body)
+{
+	deliver(node, KL_PLATFORM_LIST, era, revision, name, version, body);
+}
+
+/* Runs the controllers for some time, without any answer. */
+static void run(kl_node_t *node, uint64_t duration_us)
+{
+	kl_event_t event = { .kind = KL_EVENT_TICK };
+
+	for (uint64_t end_us = now_us + duration_us; now_us < end_us;
+	     now_us += 10 * KL_MS)
+		kl_node_step(node, &event);
+}
+
+static const char *body_of(const kl_node_t *node, const char *name)
+{
+	const kl_objects_t *objects = kl_node_get(node, KL_SECTION_OBJECTS);
+	const kl_object_t *object =
+		objects ? kl_index_get(objects->index, name) : NULL;
+
+	return object ? object->body : "null";
+}
+
+static void hello(kl_node_t *node, uint64_t era, uint64_t first_revision)
+{
+	kl_peer_message_t message = { .kind = KL_PEER_HELLO,
+				      .from = "b1",
+				      .store_era = era,
+				      .first_revisions = { first_revision } };
+	kl_event_t event = { .kind = KL_EVENT_PEER, .peer = &message };
+
+	kl_node_step(node, &event);
+}
+
+/* An answer that is late was read before the store was restored. */
+static void answer_of_an_older_era_is_refused(void **state)
+{
+	kl_node_t *node = *state;
+
+	deliver_list(node, 1, 50, "mark/a", 40, "{\"v\":1}");
+	deliver_list(node, 2, 45, "mark/a", 40, "{\"v\":1}");
+	deliver_list(node, 1, 99, "mark/a", 98, "{\"v\":2}");
+	assert_string_equal(body_of(node, "mark/a"), "{\"v\":1}");
+	assert_int_equal(kl_sync_refused_era_count(node), 1);
+	/* So is one of a store that lost its header. */
+	deliver_list(node, 0, 99, "mark/a", 98, "{\"v\":2}");
+	assert_string_equal(body_of(node, "mark/a"), "{\"v\":1}");
+	assert_int_equal(kl_sync_era(node), 2);
+}
+
+/*
+ * Guards against a VM that keeps an old mark for ever: it was cut off through
+ * the drill, and lists the store before it hears from another VM.  What was
+ * written again since has a lower revision than what it holds.
+ */
+static void lower_first_revision_ends_the_withholding(void **state)
+{
+	kl_node_t *node = *state;
+
+	deliver_list(node, 1, 90, "mark/a", 80, "{\"v\":1}");
+	deliver_list(node, 2, 78, "mark/a", 75, "{\"v\":2}");
+	assert_string_equal(body_of(node, "mark/a"), "{\"v\":1}");
+	mark_lists = 0;
+	hello(node, 2, 72);
+	run(node, KL_SEC);
+	assert_true(mark_lists > 0);
+	deliver_list(node, 2, 79, "mark/a", 75, "{\"v\":2}");
+	assert_string_equal(body_of(node, "mark/a"), "{\"v\":2}");
+}
+
+/* The same for one that was removed, and created again since. */
+static void lower_first_revision_admits_what_was_created_again(void **state)
+{
+	kl_node_t *node = *state;
+
+	deliver_list(node, 1, 90, "mark/b", 80, "{}");
+	deliver_list(node, 2, 78, "mark/a", 75, "{\"v\":2}");
+	assert_string_equal(body_of(node, "mark/a"), "null");
+	hello(node, 2, 72);
+	deliver_list(node, 2, 79, "mark/a", 75, "{\"v\":2}");
+	assert_string_equal(body_of(node, "mark/a"), "{\"v\":2}");
+}
+
+/*
+ * Guards against changes that are never seen: a watch that began before the
+ * drill, after revision 90, is answered by the restored store with what follows
+ * 90, but not with what it assigned from 73 on.
+ */
+static void watch_of_the_old_era_is_not_applied(void **state)
+{
+	kl_node_t *node = *state;
+
+	run(node, KL_SEC);
+	deliver_list(node, 1, 90, "mark/a", 80, "{\"v\":1}");
+	run(node, KL_SEC);
+	assert_true(watch_sent_us != 0);
+	deliver(node, KL_PLATFORM_WATCH, 2, 95, "mark/c", 95, "{}");
+	assert_string_equal(body_of(node, "mark/c"), "null");
+	assert_int_equal(kl_sync_era(node), 2);
+	mark_lists = 0;
+	run(node, KL_SEC);
+	assert_true(mark_lists > 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			answer_of_an_older_era_is_refused, start, stop),
+		cmocka_unit_test_setup_teardown(
+			lower_first_revision_ends_the_withholding, start, stop),
+		cmocka_unit_test_setup_teardown(
+			lower_first_revision_admits_what_was_created_again,
+			start, stop),
+		cmocka_unit_test_setup_teardown(
+			watch_of_the_old_era_is_not_applied, start, stop),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
