--- a/peer/peer_codec.c
+++ b/peer/peer_codec.c
@@ -117,6 +117,8 @@
 	else
 		error = 0;
 out:
+	if (error)
+		kl_peer_message_clear(message);
 	xdr_destroy(&xdr);
 	xdr_free((xdrproc_t)xdr_kl_wire_message, (char *)&wire);
 	return error;
--- a/tests/unit/codec.c
+++ b/tests/unit/codec.c
@@ -129,12 +129,12 @@
 					      kl_store_version(2, 5) },
 			   .revision = kl_store_version(3, 4) }
 	};
+	kl_object_t *object =
+		kl_object_new("mark/a", kl_store_version(2, 9), "{}");
 	int length;
 
 	CK_STAILQ_INIT(&message.delta.objects);
-	CK_STAILQ_INSERT_TAIL(
-		&message.delta.objects,
-		kl_object_new("mark/a", kl_store_version(2, 9), "{}"), link);
+	CK_STAILQ_INSERT_TAIL(&message.delta.objects, object, link);
 	length = kl_peer_encode(&message, "127.0.0.1", 99, buffer, size);
 	kl_object_list_clear(&message.delta.objects);
 	return length;
--- a/tests/unit/sync_era.c
+++ b/tests/unit/sync_era.c
@@ -108,10 +108,10 @@
 							: now_us - KL_MS,
 					.objects = &objects };
 	kl_event_t event = { .kind = KL_EVENT_PLATFORM, .platform = &answer };
+	kl_object_t *object = name ? kl_object_new(name, version, body) : NULL;
 
-	if (name)
-		CK_STAILQ_INSERT_TAIL(&objects,
-				      kl_object_new(name, version, body), link);
+	if (object)
+		CK_STAILQ_INSERT_TAIL(&objects, object, link);
 	kl_store_era_add(&answer);
 	kl_node_step(node, &event);
 	kl_object_list_clear(&objects);
