--- a/control/promote_rewrite.c
+++ b/control/promote_rewrite.c
@@ -34,9 +34,10 @@
 {
 	const kl_node_t *node = ctx->base.node;
 	const kl_group_t *group = ctx->base.group;
+	uint64_t first = kl_sync_first_revision(node);
 	bool may_be_copy =
-		kl_sync_era(node) && kl_version_revision(group->version) <=
-					     kl_sync_first_revision(node);
+		kl_sync_era(node) &&
+		(!first || kl_version_revision(group->version) <= first);
 
 	return group->term + (may_be_copy ? LOST_TERMS_MAX : 1);
 }
