Let only watchers call the store after a drill

While confirmations of the new era did not count yet, all VMs took them for overdue and asked the store: 516 reads within 4 s with 102 VMs.

--- a/control/sync.c
+++ b/control/sync.c
@@ -47,6 +47,8 @@
 			const kl_platform_answer_t *answer);
 static uint64_t complete_revision(const kl_feed_state_t *feed,
 				  const kl_platform_answer_t *answer);
+static void update_watch_era(const kl_node_t *node, kl_sync_t *sync,
+			     kl_feed_t feed_id, uint64_t now);
 static bool is_starting(const kl_node_t *node, const kl_sync_t *sync,
 			uint64_t now);
 static uint64_t list_interval(const kl_node_t *node, const kl_sync_t *sync,
@@ -178,10 +180,7 @@
 						      (2 * CONFIRM_OVERDUE_US);
 			send_call(node, feed, KL_PLATFORM_LIST, i, now);
 		}
-		/* Changes since a version of an older era aren't known. */
-		if (feed->loaded && !feed->needs_list &&
-		    kl_version_era(feed->watch_revision) != sync->era)
-			kl_sync_list_again(node, sync, i, now);
+		update_watch_era(node, sync, i, now);
 		/* Which VMs are watchers is known once all have registered. */
 		if (now - node->started_us >= WATCH_START_DELAY_US &&
 		    feed->loaded && !feed->needs_list && !feed->watch_sent_us &&
@@ -193,6 +192,24 @@
 	}
 }
 
+/*
+ * A watch can't start at a version of an older era.  If another VM brought the
+ * feed of the new era, this VM has every change up to its revision.
+ */
+static void update_watch_era(const kl_node_t *node, kl_sync_t *sync,
+			     kl_feed_t feed_id, uint64_t now)
+{
+	kl_feed_state_t *feed = &sync->feeds[feed_id];
+
+	if (!feed->loaded || feed->needs_list ||
+	    kl_version_era(feed->watch_revision) == sync->era)
+		return;
+	if (kl_version_era(feed->revision) == sync->era)
+		feed->watch_revision = feed->revision;
+	else
+		kl_sync_list_again(node, sync, feed_id, now);
+}
+
 /* A process that just started needs its first confirmation soon. */
 static bool is_starting(const kl_node_t *node, const kl_sync_t *sync,
 			uint64_t now)
@@ -227,10 +244,14 @@
 				 uint64_t now)
 {
 	uint64_t overdue_us = node->tuning.lease_duration_us / 2;
+	uint64_t since_us = sync->confirmed_us;
 
 	if (overdue_us < CONFIRM_OVERDUE_US)
 		overdue_us = CONFIRM_OVERDUE_US;
-	return !sync->has_confirmation || now - sync->confirmed_us > overdue_us;
+	/* None counts before the newest era has settled. */
+	if (since_us < sync->settled_us)
+		since_us = sync->settled_us;
+	return !sync->has_confirmation || now > since_us + overdue_us;
 }
 
 static void send_call(kl_node_t *node, const kl_feed_state_t *feed,
