--- a/control/sync_apply.c
+++ b/control/sync_apply.c
@@ -5,27 +5,27 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "control/store_era.h"
 #include "control/sync_internal.h"
 
 static void drop_removed_objects(const kl_objects_t *old,
 				 const kl_feed_state_t *feed,
 				 const kl_feed_update_t *update);
+static bool is_withheld(const kl_object_t *object,
+			const kl_feed_update_t *update);
 static void keep_unreadable_objects(kl_node_t *node, const kl_objects_t *old,
 				    const kl_feed_update_t *update);
-static bool has_changes(const kl_objects_t *old,
+static bool has_changes(const kl_sync_t *sync, const kl_objects_t *old,
 			const kl_feed_update_t *update);
 static kl_index_t *index_newest(const kl_feed_update_t *update, size_t count);
-static void copy_unchanged_objects(const kl_objects_t *old,
-				   kl_objects_t *objects,
-				   const kl_feed_update_t *update,
-				   kl_index_t *changed_index,
-				   kl_feed_state_t *feed);
+static void
+copy_unchanged_objects(const kl_sync_t *sync, const kl_objects_t *old,
+		       kl_objects_t *objects, const kl_feed_update_t *update,
+		       kl_index_t *changed_index, kl_feed_state_t *feed);
 static void move_changed_objects(kl_objects_t *objects,
 				 const kl_feed_update_t *update,
 				 kl_index_t *changed_index,
 				 const kl_revision_times_t *revision_times);
-static void add_known_revision(kl_feed_state_t *feed,
-			       const kl_feed_update_t *update);
 static void log_update(kl_node_t *node, const kl_feed_state_t *feed,
 		       const kl_feed_update_t *update);
 
@@ -42,8 +42,9 @@
 	if (feed->loaded && node->tuning.feed_count > 1)
 		drop_removed_objects(old, feed, update);
 	keep_unreadable_objects(node, old, update);
+	kl_sync_withhold(node, sync, old, update);
 	if (feed->loaded && update->revision <= feed->revision &&
-	    (node->tuning.feed_count == 1 || !has_changes(old, update)))
+	    (node->tuning.feed_count == 1 || !has_changes(sync, old, update)))
 		return false;
 	if (old) {
 		CK_STAILQ_FOREACH(object, &old->list, link)
@@ -57,12 +58,13 @@
 	kl_revision_times_seen(&sync->revision_times, update->read_revision);
 	changed_index = index_newest(update, count);
 	if (old)
-		copy_unchanged_objects(old, objects, update, changed_index,
-				       feed);
+		copy_unchanged_objects(sync, old, objects, update,
+				       changed_index, feed);
 	move_changed_objects(objects, update, changed_index,
 			     &sync->revision_times);
 	kl_index_free(changed_index);
-	add_known_revision(feed, update);
+	kl_sync_offer_withheld(sync, objects, update);
+	kl_sync_add_known_revision(feed, update);
 	log_update(node, feed, update);
 	for (int i = 0; i < KL_FEED_COUNT; i++) {
 		objects->feed_revisions[i] = sync->feeds[i].revision;
@@ -72,36 +74,6 @@
 	return true;
 }
 
-/*
- * Adds the revision of the copy to those since which removals are known.  An
- * object that was created and removed between two full lists is in neither, so
- * another VM that has it can't learn of its removal from the changes.
- */
-static void add_known_revision(kl_feed_state_t *feed,
-			       const kl_feed_update_t *update)
-{
-	uint32_t count = feed->known_range_count;
-	kl_revision_range_t *newest =
-		&feed->known_ranges[(count - 1) % KL_KNOWN_RANGES];
-
-	if (!update->has_every_change || !count) {
-		newest = &feed->known_ranges[count % KL_KNOWN_RANGES];
-		newest->first = update->has_every_change ? 0 : feed->revision;
-		feed->known_range_count++;
-	}
-	newest->last = feed->revision;
-}
-
-bool kl_sync_knows_removals(const kl_feed_state_t *feed, uint64_t since)
-{
-	for (uint32_t i = 0; i < KL_KNOWN_RANGES && i < feed->known_range_count;
-	     i++)
-		if (since >= feed->known_ranges[i].first &&
-		    since <= feed->known_ranges[i].last)
-			return true;
-	return false;
-}
-
 /*
  * Drops objects of an update that were removed since it was read.  This VM has
  * every change up to the feed's revision, so an object that is not newer, and
@@ -115,6 +87,7 @@
 
 	CK_STAILQ_FOREACH_SAFE(object, update->objects, link, next) {
 		if (object->version > feed->revision ||
+		    is_withheld(object, update) ||
 		    (old && kl_index_get(old->index, object->name.name)))
 			continue;
 		CK_STAILQ_REMOVE(update->objects, object, kl_object, link);
@@ -122,6 +95,14 @@
 	}
 }
 
+/* Whether the VM that sent an object holds it, though the store lost it. */
+static bool is_withheld(const kl_object_t *object,
+			const kl_feed_update_t *update)
+{
+	return kl_version_era(object->version) <
+	       kl_version_era(update->read_revision);
+}
+
 /*
  * A record that can't be read keeps its last contents; one that was never read
  * is left out.  An upstream is taken as removed, so that it is not used, and a
@@ -164,7 +145,7 @@
 	kl_decision_t decision = { .name = "entry_unreadable",
 				   .reason = name,
 				   .feed = kl_feed_name(feed),
-				   .position = version };
+				   .position = kl_version_revision(version) };
 
 	node->ops->log_decision(node->ops_context, &decision);
 }
@@ -176,22 +157,23 @@
 static void log_update(kl_node_t *node, const kl_feed_state_t *feed,
 		       const kl_feed_update_t *update)
 {
-	kl_decision_t decision = { .name = "feed_updated",
-				   .reason = update->source,
-				   .feed = kl_feed_name(update->feed),
-				   .peer = update->peer,
-				   .position = feed->revision,
-				   .age_us = update->sent_us
-						     ? kl_node_now(node) -
-							       update->sent_us
-						     : 0 };
+	kl_decision_t decision = {
+		.name = "feed_updated",
+		.reason = update->source,
+		.feed = kl_feed_name(update->feed),
+		.peer = update->peer,
+		.position = kl_version_revision(feed->revision),
+		.age_us = update->sent_us ? kl_node_now(node) - update->sent_us
+					  : 0
+	};
 
 	if (update->feed != KL_FEED_TERMS && update->feed != KL_FEED_SLOTS)
 		node->ops->log_decision(node->ops_context, &decision);
 }
 
 /* Whether an update has newer objects, or lacks objects that are held. */
-static bool has_changes(const kl_objects_t *old, const kl_feed_update_t *update)
+static bool has_changes(const kl_sync_t *sync, const kl_objects_t *old,
+			const kl_feed_update_t *update)
 {
 	const kl_object_t *object;
 	uint32_t old_count = 0, new_count = 0;
@@ -200,7 +182,7 @@
 		const kl_object_t *held =
 			kl_index_get(old->index, object->name.name);
 
-		if (!held || held->version < object->version)
+		if (!held || kl_sync_replaces(sync, object, held))
 			return true;
 		new_count += strcmp(object->body, "null") != 0;
 	}
@@ -209,7 +191,8 @@
 	CK_STAILQ_FOREACH(object, &old->list, link)
 		old_count += object->feed == update->feed &&
 			     object->version <= update->read_revision &&
-			     strcmp(object->body, "null");
+			     strcmp(object->body, "null") &&
+			     !kl_sync_is_lost(sync, object, update);
 	return old_count > new_count;
 }
 
@@ -236,11 +219,10 @@
  * Copies the objects that an update has no newer version of.  Those that a full
  * list lacks become removed ones, with the body "null".
  */
-static void copy_unchanged_objects(const kl_objects_t *old,
-				   kl_objects_t *objects,
-				   const kl_feed_update_t *update,
-				   kl_index_t *changed_index,
-				   kl_feed_state_t *feed)
+static void
+copy_unchanged_objects(const kl_sync_t *sync, const kl_objects_t *old,
+		       kl_objects_t *objects, const kl_feed_update_t *update,
+		       kl_index_t *changed_index, kl_feed_state_t *feed)
 {
 	const kl_object_t *object;
 
@@ -250,10 +232,11 @@
 		bool removed = update->full && object->feed == update->feed &&
 			       !other &&
 			       object->version <= update->read_revision &&
-			       strcmp(object->body, "null");
+			       strcmp(object->body, "null") &&
+			       !kl_sync_is_lost(sync, object, update);
 		kl_object_t *copy;
 
-		if (other && other->version > object->version)
+		if (other && kl_sync_replaces(sync, other, object))
 			continue;
 		copy = kl_object_new(object->name.name,
 				     removed ? update->read_revision
@@ -265,6 +248,7 @@
 		    object->feed == update->feed)
 			feed->revision = copy->version;
 		copy->feed = object->feed;
+		copy->store_is_behind = object->store_is_behind;
 		copy->changed_after_us = object->changed_after_us;
 		CK_STAILQ_INSERT_TAIL(&objects->list, copy, link);
 		kl_index_put(objects->index, &copy->name);
