Count operations for usage reports, and share the counts between VMs

The platform bills workspaces by the operations that databases began to run, and nothing counted these. The engine counts an operation when the reply to its first statement, or the loss of that reply, shows that it may have run. The control thread keeps the counts by window and workspace, and sends them to the VM that reports, in messages of the kind KL_PEER_USAGE.

Seen: engine script usage fails without the check of replies, without the count of lost replies, and if it counts single statements. Unit test usage_message passes. All scripts and engine scripts print the same as before. Unit test mutate crashed before this change, as kinds of messages without a codec were numbered; it now fails in an assertion, and will pass once all numbered kinds have codecs.

--- a/board/sections.c
+++ b/board/sections.c
@@ -174,6 +174,17 @@
 	return lifecycle;
 }
 
+kl_usage_t *kl_usage_new(const kl_usage_t *contents)
+{
+	kl_usage_t *usage = calloc(1, sizeof(*usage));
+
+	if (!usage)
+		return NULL;
+	*usage = *contents;
+	usage->base = (kl_snapshot_t){ .destroy = destroy_plain };
+	return usage;
+}
+
 bool kl_config_marked(const kl_config_t *config, const char *kind,
 		      const char *name)
 {
--- a/board/sections.h
+++ b/board/sections.h
@@ -342,6 +342,22 @@
 	kl_index_t *index;
 } kl_positions_t;
 
+/** Usage reports, as this VM knows them. */
+typedef struct kl_usage {
+	kl_snapshot_t base;
+	char holder[KL_NAME_MAX];  /**< VM that holds the duty, or "" */
+	uint64_t token;		   /**< fencing token of the holder */
+	uint64_t last_window;	   /**< last one whose report was decided */
+	bool is_holder;		   /**< this VM holds the duty */
+	uint64_t windows_reported; /**< by this process */
+	uint64_t windows_missed;   /**< skipped or not accepted in time */
+	uint64_t windows_repeated; /**< calls that repeated a report */
+	/** Operations that came too late for the report of their window. */
+	uint64_t late_operations;
+	/** Messages with counts that were old, or repeated. */
+	uint64_t ignored_messages;
+} kl_usage_t;
+
 /** Create an object with a copy of body. @return NULL when out of memory */
 kl_object_t *kl_object_new(const char *name, uint64_t version,
 			   const char *body);
@@ -367,6 +383,8 @@
 kl_confirmation_t *kl_confirmation_new(uint64_t revision,
 				       uint64_t confirmed_us);
 kl_lifecycle_t *kl_lifecycle_new(kl_phase_t phase);
+/** Create a copy of a section's contents. */
+kl_usage_t *kl_usage_new(const kl_usage_t *contents);
 
 /** Whether operators marked "KIND/NAME" as leaving. */
 bool kl_config_marked(const kl_config_t *config, const char *kind,
--- a/control/control.c
+++ b/control/control.c
@@ -57,6 +57,12 @@
 				     0, KL_SECTION_POSITIONS,
 				     kl_position_create, kl_position_step,
 				     kl_position_destroy },
+	[KL_CONTROLLER_USAGE] = { "usage",
+				  EVENT(TICK) | EVENT(PEER) | EVENT(PLATFORM) |
+					  EVENT(USAGE),
+				  SECTION(OBJECTS), KL_SECTION_USAGE,
+				  kl_usage_create, kl_usage_step,
+				  kl_usage_destroy },
 };
 
 void kl_tuning_default(kl_tuning_t *tuning)
--- a/control/node.h
+++ b/control/node.h
@@ -32,6 +32,7 @@
 	KL_CONTROLLER_SHARE,
 	KL_CONTROLLER_DRAIN,
 	KL_CONTROLLER_POSITION,
+	KL_CONTROLLER_USAGE,
 	KL_CONTROLLER_COUNT
 } kl_controller_id_t;
 
@@ -46,6 +47,7 @@
 	KL_EVENT_STOP,		  /**< a planned stop of this process begins */
 	KL_EVENT_PASSIVE_CHECK,	  /**< result of a passive health check */
 	KL_EVENT_POSITION,	  /**< a primary's log position, or its lack */
+	KL_EVENT_USAGE,		  /**< databases began to run operations */
 	KL_EVENT_COUNT
 } kl_event_kind_t;
 
@@ -56,6 +58,7 @@
 	KL_PLATFORM_PUT,     /**< conditional update of an object */
 	KL_PLATFORM_GET,     /**< read an object */
 	KL_PLATFORM_PROMOTE, /**< order a promotion */
+	KL_PLATFORM_REPORT_USAGE, /**< report the operations of a window */
 	KL_PLATFORM_OP_COUNT
 } kl_platform_op_t;
 
@@ -68,9 +71,17 @@
 	/** List, watch: the changes since this revision; 0: all objects. */
 	uint64_t since_revision;
 	char name[KL_NAME_MAX]; /**< of the object; promote: the service */
-	/** Put: the object's version, 0 to create it; promote: the term. */
+	/**
+	 * Put: the object's version, 0 to create it; promote, report usage:
+	 * the fencing token.
+	 */
 	uint64_t version;
-	const char *body; /**< put: JSON text; promote: the upstream */
+	uint64_t window; /**< report usage: number of the usage window */
+	/**
+	 * Put: JSON text; promote: the upstream; report usage: JSON object
+	 * with the operations of each workspace.
+	 */
+	const char *body;
 } kl_platform_call_t;
 
 /** The platform's answer to a call. */
@@ -138,6 +149,16 @@
 	bool refuses_connections;
 } kl_passive_check_t;
 
+/** Operations of a workspace that databases began at about the same time. */
+typedef struct kl_usage_sample {
+	CK_STAILQ_ENTRY(kl_usage_sample) link;
+	char workspace[KL_NAME_MAX];
+	uint64_t began_us; /**< node's clock */
+	uint32_t operations;
+} kl_usage_sample_t;
+
+typedef CK_STAILQ_HEAD(kl_usage_samples, kl_usage_sample) kl_usage_samples_t;
+
 /** An event; which members are set depends on the kind. */
 typedef struct kl_event {
 	kl_event_kind_t kind;
@@ -148,6 +169,7 @@
 	const kl_passive_check_t *passive_check;
 	/** Of KL_EVENT_POSITION; term 0: reads need a newer one. */
 	const kl_primary_position_t *position;
+	const kl_usage_samples_t *usage; /**< of KL_EVENT_USAGE */
 } kl_event_t;
 
 /** A log record of a decision; members that don't apply are 0. */
@@ -190,8 +212,16 @@
 	char host[KL_HOST_MAX]; /**< address at which peers' messages arrive */
 	uint16_t port;		/**< UDP port of the same */
 	uint64_t incarnation;	/**< rises with each process start on the VM */
+	/** Wall clock at the process start, minus the node's clock; us. */
+	int64_t wall_offset_us;
 } kl_identity_t;
 
+/** Duties that the platform assigns to the fleet; bits. */
+typedef enum kl_duty {
+	KL_DUTY_PROMOTE = 1 << 0,      /**< promote databases */
+	KL_DUTY_REPORT_USAGE = 1 << 1, /**< report usage by workspace */
+} kl_duty_t;
+
 /** Parameters of the control side. */
 typedef struct kl_tuning {
 	uint64_t confirm_interval_us; /**< between requests to confirm terms */
@@ -222,6 +252,10 @@
 	 * of the databases.
 	 */
 	bool platform_promotes;
+	uint32_t duties;	  /**< bits of kl_duty_t */
+	uint64_t usage_window_us; /**< length of a usage window; 0: off */
+	/** A window's report is due this long after its end. */
+	uint64_t usage_delay_us;
 } kl_tuning_t;
 
 /** Address of a peer to contact while no other VM is known. */
--- a/control/peer_message.h
+++ b/control/peer_message.h
@@ -93,6 +93,41 @@
 	kl_peer_position_t list[KL_PEER_POSITIONS_MAX];
 } kl_peer_positions_t;
 
+/** Most workspaces in a message with counts of usage. */
+#define KL_PEER_USAGE_MAX 64
+/** Stands for a clock offset that is not known. */
+#define KL_CLOCK_UNKNOWN INT64_MIN
+
+/** The operations of a workspace in a usage window. */
+typedef struct kl_peer_usage_count {
+	char workspace[KL_NAME_MAX];
+	uint32_t operations; /**< of one process, since the window began */
+} kl_peer_usage_count_t;
+
+/** Counts of usage, or the answer that acknowledges them. */
+typedef struct kl_peer_usage {
+	bool is_answer;
+	/** Rises with each message of a process; answer: the newest received */
+	uint32_t sequence;
+	/** Of the process that counted the operations. */
+	uint64_t incarnation;
+	/** Answer: bit N says that message sequence - 1 - N was received. */
+	uint32_t received;
+	uint64_t window; /**< counts: number of the usage window */
+	/**
+	 * Microseconds.  Counts: the sender's wall clock minus the receiver's,
+	 * or KL_CLOCK_UNKNOWN.  Answer: the sender's wall clock.
+	 */
+	int64_t clock_us;
+	/**
+	 * Answer: what the sender adds to its wall clock to get true time, or
+	 * KL_CLOCK_UNKNOWN; microseconds.
+	 */
+	int64_t correction_us;
+	uint32_t count; /**< counts: entries of list */
+	kl_peer_usage_count_t list[KL_PEER_USAGE_MAX];
+} kl_peer_usage_t;
+
 /** A message between VMs; which members are set depends on the kind. */
 typedef struct kl_peer_message {
 	kl_peer_kind_t kind;
@@ -105,6 +140,7 @@
 	kl_loan_request_t loan_request;
 	kl_loan_grant_t loan_grant;
 	kl_peer_positions_t positions;
+	kl_peer_usage_t usage;
 } kl_peer_message_t;
 
 #endif
--- a/daemon/control_thread.c
+++ b/daemon/control_thread.c
@@ -15,6 +15,8 @@
 #include "daemon/inbox.h"
 #include "daemon/log.h"
 #include "daemon/status.h"
+#include "daemon/tuning.h"
+#include "daemon/usage_batch.h"
 #include "peer/peer_codec.h"
 #include "platform/http.h"
 
@@ -54,6 +56,7 @@
 	kl_platform_answer_t platform_answer;
 	kl_object_list_t objects;
 	kl_database_answer_t database_answer;
+	kl_usage_samples_t usage;
 } event_message_t;
 
 static void *run(void *arg);
@@ -64,7 +67,6 @@
 static void node_call_platform(void *context, const kl_platform_call_t *call);
 static void node_call_database(void *context, const kl_database_call_t *call);
 static void node_log_decision(void *context, const kl_decision_t *decision);
-static void log_platform_error(const kl_platform_answer_t *answer);
 static void on_platform_answer(void *context, kl_platform_answer_t *answer);
 static void on_database_answer(void *context,
 			       const kl_database_answer_t *answer);
@@ -223,6 +225,21 @@
 	kl_inbox_post(control->inbox, &message->base);
 }
 
+void kl_control_thread_report_usage(kl_control_thread_t *control,
+				    kl_usage_samples_t *samples)
+{
+	event_message_t *message = calloc(1, sizeof(*message));
+
+	if (!message)
+		return;
+	message->base.handler = handle_event;
+	message->kind = KL_EVENT_USAGE;
+	CK_STAILQ_INIT(&message->objects);
+	CK_STAILQ_INIT(&message->usage);
+	CK_STAILQ_CONCAT(&message->usage, samples);
+	kl_inbox_post(control->inbox, &message->base);
+}
+
 void kl_control_thread_stop(kl_control_thread_t *control)
 {
 	post_event(control, KL_EVENT_STOP, "");
@@ -245,7 +262,6 @@
 		      const kl_settings_t *settings)
 {
 	kl_node_t *node = &control->node;
-	kl_tuning_t *tuning = &node->tuning;
 	struct timespec wall;
 
 	node->ops = &node_ops;
@@ -257,19 +273,9 @@
 	clock_gettime(CLOCK_REALTIME, &wall);
 	node->self.incarnation =
 		(uint64_t)wall.tv_sec * 1000000 + (uint64_t)wall.tv_nsec / 1000;
-	kl_tuning_default(tuning);
-	tuning->lease_duration_us = settings->lease_ms * KL_MS;
-	tuning->confirm_interval_us = settings->confirm_ms * KL_MS;
-	tuning->probe_interval_us = settings->probe_ms * KL_MS;
-	tuning->suspect_after_us = settings->suspect_ms * KL_MS;
-	tuning->slot_lease_us = settings->share_hold_s * KL_SEC;
-	tuning->slot_count = settings->slots;
-	tuning->min_downtime_us = settings->down_ms * KL_MS;
-	if (strcmp(settings->platform_format, "native")) {
-		tuning->feed_count = KL_FEED_COUNT;
-		tuning->watchers_per_domain = 1;
-		tuning->platform_promotes = true;
-	}
+	node->self.wall_offset_us =
+		(int64_t)(node->self.incarnation - kl_clock_us());
+	kl_tuning_fill(&node->tuning, settings);
 	CK_SLIST_INIT(&node->seeds);
 	for (uint32_t i = 0; i < settings->peers_count; i++) {
 		kl_seed_t *seed = calloc(1, sizeof(*seed));
@@ -370,28 +376,6 @@
 	kl_log_decision(decision);
 }
 
-static void log_platform_error(const kl_platform_answer_t *answer)
-{
-	static const char *const events[KL_PLATFORM_OP_COUNT] = {
-		[KL_PLATFORM_LIST] = "platform_list_failed",
-		[KL_PLATFORM_WATCH] = "platform_watch_failed",
-		[KL_PLATFORM_PUT] = "platform_put_failed",
-		[KL_PLATFORM_GET] = "platform_get_failed",
-		[KL_PLATFORM_PROMOTE] = "platform_promote_failed",
-	};
-	bool reads_feed = answer->op == KL_PLATFORM_LIST ||
-			  answer->op == KL_PLATFORM_WATCH;
-	kl_decision_t decision = {
-		.name = events[answer->op],
-		.service = answer->name,
-		.reason = kl_error_info(answer->error)->name,
-		.feed = reads_feed ? kl_feed_name(answer->feed) : NULL,
-		.age_us = kl_clock_us() - answer->call_sent_us
-	};
-
-	kl_log_decision(&decision);
-}
-
 static void on_platform_answer(void *context, kl_platform_answer_t *answer)
 {
 	kl_control_thread_t *control = context;
@@ -400,7 +384,8 @@
 	if (answer->error == -KL_E_UNAVAILABLE)
 		kl_counter_add(KL_COUNTER_PLATFORM_ERRORS, 1);
 	if (answer->error)
-		log_platform_error(answer);
+		kl_log_platform_error(answer,
+				      kl_clock_us() - answer->call_sent_us);
 	if (!message)
 		return;
 	message->base.handler = handle_event;
@@ -454,7 +439,8 @@
 			     .database = &posted->database_answer,
 			     .service = posted->service,
 			     .passive_check = &posted->passive_check,
-			     .position = &posted->position };
+			     .position = &posted->position,
+			     .usage = &posted->usage };
 
 	if (control) {
 		if (posted->kind == KL_EVENT_REQUEST_WAITING) {
@@ -464,6 +450,7 @@
 		kl_node_step(&control->node, &event);
 	}
 	kl_object_list_clear(&posted->objects);
+	kl_usage_batch_clear(&posted->usage);
 	free(posted);
 }
 
--- a/daemon/control_thread.h
+++ b/daemon/control_thread.h
@@ -49,6 +49,14 @@
 void kl_control_thread_report_position(kl_control_thread_t *control,
 				       const kl_primary_position_t *position);
 
+/**
+ * Report operations that databases began to run; any thread.
+ *
+ * @param samples empty afterwards
+ */
+void kl_control_thread_report_usage(kl_control_thread_t *control,
+				    kl_usage_samples_t *samples);
+
 /** Begin a planned stop; any thread. */
 void kl_control_thread_stop(kl_control_thread_t *control);
 
--- a/daemon/counter.c
+++ b/daemon/counter.c
@@ -80,6 +80,27 @@
 	ck_pr_add_64(&latency_sums_us[kind][ending], total_us);
 }
 
+void kl_latency_publish(const kl_engine_counts_t *now,
+			const kl_engine_counts_t *published)
+{
+	for (uint32_t kind = 0; kind < KL_ROUTE_KIND_COUNT; kind++) {
+		for (uint32_t end = 0; end < KL_STMT_END_COUNT; end++) {
+			kl_latency_add(
+				kind, end, 0, 0,
+				now->latency_sums_us[kind][end] -
+					published->latency_sums_us[kind][end]);
+			for (uint32_t i = 0; i < KL_LATENCY_BUCKETS; i++)
+				kl_latency_add(
+					kind, end, i,
+					now->latency_counts[kind][end][i] -
+						published->latency_counts[kind]
+									 [end]
+									 [i],
+					0);
+		}
+	}
+}
+
 uint64_t kl_latency_count(uint32_t kind, uint32_t ending, uint32_t bucket)
 {
 	return ck_pr_load_64(&latency_buckets[kind][ending][bucket]);
--- a/daemon/counter.h
+++ b/daemon/counter.h
@@ -9,6 +9,8 @@
 #include <stdint.h>
 #include <stdio.h>
 
+#include "path/engine.h"
+
 /** The counters; kl_counter_help() says what each one counts. */
 typedef enum kl_counter {
 	KL_COUNTER_SESSIONS,
@@ -77,6 +79,10 @@
 void kl_latency_add(uint32_t kind, uint32_t ending, uint32_t bucket,
 		    uint64_t statements, uint64_t total_us);
 
+/** Add what an engine counted since the counts published last. */
+void kl_latency_publish(const kl_engine_counts_t *now,
+			const kl_engine_counts_t *published);
+
 /** @return number of statements in one bucket of a histogram */
 uint64_t kl_latency_count(uint32_t kind, uint32_t ending, uint32_t bucket);
 
--- a/daemon/line_worker.c
+++ b/daemon/line_worker.c
@@ -11,6 +11,7 @@
 #include "daemon/line_worker.h"
 #include "daemon/listener.h"
 #include "daemon/log.h"
+#include "daemon/usage_batch.h"
 #include "front/engine_front.h"
 #include "upstream/engine_conn.h"
 
@@ -32,7 +33,8 @@
 	kl_reader_t *reader;
 	kl_engine_t *engine;
 	kl_engine_counts_t published_counts; /* already added to the metrics */
-	uint64_t session_count; /* number of open sessions; atomic */
+	uint64_t session_count;	  /* number of open sessions; atomic */
+	kl_usage_samples_t usage; /* not yet reported to the control thread */
 };
 
 static void *run(void *arg);
@@ -41,8 +43,6 @@
 static void on_tick(evutil_socket_t fd, short what, void *arg);
 static void schedule_tick(kl_line_worker_t *worker);
 static void publish_counts(kl_line_worker_t *worker);
-static void publish_latencies(const kl_engine_counts_t *now,
-			      const kl_engine_counts_t *published);
 static void handle_drain(void *owner, kl_message_t *message);
 static void handle_stop_accept(void *owner, kl_message_t *message);
 static void handle_exit(void *owner, kl_message_t *message);
@@ -82,6 +82,8 @@
 				 const kl_passive_check_t *check);
 static void engine_report_position(void *context,
 				   const kl_primary_position_t *position);
+static void engine_count_operation(void *context, const char *workspace,
+				   uint64_t sent_us);
 static void engine_log_decision(void *context, const kl_decision_t *decision);
 
 static const kl_engine_front_events_t front_events = { front_login,
@@ -104,6 +106,7 @@
 	.tokens_needed = engine_tokens_needed,
 	.report_health = engine_report_health,
 	.report_position = engine_report_position,
+	.count_operation = engine_count_operation,
 	.log_decision = engine_log_decision,
 };
 
@@ -117,6 +120,7 @@
 		return NULL;
 	worker->settings = settings;
 	worker->control = control;
+	CK_STAILQ_INIT(&worker->usage);
 	worker->base = event_base_new();
 	worker->inbox = kl_inbox_new(worker->base, worker);
 	worker->reader = kl_reader_new(kl_control_thread_board(control));
@@ -194,6 +198,7 @@
 	if (worker->tick)
 		event_free(worker->tick);
 	event_base_free(worker->base);
+	kl_usage_batch_clear(&worker->usage);
 	free(worker);
 }
 
@@ -232,6 +237,8 @@
 	ck_pr_store_64(&worker->session_count,
 		       kl_engine_client_count(worker->engine));
 	publish_counts(worker);
+	if (!CK_STAILQ_EMPTY(&worker->usage))
+		kl_control_thread_report_usage(worker->control, &worker->usage);
 	schedule_tick(worker);
 }
 
@@ -270,7 +277,7 @@
 	kl_counter_add(KL_COUNTER_STMTS_LEAVING,
 		       now->stmts_leaving - published->stmts_leaving);
 	if (now->finished != published->finished)
-		publish_latencies(now, published);
+		kl_latency_publish(now, published);
 	kl_engine_get_gauges(worker->engine, &gauges);
 	kl_gauge_set(KL_GAUGE_SESSIONS, gauges.sessions);
 	kl_gauge_set(KL_GAUGE_WAITING_STMTS, gauges.waiting_stmts);
@@ -279,27 +286,6 @@
 	*published = *now;
 }
 
-static void publish_latencies(const kl_engine_counts_t *now,
-			      const kl_engine_counts_t *published)
-{
-	for (uint32_t kind = 0; kind < KL_ROUTE_KIND_COUNT; kind++) {
-		for (uint32_t end = 0; end < KL_STMT_END_COUNT; end++) {
-			kl_latency_add(
-				kind, end, 0, 0,
-				now->latency_sums_us[kind][end] -
-					published->latency_sums_us[kind][end]);
-			for (uint32_t i = 0; i < KL_LATENCY_BUCKETS; i++)
-				kl_latency_add(
-					kind, end, i,
-					now->latency_counts[kind][end][i] -
-						published->latency_counts[kind]
-									 [end]
-									 [i],
-					0);
-		}
-	}
-}
-
 static void post_message(kl_line_worker_t *worker,
 			 void (*handler)(void *owner, kl_message_t *message))
 {
@@ -480,6 +466,15 @@
 	kl_control_thread_report_position(worker->control, position);
 }
 
+static void engine_count_operation(void *context, const char *workspace,
+				   uint64_t sent_us)
+{
+	kl_line_worker_t *worker = context;
+
+	if (worker->settings->usage_window_s)
+		kl_usage_batch_add(&worker->usage, workspace, sent_us);
+}
+
 static void engine_log_decision(void *context, const kl_decision_t *decision)
 {
 	(void)context;
--- a/daemon/log.c
+++ b/daemon/log.c
@@ -204,3 +204,27 @@
 	(void)layout;
 	return event->evt_msg;
 }
+
+void kl_log_platform_error(const kl_platform_answer_t *answer,
+			   uint64_t duration_us)
+{
+	static const char *const events[KL_PLATFORM_OP_COUNT] = {
+		[KL_PLATFORM_LIST] = "platform_list_failed",
+		[KL_PLATFORM_WATCH] = "platform_watch_failed",
+		[KL_PLATFORM_PUT] = "platform_put_failed",
+		[KL_PLATFORM_GET] = "platform_get_failed",
+		[KL_PLATFORM_PROMOTE] = "platform_promote_failed",
+		[KL_PLATFORM_REPORT_USAGE] = "platform_usage_failed",
+	};
+	bool reads_feed = answer->op == KL_PLATFORM_LIST ||
+			  answer->op == KL_PLATFORM_WATCH;
+	kl_decision_t decision = { .name = events[answer->op],
+				   .service = answer->name,
+				   .reason = kl_error_info(answer->error)->name,
+				   .feed = reads_feed
+						   ? kl_feed_name(answer->feed)
+						   : NULL,
+				   .age_us = duration_us };
+
+	kl_log_decision(&decision);
+}
--- a/daemon/log.h
+++ b/daemon/log.h
@@ -22,6 +22,14 @@
 /** Log a decision.  It must not contain a key or a statement's text. */
 void kl_log_decision(const kl_decision_t *decision);
 
+/**
+ * Log a call of the platform that failed.
+ *
+ * @param duration_us time from the call to the answer, microseconds
+ */
+void kl_log_platform_error(const kl_platform_answer_t *answer,
+			   uint64_t duration_us);
+
 /** Log an event with a text.  Events have no rate limit. */
 void kl_log_event(const char *event, const char *text);
 
--- a/path/engine.h
+++ b/path/engine.h
@@ -117,6 +117,13 @@
 	 */
 	void (*report_position)(void *context,
 				const kl_primary_position_t *position);
+	/**
+	 * Count an operation of a workspace that a database began to run.
+	 *
+	 * @param sent_us when its first statement was sent
+	 */
+	void (*count_operation)(void *context, const char *workspace,
+				uint64_t sent_us);
 	/** Write a decision to the log. */
 	void (*log_decision)(void *context, const kl_decision_t *decision);
 } kl_engine_ops_t;
--- a/path/engine_conn.c
+++ b/path/engine_conn.c
@@ -260,10 +260,12 @@
 		endpoint->last_progress_us = endpoint->cluster->engine->now_us;
 	endpoint->running_stmts++;
 	conn->runs_stmt = true;
+	kl_usage_stmt_sent(conn);
 }
 
-void kl_conn_stmt_done(kl_conn_t *conn)
+void kl_conn_stmt_done(kl_conn_t *conn, int error)
 {
+	kl_usage_stmt_ended(conn, error);
 	conn->endpoint->running_stmts -= conn->runs_stmt;
 	conn->runs_stmt = false;
 }
@@ -309,7 +311,7 @@
 
 	if (conn->client)
 		conn->client->conn = NULL;
-	kl_conn_stmt_done(conn);
+	kl_conn_stmt_done(conn, 0);
 	CK_STAILQ_REMOVE(&endpoint->conns, conn, kl_conn, link);
 	endpoint->open_conns--;
 	free(conn);
@@ -338,7 +340,7 @@
 	if (client && client->stmt.stage != KL_STMT_NONE) {
 		kl_stmt_answered(client, result);
 	} else if (!client && !conn->pending_replies) {
-		kl_conn_stmt_done(conn);
+		kl_conn_stmt_done(conn, result->error);
 		if (result->transaction_status == 'I')
 			kl_conn_release(conn);
 		else
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -189,7 +189,10 @@
 	kl_client_t *client;	 /**< client that uses it, or NULL */
 	uint64_t stage_since_us; /**< when the stage began */
 	uint64_t sent_us;	 /**< when the last statement was sent */
-	bool is_status_query;	 /**< KL_CONN_DETACHED: for a status reply */
+	/** when the first statement of an operation was sent that is not
+	 * answered and so not counted yet, or 0 */
+	uint64_t uncounted_since_us;
+	bool is_status_query; /**< KL_CONN_DETACHED: for a status reply */
 	/** its upstream was proven to be the primary at sent_us */
 	bool runs_stmt; /**< counted in the endpoint's running_stmts */
 	bool primary_proven;
@@ -382,8 +385,12 @@
  * The count ends with kl_conn_stmt_done() or with the connection.
  */
 void kl_conn_stmt_sent(kl_conn_t *conn);
-/** End the count of a statement that was answered, if there is one. */
-void kl_conn_stmt_done(kl_conn_t *conn);
+/**
+ * End the count of a statement that was answered, if there is one.
+ *
+ * @param error of the reply; 0 also if no reply will arrive
+ */
+void kl_conn_stmt_done(kl_conn_t *conn, int error);
 /**
  * Detach a connection from its client.  If a transaction may be open, the
  * connection is closed, which rolls it back.  Else the connection becomes idle
@@ -409,6 +416,12 @@
  */
 void kl_conns_sweep(kl_engine_t *engine);
 
+/* engine_usage.c */
+/** Note that a statement was sent, which may begin an operation. */
+void kl_usage_stmt_sent(kl_conn_t *conn);
+/** Count the operation that the last statement began, if it may have run. */
+void kl_usage_stmt_ended(kl_conn_t *conn, int error);
+
 /* engine_status.c */
 /** Query the primary's log position if no recent reply has reported it. */
 void kl_cluster_sample_primary(kl_cluster_t *cluster);
--- a/path/engine_run.c
+++ b/path/engine_run.c
@@ -184,7 +184,7 @@
 		}
 		return;
 	}
-	kl_conn_stmt_done(client->conn);
+	kl_conn_stmt_done(client->conn, result->error);
 	kl_endpoint_add_latency(stmt->endpoint,
 				client->engine->now_us - stmt->sent_us,
 				client->route.target_latency_us);
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -10,6 +10,7 @@
 const KL_WIRE_OBJECTS = 256;
 const KL_WIRE_FEEDS = 8;
 const KL_WIRE_POSITIONS = 16;
+const KL_WIRE_USAGE = 64;
 
 struct kl_wire_hello {
 	unsigned hyper incarnation;
@@ -77,6 +78,36 @@
 	kl_wire_position entries<KL_WIRE_POSITIONS>;
 };
 
+struct kl_wire_usage_count {
+	string workspace<KL_WIRE_NAME>;
+	unsigned int operations;
+};
+
+struct kl_wire_usage_counts {
+	unsigned hyper window;
+	hyper clock_us;
+	kl_wire_usage_count entries<KL_WIRE_USAGE>;
+};
+
+struct kl_wire_usage_answer {
+	unsigned int received;
+	hyper clock_us;
+	hyper correction_us;
+};
+
+union kl_wire_usage_body switch (bool is_answer) {
+case FALSE:
+	kl_wire_usage_counts counts;
+case TRUE:
+	kl_wire_usage_answer answer;
+};
+
+struct kl_wire_usage {
+	unsigned int sequence;
+	unsigned hyper incarnation;
+	kl_wire_usage_body body;
+};
+
 union kl_wire_body switch (unsigned int kind) {
 case 0:
 	kl_wire_hello hello;
@@ -94,6 +125,8 @@
 	kl_wire_positions query;
 case 7:
 	kl_wire_positions positions;
+case 8:
+	kl_wire_usage usage;
 };
 
 struct kl_wire_message {
--- a/peer/peer_codec.c
+++ b/peer/peer_codec.c
@@ -6,6 +6,7 @@
 #include "kumquatloft/kind.h"
 #include "peer/peer_codec.h"
 #include "peer/peer_wire.h"
+#include "peer/usage_codec.h"
 
 typedef struct kind_codec {
 	void (*encode)(const kl_peer_message_t *message, kl_wire_message *wire);
@@ -56,6 +57,7 @@
 	/* Both kinds have the same encoding. */
 	[KL_PEER_POSITION_QUERY] = { encode_positions, decode_positions },
 	[KL_PEER_POSITIONS] = { encode_positions, decode_positions },
+	[KL_PEER_USAGE] = { kl_usage_encode, kl_usage_decode },
 };
 
 int kl_peer_encode(const kl_peer_message_t *message, const char *host,
@@ -65,6 +67,8 @@
 	int length = -KL_E_INVALID;
 	XDR xdr;
 
+	if (!kind_codecs[message->kind].encode)
+		return -KL_E_INVALID;
 	memset(&wire, 0, sizeof(wire));
 	wire.from = (char *)message->from;
 	wire.subject = (char *)message->subject;
@@ -84,6 +88,8 @@
 	if (message->kind == KL_PEER_POSITION_QUERY ||
 	    message->kind == KL_PEER_POSITIONS)
 		free(wire.body.kl_wire_body_u.positions.entries.entries_val);
+	if (message->kind == KL_PEER_USAGE)
+		kl_usage_encode_end(&wire);
 	return length;
 }
 
--- a/peer/peer_wire.h
+++ b/peer/peer_wire.h
@@ -19,6 +19,7 @@
 #define KL_WIRE_OBJECTS 256
 #define KL_WIRE_FEEDS 8
 #define KL_WIRE_POSITIONS 16
+#define KL_WIRE_USAGE 64
 
 struct kl_wire_hello {
 	u_quad_t incarnation;
@@ -100,6 +101,45 @@
 };
 typedef struct kl_wire_positions kl_wire_positions;
 
+struct kl_wire_usage_count {
+	char *workspace;
+	u_int operations;
+};
+typedef struct kl_wire_usage_count kl_wire_usage_count;
+
+struct kl_wire_usage_counts {
+	u_quad_t window;
+	quad_t clock_us;
+	struct {
+		u_int entries_len;
+		kl_wire_usage_count *entries_val;
+	} entries;
+};
+typedef struct kl_wire_usage_counts kl_wire_usage_counts;
+
+struct kl_wire_usage_answer {
+	u_int received;
+	quad_t clock_us;
+	quad_t correction_us;
+};
+typedef struct kl_wire_usage_answer kl_wire_usage_answer;
+
+struct kl_wire_usage_body {
+	bool_t is_answer;
+	union {
+		kl_wire_usage_counts counts;
+		kl_wire_usage_answer answer;
+	} kl_wire_usage_body_u;
+};
+typedef struct kl_wire_usage_body kl_wire_usage_body;
+
+struct kl_wire_usage {
+	u_int sequence;
+	u_quad_t incarnation;
+	kl_wire_usage_body body;
+};
+typedef struct kl_wire_usage kl_wire_usage;
+
 struct kl_wire_body {
 	u_int kind;
 	union {
@@ -111,6 +151,7 @@
 		kl_wire_grant grant;
 		kl_wire_positions query;
 		kl_wire_positions positions;
+		kl_wire_usage usage;
 	} kl_wire_body_u;
 };
 typedef struct kl_wire_body kl_wire_body;
@@ -152,6 +193,11 @@
 extern  bool_t xdr_kl_wire_grant (XDR *, kl_wire_grant*);
 extern  bool_t xdr_kl_wire_position (XDR *, kl_wire_position*);
 extern  bool_t xdr_kl_wire_positions (XDR *, kl_wire_positions*);
+extern  bool_t xdr_kl_wire_usage_count (XDR *, kl_wire_usage_count*);
+extern  bool_t xdr_kl_wire_usage_counts (XDR *, kl_wire_usage_counts*);
+extern  bool_t xdr_kl_wire_usage_answer (XDR *, kl_wire_usage_answer*);
+extern  bool_t xdr_kl_wire_usage_body (XDR *, kl_wire_usage_body*);
+extern  bool_t xdr_kl_wire_usage (XDR *, kl_wire_usage*);
 extern  bool_t xdr_kl_wire_body (XDR *, kl_wire_body*);
 extern  bool_t xdr_kl_wire_message (XDR *, kl_wire_message*);
 
@@ -165,6 +211,11 @@
 extern bool_t xdr_kl_wire_grant ();
 extern bool_t xdr_kl_wire_position ();
 extern bool_t xdr_kl_wire_positions ();
+extern bool_t xdr_kl_wire_usage_count ();
+extern bool_t xdr_kl_wire_usage_counts ();
+extern bool_t xdr_kl_wire_usage_answer ();
+extern bool_t xdr_kl_wire_usage_body ();
+extern bool_t xdr_kl_wire_usage ();
 extern bool_t xdr_kl_wire_body ();
 extern bool_t xdr_kl_wire_message ();
 
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -150,6 +150,83 @@
 	return TRUE;
 }
 
+bool_t
+xdr_kl_wire_usage_count (XDR *xdrs, kl_wire_usage_count *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->workspace, KL_WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->operations))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_kl_wire_usage_counts (XDR *xdrs, kl_wire_usage_counts *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->window))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->clock_us))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, KL_WIRE_USAGE,
+		sizeof (kl_wire_usage_count), (xdrproc_t) xdr_kl_wire_usage_count))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_kl_wire_usage_answer (XDR *xdrs, kl_wire_usage_answer *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->received))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->clock_us))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->correction_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_kl_wire_usage_body (XDR *xdrs, kl_wire_usage_body *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->is_answer))
+		 return FALSE;
+	switch (objp->is_answer) {
+	case FALSE:
+		 if (!xdr_kl_wire_usage_counts (xdrs, &objp->kl_wire_usage_body_u.counts))
+			 return FALSE;
+		break;
+	case TRUE:
+		 if (!xdr_kl_wire_usage_answer (xdrs, &objp->kl_wire_usage_body_u.answer))
+			 return FALSE;
+		break;
+	default:
+		return FALSE;
+	}
+	return TRUE;
+}
+
+bool_t
+xdr_kl_wire_usage (XDR *xdrs, kl_wire_usage *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_kl_wire_usage_body (xdrs, &objp->body))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_kl_wire_body (XDR *xdrs, kl_wire_body *objp)
 {
@@ -190,6 +267,10 @@
 		 if (!xdr_kl_wire_positions (xdrs, &objp->kl_wire_body_u.positions))
 			 return FALSE;
 		break;
+	case 8:
+		 if (!xdr_kl_wire_usage (xdrs, &objp->kl_wire_body_u.usage))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/tests/engine_model.c
+++ b/tests/engine_model.c
@@ -62,6 +62,8 @@
 static void op_report_health(void *context, const kl_passive_check_t *check);
 static void op_report_position(void *context,
 			       const kl_primary_position_t *position);
+static void op_count_operation(void *context, const char *workspace,
+			       uint64_t sent_us);
 static void op_log_decision(void *context, const kl_decision_t *decision);
 static void schedule(model_t *model, event_kind_t kind, uint64_t delay_us,
 		     model_conn_t *conn, model_event_t *event);
@@ -86,6 +88,7 @@
 	.tokens_needed = op_tokens_needed,
 	.report_health = op_report_health,
 	.report_position = op_report_position,
+	.count_operation = op_count_operation,
 	.log_decision = op_log_decision,
 };
 
@@ -259,6 +262,16 @@
 		model->positions_needed++;
 }
 
+static void op_count_operation(void *context, const char *workspace,
+			       uint64_t sent_us)
+{
+	model_t *model = context;
+	(void)workspace;
+	(void)sent_us;
+
+	model->operations_counted++;
+}
+
 static void op_log_decision(void *context, const kl_decision_t *decision)
 {
 	(void)context;
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -86,6 +86,7 @@
 	uint64_t record_version;     /**< of the group record */
 	uint64_t positions_reported; /**< calls of report_position() */
 	uint64_t positions_needed;   /**< the same without a position */
+	uint64_t operations_counted; /**< calls of count_operation() */
 	model_db_t dbs[MODEL_ITEMS_MAX];
 	uint32_t db_count;
 	model_load_t loads[MODEL_ITEMS_MAX];
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -373,7 +373,7 @@
 	kl_engine_drain(model->engine, model->now_us, until_us, end_us);
 }
 
-/* show sessions|connections */
+/* show sessions|connections|counts|operations */
 static void step_show(char **args, int count)
 {
 	bool connections = !strcmp(args[0], "connections");
@@ -383,6 +383,8 @@
 
 	if (!strcmp(args[0], "sessions"))
 		printf("%u sessions\n", kl_engine_client_count(model->engine));
+	if (!strcmp(args[0], "operations"))
+		printf("%" PRIu64 " operations\n", model->operations_counted);
 	for (uint32_t i = 0; connections && i < model->db_count; i++)
 		printf("%s: open %u\n", model->dbs[i].name,
 		       model->dbs[i].open_connections);
