Report usage to the platform, from one VM at a time

The platform expects one report for each usage window, and never two different ones. The holder of the duty stores a report in the record usage/report by a conditional update and then calls; a successor repeats what is stored. The holder waits for VMs that have sent nothing since the window's end, up to six tenths of the time until the report is due, so that the counts of a domain that is cut off for some seconds are in the report.

The simulated cluster runs operations, judges the reports, and starts VMs with wrong clocks. The stand-in of the platform receives reports and shows rules that were broken at /standin/usage.

--- a/control/usage.c
+++ b/control/usage.c
@@ -23,6 +23,7 @@
 
 static bool is_enabled(const kl_node_t *node);
 static void update_record(kl_node_t *node, kl_usage_state_t *state);
+static void update_rank(kl_node_t *node, kl_usage_state_t *state);
 static void check_clock(kl_node_t *node, kl_usage_state_t *state);
 static void handle_peer(kl_node_t *node, kl_usage_state_t *state,
 			const kl_peer_message_t *message);
@@ -39,9 +40,9 @@
 	state->clock.wall_offset_us = node->self.wall_offset_us;
 	state->clock.reporter_offset_us = KL_CLOCK_UNKNOWN;
 	state->clock.correction_us = KL_CLOCK_UNKNOWN;
+	state->rank = -1;
 	CK_STAILQ_INIT(&state->waiting);
 	CK_STAILQ_INIT(&state->own);
-	CK_STAILQ_INIT(&state->others);
 	CK_STAILQ_INIT(&state->peers);
 	state->peer_index = kl_index_new(64);
 	state->changed = true;
@@ -55,9 +56,10 @@
 
 	clear_samples(&state->waiting);
 	kl_usage_tallies_forget(&state->own, UINT64_MAX);
-	kl_usage_tallies_forget(&state->others, UINT64_MAX);
-	CK_STAILQ_FOREACH_SAFE(peer, &state->peers, link, next)
+	CK_STAILQ_FOREACH_SAFE(peer, &state->peers, link, next) {
+		kl_usage_tallies_forget(&peer->tallies, UINT64_MAX);
 		free(peer);
+	}
 	kl_index_free(state->peer_index);
 	kl_usage_record_clear(&state->record);
 	kl_usage_record_clear(&state->duty.put);
@@ -71,6 +73,7 @@
 	if (!is_enabled(node))
 		return;
 	update_record(node, state);
+	update_rank(node, state);
 	if (event->kind == KL_EVENT_USAGE)
 		kl_usage_count_own(node, state, event->usage);
 	else if (event->kind == KL_EVENT_PEER)
@@ -124,6 +127,29 @@
 	state->changed = true;
 }
 
+/* Chooses the VMs that may hold the duty, when the members have changed. */
+static void update_rank(kl_node_t *node, kl_usage_state_t *state)
+{
+	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
+	const kl_member_t *probers[KL_PROBERS_PER_GROUP];
+	uint32_t count;
+
+	if (!members || members->version == state->members_version)
+		return;
+	state->members_version = members->version;
+	state->rank = -1;
+	state->successor[0] = '\0';
+	count = kl_prober_choose(members, KL_USAGE_SUBJECT, probers);
+	for (uint32_t i = 0; i < count; i++) {
+		const char *name = probers[i]->name.name;
+
+		if (!strcmp(name, node->self.vm))
+			state->rank = (int)i;
+		else if (!state->successor[0])
+			kl_name_copy(state->successor, name);
+	}
+}
+
 /* Decides by which clock this VM counts, and counts what waited for that. */
 static void check_clock(kl_node_t *node, kl_usage_state_t *state)
 {
@@ -171,11 +197,9 @@
 
 bool kl_usage_is_reporter(const kl_node_t *node, const kl_usage_state_t *state)
 {
-	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
-
 	if (state->record.version)
 		return kl_usage_is_holder(node, state);
-	return members && !kl_prober_rank(node, members, KL_USAGE_SUBJECT);
+	return !state->rank;
 }
 
 void kl_usage_log(kl_node_t *node, kl_usage_state_t *state, const char *name,
--- a/control/usage_duty.c
+++ b/control/usage_duty.c
@@ -12,7 +12,6 @@
 #include <string.h>
 
 #include "control/controllers.h"
-#include "control/prober.h"
 #include "control/usage_internal.h"
 
 /*
@@ -21,8 +20,7 @@
  * tenth is added for clocks that run at unequal speeds.
  */
 #define UNCHANGED_US (3300 * KL_MS)
-/* Another prober takes over if a report is not stored this long after it can
- * be. */
+/* Another prober takes over if a report is stored later than that by this. */
 #define OVERDUE_US (1 * KL_SEC)
 /* The prober of rank N waits N times this long before it claims the duty. */
 #define RANK_DELAY_US (400 * KL_MS)
@@ -36,8 +34,13 @@
 #define PUT_TIMEOUT_US (3 * KL_SEC)
 /* A report that is too late by this much is not sent any more. */
 #define LATE_MAX_US (10 * (int64_t)KL_SEC)
-/* The report of a window is stored after this part of the time until due. */
-#define STORE_DELAY_PART(delay_us) ((int64_t)(delay_us)*2 / 5)
+/*
+ * Tenths of the time until a report is due, after which it is stored: if all
+ * VMs have sent their counts, and if some are cut off.  The rest of the time is
+ * for a change of the holder.
+ */
+#define STORE_TENTHS 4
+#define STORE_ANYWAY_TENTHS 6
 
 static void create_record(kl_node_t *node, kl_usage_state_t *state);
 static void watch_holder(kl_node_t *node, kl_usage_state_t *state);
@@ -48,8 +51,11 @@
 static void call_platform(kl_node_t *node, kl_usage_state_t *state);
 static bool is_too_late(const kl_node_t *node, const kl_usage_state_t *state,
 			uint64_t window);
+static int64_t since_end(const kl_node_t *node, const kl_usage_state_t *state,
+			 uint64_t window);
+static int64_t tenths_of_delay(const kl_node_t *node, int64_t tenths);
 static bool may_store(const kl_node_t *node, const kl_usage_state_t *state,
-		      uint64_t window, uint64_t margin_us);
+		      uint64_t window);
 static bool is_finished(const kl_usage_state_t *state);
 static int64_t true_now(const kl_node_t *node, const kl_usage_state_t *state);
 
@@ -71,13 +77,18 @@
 		watch_holder(node, state);
 }
 
-/* Creates the record; reports begin with the window that is open now. */
+/*
+ * Creates the record.  Reports begin with the window in which this process
+ * started, unless it would be late.
+ */
 static void create_record(kl_node_t *node, kl_usage_state_t *state)
 {
-	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
-	int rank = kl_prober_rank(node, members, KL_USAGE_SUBJECT);
+	int rank = state->rank;
 	kl_usage_duty_t *duty = &state->duty;
 	uint64_t now = kl_node_now(node);
+	int64_t first_us = kl_usage_clock_true(&state->clock, node->started_us);
+	int64_t due_us =
+		true_now(node, state) - (int64_t)node->tuning.usage_delay_us;
 	kl_usage_record_t record = { .token = 1,
 				     .answered = true,
 				     .counts = (char *)"{}" };
@@ -92,15 +103,16 @@
 	    (uint64_t)(rank + 1) * CREATE_RANK_DELAY_US)
 		return;
 	memcpy(record.holder, node->self.vm, KL_NAME_MAX);
-	record.window = kl_usage_window_at(node, true_now(node, state)) - 1;
+	record.window = kl_usage_window_at(node, first_us > due_us ? first_us
+								   : due_us) -
+			1;
 	kl_usage_put_record(node, state, &record);
 }
 
 /* Takes the duty over if the record does not progress. */
 static void watch_holder(kl_node_t *node, kl_usage_state_t *state)
 {
-	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
-	int rank = kl_prober_rank(node, members, KL_USAGE_SUBJECT);
+	int rank = state->rank;
 	uint64_t unchanged_us = kl_node_now(node) - state->record_seen_us;
 	uint64_t wait_us = (uint64_t)(rank > 0 ? rank : 0) * RANK_DELAY_US;
 	kl_usage_record_t claim = state->record;
@@ -112,8 +124,9 @@
 		return;
 	if (unchanged_us <= UNCHANGED_US + wait_us ||
 	    (is_finished(state) &&
-	     !may_store(node, state, state->record.window + 1,
-			OVERDUE_US + wait_us)))
+	     since_end(node, state, state->record.window + 1) <
+		     tenths_of_delay(node, STORE_ANYWAY_TENTHS) +
+			     (int64_t)(OVERDUE_US + wait_us)))
 		return;
 	memcpy(claim.holder, node->self.vm, KL_NAME_MAX);
 	claim.token++;
@@ -132,7 +145,7 @@
 		}
 		give_up(node, state);
 	}
-	if (may_store(node, state, record->window + 1, 0) &&
+	if (may_store(node, state, record->window + 1) &&
 	    kl_node_now(node) - duty->claimed_us >= SETTLE_US)
 		store_report(node, state);
 	else if (!record->answered && duty->answered_window == record->window)
@@ -185,7 +198,7 @@
 	if (!sum)
 		return;
 	kl_usage_tallies_sum(&state->own, next.window, sum);
-	kl_usage_tallies_sum(&state->others, next.window, sum);
+	kl_usage_sum_others(state, next.window, sum);
 	next.counts = kl_usage_counts_encode(sum);
 	kl_usage_tally_free(sum);
 	if (next.counts) {
@@ -242,19 +255,33 @@
 static bool is_too_late(const kl_node_t *node, const kl_usage_state_t *state,
 			uint64_t window)
 {
-	return true_now(node, state) >
-	       kl_usage_window_end(node, window) +
-		       (int64_t)node->tuning.usage_delay_us + LATE_MAX_US;
+	return since_end(node, state, window) >
+	       (int64_t)node->tuning.usage_delay_us + LATE_MAX_US;
 }
 
-/* Whether the report of a window can be stored since margin_us or longer. */
+/* Whether the counts of a window are complete, or no longer waited for. */
 static bool may_store(const kl_node_t *node, const kl_usage_state_t *state,
-		      uint64_t window, uint64_t margin_us)
+		      uint64_t window)
+{
+	int64_t since_end_us = since_end(node, state, window);
+
+	if (since_end_us < tenths_of_delay(node, STORE_TENTHS))
+		return false;
+	return since_end_us >= tenths_of_delay(node, STORE_ANYWAY_TENTHS) ||
+	       kl_usage_all_heard(node, state,
+				  kl_node_now(node) - (uint64_t)since_end_us);
+}
+
+/* Microseconds since a window ended; negative before that. */
+static int64_t since_end(const kl_node_t *node, const kl_usage_state_t *state,
+			 uint64_t window)
+{
+	return true_now(node, state) - kl_usage_window_end(node, window);
+}
+
+static int64_t tenths_of_delay(const kl_node_t *node, int64_t tenths)
 {
-	return true_now(node, state) >=
-	       kl_usage_window_end(node, window) +
-		       STORE_DELAY_PART(node->tuning.usage_delay_us) +
-		       (int64_t)margin_us;
+	return (int64_t)node->tuning.usage_delay_us * tenths / 10;
 }
 
 static int64_t true_now(const kl_node_t *node, const kl_usage_state_t *state)
--- a/control/usage_internal.h
+++ b/control/usage_internal.h
@@ -25,7 +25,8 @@
 	uint32_t answers;	/**< sent to this incarnation */
 	uint64_t last_answer_us;
 	uint64_t last_message_us;
-	int64_t clock_us; /**< its wall clock minus this VM's */
+	int64_t clock_us;	    /**< its wall clock minus this VM's */
+	kl_usage_tallies_t tallies; /**< its counts, by window */
 } kl_usage_peer_t;
 
 /** This VM's part as holder of the duty, or as one that may take it over. */
@@ -56,17 +57,20 @@
 	bool clock_ready;
 	/** Operations that were counted before the clock was ready. */
 	kl_usage_samples_t waiting;
-	kl_usage_tallies_t own;	   /**< counts of this process */
-	kl_usage_tallies_t others; /**< counts that other VMs sent */
+	kl_usage_tallies_t own; /**< counts of this process */
 	CK_STAILQ_HEAD(, kl_usage_peer) peers;
 	kl_index_t *peer_index;
 	kl_usage_record_t record; /**< version 0: none is known */
 	uint64_t record_seen_us;  /**< when its version was first seen */
 	uint64_t objects_sequence;
-	char receiver[KL_NAME_MAX]; /**< VM that gets the counts, or "" */
-	uint64_t receiver_token;    /**< token of the record at that time */
-	uint32_t sequence;	    /**< of the last message sent */
+	uint64_t members_version; /**< that rank and successor are from */
+	int rank; /**< this VM's among those that may hold the duty, or -1 */
+	char successor[KL_NAME_MAX]; /**< first of the others, or "" */
+	char receiver[KL_NAME_MAX];  /**< VM that gets the counts, or "" */
+	uint64_t receiver_token;     /**< token of the record at that time */
+	uint32_t sequence;	     /**< of the last message sent */
 	uint64_t sent_us[KL_USAGE_RECEIVED_BITS]; /**< of the last messages */
+	uint64_t last_check_us;			  /**< whether to send */
 	uint64_t last_send_us;
 	uint64_t last_answer_us;
 	kl_usage_duty_t duty;
@@ -118,6 +122,17 @@
 /** As reporter, correct the clock by the median of all VMs. */
 void kl_usage_correct_clock(kl_node_t *node, kl_usage_state_t *state);
 
+/** Add the counts of other VMs in a window to a tally. */
+void kl_usage_sum_others(const kl_usage_state_t *state, uint64_t window,
+			 kl_usage_tally_t *sum);
+
+/**
+ * Whether every registered VM has sent a message since a time of node's clock,
+ * microseconds.
+ */
+bool kl_usage_all_heard(const kl_node_t *node, const kl_usage_state_t *state,
+			uint64_t since_us);
+
 /** Forget counts of other VMs, and VMs, that are old. */
 void kl_usage_forget_others(kl_node_t *node, kl_usage_state_t *state);
 
--- a/control/usage_receive.c
+++ b/control/usage_receive.c
@@ -22,6 +22,7 @@
 static kl_usage_peer_t *find_or_add(kl_usage_state_t *state, const char *vm);
 static bool note_sequence(kl_usage_peer_t *peer, const kl_peer_usage_t *usage);
 static void raise_counts(kl_node_t *node, kl_usage_state_t *state,
+			 kl_usage_peer_t *peer,
 			 const kl_peer_message_t *message);
 static uint64_t first_window_kept(const kl_node_t *node,
 				  const kl_usage_state_t *state);
@@ -47,7 +48,7 @@
 		state->changed = true;
 	} else {
 		peer->clock_us = usage->clock_us;
-		raise_counts(node, state, message);
+		raise_counts(node, state, peer, message);
 	}
 	if (peer->answers < FIRST_ANSWERS ||
 	    now - peer->last_answer_us >= ANSWER_INTERVAL_US)
@@ -66,6 +67,7 @@
 		return NULL;
 	}
 	peer->clock_us = KL_CLOCK_UNKNOWN;
+	CK_STAILQ_INIT(&peer->tallies);
 	CK_STAILQ_INSERT_TAIL(&state->peers, peer, link);
 	kl_index_put(state->peer_index, &peer->vm);
 	return peer;
@@ -102,6 +104,7 @@
 
 /* Raises the counts to those of a message, and tells late ones apart. */
 static void raise_counts(kl_node_t *node, kl_usage_state_t *state,
+			 kl_usage_peer_t *peer,
 			 const kl_peer_message_t *message)
 {
 	const kl_peer_usage_t *usage = &message->usage;
@@ -112,7 +115,7 @@
 
 	if (!usage->count)
 		return;
-	tally = kl_usage_tallies_get(&state->others, usage->window,
+	tally = kl_usage_tallies_get(&peer->tallies, usage->window,
 				     message->from, usage->incarnation);
 	for (uint32_t i = 0; tally && i < usage->count; i++) {
 		kl_usage_count_t *count =
@@ -194,14 +197,43 @@
 		kl_usage_clock_take_median(&state->clock, offsets, count);
 }
 
+void kl_usage_sum_others(const kl_usage_state_t *state, uint64_t window,
+			 kl_usage_tally_t *sum)
+{
+	const kl_usage_peer_t *peer;
+
+	CK_STAILQ_FOREACH(peer, &state->peers, link)
+		kl_usage_tallies_sum(&peer->tallies, window, sum);
+}
+
+bool kl_usage_all_heard(const kl_node_t *node, const kl_usage_state_t *state,
+			uint64_t since_us)
+{
+	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
+	const kl_member_t *member;
+
+	CK_STAILQ_FOREACH(member, &members->list, link) {
+		const kl_usage_peer_t *peer =
+			kl_index_get(state->peer_index, member->name.name);
+
+		if (member->registered &&
+		    strcmp(member->name.name, node->self.vm) &&
+		    (!peer || peer->last_message_us < since_us))
+			return false;
+	}
+	return true;
+}
+
 void kl_usage_forget_others(kl_node_t *node, kl_usage_state_t *state)
 {
+	uint64_t first_kept = first_window_kept(node, state);
 	uint64_t now = kl_node_now(node);
 	kl_usage_peer_t *peer, *next;
 
-	kl_usage_tallies_forget(&state->others, first_window_kept(node, state));
 	CK_STAILQ_FOREACH_SAFE(peer, &state->peers, link, next) {
-		if (now - peer->last_message_us <= PEER_TIMEOUT_US)
+		kl_usage_tallies_forget(&peer->tallies, first_kept);
+		if (now - peer->last_message_us <= PEER_TIMEOUT_US ||
+		    !CK_STAILQ_EMPTY(&peer->tallies))
 			continue;
 		kl_index_remove(state->peer_index, peer->vm.name);
 		CK_STAILQ_REMOVE(&state->peers, peer, kl_usage_peer, link);
--- a/control/usage_send.c
+++ b/control/usage_send.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "control/controllers.h"
-#include "control/prober.h"
 #include "control/usage_internal.h"
 
 /* A VM that is killed loses the counts of this time. */
@@ -78,11 +77,12 @@
 	uint32_t sent = 0;
 
 	/* A random phase spreads the VMs' messages over the interval. */
-	if (!state->last_send_us)
-		state->last_send_us =
+	if (!state->last_check_us)
+		state->last_check_us =
 			now - kl_node_random(node) % SEND_INTERVAL_US;
-	if (now - state->last_send_us < SEND_INTERVAL_US)
+	if (now - state->last_check_us < SEND_INTERVAL_US)
 		return;
+	state->last_check_us = now;
 	receiver = choose_receiver(node, state);
 	if (!receiver)
 		return;
@@ -118,9 +118,7 @@
 					  const kl_usage_state_t *state)
 {
 	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
-	const kl_member_t *probers[KL_PROBERS_PER_GROUP];
 	const kl_member_t *holder;
-	uint32_t count;
 
 	if (!members)
 		return NULL;
@@ -128,11 +126,7 @@
 	if (holder && holder->registered &&
 	    strcmp(holder->name.name, node->self.vm))
 		return holder;
-	count = kl_prober_choose(members, KL_USAGE_SUBJECT, probers);
-	for (uint32_t i = 0; i < count; i++)
-		if (strcmp(probers[i]->name.name, node->self.vm))
-			return probers[i];
-	return NULL;
+	return kl_index_get(members->index, state->successor);
 }
 
 static void change_receiver(kl_usage_state_t *state, const char *name)
--- a/standin/line_main.c
+++ b/standin/line_main.c
@@ -2,7 +2,8 @@
  * kl-standin-line: stand-in for the platform's object store, its promotion
  * endpoint and a group of three databases with the line protocol, in one
  * process.  /standin/fault injects faults, /standin/log prints all commits,
- * /standin/late the statements that reached evacuated databases too late.
+ * /standin/late the statements that reached evacuated databases too late,
+ * /standin/usage the usage reports.
  *
  * PORT serves HTTP, the databases listen on the next three ports.  With RELAYS,
  * unless it is 0, they register the three ports after RELAYS instead, where
@@ -19,6 +20,7 @@
 #include "standin/late_statements.h"
 #include "standin/line_database.h"
 #include "standin/store.h"
+#include "standin/usage_reports.h"
 
 #define DEFAULT_HOST "127.0.0.1"
 #define DATABASE_COUNT 3
@@ -54,6 +56,7 @@
 	evhttp_set_cb(http, "/standin/fault", on_fault, NULL);
 	evhttp_set_cb(http, "/standin/log", on_log, NULL);
 	evhttp_set_cb(http, "/standin/late", on_late, NULL);
+	usage_reports_serve(http);
 	/* Behind relays the databases register the ports of the relays. */
 	for (int i = 0; i < DATABASE_COUNT; i++)
 		if (line_database_start(base, host, port + 1 + i,
@@ -81,7 +84,9 @@
 	json_decref(body);
 }
 
-/* /standin/fault?db=ID&name=NAME&value=N; db=store sets a fault of the store.
+/*
+ * /standin/fault?db=ID&name=NAME&value=N; db=store sets a fault of the store,
+ * and db=usage one of the receipt of usage reports.
  */
 static void on_fault(struct evhttp_request *request, void *arg)
 {
@@ -99,6 +104,8 @@
 		invalid = 1;
 	else if (!strcmp(id, "store"))
 		invalid = store_set_fault(name, atoi(value));
+	else if (!strcmp(id, "usage"))
+		invalid = usage_reports_set_fault(name, atoi(value));
 	else
 		invalid = line_database_fault(id, name, atoi(value));
 	evhttp_clear_headers(&query);
--- a/tests/script.h
+++ b/tests/script.h
@@ -27,5 +27,10 @@
 void step_fails(char **words, int count);
 void step_peerless(char **words, int count);
 void step_sample(char **words, int count);
+void step_operations(char **words, int count);
+void step_clock(char **words, int count);
+void step_reporting(char **words, int count);
+void step_holder(char **words, int count);
+void step_reports(char **words, int count);
 
 #endif
--- a/tests/script_run.c
+++ b/tests/script_run.c
@@ -94,6 +94,11 @@
 	{ "fails", 2, step_fails },
 	{ "peerless", 2, step_peerless },
 	{ "sample", 2, step_sample },
+	{ "operations", 2, step_operations },
+	{ "clock", 2, step_clock },
+	{ "reporting", 1, step_reporting },
+	{ "holder", 1, step_holder },
+	{ "reports", 0, step_reports },
 };
 
 int main(int argc, char **argv)
@@ -437,6 +442,10 @@
 		script_world->data_path_settings.stale_after_us = us;
 	else if (!strcmp(words[0], "quiet"))
 		script_world->services_unused = us != 0;
+	else if (!strcmp(words[0], "usage_window"))
+		script_world->tuning.usage_window_us = us;
+	else if (!strcmp(words[0], "usage_delay"))
+		script_world->tuning.usage_delay_us = us;
 	else if (!strcmp(words[0], "promotes"))
 		world_use_platform_promotion(script_world);
 }
--- a/tests/world.c
+++ b/tests/world.c
@@ -31,6 +31,7 @@
 	world->last_tick_at_us = world->now_us;
 	world->admission_timeout_us = 200 * KL_MS;
 	kl_tuning_default(&world->tuning);
+	world_usage_init(&world->usage, seed);
 	world->data_path_settings.lease_us = world->tuning.lease_duration_us;
 	world->data_path_settings.leave_us = 4 * KL_SEC;
 	world->data_path_settings.read_wait_us = 150 * KL_MS;
@@ -80,6 +81,7 @@
 	g_ptr_array_free(world->workloads, TRUE);
 	g_ptr_array_free(world->pending_writes, TRUE);
 	g_rand_free(world->random);
+	world_usage_clear(&world->usage);
 	g_free(world);
 }
 
@@ -113,6 +115,7 @@
 	strcpy(node->self.host, "10.0.0.1");
 	node->self.port = (uint16_t)vm->port;
 	node->self.incarnation = vm->world->now_us;
+	node->self.wall_offset_us = WORLD_EPOCH_US + vm->clock_error_us;
 	node->tuning = vm->world->tuning;
 	node->ops = &world_node_ops;
 	node->ops_context = vm;
@@ -396,6 +399,7 @@
 		world->last_service_use_at_us = world->now_us;
 		world_report_service_use(world);
 	}
+	world_run_operations(world, elapsed_us);
 	for (guint i = 0; i < world->workloads->len; i++)
 		world_run_workload(g_ptr_array_index(world->workloads, i),
 				   elapsed_us);
--- a/tests/world.h
+++ b/tests/world.h
@@ -47,6 +47,10 @@
 	 */
 	uint64_t unreachable_since_us[WORLD_CHECKED_DBS];
 	int port; /**< for peers; index in world.vms plus 1 */
+	/** Error of the wall clock of processes that start from now on. */
+	int64_t clock_error_us;
+	double operation_credit;   /**< operations to run, and a fraction */
+	uint64_t usage_bytes_sent; /**< in messages with counts of usage */
 } vm_t;
 
 /** A database; all databases of a service form one replication group. */
@@ -100,6 +104,32 @@
 	db_t *db;
 } pending_write_t;
 
+/** True time at time 0 of the simulation's clock: the start of 2026. */
+#define WORLD_EPOCH_US 1767225600000000
+
+/** Operations that databases run, and reports of them. */
+typedef struct world_usage {
+	uint64_t rate;	     /**< operations a second, over all VMs */
+	uint32_t workspaces; /**< they are of these, at random; 0: none run */
+	GRand *random;
+	GHashTable *operations;	  /**< run, by "WINDOW/WORKSPACE" */
+	GHashTable *reports;	  /**< text of the first report of a window */
+	uint64_t first_window;	  /**< that was reported, or 0 */
+	uint32_t late_reports;	  /**< first reports that came after due */
+	bool down;		  /**< the platform accepts no reports */
+	int answers_to_lose;	  /**< accepted calls without an answer */
+	uint64_t token;		  /**< of the last call */
+	char holder[KL_NAME_MAX]; /**< VM that sent it */
+	uint64_t holder_us;	  /**< when it did */
+	char previous_holder[KL_NAME_MAX];
+	uint64_t previous_holder_us; /**< its last call */
+} world_usage_t;
+
+/** Number of windows with a report that is within the tolerance, and so on. */
+typedef struct world_usage_verdict {
+	uint32_t right, wrong, missing;
+} world_usage_verdict_t;
+
 /** The simulated cluster. */
 typedef struct world {
 	uint64_t now_us;
@@ -142,6 +172,7 @@
 	/** Settings of the request path on all VMs. */
 	kl_path_settings_t data_path_settings;
 	FILE *decision_log; /**< prints controllers' decisions, or NULL */
+	world_usage_t usage;
 } world_t;
 
 /** Create a cluster without VMs, databases or objects. */
@@ -218,6 +249,9 @@
  */
 int world_confirm_write(pending_write_t *pending, const char **proof);
 
+/** Compare the reports that are due with the operations that were run. */
+void world_judge_reports(world_t *world, world_usage_verdict_t *verdict);
+
 /** Load a VM's sections as a request does. */
 void world_load_view(vm_t *vm, kl_view_t *view);
 
--- a/tests/world_fake.c
+++ b/tests/world_fake.c
@@ -40,6 +40,12 @@
 	if (call->op == KL_PLATFORM_PROMOTE) {
 		answer->error = world_promote_database(
 			world, event->vm, event->call_body, call->version);
+	} else if (call->op == KL_PLATFORM_REPORT_USAGE) {
+		answer->error =
+			world_receive_report(world, event->vm, call->window,
+					     call->version, event->call_body);
+		if (answer->error)
+			delay_us = CALL_TIMEOUT_US;
 	} else if (call->op == KL_PLATFORM_PUT) {
 		world->platform_writes++;
 		if ((object ? object->version : 0) != call->version) {
--- a/tests/world_internal.h
+++ b/tests/world_internal.h
@@ -79,6 +79,25 @@
 /** Report to each VM whether its clients' requests to each database fail. */
 void world_report_passive_checks(world_t *world);
 
+/** Create and free the tables of world.usage. */
+void world_usage_init(world_usage_t *usage, uint32_t seed);
+void world_usage_clear(world_usage_t *usage);
+
+/** @return true time, microseconds since the start of 1970 */
+int64_t world_true_us(const world_t *world);
+
+/** Let databases begin operations for each VM's clients. */
+void world_run_operations(world_t *world, uint64_t elapsed_us);
+
+/**
+ * Receive a report of usage.  A token that falls or is used by two VMs, two
+ * different reports of a window, and holders in turn are violations.
+ *
+ * @return 0, or -KL_E_UNAVAILABLE without an answer
+ */
+int world_receive_report(world_t *world, const vm_t *vm, uint64_t window,
+			 uint64_t token, const char *body);
+
 /** Queue an event for delivery in delay_us microseconds. */
 void world_schedule(world_t *world, world_event_t *event, uint64_t delay_us);
 
--- a/tests/world_node.c
+++ b/tests/world_node.c
@@ -40,6 +40,8 @@
 
 	vm->peer_messages_sent++;
 	vm->peer_bytes_sent += message_size(message);
+	if (message->kind == KL_PEER_USAGE)
+		vm->usage_bytes_sent += message_size(message);
 	if (g_rand_int_range(world->random, 0, 100) < world->peer_loss_percent)
 		copies = 0;
 	else if (g_rand_int_range(world->random, 0, 100) <
@@ -137,6 +139,10 @@
 	const kl_object_t *object;
 	size_t size = 132;
 
+	for (uint32_t i = 0; i < message->usage.count; i++)
+		size += 8 +
+			(strlen(message->usage.list[i].workspace) + 3) / 4 * 4;
+
 	if (message->kind != KL_PEER_DELTA)
 		return size;
 	CK_STAILQ_FOREACH(object, &message->delta.objects, link)
--- a/tests/world_promote.c
+++ b/tests/world_promote.c
@@ -25,6 +25,7 @@
 	world->tuning.feed_count = KL_FEED_COUNT;
 	world->tuning.platform_promotes = true;
 	world->tuning.watchers_per_domain = 1;
+	world->tuning.duties = KL_DUTY_PROMOTE | KL_DUTY_REPORT_USAGE;
 }
 
 kl_feed_t world_feed_of_object(const world_t *world, const char *name)
@@ -35,7 +36,7 @@
 	} prefixes[] = {
 		{ "group/", KL_FEED_TERMS },	    { "vm/", KL_FEED_TERMS },
 		{ "slot/", KL_FEED_SLOTS },	    { "mark/", KL_FEED_MARKS },
-		{ "upstream/", KL_FEED_UPSTREAMS },
+		{ "upstream/", KL_FEED_UPSTREAMS }, { "usage/", KL_FEED_SLOTS },
 	};
 
 	for (size_t i = 0; world->platform_promotes &&
