Test usage reports with a killed holder, and show their metrics

Nothing told operators whether usage windows were reported, and no test ran the reports through separate processes. The metrics say which VM holds the duty, and how many windows were reported, missed and repeated.

Two more cases in the scripts: the holder freezes between its update of the record and the call, and after a call without an answer while its successor has more counts. The guard of the first passed its scripts when it was removed, so they did not test it.

--- a/daemon/status.c
+++ b/daemon/status.c
@@ -9,6 +9,7 @@
 #include "daemon/counter.h"
 #include "daemon/log.h"
 #include "daemon/status.h"
+#include "daemon/status_usage.h"
 #include "path/engine.h"
 
 struct kl_status_server {
@@ -117,6 +118,7 @@
 				    kl_gauge_get(i));
 	add_latencies(body);
 	add_feeds(body, server->node);
+	kl_status_add_usage(body, server->node);
 	reply(request, "text/plain; version=0.0.4", body);
 }
 
--- a/tests/script_usage.c
+++ b/tests/script_usage.c
@@ -41,27 +41,35 @@
 }
 
 /*
- * holder kill | freeze | thaw | cut: the VM that the record names; thaw: the
- * VM that was frozen last.
+ * holder kill | freeze | thaw | cut: the VM that the record names; thaw: all
+ * that are frozen.
+ * holder freeze_on_store | freeze_on_call: it freezes when it has stored the
+ * next report, or when the platform has received that.
  */
 void step_holder(char **words, int count)
 {
-	static vm_t *frozen;
 	vm_t *holder = find_holder();
 	(void)count;
 
-	if (!strcmp(words[0], "thaw") && frozen)
-		world_thaw_vm(frozen);
+	for (guint i = 0;
+	     !strcmp(words[0], "thaw") && i < script_world->vms->len; i++) {
+		vm_t *vm = g_ptr_array_index(script_world->vms, i);
+
+		if (vm->frozen)
+			world_thaw_vm(vm);
+	}
+	if (!strcmp(words[0], "freeze_on_store"))
+		script_world->usage.freeze_on_store = true;
+	if (!strcmp(words[0], "freeze_on_call"))
+		script_world->usage.freeze_on_call = true;
 	if (!holder)
 		return;
 	if (!strcmp(words[0], "kill"))
 		world_kill_vm(holder);
 	if (!strcmp(words[0], "cut"))
 		holder->partition = 1;
-	if (!strcmp(words[0], "freeze")) {
+	if (!strcmp(words[0], "freeze"))
 		holder->frozen = true;
-		frozen = holder;
-	}
 }
 
 static vm_t *find_holder(void)
@@ -81,14 +89,15 @@
 void step_reports(char **words, int count)
 {
 	world_usage_verdict_t verdict;
+	guint vms = script_world->vms->len;
 	uint64_t bytes = 0, all_bytes = 0, late = 0, missed = 0;
 	(void)words;
 	(void)count;
 
-	if (!script_world->vms->len)
+	if (!vms)
 		return;
 	world_judge_reports(script_world, &verdict);
-	for (guint i = 0; i < script_world->vms->len; i++) {
+	for (guint i = 0; i < vms; i++) {
 		vm_t *vm = g_ptr_array_index(script_world->vms, i);
 		const kl_usage_t *usage =
 			vm->up ? kl_node_get(&vm->node, KL_SECTION_USAGE)
@@ -106,6 +115,6 @@
 	       (unsigned long long)script_world->usage.token,
 	       late ? "some" : "none", (unsigned long long)missed);
 	fprintf(stderr, "bytes a VM: %llu in usage messages, %llu in all\n",
-		(unsigned long long)(bytes / script_world->vms->len),
-		(unsigned long long)(all_bytes / script_world->vms->len));
+		(unsigned long long)(bytes / vms),
+		(unsigned long long)(all_bytes / vms));
 }
--- a/tests/world.h
+++ b/tests/world.h
@@ -112,11 +112,13 @@
 	uint64_t rate;	     /**< operations a second, over all VMs */
 	uint32_t workspaces; /**< they are of these, at random; 0: none run */
 	GRand *random;
-	GHashTable *operations;	  /**< run, by "WINDOW/WORKSPACE" */
-	GHashTable *reports;	  /**< text of the first report of a window */
-	uint64_t first_window;	  /**< that was reported, or 0 */
-	uint32_t late_reports;	  /**< first reports that came after due */
-	bool down;		  /**< the platform accepts no reports */
+	GHashTable *operations; /**< run, by "WINDOW/WORKSPACE" */
+	GHashTable *reports;	/**< text of the first report of a window */
+	uint64_t first_window;	/**< that was reported, or 0 */
+	uint32_t late_reports;	/**< first reports that came after due */
+	bool down;		/**< the platform accepts no reports */
+	/** The VM that stores or sends the next report freezes then. */
+	bool freeze_on_store, freeze_on_call;
 	int answers_to_lose;	  /**< accepted calls without an answer */
 	uint64_t token;		  /**< of the last call */
 	char holder[KL_NAME_MAX]; /**< VM that sent it */
--- a/tests/world_fake.c
+++ b/tests/world_fake.c
@@ -52,6 +52,8 @@
 			answer->error = -KL_E_CONFLICT;
 		} else {
 			world_put_object(world, call->name, event->call_body);
+			world_report_stored(world, event->vm, call->name,
+					    event->call_body);
 			if (world->put_answers_to_lose > 0) {
 				world->put_answers_to_lose--;
 				answer->error = -KL_E_UNAVAILABLE;
--- a/tests/world_internal.h
+++ b/tests/world_internal.h
@@ -95,9 +95,13 @@
  *
  * @return 0, or -KL_E_UNAVAILABLE without an answer
  */
-int world_receive_report(world_t *world, const vm_t *vm, uint64_t window,
+int world_receive_report(world_t *world, vm_t *vm, uint64_t window,
 			 uint64_t token, const char *body);
 
+/** Freeze a VM that has stored a report, if the script asked for it. */
+void world_report_stored(world_t *world, vm_t *vm, const char *name,
+			 const char *body);
+
 /** Queue an event for delivery in delay_us microseconds. */
 void world_schedule(world_t *world, world_event_t *event, uint64_t delay_us);
 
--- a/tests/world_usage.c
+++ b/tests/world_usage.c
@@ -90,7 +90,7 @@
 	kl_node_step(&vm->node, &event);
 }
 
-int world_receive_report(world_t *world, const vm_t *vm, uint64_t window,
+int world_receive_report(world_t *world, vm_t *vm, uint64_t window,
 			 uint64_t token, const char *body)
 {
 	world_usage_t *usage = &world->usage;
@@ -126,12 +126,24 @@
 		if (!usage->first_window)
 			usage->first_window = window;
 	}
+	vm->frozen |= usage->freeze_on_call;
+	usage->freeze_on_call = false;
 	if (usage->answers_to_lose <= 0)
 		return 0;
 	usage->answers_to_lose--;
 	return -KL_E_UNAVAILABLE;
 }
 
+void world_report_stored(world_t *world, vm_t *vm, const char *name,
+			 const char *body)
+{
+	if (!world->usage.freeze_on_store || strncmp(name, "usage/", 6) != 0 ||
+	    !strstr(body, "\"answered\":false"))
+		return;
+	world->usage.freeze_on_store = false;
+	vm->frozen = true;
+}
+
 static void count_violation(world_t *world, const char *vm, const char *what)
 {
 	world->violations++;
