--- a/tests/world_internal.h
+++ b/tests/world_internal.h
@@ -87,6 +87,28 @@
 
 /** Write again what a drill lost, once it is due. */
 void world_rewrite_lost(world_t *world);
+/** Create and free the tables of world.usage. */
+void world_usage_init(world_usage_t *usage, uint32_t seed);
+void world_usage_clear(world_usage_t *usage);
+
+/** @return true time, microseconds since the start of 1970 */
+int64_t world_true_us(const world_t *world);
+
+/** Let databases begin operations for each VM's clients. */
+void world_run_operations(world_t *world, uint64_t elapsed_us);
+
+/**
+ * Receive a report of usage.  A token that falls or is used by two VMs, two
+ * different reports of a window, and holders in turn are violations.
+ *
+ * @return 0, or -KL_E_UNAVAILABLE without an answer
+ */
+int world_receive_report(world_t *world, vm_t *vm, uint64_t window,
+			 uint64_t token, const char *body);
+
+/** Freeze a VM that has stored a report, if the script asked for it. */
+void world_report_stored(world_t *world, vm_t *vm, const char *name,
+			 const char *body);
 
 /** Queue an event for delivery in delay_us microseconds. */
 void world_schedule(world_t *world, world_event_t *event, uint64_t delay_us);
