Keep statements and transactions through a drill of the store

Statements and positions were compared by the version of the group's record. That has a new era after a drill although the record is the same, so script store_restored ended a running write and an open transaction as replaced. They are now compared by the number of the record's change, which follows from term and state if the store has eras, and is the version as before if it has none.

--- a/board/sections.h
+++ b/board/sections.h
@@ -58,7 +58,7 @@
 	bool unreadable; /**< it exists, but its contents can't be read */
 	/** The store was restored from a copy, and has older contents. */
 	bool store_is_behind;
-	char *body;	 /**< JSON text; "null" for a removed object */
+	char *body; /**< JSON text; "null" for a removed object */
 } kl_object_t;
 
 typedef CK_STAILQ_HEAD(kl_object_list, kl_object) kl_object_list_t;
@@ -205,7 +205,12 @@
 	kl_named_t name; /**< the service's name */
 	CK_STAILQ_ENTRY(kl_group) link;
 	uint64_t version; /**< of the record, for conditional updates */
-	uint64_t term;	  /**< of the primary, or of the failover under way */
+	/**
+	 * Rises with each change of the record, and is equal on all VMs; not
+	 * changed by a store that is restored from a copy with the same record.
+	 */
+	uint64_t change;
+	uint64_t term; /**< of the primary, or of the failover under way */
 	kl_group_state_t state;
 	/** The primary or, while promoting, the candidate. */
 	char primary[KL_NAME_MAX];
@@ -333,10 +338,10 @@
 typedef struct kl_primary_position {
 	kl_named_t name; /**< of the service */
 	CK_STAILQ_ENTRY(kl_primary_position) link;
-	uint64_t group_version; /**< of the record that names the primary */
-	uint64_t term;		/**< of the log position; 0 if none is known */
-	uint64_t number;	/**< of the log position */
-	uint64_t sampled_us;	/**< by this VM's clock, never too late */
+	uint64_t group_change; /**< of the record that names the primary */
+	uint64_t term;	       /**< of the log position; 0 if none is known */
+	uint64_t number;       /**< of the log position */
+	uint64_t sampled_us;   /**< by this VM's clock, never too late */
 } kl_primary_position_t;
 
 /** The newest known log position of each service's primary. */
--- a/control/group_record.c
+++ b/control/group_record.c
@@ -65,6 +65,12 @@
 	return text;
 }
 
+uint64_t kl_group_progress(const kl_group_t *group)
+{
+	return group->state == KL_GROUP_STABLE ? KL_GROUP_STATE_COUNT
+					       : group->state;
+}
+
 uint64_t kl_group_replica_term(const kl_group_t *group)
 {
 	if (!group->history_count)
--- a/control/group_record.h
+++ b/control/group_record.h
@@ -20,6 +20,9 @@
 /** Encode a record. @return JSON text to be freed, or NULL if out of memory */
 char *kl_group_encode(const kl_group_t *group);
 
+/** Number of the record's step within its term, which ends stable. */
+uint64_t kl_group_progress(const kl_group_t *group);
+
 /**
  * Term that replicas serve: the newest one in the history or, if that is empty,
  * the recorded term.
--- a/control/peer_message.h
+++ b/control/peer_message.h
@@ -80,10 +80,10 @@
 /** A service in a query for log positions, or in its answer. */
 typedef struct kl_peer_position {
 	char service[KL_NAME_MAX];
-	uint64_t group_version; /**< answer: of the group's record */
-	uint64_t term;		/**< answer: of the primary's log position */
-	uint64_t number;	/**< answer: of the primary's log position */
-	uint64_t age_us; /**< answer: since it was sampled, not too low */
+	uint64_t group_change; /**< answer: of the group's record */
+	uint64_t term;	       /**< answer: of the primary's log position */
+	uint64_t number;       /**< answer: of the primary's log position */
+	uint64_t age_us;       /**< answer: since it was sampled, not too low */
 } kl_peer_position_t;
 
 /**
--- a/control/position.c
+++ b/control/position.c
@@ -122,7 +122,7 @@
 			continue;
 		positions->count++;
 		memcpy(out->service, entry->position.name.name, KL_NAME_MAX);
-		out->group_version = entry->position.group_version;
+		out->group_change = entry->position.group_change;
 		out->term = entry->position.term;
 		out->number = entry->position.number;
 		/* A tenth more, for clocks that run at unequal speeds. */
@@ -150,7 +150,7 @@
 		const kl_peer_position_t *in = &answer->list[i];
 		entry_t *entry = kl_index_get(state->index, in->service);
 		kl_primary_position_t position = {
-			.group_version = in->group_version,
+			.group_change = in->group_change,
 			.term = in->term,
 			.number = in->number,
 			.sampled_us = answer->query_sent_us - in->age_us
@@ -167,11 +167,11 @@
 {
 	kl_primary_position_t *held = &entry->position;
 
-	if (position->group_version < held->group_version ||
-	    (position->group_version == held->group_version &&
+	if (position->group_change < held->group_change ||
+	    (position->group_change == held->group_change &&
 	     position->sampled_us <= held->sampled_us))
 		return false;
-	held->group_version = position->group_version;
+	held->group_change = position->group_change;
 	held->term = position->term;
 	held->number = position->number;
 	held->sampled_us = position->sampled_us;
--- a/control/sync_withhold.c
+++ b/control/sync_withhold.c
@@ -25,7 +25,6 @@
 				const kl_feed_update_t *update);
 static const kl_object_t *find(const kl_object_list_t *list, const char *name);
 static bool record_is_ahead(const char *body, const char *other_body);
-static uint64_t progress(const kl_group_t *group);
 static void set_body(kl_object_t *object, const char *text);
 static void log_object(kl_node_t *node, const char *event,
 		       const kl_object_t *object, kl_feed_t feed);
@@ -233,15 +232,9 @@
 		return false;
 	if (kl_group_decode(&other, other_body))
 		return true;
-	return group.term > other.term || (group.term == other.term &&
-					   progress(&group) > progress(&other));
-}
-
-/* A term is stable last, after it was claimed. */
-static uint64_t progress(const kl_group_t *group)
-{
-	return group->state == KL_GROUP_STABLE ? KL_GROUP_STATE_COUNT
-					       : group->state;
+	return group.term > other.term ||
+	       (group.term == other.term &&
+		kl_group_progress(&group) > kl_group_progress(&other));
 }
 
 static void set_body(kl_object_t *object, const char *text)
--- a/control/terms.c
+++ b/control/terms.c
@@ -4,9 +4,12 @@
 
 #include "control/controllers.h"
 #include "control/group_record.h"
+#include "control/store_era.h"
 
 #define GROUP_PREFIX "group/"
 
+static uint64_t change_of(const kl_group_t *group);
+
 int kl_terms_create(kl_node_t *node)
 {
 	(void)node;
@@ -50,6 +53,7 @@
 		} else {
 			kl_name_copy(group->name.name, name);
 			group->version = object->version;
+			group->change = change_of(group);
 			group->first_seen_us = kl_node_now(node);
 		}
 		group->store_is_behind = object->store_is_behind;
@@ -58,3 +62,17 @@
 	}
 	kl_node_publish(node, KL_SECTION_TERMS, &terms->base);
 }
+
+/*
+ * A store with eras may write a record again under another version.  Each state
+ * is recorded once in a term: claimed, promoting, stable.
+ */
+static uint64_t change_of(const kl_group_t *group)
+{
+	uint64_t steps = group->term * (KL_GROUP_STATE_COUNT + 1) +
+			 kl_group_progress(group);
+
+	/* Newer than any version of a store that had no eras yet. */
+	return kl_version_era(group->version) ? kl_store_version(1, steps)
+					      : group->version;
+}
--- a/path/engine_endpoint.c
+++ b/path/engine_endpoint.c
@@ -220,9 +220,9 @@
 {
 	const kl_group_t *group = kl_engine_find_group(engine, cluster->name);
 
-	if (!group || group->version == cluster->group_version)
+	if (!group || group->change == cluster->group_change)
 		return;
-	cluster->group_version = group->version;
+	cluster->group_change = group->change;
 	kl_log_samples_clear(&cluster->position_samples);
 }
 
@@ -340,7 +340,7 @@
 	if (position.term > cluster->newest_term_first_position.term)
 		cluster->newest_term_first_position = position;
 	if (conn->primary_proven && group && group->state == KL_GROUP_STABLE &&
-	    group->version == cluster->group_version &&
+	    group->change == cluster->group_change &&
 	    !strcmp(group->primary, endpoint->name)) {
 		kl_log_samples_add(&cluster->position_samples, position,
 				   conn->sent_us);
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -106,8 +106,8 @@
 	CK_STAILQ_ENTRY(kl_cluster) link;
 	kl_engine_t *engine;
 	char name[KL_NAME_MAX];
-	uint64_t group_version; /**< of the record that the samples belong to */
-	uint64_t last_used_us;	/**< time of the last statement */
+	uint64_t group_change; /**< of the record that the samples belong to */
+	uint64_t last_used_us; /**< time of the last statement */
 	char last_workspace[KL_NAME_MAX];  /**< workspace of that statement */
 	kl_log_samples_t position_samples; /**< log positions of the primary */
 	/** times of the last calls of report_position(), with and without one
@@ -132,9 +132,9 @@
 	uint64_t route_deadline_us; /**< no upstream was chosen */
 	uint64_t queue_deadline_us; /**< it got no connection */
 	uint64_t deadline_us;	    /**< the database did not reply */
-	uint64_t retry_at_us;	/**< time before which no upstream is chosen */
-	uint64_t sent_us;	/**< when it was sent, or its set-up began */
-	uint64_t group_version; /**< of the group's record at sent_us */
+	uint64_t retry_at_us;  /**< time before which no upstream is chosen */
+	uint64_t sent_us;      /**< when it was sent, or its set-up began */
+	uint64_t group_change; /**< of the group's record at sent_us */
 	/**
 	 * log position that a replica must have; term 0: only the primary is
 	 * suitable
@@ -170,8 +170,8 @@
 	char transaction_status; /**< 'I', 'T' or 'E', as in kl_stmt_result_t */
 	bool txn_read_only;	 /**< the open transaction is read-only */
 	bool txn_wrote;		 /**< the open transaction has written */
-	uint64_t txn_group_version; /**< of the group's record at BEGIN */
-	uint64_t idle_since_us;	    /**< when the last statement was answered */
+	uint64_t txn_group_change; /**< of the group's record at BEGIN */
+	uint64_t idle_since_us;	   /**< when the last statement was answered */
 	kl_route_params_t route;
 	kl_position_t last_write; /**< log position of its last write */
 	char last_write_service[KL_NAME_MAX]; /**< service of that write */
--- a/path/engine_position.c
+++ b/path/engine_position.c
@@ -12,8 +12,7 @@
 				uint64_t sampled_us)
 {
 	kl_engine_t *engine = cluster->engine;
-	kl_primary_position_t report = { .group_version =
-						 cluster->group_version,
+	kl_primary_position_t report = { .group_change = cluster->group_change,
 					 .term = position.term,
 					 .number = position.number,
 					 .sampled_us = sampled_us };
@@ -39,8 +38,8 @@
 	/* A position of another primary says nothing about this one. */
 	if (shared && shared->term && group &&
 	    group->state == KL_GROUP_STABLE &&
-	    group->version == cluster->group_version &&
-	    group->version == shared->group_version) {
+	    group->change == cluster->group_change &&
+	    group->change == shared->group_change) {
 		kl_position_t position = { shared->term, shared->number };
 
 		kl_log_samples_add(&cluster->position_samples, position,
--- a/path/engine_run.c
+++ b/path/engine_run.c
@@ -125,7 +125,7 @@
 			reroute(client, 0, 0);
 			return;
 		}
-		stmt->group_version = group ? group->version : 0;
+		stmt->group_change = group ? group->change : 0;
 		stmt->on_primary = conn->primary_proven;
 		if (!conn->primary_proven)
 			message.min_position = stmt->min_position;
@@ -232,12 +232,12 @@
 	const kl_engine_t *engine = client->engine;
 	const kl_group_t *group =
 		kl_engine_find_group(engine, client->route.service);
-	uint64_t version = client->transaction_status == 'I'
-				   ? client->stmt.group_version
-				   : client->txn_group_version;
+	uint64_t change = client->transaction_status == 'I'
+				  ? client->stmt.group_change
+				  : client->txn_group_change;
 
 	return kl_engine_primary_proven(engine, group) &&
-	       group->version == version;
+	       group->change == change;
 }
 
 /*
@@ -249,7 +249,7 @@
 {
 	return client->stmt.verb == KL_VERB_COMMIT && client->txn_wrote &&
 	       client->transaction_status == 'T' && group &&
-	       group->version != client->txn_group_version;
+	       group->change != client->txn_group_change;
 }
 
 static void fail_unproven(kl_client_t *client)
@@ -268,7 +268,7 @@
 
 	if (client->transaction_status == 'I' &&
 	    result->transaction_status != 'I')
-		client->txn_group_version = stmt->group_version;
+		client->txn_group_change = stmt->group_change;
 	if (client->transaction_status == 'T' && stmt->writes && !result->error)
 		client->txn_wrote = true;
 	client->transaction_status = result->transaction_status;
--- a/peer/peer_codec.c
+++ b/peer/peer_codec.c
@@ -357,7 +357,7 @@
 		kl_wire_position *entry = &out->entries.entries_val[i];
 
 		entry->service = (char *)position->service;
-		entry->record_version = position->group_version;
+		entry->record_version = position->group_change;
 		entry->term = position->term;
 		entry->number = position->number;
 		entry->age_us = position->age_us;
@@ -378,7 +378,7 @@
 			&positions->list[positions->count++];
 
 		kl_name_copy(position->service, entry->service);
-		position->group_version = entry->record_version;
+		position->group_change = entry->record_version;
 		position->term = entry->term;
 		position->number = entry->number;
 		position->age_us = entry->age_us;
--- a/tests/engine_board.c
+++ b/tests/engine_board.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "control/store_era.h"
 #include "tests/engine_model.h"
 
 static void add_marks(const model_t *model, kl_config_t *config);
@@ -128,7 +129,7 @@
 	kl_primary_position_t *position = calloc(1, sizeof(*position));
 
 	kl_name_copy(position->name.name, "s");
-	position->group_version = model->record_version;
+	position->group_change = model->record_version;
 	position->sampled_us = model->now_us - age_us;
 	position->term = 1;
 	position->number = model_commits_at(model, position->sampled_us);
@@ -143,10 +144,12 @@
 	kl_terms_t *terms = kl_terms_new(4);
 	kl_group_t *group = calloc(1, sizeof(*group));
 
-	terms->revision = model->record_version;
+	terms->revision =
+		kl_store_version(model->store_era, model->record_version);
 	kl_name_copy(group->name.name, "s");
 	kl_name_copy(group->primary, model->recorded_primary);
-	group->version = model->record_version;
+	group->version = terms->revision;
+	group->change = model->record_version;
 	group->first_seen_us = model->now_us;
 	group->term = model->record_version;
 	group->state = model->fencing ? KL_GROUP_FENCING : KL_GROUP_STABLE;
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -84,6 +84,7 @@
 	bool lease_held; /**< confirmations of the group record are published */
 	bool draining;
 	uint64_t record_version;     /**< of the group record */
+	uint64_t store_era;	     /**< rises when the store is restored */
 	uint64_t positions_reported; /**< calls of report_position() */
 	uint64_t positions_needed;   /**< the same without a position */
 	model_db_t dbs[MODEL_ITEMS_MAX];
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -30,6 +30,7 @@
 static void step_tokens(char **args, int count);
 static void step_readd(char **args, int count);
 static void step_primary(char **args, int count);
+static void step_restored(char **args, int count);
 static void step_lease(char **args, int count);
 static void step_login(char **args, int count);
 static void step_query(char **args, int count);
@@ -49,17 +50,29 @@
 	int min_args;
 	step_handler_t handler;
 } steps[] = {
-	{ "db", 5, step_db },	      { "set", 3, step_set },
-	{ "route", 5, step_route },   { "drop", 1, step_drop },
-	{ "key", 2, step_key },	      { "revoke", 1, step_revoke },
-	{ "tokens", 2, step_tokens }, { "primary", 1, step_primary },
-	{ "lease", 1, step_lease },   { "login", 3, step_login },
-	{ "query", 3, step_query },   { "leave", 1, step_leave },
-	{ "load", 7, step_load },     { "report", 0, step_report },
-	{ "run", 1, step_run },	      { "drain", 1, step_drain },
-	{ "show", 1, step_show },     { "trace", 1, step_trace },
-	{ "vms", 1, step_vms },	      { "shared", 1, step_shared },
-	{ "readd", 1, step_readd },   { "mark", 2, step_mark },
+	{ "db", 5, step_db },
+	{ "set", 3, step_set },
+	{ "route", 5, step_route },
+	{ "drop", 1, step_drop },
+	{ "key", 2, step_key },
+	{ "revoke", 1, step_revoke },
+	{ "tokens", 2, step_tokens },
+	{ "primary", 1, step_primary },
+	{ "lease", 1, step_lease },
+	{ "login", 3, step_login },
+	{ "query", 3, step_query },
+	{ "leave", 1, step_leave },
+	{ "load", 7, step_load },
+	{ "report", 0, step_report },
+	{ "run", 1, step_run },
+	{ "drain", 1, step_drain },
+	{ "show", 1, step_show },
+	{ "trace", 1, step_trace },
+	{ "vms", 1, step_vms },
+	{ "shared", 1, step_shared },
+	{ "readd", 1, step_readd },
+	{ "mark", 2, step_mark },
+	{ "restored", 0, step_restored },
 };
 
 int main(int argc, char **argv)
@@ -254,6 +267,16 @@
 }
 
 /* lease on|off: whether confirmations of the group record continue */
+/* The store was restored from a copy that has the same record of the group. */
+static void step_restored(char **args, int count)
+{
+	(void)args;
+	(void)count;
+	model->store_era++;
+	model_publish_terms(model);
+	model_confirm(model);
+}
+
 static void step_lease(char **args, int count)
 {
 	(void)count;
--- a/tests/script_report.c
+++ b/tests/script_report.c
@@ -37,7 +37,7 @@
 void step_sample(char **words, int count)
 {
 	vm_t *vm = world_find_vm(script_world, words[0]);
-	kl_primary_position_t position = { .group_version = 1,
+	kl_primary_position_t position = { .group_change = 1,
 					   .sampled_us = script_world->now_us };
 	kl_event_t event = { .kind = KL_EVENT_POSITION, .position = &position };
 
