Count malformed eras, and test refused ones through the daemon

An answer with a malformed header failed without a count. The process test checks that such an answer and one of a falling era change nothing.

--- a/control/sync_era.c
+++ b/control/sync_era.c
@@ -74,14 +74,14 @@
 				   .reason = sync->era ? "store_restored"
 						       : "first",
 				   .position = era };
-	uint64_t rise = era - sync->era;
+	uint64_t missed = era - sync->era;
 	uint64_t now = kl_node_now(node);
 	bool lapsed = !sync->has_confirmation ||
 		      now - sync->confirmed_us > node->tuning.lease_duration_us;
 
 	for (uint32_t i = KL_STORE_ERAS; i-- > 0;)
 		sync->first_revisions[i] =
-			i >= rise ? sync->first_revisions[i - rise] : 0;
+			i >= missed ? sync->first_revisions[i - missed] : 0;
 	if (sync->era)
 		sync->settled_us =
 			now + (lapsed ? SETTLE_LAPSED_US : SETTLE_US);
--- a/daemon/control_thread.c
+++ b/daemon/control_thread.c
@@ -397,7 +397,9 @@
 	kl_control_thread_t *control = context;
 	event_message_t *message = calloc(1, sizeof(*message));
 
-	if (answer->error == -KL_E_UNAVAILABLE)
+	/* An answer with a malformed era is refused as a protocol error. */
+	if (answer->error == -KL_E_UNAVAILABLE ||
+	    answer->error == -KL_E_PROTOCOL)
 		kl_counter_add(KL_COUNTER_PLATFORM_ERRORS, 1);
 	if (answer->error)
 		log_platform_error(answer);
--- a/tests/process/drill.sh
+++ b/tests/process/drill.sh
@@ -83,3 +83,19 @@
 for n in 1 2; do
 	await_login $n orders key-two READY
 done
+
+echo "# a malformed era and a falling one are refused, and counted"
+before=$(counter 1 kl_platform_errors_total)
+line_fault store era -1
+line_put config main "$(configuration 4 '"key-one"' '')"
+sleep 1.5
+login 1 orders key-two
+[ "$(counter 1 kl_platform_errors_total)" -gt "$before" ] && echo "counted"
+line_fault store era 1
+sleep 1
+login 1 orders key-two
+[ "$(counter 1 kl_store_era_refused_total)" -gt 0 ] && echo "counted"
+line_fault store era 2
+for n in 1 2; do
+	await_login $n orders key-two ERROR
+done
