--- a/control/usage_receive.c
+++ b/control/usage_receive.c
@@ -8,7 +8,7 @@
 /*
  * Most messages need no answer of their own, since an answer tells of the ones
  * before it, too.  The first ones get one at once, so that a new process can
- * compare its clock.
+ * compare its clock, and so does one after a gap, whose counts are missing.
  */
 #define ANSWER_INTERVAL_US (1900 * KL_MS)
 #define FIRST_ANSWERS 2
@@ -37,10 +37,12 @@
 	uint64_t now_window = kl_usage_window_at(
 		node, kl_usage_clock_true(&state->clock, now));
 	kl_usage_peer_t *peer = find_or_add(state, message->from);
+	bool gap;
 
 	if (!peer)
 		return;
 	peer->last_message_us = now;
+	gap = usage->sequence > peer->last_sequence + 1;
 	if (!note_sequence(peer, usage) ||
 	    usage->window < first_window_kept(node, state) ||
 	    usage->window > now_window + WINDOWS_MAX) {
@@ -50,7 +52,7 @@
 		peer->clock_us = usage->clock_us;
 		raise_counts(node, state, peer, message);
 	}
-	if (peer->answers < FIRST_ANSWERS ||
+	if (gap || peer->answers < FIRST_ANSWERS ||
 	    now - peer->last_answer_us >= ANSWER_INTERVAL_US)
 		answer(node, state, peer, message);
 }
--- a/control/usage_send.c
+++ b/control/usage_send.c
@@ -7,10 +7,18 @@
 
 /* A VM that is killed loses the counts of this time. */
 #define SEND_INTERVAL_US (500 * KL_MS)
+/*
+ * The same for the holder, which sends to its successor: nobody sends the
+ * counts again that are lost with the holder.
+ */
+#define HOLDER_SEND_INTERVAL_US (200 * KL_MS)
 /* Without new counts a message only keeps the clocks compared. */
 #define IDLE_SEND_INTERVAL_US (2 * KL_SEC)
-/* Without an answer for this long all is sent again. */
-#define ANSWER_TIMEOUT_US (3 * KL_SEC)
+/*
+ * Answers come every 2 s.  Without one, each message has all that is not
+ * acknowledged, so that the first one that arrives again leaves no gap.
+ */
+#define ANSWER_TIMEOUT_US (2500 * KL_MS)
 /* Counts are kept this much longer than their report may be late. */
 #define KEEP_US (20 * KL_SEC)
 
@@ -19,7 +27,10 @@
 static const kl_member_t *choose_receiver(const kl_node_t *node,
 					  const kl_usage_state_t *state);
 static void change_receiver(kl_usage_state_t *state, const char *name);
-static void send_again(kl_usage_state_t *state, bool acknowledged_too);
+static uint64_t first_open_window(const kl_node_t *node,
+				  const kl_usage_state_t *state);
+static void send_again(kl_usage_state_t *state, uint64_t first_window,
+		       bool acknowledged_too);
 static uint32_t send_tally(kl_node_t *node, kl_usage_state_t *state,
 			   const kl_member_t *receiver,
 			   kl_usage_tally_t *tally);
@@ -80,7 +91,9 @@
 	if (!state->last_check_us)
 		state->last_check_us =
 			now - kl_node_random(node) % SEND_INTERVAL_US;
-	if (now - state->last_check_us < SEND_INTERVAL_US)
+	if (now - state->last_check_us < (kl_usage_is_holder(node, state)
+						  ? HOLDER_SEND_INTERVAL_US
+						  : SEND_INTERVAL_US))
 		return;
 	state->last_check_us = now;
 	receiver = choose_receiver(node, state);
@@ -89,10 +102,8 @@
 	if (strcmp(receiver->name.name, state->receiver) ||
 	    state->receiver_token != state->record.token)
 		change_receiver(state, receiver->name.name);
-	if (now - state->last_answer_us > ANSWER_TIMEOUT_US) {
-		state->last_answer_us = now;
-		send_again(state, false);
-	}
+	if (now - state->last_answer_us > ANSWER_TIMEOUT_US)
+		send_again(state, first_open_window(node, state), false);
 	CK_STAILQ_FOREACH(tally, &state->own, link)
 		sent += send_tally(node, state, receiver, tally);
 	if (!sent && (now - state->last_send_us >= IDLE_SEND_INTERVAL_US ||
@@ -134,11 +145,22 @@
 	kl_name_copy(state->receiver, name);
 	state->receiver_token = state->record.token;
 	state->clock.reporter_offset_us = KL_CLOCK_UNKNOWN;
-	send_again(state, true);
+	send_again(state, 0, true);
+}
+
+/* The first window whose report may still be decided. */
+static uint64_t first_open_window(const kl_node_t *node,
+				  const kl_usage_state_t *state)
+{
+	int64_t true_us = kl_usage_clock_true(&state->clock, kl_node_now(node));
+
+	return kl_usage_window_at(
+		node, true_us - (int64_t)node->tuning.usage_delay_us);
 }
 
 /* Lets counts be sent again: those not acknowledged, or all. */
-static void send_again(kl_usage_state_t *state, bool acknowledged_too)
+static void send_again(kl_usage_state_t *state, uint64_t first_window,
+		       bool acknowledged_too)
 {
 	kl_usage_tally_t *tally;
 	kl_usage_count_t *count;
@@ -148,6 +170,8 @@
 		bool all = acknowledged_too &&
 			   tally->window > state->record.window;
 
+		if (tally->window < first_window)
+			continue;
 		CK_STAILQ_FOREACH(count, &tally->counts, link) {
 			if (all)
 				count->acknowledged_operations = 0;
