--- a/board/sections.c
+++ b/board/sections.c
@@ -19,6 +19,7 @@
 static void destroy_members(kl_snapshot_t *snapshot);
 static void destroy_health(kl_snapshot_t *snapshot);
 static void destroy_positions(kl_snapshot_t *snapshot);
+static void destroy_loads(kl_snapshot_t *snapshot);
 static void destroy_plain(kl_snapshot_t *snapshot);
 
 kl_object_t *kl_object_new(const char *name, uint64_t version, const char *body)
@@ -151,6 +152,22 @@
 	return positions;
 }
 
+kl_loads_t *kl_loads_new(size_t expected)
+{
+	kl_loads_t *loads = calloc(1, sizeof(*loads));
+
+	if (!loads)
+		return NULL;
+	loads->base.destroy = destroy_loads;
+	CK_STAILQ_INIT(&loads->list);
+	loads->index = kl_index_new(expected);
+	if (!loads->index) {
+		free(loads);
+		return NULL;
+	}
+	return loads;
+}
+
 kl_confirmation_t *kl_confirmation_new(uint64_t revision, uint64_t confirmed_us)
 {
 	kl_confirmation_t *confirmation = calloc(1, sizeof(*confirmation));
@@ -299,6 +316,15 @@
 	free(positions);
 }
 
+static void destroy_loads(kl_snapshot_t *snapshot)
+{
+	kl_loads_t *loads = (kl_loads_t *)snapshot;
+
+	free_list(&loads->list, kl_load_t);
+	kl_index_free(loads->index);
+	free(loads);
+}
+
 static void destroy_plain(kl_snapshot_t *snapshot)
 {
 	free(snapshot);
--- a/board/sections.h
+++ b/board/sections.h
@@ -342,6 +342,27 @@
 	kl_index_t *index;
 } kl_positions_t;
 
+/**
+ * The load of a database of another failure domain, as VMs of that domain see
+ * it.
+ */
+typedef struct kl_load {
+	kl_named_t name; /**< "SERVICE/UPSTREAM" */
+	CK_STAILQ_ENTRY(kl_load) link;
+	uint64_t wait_us;	/**< expected wait of a statement; a median */
+	uint32_t running;	/**< statements running, as one VM reported */
+	uint32_t answers;	/**< answers that the median was taken from */
+	uint64_t sampled_us;	/**< by this VM's clock, never too late */
+	uint64_t round_trip_us; /**< shortest one to VMs of that domain */
+} kl_load_t;
+
+/** The known loads of databases of other failure domains. */
+typedef struct kl_loads {
+	kl_snapshot_t base;
+	CK_STAILQ_HEAD(, kl_load) list;
+	kl_index_t *index;
+} kl_loads_t;
+
 /** Create an object with a copy of body. @return NULL when out of memory */
 kl_object_t *kl_object_new(const char *name, uint64_t version,
 			   const char *body);
@@ -364,6 +385,7 @@
 kl_members_t *kl_members_new(size_t expected);
 kl_health_t *kl_health_new(size_t expected);
 kl_positions_t *kl_positions_new(size_t expected);
+kl_loads_t *kl_loads_new(size_t expected);
 kl_confirmation_t *kl_confirmation_new(uint64_t revision,
 				       uint64_t confirmed_us);
 kl_lifecycle_t *kl_lifecycle_new(kl_phase_t phase);
--- a/control/control.c
+++ b/control/control.c
@@ -57,6 +57,9 @@
 				     0, KL_SECTION_POSITIONS,
 				     kl_position_create, kl_position_step,
 				     kl_position_destroy },
+	[KL_CONTROLLER_LOAD] = { "load", EVENT(PEER) | EVENT(LOAD), 0,
+				 KL_SECTION_LOADS, kl_load_create, kl_load_step,
+				 kl_load_destroy },
 };
 
 void kl_tuning_default(kl_tuning_t *tuning)
--- a/control/node.h
+++ b/control/node.h
@@ -32,6 +32,7 @@
 	KL_CONTROLLER_SHARE,
 	KL_CONTROLLER_DRAIN,
 	KL_CONTROLLER_POSITION,
+	KL_CONTROLLER_LOAD,
 	KL_CONTROLLER_COUNT
 } kl_controller_id_t;
 
@@ -46,6 +47,7 @@
 	KL_EVENT_STOP,		  /**< a planned stop of this process begins */
 	KL_EVENT_PASSIVE_CHECK,	  /**< result of a passive health check */
 	KL_EVENT_POSITION,	  /**< a primary's log position, or its lack */
+	KL_EVENT_LOAD,		  /**< this VM's figures of a database */
 	KL_EVENT_COUNT
 } kl_event_kind_t;
 
@@ -138,6 +140,17 @@
 	bool refuses_connections;
 } kl_passive_check_t;
 
+/** This VM's own figures of a database in its failure domain. */
+typedef struct kl_load_report {
+	char service[KL_NAME_MAX];
+	/** empty: the domain has no database of the service */
+	char upstream[KL_NAME_MAX];
+	uint64_t wait_us;    /**< expected wait of a statement */
+	uint32_t running;    /**< statements of this VM running there */
+	uint64_t sampled_us; /**< time of the report */
+	bool others_needed;  /**< the load of other domains is needed, too */
+} kl_load_report_t;
+
 /** An event; which members are set depends on the kind. */
 typedef struct kl_event {
 	kl_event_kind_t kind;
@@ -148,6 +161,7 @@
 	const kl_passive_check_t *passive_check;
 	/** Of KL_EVENT_POSITION; term 0: reads need a newer one. */
 	const kl_primary_position_t *position;
+	const kl_load_report_t *load; /**< of KL_EVENT_LOAD */
 } kl_event_t;
 
 /** A log record of a decision; members that don't apply are 0. */
--- a/control/peer_message.h
+++ b/control/peer_message.h
@@ -93,6 +93,29 @@
 	kl_peer_position_t list[KL_PEER_POSITIONS_MAX];
 } kl_peer_positions_t;
 
+/** Most services in a query for loads; most databases in its answer. */
+#define KL_PEER_LOADS_MAX 32
+
+/** A service in a query for loads, or a database in its answer. */
+typedef struct kl_peer_load {
+	char service[KL_NAME_MAX];
+	char upstream[KL_NAME_MAX]; /**< answer: the database */
+	uint64_t wait_us;	    /**< answer: expected wait of a statement */
+	uint32_t running; /**< answer: statements of the sender running there */
+	uint64_t age_us;  /**< answer: of these figures, not too low */
+} kl_peer_load_t;
+
+/**
+ * A query for the load of the databases in the receiver's failure domain, or
+ * its answer.  The age counts back from the time of the query, as in
+ * kl_peer_positions_t.
+ */
+typedef struct kl_peer_loads {
+	uint64_t query_sent_us; /**< clock of the VM that sent the query */
+	uint32_t count;		/**< entries of list */
+	kl_peer_load_t list[KL_PEER_LOADS_MAX];
+} kl_peer_loads_t;
+
 /** A message between VMs; which members are set depends on the kind. */
 typedef struct kl_peer_message {
 	kl_peer_kind_t kind;
@@ -105,6 +128,7 @@
 	kl_loan_request_t loan_request;
 	kl_loan_grant_t loan_grant;
 	kl_peer_positions_t positions;
+	kl_peer_loads_t loads;
 } kl_peer_message_t;
 
 #endif
--- a/daemon/control_thread.c
+++ b/daemon/control_thread.c
@@ -14,6 +14,7 @@
 #include "daemon/database_call.h"
 #include "daemon/inbox.h"
 #include "daemon/log.h"
+#include "daemon/peer_socket.h"
 #include "daemon/status.h"
 #include "peer/peer_codec.h"
 #include "platform/http.h"
@@ -51,6 +52,7 @@
 	char upstream[KL_NAME_MAX];
 	kl_passive_check_t passive_check;
 	kl_primary_position_t position;
+	kl_load_report_t load;
 	kl_platform_answer_t platform_answer;
 	kl_object_list_t objects;
 	kl_database_answer_t database_answer;
@@ -73,7 +75,6 @@
 		       const char *service);
 static void on_tick(evutil_socket_t fd, short what, void *arg);
 static void on_datagram(evutil_socket_t fd, short what, void *arg);
-static int open_socket(kl_control_thread_t *control);
 static void fill_node(kl_control_thread_t *control,
 		      const kl_settings_t *settings);
 
@@ -104,7 +105,9 @@
 	control->base = event_base_new();
 	control->inbox = kl_inbox_new(control->base, control);
 	fill_node(control, settings);
-	if (open_socket(control) || kl_node_start(&control->node))
+	control->socket = kl_peer_socket_open(control->node.self.host,
+					      control->node.self.port);
+	if (control->socket < 0 || kl_node_start(&control->node))
 		goto fail;
 	control->platform_client = kl_platform_client_new(
 		&platform_config, on_platform_answer, control);
@@ -223,6 +226,20 @@
 	kl_inbox_post(control->inbox, &message->base);
 }
 
+void kl_control_thread_report_load(kl_control_thread_t *control,
+				   const kl_load_report_t *report)
+{
+	event_message_t *message = calloc(1, sizeof(*message));
+
+	if (!message)
+		return;
+	message->base.handler = handle_event;
+	message->kind = KL_EVENT_LOAD;
+	message->load = *report;
+	CK_STAILQ_INIT(&message->objects);
+	kl_inbox_post(control->inbox, &message->base);
+}
+
 void kl_control_thread_stop(kl_control_thread_t *control)
 {
 	post_event(control, KL_EVENT_STOP, "");
@@ -282,25 +299,6 @@
 	}
 }
 
-static int open_socket(kl_control_thread_t *control)
-{
-	struct sockaddr_in address = { .sin_family = AF_INET };
-
-	address.sin_port = htons(control->node.self.port);
-	inet_pton(AF_INET, control->node.self.host, &address.sin_addr);
-	control->socket =
-		socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (control->socket < 0 ||
-	    bind(control->socket, (struct sockaddr *)&address,
-		 sizeof(address))) {
-		kl_log_event("start_failed",
-			     "cannot bind the UDP port peer_port; the daemon "
-			     "does not start");
-		return -KL_E_UNAVAILABLE;
-	}
-	return 0;
-}
-
 static void *run(void *arg)
 {
 	kl_control_thread_t *control = arg;
@@ -454,7 +452,8 @@
 			     .database = &posted->database_answer,
 			     .service = posted->service,
 			     .passive_check = &posted->passive_check,
-			     .position = &posted->position };
+			     .position = &posted->position,
+			     .load = &posted->load };
 
 	if (control) {
 		if (posted->kind == KL_EVENT_REQUEST_WAITING) {
--- a/daemon/control_thread.h
+++ b/daemon/control_thread.h
@@ -49,6 +49,10 @@
 void kl_control_thread_report_position(kl_control_thread_t *control,
 				       const kl_primary_position_t *position);
 
+/** Report this VM's figures of a database in its domain; any thread. */
+void kl_control_thread_report_load(kl_control_thread_t *control,
+				   const kl_load_report_t *report);
+
 /** Begin a planned stop; any thread. */
 void kl_control_thread_stop(kl_control_thread_t *control);
 
--- a/daemon/counter.c
+++ b/daemon/counter.c
@@ -54,6 +54,15 @@
 					 "calls that failed" },
 	[KL_COUNTER_DOCUMENTS_REFUSED] = { "kl_documents_refused_total",
 					   "bad documents not installed" },
+	[KL_COUNTER_SPILLED_LOAD] = { "kl_reads_spilled_load_total",
+				      "reads sent to other failure domains for "
+				      "the load of this one" },
+	[KL_COUNTER_SPILLED_POSITION] = { "kl_reads_spilled_position_total",
+					  "reads sent to other failure domains "
+					  "since this one lacks the position" },
+	[KL_COUNTER_SPILLED_FAILURE] = { "kl_reads_spilled_failure_total",
+					 "reads sent to other failure domains "
+					 "for lack of a database in this one" },
 };
 
 static const counter_row_t gauge_rows[KL_GAUGE_COUNT] = {
@@ -65,6 +74,9 @@
 				    "statements that wait for a connection" },
 	[KL_GAUGE_RUNNING_STMTS] = { "kl_statements_running",
 				     "statements that run at upstreams" },
+	[KL_GAUGE_SPILL_SHARE] = { "kl_spill_share_permille",
+				   "highest share of a service's reads sent to "
+				   "other failure domains for the load" },
 };
 
 static uint64_t counters[KL_COUNTER_COUNT];
--- a/daemon/line_worker.c
+++ b/daemon/line_worker.c
@@ -11,6 +11,7 @@
 #include "daemon/line_worker.h"
 #include "daemon/listener.h"
 #include "daemon/log.h"
+#include "daemon/spill_metrics.h"
 #include "front/engine_front.h"
 #include "upstream/engine_conn.h"
 
@@ -82,6 +83,7 @@
 				 const kl_passive_check_t *check);
 static void engine_report_position(void *context,
 				   const kl_primary_position_t *position);
+static void engine_report_load(void *context, const kl_load_report_t *report);
 static void engine_log_decision(void *context, const kl_decision_t *decision);
 
 static const kl_engine_front_events_t front_events = { front_login,
@@ -104,6 +106,7 @@
 	.tokens_needed = engine_tokens_needed,
 	.report_health = engine_report_health,
 	.report_position = engine_report_position,
+	.report_load = engine_report_load,
 	.log_decision = engine_log_decision,
 };
 
@@ -269,6 +272,7 @@
 		       now->admitted - published->admitted);
 	kl_counter_add(KL_COUNTER_STMTS_LEAVING,
 		       now->stmts_leaving - published->stmts_leaving);
+	kl_spill_publish(worker->engine, published);
 	if (now->finished != published->finished)
 		publish_latencies(now, published);
 	kl_engine_get_gauges(worker->engine, &gauges);
@@ -480,6 +484,13 @@
 	kl_control_thread_report_position(worker->control, position);
 }
 
+static void engine_report_load(void *context, const kl_load_report_t *report)
+{
+	kl_line_worker_t *worker = context;
+
+	kl_control_thread_report_load(worker->control, report);
+}
+
 static void engine_log_decision(void *context, const kl_decision_t *decision)
 {
 	(void)context;
--- a/path/engine.c
+++ b/path/engine.c
@@ -95,6 +95,7 @@
 		kl_endpoints_refresh(engine);
 		check_clients(engine);
 		kl_conns_sweep(engine);
+		kl_spills_sweep(engine);
 	}
 	kl_engine_exit(engine);
 }
--- a/path/engine.h
+++ b/path/engine.h
@@ -117,6 +117,11 @@
 	 */
 	void (*report_position)(void *context,
 				const kl_primary_position_t *position);
+	/**
+	 * Report the load of a database in this failure domain for other VMs;
+	 * called only with the setting domain_spill.
+	 */
+	void (*report_load)(void *context, const kl_load_report_t *report);
 	/** Write a decision to the log. */
 	void (*log_decision)(void *context, const kl_decision_t *decision);
 } kl_engine_ops_t;
@@ -160,7 +165,11 @@
 	uint64_t conns_closed;	/**< connections to databases closed or lost */
 	uint64_t admitted;	/**< operations that got their tokens */
 	uint64_t stmts_leaving; /**< statements sent to leaving upstreams */
-	uint64_t finished;	/**< statements in the histograms below */
+	/** reads sent to another failure domain, counted with domain_spill */
+	uint64_t reads_spilled_load;	 /**< for the load of this domain */
+	uint64_t reads_spilled_position; /**< its databases lack the position */
+	uint64_t reads_spilled_failure;	 /**< they fail, leave or are missing */
+	uint64_t finished; /**< statements in the histograms below */
 	/** number of statements in each bucket */
 	uint64_t latency_counts[KL_ROUTE_KIND_COUNT][KL_STMT_END_COUNT]
 			       [KL_LATENCY_BUCKETS];
@@ -210,6 +219,12 @@
 	uint64_t running_stmts; /**< sent to a database and not answered */
 } kl_engine_gauges_t;
 
+/**
+ * Highest share of a service's reads that goes to other failure domains for the
+ * load of this one, thousandths.
+ */
+uint32_t kl_engine_spill_share(const kl_engine_t *engine);
+
 /** Count what the engine holds now. */
 void kl_engine_get_gauges(const kl_engine_t *engine,
 			  kl_engine_gauges_t *gauges);
--- a/path/engine_begin.c
+++ b/path/engine_begin.c
@@ -238,6 +238,7 @@
 	if (!take_tokens(client))
 		return;
 	extend_queue_deadline(client);
+	kl_stmt_note_choice(client, endpoint);
 	kl_endpoint_enqueue(endpoint, client);
 	kl_endpoint_serve_queue(endpoint);
 }
--- a/path/engine_client.c
+++ b/path/engine_client.c
@@ -331,6 +331,8 @@
 		engine->counts.refused_other++;
 	else
 		engine->counts.unknown_outcomes++;
+	if (error == -KL_E_DEADLINE)
+		kl_stmt_note_refusal(client);
 	engine->ops->log_decision(engine->context, &decision);
 	count_result(client, error);
 	finish_stmt(client);
--- a/path/engine_endpoint.c
+++ b/path/engine_endpoint.c
@@ -61,9 +61,6 @@
 static void update_marked(const kl_config_t *config, kl_endpoint_t *endpoint);
 static bool is_usable(const kl_endpoint_t *endpoint, uint64_t now_us);
 static kl_upstream_use_t endpoint_use(const kl_endpoint_t *endpoint);
-static kl_endpoint_t *proven_primary(const kl_client_t *client,
-				     kl_cluster_t *cluster,
-				     const kl_group_t *group);
 static int64_t placement_cost(const kl_client_t *client,
 			      const kl_endpoint_t *endpoint, bool is_primary);
 static void report_health(kl_endpoint_t *endpoint);
@@ -123,6 +120,7 @@
 		cluster->engine = engine;
 		memcpy(cluster->name, service->name.name, KL_NAME_MAX);
 		CK_STAILQ_INIT(&cluster->endpoints);
+		kl_spill_init(&cluster->spill);
 		CK_STAILQ_INSERT_TAIL(&engine->clusters, cluster, link);
 	}
 	CK_STAILQ_FOREACH(upstream, &service->upstreams, link)
@@ -240,6 +238,7 @@
 					CK_STAILQ_FIRST(&endpoint->conns));
 			free(endpoint);
 		}
+		kl_spill_clear(&cluster->spill);
 		free(cluster);
 	}
 }
@@ -352,37 +351,26 @@
 {
 	kl_engine_t *engine = client->engine;
 	kl_cluster_t *cluster = kl_cluster_find(engine, client->route.service);
-	const kl_group_t *group;
 	kl_endpoint_t *endpoint, *primary, *best = NULL;
 	int64_t lowest_cost = INT64_MAX;
+	const char *domain;
 	uint64_t equal = 1;
 
 	if (!cluster)
 		return NULL;
 	cluster->last_used_us = engine->now_us;
 	memcpy(cluster->last_workspace, client->workspace, KL_NAME_MAX);
-	group = kl_engine_find_group(engine, client->route.service);
-	primary = proven_primary(client, cluster, group);
+	primary = kl_endpoint_proven_primary(client, cluster);
 	if (kl_client_needs_primary(client) || !client->stmt.min_position.term)
 		return primary;
+	domain = kl_client_read_domain(client, cluster, primary);
 	CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
 		int64_t cost;
 
-		if (endpoint == primary) {
-			cost = placement_cost(client, endpoint, true);
-		} else {
-			if (!is_usable(endpoint, engine->now_us) ||
-			    !kl_endpoint_may_start(endpoint) ||
-			    (group && !strcmp(group->primary, endpoint->name)))
-				continue;
-			if (kl_position_compare(endpoint->position,
-						client->stmt.min_position) <
-				    0 &&
-			    engine->now_us - endpoint->last_lagging_us <
-				    LAGGING_PAUSE_US)
-				continue;
-			cost = placement_cost(client, endpoint, false);
-		}
+		if ((domain && strcmp(endpoint->domain, domain)) ||
+		    !kl_endpoint_is_candidate(client, endpoint, primary))
+			continue;
+		cost = placement_cost(client, endpoint, endpoint == primary);
 		if (endpoint == client->stmt.avoid_endpoint)
 			cost += 4 * COST_STATEMENT;
 		if (cost > lowest_cost)
@@ -397,15 +385,31 @@
 	return best;
 }
 
-/*
- * Returns the recorded primary's endpoint if it is usable and proven to be the
- * only primary, else NULL.
- */
-static kl_endpoint_t *proven_primary(const kl_client_t *client,
-				     kl_cluster_t *cluster,
-				     const kl_group_t *group)
+bool kl_endpoint_is_candidate(const kl_client_t *client,
+			      const kl_endpoint_t *endpoint,
+			      const kl_endpoint_t *primary)
+{
+	const kl_engine_t *engine = client->engine;
+	const kl_group_t *group;
+
+	if (endpoint == primary)
+		return true;
+	group = kl_engine_find_group(engine, client->route.service);
+	if (!is_usable(endpoint, engine->now_us) ||
+	    !kl_endpoint_may_start(endpoint) ||
+	    (group && !strcmp(group->primary, endpoint->name)))
+		return false;
+	return kl_position_compare(endpoint->position,
+				   client->stmt.min_position) >= 0 ||
+	       engine->now_us - endpoint->last_lagging_us >= LAGGING_PAUSE_US;
+}
+
+kl_endpoint_t *kl_endpoint_proven_primary(const kl_client_t *client,
+					  kl_cluster_t *cluster)
 {
 	kl_engine_t *engine = client->engine;
+	const kl_group_t *group =
+		kl_engine_find_group(engine, client->route.service);
 	kl_endpoint_t *endpoint;
 
 	if (!kl_engine_primary_proven(engine, group))
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -7,6 +7,7 @@
 
 #include "path/engine.h"
 #include "path/session_state.h"
+#include "path/spill.h"
 
 /** Stages of a client's statement. */
 typedef enum kl_stmt_stage {
@@ -70,10 +71,11 @@
 	uint64_t last_db_full_us;
 	uint32_t open_conns; /**< connections open or being opened */
 
-	uint32_t running_stmts;		/**< statements sent and not answered */
-	uint32_t stmt_window;		/**< statements that may run at once */
-	uint32_t window_replies;	/**< replies since the window changed */
-	uint64_t latency_avg_us;	/**< moving average over statements */
+	uint32_t running_stmts;	 /**< statements sent and not answered */
+	uint32_t stmt_window;	 /**< statements that may run at once */
+	uint32_t window_replies; /**< replies since the window changed */
+	uint64_t latency_avg_us; /**< moving average over statements */
+	kl_wait_t wait;		 /**< what operations that begin there wait */
 	uint64_t last_window_shrink_us; /**< when the window last shrank */
 	/**
 	 * time of the last reply, or when a statement was last sent while none
@@ -114,6 +116,8 @@
 	 */
 	uint64_t last_position_report_us;
 	uint64_t last_position_need_us;
+	kl_spill_t spill; /**< reads that go to other failure domains */
+	uint64_t last_load_report_us; /**< last calls of report_load() */
 	/** first position reported in the newest term */
 	kl_position_t newest_term_first_position;
 	CK_STAILQ_HEAD(, kl_endpoint) endpoints;
@@ -133,6 +137,7 @@
 	uint64_t queue_deadline_us; /**< it got no connection */
 	uint64_t deadline_us;	    /**< the database did not reply */
 	uint64_t retry_at_us;	/**< time before which no upstream is chosen */
+	uint64_t chosen_us;	/**< when its upstream was chosen */
 	uint64_t sent_us;	/**< when it was sent, or its set-up began */
 	uint64_t group_version; /**< of the group's record at sent_us */
 	/**
@@ -363,11 +368,36 @@
 bool kl_endpoint_may_start(const kl_endpoint_t *endpoint);
 /** Whether a statement of an open transaction may be sent to it now. */
 bool kl_endpoint_may_continue(const kl_endpoint_t *endpoint);
+/** Whether a replica, or the proven primary, may run the client's read now. */
+bool kl_endpoint_is_candidate(const kl_client_t *client,
+			      const kl_endpoint_t *endpoint,
+			      const kl_endpoint_t *primary);
+/** Find the primary if it is usable and proven to be the only one, or NULL. */
+kl_endpoint_t *kl_endpoint_proven_primary(const kl_client_t *client,
+					  kl_cluster_t *cluster);
 /** Choose the endpoint for a statement. @return NULL if none is suitable now */
 kl_endpoint_t *kl_endpoint_choose(const kl_client_t *client);
 /** Close all connections and free the clusters and endpoints. */
 void kl_endpoints_free(kl_engine_t *engine);
 
+/* engine_spill.c */
+/**
+ * Choose the failure domain for a read that a replica may run.
+ *
+ * @return the domain's name, or NULL: any, by the costs of the endpoints
+ */
+const char *kl_client_read_domain(const kl_client_t *client,
+				  kl_cluster_t *cluster,
+				  const kl_endpoint_t *primary);
+/** Note which endpoint was chosen for a statement, before it is queued. */
+void kl_stmt_note_choice(kl_client_t *client, kl_endpoint_t *endpoint);
+/** Note how long the client's statement took until its reply. */
+void kl_stmt_note_reply(const kl_client_t *client, int error);
+/** Note that the statement was refused because it would have been late. */
+void kl_stmt_note_refusal(const kl_client_t *client);
+/** Periodic work: update the shares, report the load of databases. */
+void kl_spills_sweep(kl_engine_t *engine);
+
 /* engine_conn.c */
 /** Give idle connections to queued statements, and open more if needed. */
 void kl_endpoint_serve_queue(kl_endpoint_t *endpoint);
--- /dev/null
+++ b/path/engine_spill.c
@@ -0,0 +1,286 @@
+/* Which failure domain a read is sent to, from figures of the load. */
+#include <stdio.h>
+#include <string.h>
+
+#include "path/engine_internal.h"
+
+/* Time between two reports of a database's figures. */
+#define REPORT_NEEDED_US (100 * KL_MS) /* while other domains' are needed */
+#define REPORT_USED_US (200 * KL_MS)   /* of a service that is used here */
+#define REPORT_IDLE_US (800 * KL_MS)   /* of others */
+/* A service is used here if it had a statement this recently. */
+#define USED_US (5 * KL_SEC)
+/* Figures of a domain are used once it has answered this often. */
+#define ANSWERS_MIN 3
+
+static bool is_home(const kl_endpoint_t *endpoint);
+static bool works(const kl_endpoint_t *endpoint);
+static bool has_candidate(const kl_client_t *client, kl_cluster_t *cluster,
+			  const kl_endpoint_t *primary, const char *domain);
+static bool has_working_home(const kl_cluster_t *cluster);
+static bool may_leave(const kl_client_t *client);
+static bool was_full(const kl_client_t *client);
+static void update_cluster(kl_cluster_t *cluster);
+static uint64_t home_wait(const kl_cluster_t *cluster);
+static void update_figures(kl_cluster_t *cluster);
+static void report_loads(kl_cluster_t *cluster, uint64_t home_wait_us);
+static void report_load(const kl_endpoint_t *endpoint, bool others_needed);
+static void log_change(const kl_cluster_t *cluster, uint32_t share_before);
+
+const char *kl_client_read_domain(const kl_client_t *client,
+				  kl_cluster_t *cluster,
+				  const kl_endpoint_t *primary)
+{
+	const kl_engine_t *engine = client->engine;
+	const char *home = engine->settings.data_path.domain;
+	const kl_spill_domain_t *other;
+
+	/* After a failure, and without a database at home: any domain. */
+	if (!engine->settings.domain_spill ||
+	    (client->stmt.avoid_endpoint && !was_full(client)) ||
+	    !has_candidate(client, cluster, primary, home))
+		return NULL;
+	other = was_full(client) ? kl_spill_best(&cluster->spill)
+				 : kl_spill_next(&cluster->spill);
+	if (other && has_candidate(client, cluster, primary, other->name))
+		return other->name;
+	return home;
+}
+
+/* Whether the last try failed because the database had no room. */
+static bool was_full(const kl_client_t *client)
+{
+	return client->stmt.avoid_endpoint &&
+	       client->stmt.last_error == -KL_E_NO_UPSTREAM;
+}
+
+static bool has_candidate(const kl_client_t *client, kl_cluster_t *cluster,
+			  const kl_endpoint_t *primary, const char *domain)
+{
+	const kl_endpoint_t *endpoint;
+
+	CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
+		if (!strcmp(endpoint->domain, domain) && works(endpoint) &&
+		    kl_endpoint_is_candidate(client, endpoint, primary))
+			return true;
+	}
+	return false;
+}
+
+/* Whether nothing but its load speaks against a database. */
+static bool works(const kl_endpoint_t *endpoint)
+{
+	return endpoint->accepts_stmts && !endpoint->leaving &&
+	       !endpoint->failing_since_us && !endpoint->may_be_down &&
+	       !kl_endpoint_stalled(endpoint);
+}
+
+static bool is_home(const kl_endpoint_t *endpoint)
+{
+	const kl_engine_t *engine = endpoint->cluster->engine;
+
+	return !strcmp(endpoint->domain, engine->settings.data_path.domain);
+}
+
+void kl_stmt_note_choice(kl_client_t *client, kl_endpoint_t *endpoint)
+{
+	kl_engine_t *engine = client->engine;
+	kl_cluster_t *cluster = endpoint->cluster;
+	const char *domain;
+
+	client->stmt.chosen_us = engine->now_us;
+	if (!engine->settings.domain_spill || !may_leave(client))
+		return;
+	kl_spill_note_read(&cluster->spill, client->route.target_latency_us,
+			   engine->now_us);
+	domain = kl_client_read_domain(
+		client, cluster, kl_endpoint_proven_primary(client, cluster));
+	if (domain)
+		kl_spill_sent(
+			&cluster->spill,
+			is_home(endpoint)
+				? NULL
+				: kl_spill_domain(&cluster->spill, domain));
+	if (is_home(endpoint))
+		return;
+	if (domain)
+		engine->counts.reads_spilled_load++;
+	else if (has_working_home(cluster))
+		engine->counts.reads_spilled_position++;
+	else
+		engine->counts.reads_spilled_failure++;
+}
+
+/* Whether a replica may run the statement, in any domain. */
+static bool may_leave(const kl_client_t *client)
+{
+	return !kl_client_needs_primary(client) &&
+	       client->stmt.min_position.term;
+}
+
+static bool has_working_home(const kl_cluster_t *cluster)
+{
+	const kl_endpoint_t *endpoint;
+
+	CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
+		if (is_home(endpoint) && works(endpoint))
+			return true;
+	}
+	return false;
+}
+
+void kl_stmt_note_reply(const kl_client_t *client, int error)
+{
+	const kl_stmt_t *stmt = &client->stmt;
+	uint64_t now_us = client->engine->now_us;
+
+	if (client->transaction_status != 'I')
+		return;
+	if (error == -KL_E_NO_UPSTREAM)
+		kl_stmt_note_refusal(client);
+	else if (error != -KL_E_LAGGING && error != -KL_E_MISROUTED)
+		kl_wait_add(&stmt->endpoint->wait, now_us - stmt->chosen_us,
+			    now_us);
+}
+
+void kl_stmt_note_refusal(const kl_client_t *client)
+{
+	/* Whether it waited or was refused at once: it would have been late. */
+	if (client->stmt.endpoint)
+		kl_wait_add_refused(&client->stmt.endpoint->wait,
+				    client->route.target_latency_us,
+				    client->engine->now_us);
+}
+
+void kl_spills_sweep(kl_engine_t *engine)
+{
+	kl_cluster_t *cluster;
+
+	if (!engine->settings.domain_spill)
+		return;
+	CK_STAILQ_FOREACH(cluster, &engine->clusters, link)
+		update_cluster(cluster);
+}
+
+static void update_cluster(kl_cluster_t *cluster)
+{
+	uint64_t wait_us = home_wait(cluster);
+	uint32_t share_before = kl_spill_share(&cluster->spill);
+
+	update_figures(cluster);
+	report_loads(cluster, wait_us);
+	if (kl_spill_step(&cluster->spill, wait_us, cluster->engine->now_us))
+		log_change(cluster, share_before);
+}
+
+/* Expected wait at the best database of this domain; 0 if there is none. */
+static uint64_t home_wait(const kl_cluster_t *cluster)
+{
+	uint64_t now_us = cluster->engine->now_us, lowest_us = UINT64_MAX;
+	const kl_endpoint_t *endpoint;
+
+	CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
+		uint64_t wait_us = kl_wait_expected(&endpoint->wait, now_us);
+
+		if (is_home(endpoint) && works(endpoint) && wait_us < lowest_us)
+			lowest_us = wait_us;
+	}
+	return lowest_us == UINT64_MAX ? 0 : lowest_us;
+}
+
+/* Takes the recent figures of other domains' databases from the board. */
+static void update_figures(kl_cluster_t *cluster)
+{
+	const kl_engine_t *engine = cluster->engine;
+	const kl_loads_t *loads = engine->view.loads;
+	const kl_endpoint_t *endpoint;
+	kl_spill_domain_t *domain;
+
+	CK_STAILQ_FOREACH(domain, &cluster->spill.domains, link)
+		domain->known = false;
+	CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
+		char name[KL_NAME_MAX * 2];
+		const kl_load_t *load;
+
+		if (!loads || is_home(endpoint) || !works(endpoint))
+			continue;
+		snprintf(name, sizeof(name), "%s/%s", cluster->name,
+			 endpoint->name);
+		load = kl_index_get(loads->index, name);
+		if (!load || load->answers < ANSWERS_MIN ||
+		    engine->now_us - load->sampled_us >
+			    KL_SPILL_FIGURE_MAX_AGE_US)
+			continue;
+		domain = kl_spill_domain(&cluster->spill, endpoint->domain);
+		if (!domain ||
+		    (domain->known && domain->wait_us <= load->wait_us))
+			continue;
+		domain->known = true;
+		domain->wait_us = load->wait_us;
+		domain->distance_us = load->round_trip_us;
+	}
+}
+
+/* Reports the figures of this domain's databases for other VMs. */
+static void report_loads(kl_cluster_t *cluster, uint64_t home_wait_us)
+{
+	kl_engine_t *engine = cluster->engine;
+	bool needed = kl_spill_needs_figures(&cluster->spill, home_wait_us);
+	uint64_t interval_us =
+		needed ? REPORT_NEEDED_US
+		: engine->now_us - cluster->last_used_us < USED_US
+			? REPORT_USED_US
+			: REPORT_IDLE_US;
+	const kl_endpoint_t *endpoint;
+
+	if (engine->now_us - cluster->last_load_report_us < interval_us)
+		return;
+	cluster->last_load_report_us = engine->now_us;
+	CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
+		if (is_home(endpoint) && works(endpoint))
+			report_load(endpoint, needed);
+	}
+}
+
+static void report_load(const kl_endpoint_t *endpoint, bool others_needed)
+{
+	const kl_engine_t *engine = endpoint->cluster->engine;
+	kl_load_report_t report = { .wait_us = kl_wait_expected(&endpoint->wait,
+								engine->now_us),
+				    .running = endpoint->running_stmts,
+				    .sampled_us = engine->now_us,
+				    .others_needed = others_needed };
+
+	memcpy(report.service, endpoint->cluster->name, KL_NAME_MAX);
+	memcpy(report.upstream, endpoint->name, KL_NAME_MAX);
+	engine->ops->report_load(engine->context, &report);
+}
+
+/* Logs when reads begin and when they cease to leave for the load. */
+static void log_change(const kl_cluster_t *cluster, uint32_t share_before)
+{
+	const kl_engine_t *engine = cluster->engine;
+	uint32_t share = kl_spill_share(&cluster->spill);
+	kl_decision_t decision = { .name = "domain_spill",
+				   .service = cluster->name,
+				   .reason = share ? "began" : "ended",
+				   .age_us = home_wait(cluster) };
+
+	if (!share == !share_before)
+		return;
+	engine->ops->log_decision(engine->context, &decision);
+}
+
+uint32_t kl_engine_spill_share(const kl_engine_t *engine)
+{
+	const kl_cluster_t *cluster;
+	uint32_t highest = 0;
+
+	CK_STAILQ_FOREACH(cluster, &engine->clusters, link) {
+		uint32_t share = kl_spill_share(&cluster->spill);
+
+		if (share > highest)
+			highest = share;
+	}
+	return highest * 1000 / KL_SPILL_WHOLE;
+}
--- /dev/null
+++ b/path/spill.c
@@ -0,0 +1,250 @@
+/* Shares of a service's reads that go to other failure domains. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "path/spill.h"
+
+/*
+ * Reads leave while the wait at home exceeds the objective divided by the
+ * first, and return when it is below the objective divided by the second.
+ * Nothing changes in between, so that the shares don't oscillate.
+ */
+#define LEAVE_DIVISOR 4
+#define RETURN_DIVISOR 8
+/* The other domain's answer must be earlier by this part of the objective. */
+#define GAIN_DIVISOR 16
+
+/* A share rises by this in a step, and by more while the wait is longer. */
+#define STEP_UP (KL_SPILL_WHOLE / 32)
+#define STEP_UP_MAX (3 * STEP_UP)
+/* It falls by this and by a part of itself. */
+#define STEP_DOWN (KL_SPILL_WHOLE / 64)
+#define STEP_DOWN_DIVISOR 8
+/*
+ * Some reads always stay at home, since only their responses show that there
+ * is capacity again.
+ */
+#define SHARE_MAX (KL_SPILL_WHOLE - KL_SPILL_WHOLE / 8)
+
+/* A new sample's weight in the average is the time since the last one, in
+ * these units, of WEIGHT_WHOLE. */
+#define WEIGHT_UNIT_US 100000
+#define WEIGHT_WHOLE 8
+#define WEIGHT_MAX 4
+/* An average without a sample for this long says nothing any more. */
+#define SAMPLE_MAX_AGE_US 2000000
+/* The lowest objective is that of this period and of the one before. */
+#define OBJECTIVE_PERIOD_US 2000000
+
+static void add_wait(kl_wait_t *wait, uint64_t wait_us, uint64_t now_us);
+static uint64_t remote_us(const kl_spill_domain_t *domain);
+static void raise_share(kl_spill_t *spill, kl_spill_domain_t *domain,
+			uint64_t home_wait_us);
+static void lower_share(kl_spill_domain_t *domain);
+
+void kl_wait_add(kl_wait_t *wait, uint64_t response_us, uint64_t now_us)
+{
+	if (!wait->lowest_us || response_us < wait->lowest_us)
+		wait->lowest_us = response_us ? response_us : 1;
+	add_wait(wait,
+		 response_us > wait->lowest_us ? response_us - wait->lowest_us
+					       : 0,
+		 now_us);
+}
+
+void kl_wait_add_refused(kl_wait_t *wait, uint64_t wait_us, uint64_t now_us)
+{
+	add_wait(wait, wait_us, now_us);
+}
+
+static void add_wait(kl_wait_t *wait, uint64_t wait_us, uint64_t now_us)
+{
+	uint64_t weight = (now_us - wait->last_sample_us) / WEIGHT_UNIT_US;
+	int64_t change;
+
+	if (weight < 1)
+		weight = 1;
+	if (weight > WEIGHT_MAX)
+		weight = WEIGHT_MAX;
+	if (!wait->last_sample_us)
+		weight = WEIGHT_WHOLE;
+	change = ((int64_t)wait_us - (int64_t)wait->average_us) *
+		 (int64_t)weight / WEIGHT_WHOLE;
+	wait->average_us = (uint64_t)((int64_t)wait->average_us + change);
+	wait->last_sample_us = now_us;
+}
+
+uint64_t kl_wait_expected(const kl_wait_t *wait, uint64_t now_us)
+{
+	if (now_us - wait->last_sample_us > SAMPLE_MAX_AGE_US)
+		return 0;
+	return wait->average_us;
+}
+
+void kl_spill_init(kl_spill_t *spill)
+{
+	memset(spill, 0, sizeof(*spill));
+	CK_STAILQ_INIT(&spill->domains);
+}
+
+void kl_spill_clear(kl_spill_t *spill)
+{
+	kl_spill_domain_t *domain;
+
+	while ((domain = CK_STAILQ_FIRST(&spill->domains))) {
+		CK_STAILQ_REMOVE_HEAD(&spill->domains, link);
+		free(domain);
+	}
+}
+
+kl_spill_domain_t *kl_spill_domain(kl_spill_t *spill, const char *name)
+{
+	kl_spill_domain_t *domain;
+
+	CK_STAILQ_FOREACH(domain, &spill->domains, link) {
+		if (!strcmp(domain->name, name))
+			return domain;
+	}
+	domain = calloc(1, sizeof(*domain));
+	if (!domain || kl_name_copy(domain->name, name)) {
+		free(domain);
+		return NULL;
+	}
+	CK_STAILQ_INSERT_TAIL(&spill->domains, domain, link);
+	return domain;
+}
+
+void kl_spill_note_read(kl_spill_t *spill, uint64_t objective_us,
+			uint64_t now_us)
+{
+	if (now_us - spill->period_began_us > OBJECTIVE_PERIOD_US) {
+		spill->last_objective_us = spill->objective_us;
+		spill->objective_us = 0;
+		spill->period_began_us = now_us;
+	}
+	if (!spill->objective_us || objective_us < spill->objective_us)
+		spill->objective_us = objective_us;
+}
+
+uint64_t kl_spill_objective_us(const kl_spill_t *spill)
+{
+	if (!spill->last_objective_us ||
+	    (spill->objective_us &&
+	     spill->objective_us < spill->last_objective_us))
+		return spill->objective_us;
+	return spill->last_objective_us;
+}
+
+bool kl_spill_needs_figures(const kl_spill_t *spill, uint64_t home_wait_us)
+{
+	uint64_t objective_us = kl_spill_objective_us(spill);
+
+	return objective_us && (kl_spill_share(spill) ||
+				home_wait_us > objective_us / RETURN_DIVISOR);
+}
+
+bool kl_spill_step(kl_spill_t *spill, uint64_t home_wait_us, uint64_t now_us)
+{
+	uint64_t objective_us = kl_spill_objective_us(spill);
+	kl_spill_domain_t *domain, *best = NULL;
+
+	if (now_us < spill->next_step_us)
+		return false;
+	spill->next_step_us = now_us + KL_SPILL_STEP_US;
+	CK_STAILQ_FOREACH(domain, &spill->domains, link) {
+		if (!domain->known) {
+			domain->share = 0;
+			domain->credit = 0;
+			continue;
+		}
+		if (home_wait_us < objective_us / RETURN_DIVISOR ||
+		    remote_us(domain) >= home_wait_us)
+			lower_share(domain);
+		if (!best || remote_us(domain) < remote_us(best))
+			best = domain;
+	}
+	if (best && objective_us &&
+	    home_wait_us > objective_us / LEAVE_DIVISOR &&
+	    home_wait_us > remote_us(best) + objective_us / GAIN_DIVISOR)
+		raise_share(spill, best, home_wait_us);
+	return true;
+}
+
+/* When a read that is sent there now would begin to run. */
+static uint64_t remote_us(const kl_spill_domain_t *domain)
+{
+	return domain->wait_us + domain->distance_us;
+}
+
+static void raise_share(kl_spill_t *spill, kl_spill_domain_t *domain,
+			uint64_t home_wait_us)
+{
+	uint64_t limit_us = kl_spill_objective_us(spill) / LEAVE_DIVISOR;
+	uint64_t step = STEP_UP * home_wait_us / (limit_us ? limit_us : 1);
+	uint32_t room = SHARE_MAX - kl_spill_share(spill);
+
+	if (step > STEP_UP_MAX)
+		step = STEP_UP_MAX;
+	domain->share += step < room ? (uint32_t)step : room;
+}
+
+static void lower_share(kl_spill_domain_t *domain)
+{
+	uint32_t step = STEP_DOWN + domain->share / STEP_DOWN_DIVISOR;
+
+	domain->share -= step < domain->share ? step : domain->share;
+	if (!domain->share)
+		domain->credit = 0;
+}
+
+kl_spill_domain_t *kl_spill_next(const kl_spill_t *spill)
+{
+	kl_spill_domain_t *domain, *next = NULL;
+
+	CK_STAILQ_FOREACH(domain, &spill->domains, link) {
+		if (domain->share &&
+		    domain->credit + domain->share >= KL_SPILL_WHOLE &&
+		    (!next || domain->credit > next->credit))
+			next = domain;
+	}
+	return next;
+}
+
+kl_spill_domain_t *kl_spill_best(const kl_spill_t *spill)
+{
+	uint64_t limit_us = kl_spill_objective_us(spill) / RETURN_DIVISOR;
+	kl_spill_domain_t *domain, *best = NULL;
+
+	CK_STAILQ_FOREACH(domain, &spill->domains, link) {
+		if (domain->known && remote_us(domain) < limit_us &&
+		    (!best || remote_us(domain) < remote_us(best)))
+			best = domain;
+	}
+	return best;
+}
+
+void kl_spill_sent(kl_spill_t *spill, kl_spill_domain_t *sent_to)
+{
+	kl_spill_domain_t *domain;
+
+	CK_STAILQ_FOREACH(domain, &spill->domains, link) {
+		domain->credit += domain->share;
+		if (domain == sent_to)
+			domain->credit -= domain->credit < KL_SPILL_WHOLE
+						  ? domain->credit
+						  : KL_SPILL_WHOLE;
+		/* What was not sent in time is not made up for. */
+		if (domain->credit > KL_SPILL_WHOLE)
+			domain->credit = KL_SPILL_WHOLE;
+	}
+}
+
+uint32_t kl_spill_share(const kl_spill_t *spill)
+{
+	const kl_spill_domain_t *domain;
+	uint32_t share = 0;
+
+	CK_STAILQ_FOREACH(domain, &spill->domains, link)
+		share += domain->share;
+	return share;
+}
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -10,6 +10,7 @@
 const KL_WIRE_OBJECTS = 256;
 const KL_WIRE_FEEDS = 8;
 const KL_WIRE_POSITIONS = 16;
+const KL_WIRE_LOADS = 32;
 
 struct kl_wire_hello {
 	unsigned hyper incarnation;
@@ -77,6 +78,19 @@
 	kl_wire_position entries<KL_WIRE_POSITIONS>;
 };
 
+struct kl_wire_load {
+	string service<KL_WIRE_NAME>;
+	string upstream<KL_WIRE_NAME>;
+	unsigned hyper wait_us;
+	unsigned int running;
+	unsigned hyper age_us;
+};
+
+struct kl_wire_loads {
+	unsigned hyper asked_us;
+	kl_wire_load entries<KL_WIRE_LOADS>;
+};
+
 union kl_wire_body switch (unsigned int kind) {
 case 0:
 	kl_wire_hello hello;
@@ -94,6 +108,10 @@
 	kl_wire_positions query;
 case 7:
 	kl_wire_positions positions;
+case 11:
+	kl_wire_loads load_query;
+case 12:
+	kl_wire_loads loads;
 };
 
 struct kl_wire_message {
--- a/peer/peer_codec.c
+++ b/peer/peer_codec.c
@@ -42,6 +42,10 @@
 			     kl_wire_message *wire);
 static void decode_positions(kl_peer_message_t *message,
 			     const kl_wire_message *wire);
+static void encode_loads(const kl_peer_message_t *message,
+			 kl_wire_message *wire);
+static void decode_loads(kl_peer_message_t *message,
+			 const kl_wire_message *wire);
 static int process_rpc_call(XDR *xdr, kl_wire_message *wire);
 static void encode_extension(XDR *xdr, const kl_peer_hello_t *hello);
 static void decode_extension(XDR *xdr, kl_peer_hello_t *hello);
@@ -56,6 +60,8 @@
 	/* Both kinds have the same encoding. */
 	[KL_PEER_POSITION_QUERY] = { encode_positions, decode_positions },
 	[KL_PEER_POSITIONS] = { encode_positions, decode_positions },
+	[KL_PEER_LOAD_QUERY] = { encode_loads, decode_loads },
+	[KL_PEER_LOADS] = { encode_loads, decode_loads },
 };
 
 int kl_peer_encode(const kl_peer_message_t *message, const char *host,
@@ -84,6 +90,9 @@
 	if (message->kind == KL_PEER_POSITION_QUERY ||
 	    message->kind == KL_PEER_POSITIONS)
 		free(wire.body.kl_wire_body_u.positions.entries.entries_val);
+	if (message->kind == KL_PEER_LOAD_QUERY ||
+	    message->kind == KL_PEER_LOADS)
+		free(wire.body.kl_wire_body_u.loads.entries.entries_val);
 	return length;
 }
 
@@ -376,3 +385,46 @@
 		position->age_us = entry->age_us;
 	}
 }
+
+static void encode_loads(const kl_peer_message_t *message,
+			 kl_wire_message *wire)
+{
+	kl_wire_loads *out = &wire->body.kl_wire_body_u.loads;
+	const kl_peer_loads_t *loads = &message->loads;
+
+	out->asked_us = loads->query_sent_us;
+	out->entries.entries_val =
+		calloc(KL_PEER_LOADS_MAX, sizeof(kl_wire_load));
+	if (!out->entries.entries_val)
+		return;
+	for (uint32_t i = 0; i < loads->count; i++) {
+		const kl_peer_load_t *load = &loads->list[i];
+		kl_wire_load *entry = &out->entries.entries_val[i];
+
+		entry->service = (char *)load->service;
+		entry->upstream = (char *)load->upstream;
+		entry->wait_us = load->wait_us;
+		entry->running = load->running;
+		entry->age_us = load->age_us;
+	}
+	out->entries.entries_len = loads->count;
+}
+
+static void decode_loads(kl_peer_message_t *message,
+			 const kl_wire_message *wire)
+{
+	const kl_wire_loads *in = &wire->body.kl_wire_body_u.loads;
+	kl_peer_loads_t *loads = &message->loads;
+
+	loads->query_sent_us = in->asked_us;
+	for (u_int i = 0; i < in->entries.entries_len; i++) {
+		const kl_wire_load *entry = &in->entries.entries_val[i];
+		kl_peer_load_t *load = &loads->list[loads->count++];
+
+		kl_name_copy(load->service, entry->service);
+		kl_name_copy(load->upstream, entry->upstream);
+		load->wait_us = entry->wait_us;
+		load->running = entry->running;
+		load->age_us = entry->age_us;
+	}
+}
--- a/peer/peer_wire.h
+++ b/peer/peer_wire.h
@@ -19,6 +19,7 @@
 #define KL_WIRE_OBJECTS 256
 #define KL_WIRE_FEEDS 8
 #define KL_WIRE_POSITIONS 16
+#define KL_WIRE_LOADS 32
 
 struct kl_wire_hello {
 	u_quad_t incarnation;
@@ -100,6 +101,24 @@
 };
 typedef struct kl_wire_positions kl_wire_positions;
 
+struct kl_wire_load {
+	char *service;
+	char *upstream;
+	u_quad_t wait_us;
+	u_int running;
+	u_quad_t age_us;
+};
+typedef struct kl_wire_load kl_wire_load;
+
+struct kl_wire_loads {
+	u_quad_t asked_us;
+	struct {
+		u_int entries_len;
+		kl_wire_load *entries_val;
+	} entries;
+};
+typedef struct kl_wire_loads kl_wire_loads;
+
 struct kl_wire_body {
 	u_int kind;
 	union {
@@ -111,6 +130,8 @@
 		kl_wire_grant grant;
 		kl_wire_positions query;
 		kl_wire_positions positions;
+		kl_wire_loads load_query;
+		kl_wire_loads loads;
 	} kl_wire_body_u;
 };
 typedef struct kl_wire_body kl_wire_body;
@@ -152,6 +173,8 @@
 extern  bool_t xdr_kl_wire_grant (XDR *, kl_wire_grant*);
 extern  bool_t xdr_kl_wire_position (XDR *, kl_wire_position*);
 extern  bool_t xdr_kl_wire_positions (XDR *, kl_wire_positions*);
+extern  bool_t xdr_kl_wire_load (XDR *, kl_wire_load*);
+extern  bool_t xdr_kl_wire_loads (XDR *, kl_wire_loads*);
 extern  bool_t xdr_kl_wire_body (XDR *, kl_wire_body*);
 extern  bool_t xdr_kl_wire_message (XDR *, kl_wire_message*);
 
@@ -165,6 +188,8 @@
 extern bool_t xdr_kl_wire_grant ();
 extern bool_t xdr_kl_wire_position ();
 extern bool_t xdr_kl_wire_positions ();
+extern bool_t xdr_kl_wire_load ();
+extern bool_t xdr_kl_wire_loads ();
 extern bool_t xdr_kl_wire_body ();
 extern bool_t xdr_kl_wire_message ();
 
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -150,6 +150,37 @@
 	return TRUE;
 }
 
+bool_t
+xdr_kl_wire_load (XDR *xdrs, kl_wire_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, KL_WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->upstream, KL_WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->wait_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->age_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_kl_wire_loads (XDR *xdrs, kl_wire_loads *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->asked_us))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, KL_WIRE_LOADS,
+		sizeof (kl_wire_load), (xdrproc_t) xdr_kl_wire_load))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_kl_wire_body (XDR *xdrs, kl_wire_body *objp)
 {
@@ -190,6 +221,14 @@
 		 if (!xdr_kl_wire_positions (xdrs, &objp->kl_wire_body_u.positions))
 			 return FALSE;
 		break;
+	case 11:
+		 if (!xdr_kl_wire_loads (xdrs, &objp->kl_wire_body_u.load_query))
+			 return FALSE;
+		break;
+	case 12:
+		 if (!xdr_kl_wire_loads (xdrs, &objp->kl_wire_body_u.loads))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/tests/engine_board.c
+++ b/tests/engine_board.c
@@ -138,6 +138,29 @@
 	kl_board_reclaim(model->writer);
 }
 
+void model_publish_loads(model_t *model)
+{
+	kl_loads_t *loads = kl_loads_new(MODEL_ITEMS_MAX);
+
+	for (uint32_t i = 0; i < model->db_count; i++) {
+		const model_db_t *db = &model->dbs[i];
+		kl_load_t *load;
+
+		if (!db->has_figure)
+			continue;
+		load = calloc(1, sizeof(*load));
+		snprintf(load->name.name, KL_NAME_MAX, "s/%.32s", db->name);
+		load->wait_us = db->figure_wait_us;
+		load->answers = 5;
+		load->sampled_us = model->now_us;
+		load->round_trip_us = 3 * KL_MS;
+		CK_STAILQ_INSERT_TAIL(&loads->list, load, link);
+		kl_index_put(loads->index, &load->name);
+	}
+	kl_board_publish(model->writer, KL_SECTION_LOADS, &loads->base);
+	kl_board_reclaim(model->writer);
+}
+
 void model_publish_terms(model_t *model)
 {
 	kl_terms_t *terms = kl_terms_new(4);
--- a/tests/engine_model.c
+++ b/tests/engine_model.c
@@ -54,6 +54,7 @@
 	bool needs_no_slot; /* takes no time at the database either */
 } model_event_t;
 
+static kl_engine_t *new_engine(model_t *model, bool domain_spill);
 static void *op_conn_open(void *context, const kl_conn_target_t *target,
 			  kl_conn_t *engine_conn);
 static int op_conn_send(void *context, void *conn, const kl_conn_msg_t *msg);
@@ -62,6 +63,7 @@
 static void op_report_health(void *context, const kl_passive_check_t *check);
 static void op_report_position(void *context,
 			       const kl_primary_position_t *position);
+static void op_report_load(void *context, const kl_load_report_t *report);
 static void op_log_decision(void *context, const kl_decision_t *decision);
 static void schedule(model_t *model, event_kind_t kind, uint64_t delay_us,
 		     model_conn_t *conn, model_event_t *event);
@@ -86,20 +88,35 @@
 	.tokens_needed = op_tokens_needed,
 	.report_health = op_report_health,
 	.report_position = op_report_position,
+	.report_load = op_report_load,
 	.log_decision = op_log_decision,
 };
 
-model_t *model_new(void)
+static kl_engine_t *new_engine(model_t *model, bool domain_spill)
 {
-	model_t *model = calloc(1, sizeof(*model));
 	kl_engine_settings_t settings = {
 		.data_path = { .lease_us = 5 * KL_SEC, .leave_us = 4 * KL_SEC },
 		.statement_timeout_us = 3 * KL_SEC,
 		.admit_wait_us = 30 * KL_MS,
-		.connect_timeout_us = 500 * KL_MS
+		.connect_timeout_us = 500 * KL_MS,
+		.domain_spill = domain_spill
 	};
 
 	kl_name_copy(settings.data_path.domain, "d1");
+	return kl_engine_new(&settings, &ops, model,
+			     kl_reader_new(model->board));
+}
+
+void model_enable_spill(model_t *model)
+{
+	kl_engine_free(model->engine);
+	model->engine = new_engine(model, true);
+}
+
+model_t *model_new(void)
+{
+	model_t *model = calloc(1, sizeof(*model));
+
 	model->now_us = KL_SEC;
 	model->vm_count = 1;
 	model->board = kl_board_new();
@@ -109,8 +126,7 @@
 	for (int i = 0; i < MODEL_ITEMS_MAX; i++)
 		CK_STAILQ_INIT(&model->dbs[i].slot_queue);
 	model_clients_init();
-	model->engine = kl_engine_new(&settings, &ops, model,
-				      kl_reader_new(model->board));
+	model->engine = new_engine(model, false);
 	return model;
 }
 
@@ -144,8 +160,10 @@
 
 	while (model->now_us < end_at_us) {
 		model->now_us += CLOCK_STEP_US;
-		if (model->now_us % CONFIRM_INTERVAL_US == 0)
+		if (model->now_us % CONFIRM_INTERVAL_US == 0) {
 			model_confirm(model);
+			model_publish_loads(model);
+		}
 		model_clients_tick(model);
 		break_conns(model);
 		CK_STAILQ_FOREACH_SAFE(event, &model->events, link, next) {
@@ -259,10 +277,20 @@
 		model->positions_needed++;
 }
 
+static void op_report_load(void *context, const kl_load_report_t *report)
+{
+	model_t *model = context;
+
+	model->loads_reported++;
+	model->loads_needed += report->others_needed;
+}
+
 static void op_log_decision(void *context, const kl_decision_t *decision)
 {
-	(void)context;
-	(void)decision;
+	const model_t *model = context;
+
+	if (model->trace && !strcmp(decision->name, "domain_spill"))
+		printf("%s %s\n", decision->name, decision->reason);
 }
 
 static void schedule(model_t *model, event_kind_t kind, uint64_t delay_us,
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -33,6 +33,9 @@
 	uint64_t lag_us;	      /**< replication delay, if a replica */
 	uint32_t answers_to_lose; /**< next answers whose connection breaks */
 	uint64_t term;
+	/** published as the wait that VMs of its domain see there */
+	uint64_t figure_wait_us;
+	bool has_figure;
 	uint64_t statements_run;
 	uint64_t connections_accepted;
 	uint64_t connections_rejected; /**< because of max_connections */
@@ -86,6 +89,8 @@
 	uint64_t record_version;     /**< of the group record */
 	uint64_t positions_reported; /**< calls of report_position() */
 	uint64_t positions_needed;   /**< the same without a position */
+	uint64_t loads_reported;     /**< calls of report_load() */
+	uint64_t loads_needed;	     /**< those that need other domains' */
 	model_db_t dbs[MODEL_ITEMS_MAX];
 	uint32_t db_count;
 	model_load_t loads[MODEL_ITEMS_MAX];
@@ -101,6 +106,9 @@
 model_t *model_new(void);
 void model_free(model_t *model);
 
+/** Replace the engine by one with the setting domain_spill. */
+void model_enable_spill(model_t *model);
+
 /** Advance the virtual clock, one millisecond a step. */
 void model_run(model_t *model, uint64_t ms);
 
@@ -114,6 +122,9 @@
 /** Publish the primary's log position as another VM sampled it. */
 void model_publish_position(model_t *model, uint64_t age_us);
 
+/** Publish the figures of databases in other domains, as they are now. */
+void model_publish_loads(model_t *model);
+
 /** Number of commits made up to a time, microseconds. */
 uint64_t model_commits_at(const model_t *model, uint64_t time_us);
 
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -43,6 +43,8 @@
 static void step_trace(char **args, int count);
 static void step_vms(char **args, int count);
 static void step_shared(char **args, int count);
+static void step_spill(char **args, int count);
+static void step_figure(char **args, int count);
 
 static const struct {
 	const char *name;
@@ -60,6 +62,7 @@
 	{ "show", 1, step_show },     { "trace", 1, step_trace },
 	{ "vms", 1, step_vms },	      { "shared", 1, step_shared },
 	{ "readd", 1, step_readd },   { "mark", 2, step_mark },
+	{ "spill", 1, step_spill },   { "figure", 2, step_figure },
 };
 
 int main(int argc, char **argv)
@@ -373,11 +376,12 @@
 	kl_engine_drain(model->engine, model->now_us, until_us, end_us);
 }
 
-/* show sessions|connections */
+/* show sessions|connections|counts|spill */
 static void step_show(char **args, int count)
 {
 	bool connections = !strcmp(args[0], "connections");
 	bool counts = !strcmp(args[0], "counts");
+	const kl_engine_counts_t *total = kl_engine_counts(model->engine);
 	kl_engine_gauges_t gauges;
 	(void)count;
 
@@ -393,6 +397,14 @@
 		       gauges.sessions, gauges.waiting_stmts,
 		       gauges.queued_stmts, gauges.running_stmts);
 	}
+	if (!strcmp(args[0], "spill"))
+		printf("share %u of 1000, for the load %" PRIu64
+		       ", position %" PRIu64 ", failure %" PRIu64
+		       ", figures %s\n",
+		       kl_engine_spill_share(model->engine),
+		       total->reads_spilled_load, total->reads_spilled_position,
+		       total->reads_spilled_failure,
+		       model->loads_needed ? "needed" : "not needed");
 	for (uint32_t i = 0; counts && i < model->bucket_count; i++)
 		printf("%s: sessions %llu waiting %llu\n",
 		       model->buckets[i]->name.name,
@@ -422,3 +434,23 @@
 	(void)count;
 	model_publish_position(model, strtoull(args[0], NULL, 10) * KL_MS);
 }
+
+/* spill on: the setting domain_spill; before all other steps */
+static void step_spill(char **args, int count)
+{
+	(void)args;
+	(void)count;
+	model_enable_spill(model);
+}
+
+/* figure DB WAIT_MS | figure DB off: what VMs of its domain say of its load */
+static void step_figure(char **args, int count)
+{
+	model_db_t *db = model_db(model, args[0]);
+	(void)count;
+
+	if (!db)
+		return;
+	db->has_figure = strcmp(args[1], "off") != 0;
+	db->figure_wait_us = strtoull(args[1], NULL, 10) * KL_MS;
+}
