Let the share of reads that leave a domain settle without oscillation

The step now grows while a share changes in one direction and shrinks when it turns; a share rises and falls only while the wait does; and a domain whose wait endangers the objective gets no more reads. The median of the answers is in a file of its own.

--- a/control/load.c
+++ b/control/load.c
@@ -12,15 +12,14 @@
 #include <string.h>
 
 #include "control/controllers.h"
+#include "control/load_answers.h"
 
 /* Least time between two queries. */
 #define QUERY_INTERVAL_US (200 * KL_MS)
 /* Loads are asked for during this time after they were last needed. */
 #define NEEDED_US (500 * KL_MS)
-/* Older figures are neither passed on nor used. */
-#define FIGURE_MAX_AGE_US (1 * KL_SEC)
-/* Answers of which the median is taken; at this interval all are recent. */
-#define ANSWERS_MAX 5
+/* Older figures are not passed on, and later answers are ignored. */
+#define FIGURE_MAX_AGE_US KL_LOAD_ANSWER_MAX_AGE_US
 /* A figure without changes for this long is removed. */
 #define ENTRY_MAX_AGE_US (60 * KL_SEC)
 /* Most other domains that are asked. */
@@ -33,11 +32,7 @@
 	kl_load_report_t own; /* sampled_us 0: none */
 	uint64_t others_needed_us;
 	uint64_t changed_us;
-	uint32_t next_answer; /* index into answers */
-	struct {
-		uint64_t wait_us;
-		uint64_t sampled_us; /* 0: none */
-	} answers[ANSWERS_MAX];
+	kl_load_answers_t answers;
 } entry_t;
 
 /* A VM chosen from those of a domain. */
@@ -68,9 +63,8 @@
 			   const kl_peer_load_t *load);
 static void add_answer(entry_t *entry, const kl_peer_load_t *load,
 		       uint64_t query_sent_us, uint64_t now);
-static void compute_median(entry_t *entry, uint64_t now);
 static entry_t *find_entry(load_state_t *state, const char *service,
-			   const char *upstream);
+			   const char *upstream, uint64_t now);
 static void remove_old(load_state_t *state, uint64_t now);
 static void publish(kl_node_t *node, load_state_t *state);
 
@@ -114,15 +108,17 @@
 static void handle_local(kl_node_t *node, load_state_t *state,
 			 const kl_load_report_t *report)
 {
-	entry_t *entry = find_entry(state, report->service, report->upstream);
+	uint64_t now = kl_node_now(node);
+	entry_t *entry =
+		find_entry(state, report->service, report->upstream, now);
 
 	if (!entry)
 		return;
 	entry->own = *report;
-	entry->changed_us = kl_node_now(node);
+	entry->changed_us = now;
 	if (!report->others_needed)
 		return;
-	entry->others_needed_us = entry->changed_us;
+	entry->others_needed_us = now;
 	send_query(node, state);
 }
 
@@ -259,7 +255,7 @@
 		    load->age_us >= answer->query_sent_us ||
 		    !is_database_of(node, message->from, load))
 			continue;
-		entry = find_entry(state, load->service, load->upstream);
+		entry = find_entry(state, load->service, load->upstream, now);
 		if (!entry)
 			continue;
 		add_answer(entry, load, answer->query_sent_us, now);
@@ -292,10 +288,9 @@
 		       uint64_t query_sent_us, uint64_t now)
 {
 	uint64_t round_trip_us = now - query_sent_us;
-	uint32_t slot = entry->next_answer++ % ANSWERS_MAX;
 
-	entry->answers[slot].wait_us = load->wait_us;
-	entry->answers[slot].sampled_us = query_sent_us - load->age_us;
+	kl_load_answers_add(&entry->answers, load->wait_us,
+			    query_sent_us - load->age_us);
 	entry->changed_us = now;
 	entry->load.running = load->running;
 	if (!entry->load.round_trip_us ||
@@ -303,35 +298,9 @@
 		entry->load.round_trip_us = round_trip_us;
 }
 
-/* Takes the median of the recent answers; of two, the longer wait. */
-static void compute_median(entry_t *entry, uint64_t now)
-{
-	uint64_t sorted[ANSWERS_MAX];
-	uint32_t count = 0;
-
-	entry->load.sampled_us = 0;
-	for (uint32_t i = 0; i < ANSWERS_MAX; i++) {
-		uint64_t sampled_us = entry->answers[i].sampled_us;
-		uint32_t place = count;
-
-		if (!sampled_us || now - sampled_us > FIGURE_MAX_AGE_US)
-			continue;
-		while (place && sorted[place - 1] > entry->answers[i].wait_us) {
-			sorted[place] = sorted[place - 1];
-			place--;
-		}
-		sorted[place] = entry->answers[i].wait_us;
-		count++;
-		if (sampled_us > entry->load.sampled_us)
-			entry->load.sampled_us = sampled_us;
-	}
-	entry->load.answers = count;
-	entry->load.wait_us = count ? sorted[count / 2] : 0;
-}
-
 /* Finds the entry of a database, or adds one. @return NULL if it can't */
 static entry_t *find_entry(load_state_t *state, const char *service,
-			   const char *upstream)
+			   const char *upstream, uint64_t now)
 {
 	char name[KL_NAME_MAX * 2];
 	entry_t *entry;
@@ -340,6 +309,7 @@
 	entry = kl_index_get(state->index, name);
 	if (entry)
 		return entry;
+	remove_old(state, now);
 	entry = calloc(1, sizeof(*entry));
 	if (!entry || kl_name_copy(entry->load.name.name, name)) {
 		free(entry);
@@ -371,15 +341,16 @@
 	kl_loads_t *loads;
 	entry_t *entry;
 
-	remove_old(state, now);
 	loads = kl_loads_new(state->count);
 	if (!loads)
 		return;
 	CK_STAILQ_FOREACH(entry, &state->entries, link) {
 		kl_load_t *copy;
 
-		compute_median(entry, now);
-		if (!entry->load.sampled_us)
+		entry->load.answers = kl_load_answers_median(
+			&entry->answers, now, &entry->load.wait_us,
+			&entry->load.sampled_us);
+		if (!entry->load.answers)
 			continue;
 		copy = calloc(1, sizeof(*copy));
 		if (!copy)
--- a/path/spill.c
+++ b/path/spill.c
@@ -14,23 +14,32 @@
 /* The other domain's answer must be earlier by this part of the objective. */
 #define GAIN_DIVISOR 16
 
-/* A share rises by this in a step, and by more while the wait is longer. */
-#define STEP_UP (KL_SPILL_WHOLE / 32)
-#define STEP_UP_MAX (3 * STEP_UP)
-/* It falls by this and by a part of itself. */
-#define STEP_DOWN (KL_SPILL_WHOLE / 64)
-#define STEP_DOWN_DIVISOR 8
+/*
+ * A share changes by a step that grows while it changes in one direction and
+ * shrinks when the direction changes: a constant step either settles too late
+ * in a burst, or makes the share oscillate by a fifth of the reads.
+ */
+#define STEP_MIN (KL_SPILL_WHOLE / 128)
+#define STEP_MAX (KL_SPILL_WHOLE / 8)
+#define STEP_FIRST (KL_SPILL_WHOLE / 32)
+#define STEP_GROWTH_DIVISOR 4 /* grows by a quarter */
+#define STEP_SHRINK_DIVISOR 3 /* shrinks to a third */
+/* Downwards a part of the share is added, since needless traffic costs. */
+#define DOWN_DIVISOR 16
 /*
  * Some reads always stay at home, since only their responses show that there
  * is capacity again.
  */
 #define SHARE_MAX (KL_SPILL_WHOLE - KL_SPILL_WHOLE / 8)
 
-/* A new sample's weight in the average is the time since the last one, in
- * these units, of WEIGHT_WHOLE. */
-#define WEIGHT_UNIT_US 100000
+/*
+ * A new sample's weight in the average, of WEIGHT_WHOLE, is the time since the
+ * last one in these units: a VM with few statements must notice a change as
+ * soon as one with many.
+ */
+#define WEIGHT_UNIT_US 50000
 #define WEIGHT_WHOLE 8
-#define WEIGHT_MAX 4
+#define WEIGHT_MAX 6
 /* An average without a sample for this long says nothing any more. */
 #define SAMPLE_MAX_AGE_US 2000000
 /* The lowest objective is that of this period and of the one before. */
@@ -38,9 +47,8 @@
 
 static void add_wait(kl_wait_t *wait, uint64_t wait_us, uint64_t now_us);
 static uint64_t remote_us(const kl_spill_domain_t *domain);
-static void raise_share(kl_spill_t *spill, kl_spill_domain_t *domain,
-			uint64_t home_wait_us);
-static void lower_share(kl_spill_domain_t *domain);
+static void change_share(kl_spill_t *spill, kl_spill_domain_t *domain,
+			 int direction);
 
 void kl_wait_add(kl_wait_t *wait, uint64_t response_us, uint64_t now_us)
 {
@@ -143,30 +151,38 @@
 				home_wait_us > objective_us / RETURN_DIVISOR);
 }
 
+/*
+ * A share rises only while the wait does, and falls only while the wait does:
+ * the averages show the effect of a step some steps later.
+ */
 bool kl_spill_step(kl_spill_t *spill, uint64_t home_wait_us, uint64_t now_us)
 {
 	uint64_t objective_us = kl_spill_objective_us(spill);
+	bool rises = home_wait_us >= spill->last_wait_us;
+	bool falls = home_wait_us <= spill->last_wait_us;
 	kl_spill_domain_t *domain, *best = NULL;
 
 	if (now_us < spill->next_step_us)
 		return false;
 	spill->next_step_us = now_us + KL_SPILL_STEP_US;
+	spill->last_wait_us = home_wait_us;
 	CK_STAILQ_FOREACH(domain, &spill->domains, link) {
 		if (!domain->known) {
 			domain->share = 0;
 			domain->credit = 0;
 			continue;
 		}
-		if (home_wait_us < objective_us / RETURN_DIVISOR ||
-		    remote_us(domain) >= home_wait_us)
-			lower_share(domain);
-		if (!best || remote_us(domain) < remote_us(best))
+		if ((falls && home_wait_us < objective_us / RETURN_DIVISOR) ||
+		    remote_us(domain) >= home_wait_us ||
+		    domain->wait_us > objective_us / LEAVE_DIVISOR)
+			change_share(spill, domain, -1);
+		else if (!best || remote_us(domain) < remote_us(best))
 			best = domain;
 	}
-	if (best && objective_us &&
+	if (best && objective_us && rises &&
 	    home_wait_us > objective_us / LEAVE_DIVISOR &&
 	    home_wait_us > remote_us(best) + objective_us / GAIN_DIVISOR)
-		raise_share(spill, best, home_wait_us);
+		change_share(spill, best, 1);
 	return true;
 }
 
@@ -176,23 +192,28 @@
 	return domain->wait_us + domain->distance_us;
 }
 
-static void raise_share(kl_spill_t *spill, kl_spill_domain_t *domain,
-			uint64_t home_wait_us)
+static void change_share(kl_spill_t *spill, kl_spill_domain_t *domain,
+			 int direction)
 {
-	uint64_t limit_us = kl_spill_objective_us(spill) / LEAVE_DIVISOR;
-	uint64_t step = STEP_UP * home_wait_us / (limit_us ? limit_us : 1);
 	uint32_t room = SHARE_MAX - kl_spill_share(spill);
-
-	if (step > STEP_UP_MAX)
-		step = STEP_UP_MAX;
-	domain->share += step < room ? (uint32_t)step : room;
-}
-
-static void lower_share(kl_spill_domain_t *domain)
-{
-	uint32_t step = STEP_DOWN + domain->share / STEP_DOWN_DIVISOR;
-
-	domain->share -= step < domain->share ? step : domain->share;
+	uint32_t down;
+
+	if (domain->direction == direction)
+		domain->step += domain->step / STEP_GROWTH_DIVISOR + 1;
+	else
+		domain->step /= STEP_SHRINK_DIVISOR;
+	if (domain->step > STEP_MAX)
+		domain->step = STEP_MAX;
+	if (domain->step < STEP_MIN)
+		domain->step = STEP_MIN;
+	if (!domain->share)
+		domain->step = STEP_FIRST;
+	domain->direction = direction;
+	down = domain->step + domain->share / DOWN_DIVISOR;
+	if (direction > 0)
+		domain->share += domain->step < room ? domain->step : room;
+	else
+		domain->share -= down < domain->share ? down : domain->share;
 	if (!domain->share)
 		domain->credit = 0;
 }
--- a/path/spill.h
+++ b/path/spill.h
@@ -46,6 +46,8 @@
 	CK_STAILQ_ENTRY(kl_spill_domain) link;
 	char name[KL_NAME_MAX];
 	uint32_t share; /**< part of the reads, of KL_SPILL_WHOLE */
+	uint32_t step;	/**< by which the share last changed */
+	int direction;	/**< of that change: 1 up, -1 down, 0: none yet */
 	/** share of the reads so far that did not go there */
 	uint32_t credit;
 	bool known;	      /**< the figures below are recent */
@@ -57,6 +59,7 @@
 typedef struct kl_spill {
 	CK_STAILQ_HEAD(, kl_spill_domain) domains;
 	uint64_t next_step_us;
+	uint64_t last_wait_us; /**< wait at home at the last step */
 	/** lowest objective of the reads in the last period and in this one */
 	uint64_t last_objective_us;
 	uint64_t objective_us;
