--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -392,7 +392,8 @@
 /** Note which endpoint was chosen for a statement, before it is queued. */
 void kl_stmt_note_choice(kl_client_t *client, kl_endpoint_t *endpoint);
 /** Note how long the client's statement took until its reply. */
-void kl_stmt_note_reply(const kl_client_t *client, int error);
+void kl_stmt_note_reply(const kl_client_t *client,
+			const kl_stmt_result_t *result);
 /** Note that the statement was refused because it would have been late. */
 void kl_stmt_note_refusal(const kl_client_t *client);
 /** Periodic work: update the shares, report the load of databases. */
--- a/path/engine_spill.c
+++ b/path/engine_spill.c
@@ -40,6 +40,9 @@
 	    (client->stmt.avoid_endpoint && !was_full(client)) ||
 	    !has_candidate(client, cluster, primary, home))
 		return NULL;
+	/* Without figures a refused read is sent like after a failure. */
+	if (was_full(client) && !kl_spill_knows(&cluster->spill))
+		return NULL;
 	other = was_full(client) ? kl_spill_best(&cluster->spill)
 				 : kl_spill_next(&cluster->spill);
 	if (other && has_candidate(client, cluster, primary, other->name))
@@ -103,7 +106,7 @@
 				: kl_spill_domain(&cluster->spill, domain));
 	if (is_home(endpoint))
 		return;
-	if (domain)
+	if (domain || was_full(client))
 		engine->counts.reads_spilled_load++;
 	else if (has_working_home(cluster))
 		engine->counts.reads_spilled_position++;
@@ -129,16 +132,19 @@
 	return false;
 }
 
-void kl_stmt_note_reply(const kl_client_t *client, int error)
+void kl_stmt_note_reply(const kl_client_t *client,
+			const kl_stmt_result_t *result)
 {
 	const kl_stmt_t *stmt = &client->stmt;
 	uint64_t now_us = client->engine->now_us;
 
-	if (client->transaction_status != 'I')
+	/* BEGIN takes no time at the database, nor does an error. */
+	if (client->transaction_status != 'I' ||
+	    result->transaction_status != 'I')
 		return;
-	if (error == -KL_E_NO_UPSTREAM)
+	if (result->error == -KL_E_NO_UPSTREAM)
 		kl_stmt_note_refusal(client);
-	else if (error != -KL_E_LAGGING && error != -KL_E_MISROUTED)
+	else if (!result->error)
 		kl_wait_add(&stmt->endpoint->wait, now_us - stmt->chosen_us,
 			    now_us);
 }
--- a/tests/engine_model.c
+++ b/tests/engine_model.c
@@ -312,6 +312,7 @@
 	while (db->busy_slots < db->slots &&
 	       (event = CK_STAILQ_FIRST(&db->slot_queue))) {
 		CK_STAILQ_REMOVE_HEAD(&db->slot_queue, link);
+		db->queue_length--;
 		handle_event(model, event);
 	}
 }
@@ -346,6 +347,17 @@
 		if (event->is_statement)
 			check_mark(model, event);
 		if (!event->needs_no_slot && db->busy_slots >= db->slots) {
+			if (event->is_statement && db->queue_max &&
+			    db->queue_length >= db->queue_max) {
+				event->result.error = -KL_E_NO_UPSTREAM;
+				event->result.transaction_status =
+					conn->txn_state;
+				db->statements_refused++;
+				schedule(model, EVENT_ANSWER, NETWORK_DELAY_US,
+					 conn, event);
+				break;
+			}
+			db->queue_length++;
 			CK_STAILQ_INSERT_TAIL(&db->slot_queue, event, link);
 			return;
 		}
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -26,6 +26,9 @@
 	bool absent;	/**< missing from the registry */
 	uint32_t slots; /**< statements and handshakes processed at once */
 	uint32_t busy_slots;
+	uint32_t queue_max; /**< statements that wait for a slot; 0: any */
+	uint32_t queue_length;
+	uint64_t statements_refused; /**< for lack of room in that queue */
 	uint32_t max_connections;
 	uint32_t open_connections;
 	uint32_t foreign_connections; /**< held by other VMs */
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -127,7 +127,8 @@
 
 /*
  * set DB PROPERTY VALUE: lag and work in milliseconds, lose as a number of
- * answers, down, silent, leaving, absent and primary as 0 or 1
+ * answers, queue as a number of statements, down, silent, leaving, absent and
+ * primary as 0 or 1
  */
 static void step_set(char **args, int count)
 {
@@ -151,6 +152,8 @@
 		db->statement_us = value * KL_MS;
 	else if (!strcmp(args[1], "lose"))
 		db->answers_to_lose = (uint32_t)value;
+	else if (!strcmp(args[1], "queue"))
+		db->queue_max = (uint32_t)value;
 	else if (!strcmp(args[1], "max_connections"))
 		db->max_connections = (uint32_t)value;
 	else if (!strcmp(args[1], "foreign"))
--- a/tests/script.h
+++ b/tests/script.h
@@ -27,5 +27,6 @@
 void step_fails(char **words, int count);
 void step_peerless(char **words, int count);
 void step_sample(char **words, int count);
+void step_figure(char **words, int count);
 
 #endif
--- a/tests/script_look.c
+++ b/tests/script_look.c
@@ -183,6 +183,25 @@
 					    KL_MS));
 }
 
+/* Prints the load of a database on the blackboard of a VM. */
+static void show_figure(vm_t *vm, const char *name)
+{
+	const kl_loads_t *loads = kl_node_get(&vm->node, KL_SECTION_LOADS);
+	const kl_load_t *load = loads ? kl_index_get(loads->index, name) : NULL;
+
+	if (!load)
+		printf("none\n");
+	else
+		printf("wait %llu ms of %u answers, %llu ms away, %llu ms "
+		       "old\n",
+		       (unsigned long long)(load->wait_us / KL_MS),
+		       load->answers,
+		       (unsigned long long)(load->round_trip_us / KL_MS),
+		       (unsigned long long)((script_world->now_us -
+					     load->sampled_us) /
+					    KL_MS));
+}
+
 void step_show(char **words, int count)
 {
 	vm_t *vm = world_find_vm(script_world, words[1]);
@@ -225,6 +244,11 @@
 		script_world->platform_writes = 0;
 	} else if (!strcmp(words[0], "position")) {
 		show_position(vm, words[2]);
+	} else if (!strcmp(words[0], "messages")) {
+		printf("%llu\n", (unsigned long long)vm->load_messages_sent);
+		vm->load_messages_sent = 0;
+	} else if (!strcmp(words[0], "figure")) {
+		show_figure(vm, words[2]);
 	} else if (!strcmp(words[0], "plan")) {
 		const kl_config_t *config =
 			kl_node_get(&vm->node, KL_SECTION_CONFIG);
--- a/tests/script_report.c
+++ b/tests/script_report.c
@@ -48,3 +48,21 @@
 	}
 	kl_node_step(&vm->node, &event);
 }
+
+/*
+ * figure VM SERVICE UPSTREAM WAIT_MS [needed]: its engine reports a database of
+ * its domain, and whether it needs the figures of other domains
+ */
+void step_figure(char **words, int count)
+{
+	vm_t *vm = world_find_vm(script_world, words[0]);
+	kl_load_report_t report = { .wait_us = script_parse_number(words[3]) *
+					       KL_MS,
+				    .sampled_us = script_world->now_us,
+				    .others_needed = count > 4 };
+	kl_event_t event = { .kind = KL_EVENT_LOAD, .load = &report };
+
+	kl_name_copy(report.service, words[1]);
+	kl_name_copy(report.upstream, words[2]);
+	kl_node_step(&vm->node, &event);
+}
--- a/tests/script_run.c
+++ b/tests/script_run.c
@@ -94,6 +94,7 @@
 	{ "fails", 2, step_fails },
 	{ "peerless", 2, step_peerless },
 	{ "sample", 2, step_sample },
+	{ "figure", 4, step_figure },
 };
 
 int main(int argc, char **argv)
--- a/tests/world.h
+++ b/tests/world.h
@@ -38,7 +38,8 @@
 	GRand *random;
 	GQueue frozen_events; /**< world_event_t that arrived while frozen */
 	uint64_t peer_messages_sent;
-	uint64_t peer_bytes_sent; /**< estimated */
+	uint64_t peer_bytes_sent;    /**< estimated */
+	uint64_t load_messages_sent; /**< queries for loads, and answers */
 	uint64_t platform_calls;
 	uint64_t database_calls; /**< control calls, not statements */
 	/**
--- a/tests/world_node.c
+++ b/tests/world_node.c
@@ -39,6 +39,8 @@
 	(void)host;
 
 	vm->peer_messages_sent++;
+	vm->load_messages_sent += message->kind == KL_PEER_LOAD_QUERY ||
+				  message->kind == KL_PEER_LOADS;
 	vm->peer_bytes_sent += message_size(message);
 	if (g_rand_int_range(world->random, 0, 100) < world->peer_loss_percent)
 		copies = 0;
