--- a/tests/engine_board.c
+++ b/tests/engine_board.c
@@ -143,16 +143,18 @@
 	kl_loads_t *loads = kl_loads_new(MODEL_ITEMS_MAX);
 
 	for (uint32_t i = 0; i < model->db_count; i++) {
-		const model_db_t *db = &model->dbs[i];
+		model_db_t *db = &model->dbs[i];
 		kl_load_t *load;
 
-		if (!db->has_figure)
+		if (db->has_figure)
+			db->figure_sampled_us = model->now_us;
+		if (!db->figure_sampled_us)
 			continue;
 		load = calloc(1, sizeof(*load));
 		snprintf(load->name.name, KL_NAME_MAX, "s/%.32s", db->name);
 		load->wait_us = db->figure_wait_us;
 		load->answers = 5;
-		load->sampled_us = model->now_us;
+		load->sampled_us = db->figure_sampled_us;
 		load->round_trip_us = 3 * KL_MS;
 		CK_STAILQ_INSERT_TAIL(&loads->list, load, link);
 		kl_index_put(loads->index, &load->name);
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -38,7 +38,8 @@
 	uint64_t term;
 	/** published as the wait that VMs of its domain see there */
 	uint64_t figure_wait_us;
-	bool has_figure;
+	uint64_t figure_sampled_us; /**< of that wait; 0: there is none */
+	bool has_figure;	    /**< it is sampled again and again */
 	uint64_t statements_run;
 	uint64_t connections_accepted;
 	uint64_t connections_rejected; /**< because of max_connections */
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -446,7 +446,10 @@
 	model_enable_spill(model);
 }
 
-/* figure DB WAIT_MS | figure DB off: what VMs of its domain say of its load */
+/*
+ * figure DB WAIT_MS | figure DB off: what VMs of its domain say of its load;
+ * "off": they say nothing new
+ */
 static void step_figure(char **args, int count)
 {
 	model_db_t *db = model_db(model, args[0]);
@@ -455,5 +458,6 @@
 	if (!db)
 		return;
 	db->has_figure = strcmp(args[1], "off") != 0;
-	db->figure_wait_us = strtoull(args[1], NULL, 10) * KL_MS;
+	if (db->has_figure)
+		db->figure_wait_us = strtoull(args[1], NULL, 10) * KL_MS;
 }
