Move reads out of a long queue to a domain with spare capacity

The shares need some seconds in a burst, and statements that wait in the VM were refused as late meanwhile: 223 of 2181 in the script spill_load.

--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -391,6 +391,13 @@
 				  const kl_endpoint_t *primary);
 /** Note which endpoint was chosen for a statement, before it is queued. */
 void kl_stmt_note_choice(kl_client_t *client, kl_endpoint_t *endpoint);
+/**
+ * Move a read that waits long for a database at home to a domain with spare
+ * capacity, if one is known.
+ *
+ * @return whether it left its queue, to choose an upstream at the next tick
+ */
+bool kl_stmt_leave_queue(kl_client_t *client);
 /** Note how long the client's statement took until its reply. */
 void kl_stmt_note_reply(const kl_client_t *client,
 			const kl_stmt_result_t *result);
--- a/path/engine_run.c
+++ b/path/engine_run.c
@@ -406,6 +406,8 @@
 	kl_stmt_t *stmt = &client->stmt;
 	char status_before = client->transaction_status;
 
+	if (kl_stmt_leave_queue(client))
+		return;
 	if (stmt->stage == KL_STMT_WAIT_CONN &&
 	    engine->now_us >= queue_send_deadline(client)) {
 		kl_client_refuse(client, -KL_E_DEADLINE);
--- a/path/engine_spill.c
+++ b/path/engine_spill.c
@@ -10,6 +10,8 @@
 #define REPORT_IDLE_US (800 * KL_MS)   /* of others */
 /* A service is used here if it had a statement this recently. */
 #define USED_US (5 * KL_SEC)
+/* A wait endangers the objective above the objective divided by this. */
+#define LONG_WAIT_DIVISOR 4
 /* Figures of a domain are used once it has answered this often. */
 #define ANSWERS_MIN 3
 
@@ -132,6 +134,32 @@
 	return false;
 }
 
+/*
+ * The shares follow a burst within some seconds; until then only the reads that
+ * the excess makes wait move.
+ */
+bool kl_stmt_leave_queue(kl_client_t *client)
+{
+	const kl_engine_t *engine = client->engine;
+	kl_stmt_t *stmt = &client->stmt;
+	kl_endpoint_t *endpoint = stmt->endpoint;
+
+	if (!engine->settings.domain_spill ||
+	    stmt->stage != KL_STMT_WAIT_CONN || !may_leave(client) ||
+	    !is_home(endpoint) ||
+	    engine->now_us - stmt->chosen_us <=
+		    client->route.target_latency_us / LONG_WAIT_DIVISOR ||
+	    !kl_spill_best(&endpoint->cluster->spill))
+		return false;
+	kl_stmt_note_refusal(client);
+	kl_endpoint_dequeue(client);
+	stmt->avoid_endpoint = endpoint;
+	stmt->endpoint = NULL;
+	stmt->last_error = -KL_E_NO_UPSTREAM;
+	kl_client_wait(client, KL_STMT_WAIT_UPSTREAM);
+	return true;
+}
+
 void kl_stmt_note_reply(const kl_client_t *client,
 			const kl_stmt_result_t *result)
 {
