Let writes at a primary at home set the limit of the wait, too

Where the database at home is the primary, reads with long objectives filled its queue, and urgent writes waited behind them. The limits now come from the lowest objective of all statements at databases of the domain.

The shortest response is kept by kind of route, since their work differs, and a read that a full database of another domain refused comes home.

--- a/path/engine_spill.c
+++ b/path/engine_spill.c
@@ -10,6 +10,8 @@
 #define REPORT_IDLE_US (800 * KL_MS)   /* of others */
 /* A service is used here if it had a statement this recently. */
 #define USED_US (5 * KL_SEC)
+_Static_assert(KL_WAIT_KINDS == KL_ROUTE_KIND_COUNT, "a wait for each kind");
+
 /* A wait endangers the objective above the objective divided by this. */
 #define LONG_WAIT_DIVISOR 4
 /* Figures of a domain are used once it has answered this often. */
@@ -42,6 +44,8 @@
 	    (client->stmt.avoid_endpoint && !was_full(client)) ||
 	    !has_candidate(client, cluster, primary, home))
 		return NULL;
+	if (was_full(client) && !is_home(client->stmt.avoid_endpoint))
+		return home;
 	/* Without figures a refused read is sent like after a failure. */
 	if (was_full(client) && !kl_spill_knows(&cluster->spill))
 		return NULL;
@@ -94,10 +98,14 @@
 	const char *domain;
 
 	client->stmt.chosen_us = engine->now_us;
-	if (!engine->settings.domain_spill || !may_leave(client))
+	if (!engine->settings.domain_spill)
+		return;
+	if (may_leave(client) || is_home(endpoint))
+		kl_spill_note_objective(&cluster->spill,
+					client->route.target_latency_us,
+					engine->now_us);
+	if (!may_leave(client))
 		return;
-	kl_spill_note_read(&cluster->spill, client->route.target_latency_us,
-			   engine->now_us);
 	domain = kl_client_read_domain(
 		client, cluster, kl_endpoint_proven_primary(client, cluster));
 	if (domain)
@@ -148,7 +156,8 @@
 	    stmt->stage != KL_STMT_WAIT_CONN || !may_leave(client) ||
 	    !is_home(endpoint) ||
 	    engine->now_us - stmt->chosen_us <=
-		    client->route.target_latency_us / LONG_WAIT_DIVISOR ||
+		    kl_spill_objective_us(&endpoint->cluster->spill) /
+			    LONG_WAIT_DIVISOR ||
 	    !kl_spill_best(&endpoint->cluster->spill))
 		return false;
 	kl_stmt_note_refusal(client);
@@ -173,8 +182,8 @@
 	if (result->error == -KL_E_NO_UPSTREAM)
 		kl_stmt_note_refusal(client);
 	else if (!result->error)
-		kl_wait_add(&stmt->endpoint->wait, now_us - stmt->chosen_us,
-			    now_us);
+		kl_wait_add(&stmt->endpoint->wait, client->route.kind,
+			    now_us - stmt->chosen_us, now_us);
 }
 
 void kl_stmt_note_refusal(const kl_client_t *client)
--- a/path/spill.c
+++ b/path/spill.c
@@ -50,14 +50,14 @@
 static void change_share(kl_spill_t *spill, kl_spill_domain_t *domain,
 			 int direction);
 
-void kl_wait_add(kl_wait_t *wait, uint64_t response_us, uint64_t now_us)
+void kl_wait_add(kl_wait_t *wait, uint32_t kind, uint64_t response_us,
+		 uint64_t now_us)
 {
-	if (!wait->lowest_us || response_us < wait->lowest_us)
-		wait->lowest_us = response_us ? response_us : 1;
-	add_wait(wait,
-		 response_us > wait->lowest_us ? response_us - wait->lowest_us
-					       : 0,
-		 now_us);
+	uint64_t *lowest_us = &wait->lowest_us[kind];
+
+	if (!*lowest_us || response_us < *lowest_us)
+		*lowest_us = response_us;
+	add_wait(wait, response_us - *lowest_us, now_us);
 }
 
 void kl_wait_add_refused(kl_wait_t *wait, uint64_t wait_us, uint64_t now_us)
@@ -122,8 +122,8 @@
 	return domain;
 }
 
-void kl_spill_note_read(kl_spill_t *spill, uint64_t objective_us,
-			uint64_t now_us)
+void kl_spill_note_objective(kl_spill_t *spill, uint64_t objective_us,
+			     uint64_t now_us)
 {
 	if (now_us - spill->period_began_us > OBJECTIVE_PERIOD_US) {
 		spill->last_objective_us = spill->objective_us;
--- a/path/spill.h
+++ b/path/spill.h
@@ -22,18 +22,23 @@
 /** Figures of another domain are not used when they are older than this. */
 #define KL_SPILL_FIGURE_MAX_AGE_US 1000000
 
+/** Kinds of statements whose work differs: those of kl_route_kind_t. */
+#define KL_WAIT_KINDS 3
+
 /** The wait that a statement must expect at a database. */
 typedef struct kl_wait {
-	uint64_t average_us;	 /**< moving average over statements */
-	uint64_t lowest_us;	 /**< shortest response so far; 0: none */
+	uint64_t average_us; /**< moving average over statements */
+	/** shortest response so far, by kind of statement; 0: none */
+	uint64_t lowest_us[KL_WAIT_KINDS];
 	uint64_t last_sample_us; /**< time of the last statement, or 0 */
 } kl_wait_t;
 
 /**
  * Add a statement's response time, from when its database was chosen until the
- * reply.  What exceeds the shortest one so far counts as its wait.
+ * reply.  What exceeds the shortest one of its kind so far counts as its wait.
  */
-void kl_wait_add(kl_wait_t *wait, uint64_t response_us, uint64_t now_us);
+void kl_wait_add(kl_wait_t *wait, uint32_t kind, uint64_t response_us,
+		 uint64_t now_us);
 
 /** Add a statement that the database or the queue refused after a wait. */
 void kl_wait_add_refused(kl_wait_t *wait, uint64_t wait_us, uint64_t now_us);
@@ -60,7 +65,7 @@
 	CK_STAILQ_HEAD(, kl_spill_domain) domains;
 	uint64_t next_step_us;
 	uint64_t last_wait_us; /**< wait at home at the last step */
-	/** lowest objective of the reads in the last period and in this one */
+	/** lowest objective noted in the last period and in this one */
 	uint64_t last_objective_us;
 	uint64_t objective_us;
 	uint64_t period_began_us;
@@ -75,11 +80,14 @@
 /** Find a domain, or add it with a share of 0. @return NULL: out of memory */
 kl_spill_domain_t *kl_spill_domain(kl_spill_t *spill, const char *name);
 
-/** Note a read with its latency objective, which sets the limits. */
-void kl_spill_note_read(kl_spill_t *spill, uint64_t objective_us,
-			uint64_t now_us);
+/**
+ * Note a statement with its latency objective; the lowest one sets the limits.
+ * It is a read that may leave, or any statement at a database of this domain.
+ */
+void kl_spill_note_objective(kl_spill_t *spill, uint64_t objective_us,
+			     uint64_t now_us);
 
-/** Lowest latency objective of the recent reads; 0: there were none. */
+/** Lowest latency objective noted lately; 0: none. */
 uint64_t kl_spill_objective_us(const kl_spill_t *spill);
 
 /**
--- a/tests/unit/spill.c
+++ b/tests/unit/spill.c
@@ -112,14 +112,14 @@
 	kl_spill_domain_t *to;
 	uint64_t response_us;
 
-	kl_spill_note_read(&vm->spill, OBJECTIVE_US, model->now_us);
+	kl_spill_note_objective(&vm->spill, OBJECTIVE_US, model->now_us);
 	to = kl_spill_next(&vm->spill);
 	kl_spill_sent(&vm->spill, to);
 	send(model, home, to, &response_us);
 	if (to)
 		return;
 	if (response_us) {
-		kl_wait_add(&vm->wait, response_us, model->now_us);
+		kl_wait_add(&vm->wait, 0, response_us, model->now_us);
 		return;
 	}
 	kl_wait_add_refused(&vm->wait, OBJECTIVE_US, model->now_us);
