Divide the reads of a domain without a database by the others' waits

Where no database of a service works in the domain, the costs sent reads to domains in a wave as often as to ones at rest. Their figures now divide the reads in proportion, with small steps, since all VMs of the domain see the same figures.

A reported wait over 600 s is ignored: a sum with it would overflow, and look short.

--- a/control/load.c
+++ b/control/load.c
@@ -16,6 +16,8 @@
 
 /* A figure without changes for this long is removed. */
 #define ENTRY_MAX_AGE_US (60 * KL_SEC)
+/* A longer wait is a wrong figure: no statement waits for so long. */
+#define WAIT_MAX_US (600 * KL_SEC)
 
 static void handle_local(kl_node_t *node, kl_load_state_t *state,
 			 const kl_load_report_t *report);
@@ -102,6 +104,7 @@
 
 		if (load->age_us > KL_LOAD_ANSWER_MAX_AGE_US ||
 		    load->age_us >= answer->query_sent_us ||
+		    load->wait_us > WAIT_MAX_US ||
 		    !is_database_of(node, message->from, load))
 			continue;
 		entry = find_entry(state, load->service, load->upstream, now);
--- a/path/engine_spill.c
+++ b/path/engine_spill.c
@@ -28,7 +28,8 @@
 static uint64_t home_wait(const kl_cluster_t *cluster);
 static void update_figures(kl_cluster_t *cluster);
 static void report_loads(kl_cluster_t *cluster, uint64_t home_wait_us);
-static void report_load(const kl_endpoint_t *endpoint, bool others_needed);
+static void report_load(const kl_cluster_t *cluster,
+			const kl_endpoint_t *endpoint, bool others_needed);
 static void log_change(const kl_cluster_t *cluster, uint32_t share_before);
 
 const char *kl_client_read_domain(const kl_client_t *client,
@@ -41,8 +42,16 @@
 
 	/* After a failure, and without a database at home: any domain. */
 	if (!engine->settings.domain_spill ||
-	    (client->stmt.avoid_endpoint && !was_full(client)) ||
-	    !has_candidate(client, cluster, primary, home))
+	    (client->stmt.avoid_endpoint && !was_full(client)))
+		return NULL;
+	if (cluster->spill.away && !client->stmt.avoid_endpoint) {
+		other = kl_spill_next_away(&cluster->spill);
+		return other && has_candidate(client, cluster, primary,
+					      other->name)
+			       ? other->name
+			       : NULL;
+	}
+	if (!has_candidate(client, cluster, primary, home))
 		return NULL;
 	if (was_full(client) && !is_home(client->stmt.avoid_endpoint))
 		return home;
@@ -116,12 +125,12 @@
 				: kl_spill_domain(&cluster->spill, domain));
 	if (is_home(endpoint))
 		return;
-	if (domain || was_full(client))
+	if (!has_working_home(cluster))
+		engine->counts.reads_spilled_failure++;
+	else if (domain || was_full(client))
 		engine->counts.reads_spilled_load++;
-	else if (has_working_home(cluster))
-		engine->counts.reads_spilled_position++;
 	else
-		engine->counts.reads_spilled_failure++;
+		engine->counts.reads_spilled_position++;
 }
 
 /* Whether a replica may run the statement, in any domain. */
@@ -211,6 +220,12 @@
 	uint32_t share_before = kl_spill_share(&cluster->spill);
 
 	update_figures(cluster);
+	if (!has_working_home(cluster)) {
+		kl_spill_step_away(&cluster->spill, cluster->engine->now_us);
+		report_loads(cluster, 0);
+		return;
+	}
+	kl_spill_come_home(&cluster->spill);
 	report_loads(cluster, wait_us);
 	if (kl_spill_step(&cluster->spill, wait_us, cluster->engine->now_us))
 		log_change(cluster, share_before);
@@ -279,23 +294,32 @@
 	if (engine->now_us - cluster->last_load_report_us < interval_us)
 		return;
 	cluster->last_load_report_us = engine->now_us;
+	if (cluster->spill.away) {
+		if (needed)
+			report_load(cluster, NULL, true);
+		return;
+	}
 	CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
 		if (is_home(endpoint) && works(endpoint))
-			report_load(endpoint, needed);
+			report_load(cluster, endpoint, needed);
 	}
 }
 
-static void report_load(const kl_endpoint_t *endpoint, bool others_needed)
+/* Without an endpoint it only tells that others' figures are needed. */
+static void report_load(const kl_cluster_t *cluster,
+			const kl_endpoint_t *endpoint, bool others_needed)
 {
-	const kl_engine_t *engine = endpoint->cluster->engine;
-	kl_load_report_t report = { .wait_us = kl_wait_expected(&endpoint->wait,
-								engine->now_us),
-				    .running = endpoint->running_stmts,
-				    .sampled_us = engine->now_us,
+	const kl_engine_t *engine = cluster->engine;
+	kl_load_report_t report = { .sampled_us = engine->now_us,
 				    .others_needed = others_needed };
 
-	memcpy(report.service, endpoint->cluster->name, KL_NAME_MAX);
-	memcpy(report.upstream, endpoint->name, KL_NAME_MAX);
+	memcpy(report.service, cluster->name, KL_NAME_MAX);
+	if (endpoint) {
+		memcpy(report.upstream, endpoint->name, KL_NAME_MAX);
+		report.wait_us =
+			kl_wait_expected(&endpoint->wait, engine->now_us);
+		report.running = endpoint->running_stmts;
+	}
 	engine->ops->report_load(engine->context, &report);
 }
 
@@ -320,7 +344,9 @@
 	uint32_t highest = 0;
 
 	CK_STAILQ_FOREACH(cluster, &engine->clusters, link) {
-		uint32_t share = kl_spill_share(&cluster->spill);
+		uint32_t share = cluster->spill.away
+					 ? 0
+					 : kl_spill_share(&cluster->spill);
 
 		if (share > highest)
 			highest = share;
