--- a/path/spill_away.c
+++ b/path/spill_away.c
@@ -52,15 +52,17 @@
 
 static void approach(kl_spill_domain_t *domain, uint32_t target)
 {
+	uint32_t lowest =
+		domain->share > STEP_MAX ? domain->share - STEP_MAX : 0;
+
 	/* The first shares are taken at once, since all reads must leave. */
-	if (!domain->share)
+	if (!domain->share ||
+	    (target >= lowest && target <= domain->share + STEP_MAX))
 		domain->share = target;
-	else if (domain->share + STEP_MAX < target)
-		domain->share += STEP_MAX;
-	else if (domain->share > target + STEP_MAX)
-		domain->share -= STEP_MAX;
+	else if (target < lowest)
+		domain->share = lowest;
 	else
-		domain->share = target;
+		domain->share += STEP_MAX;
 }
 
 void kl_spill_come_home(kl_spill_t *spill)
