Spill: leave reads to the costs where home has no replica

Reads stayed at home also where the only database at home was the primary, and other domains sent reads to primaries with short waits. So the writes that only the primary can run waited behind reads. The primary now never counts as a database for these decisions. Where no replica at home works, the costs choose among all domains as without domain_spill, and no figures are measured, reported or asked for.

--- a/path/engine.h
+++ b/path/engine.h
@@ -168,7 +168,7 @@
 	/** reads sent to another failure domain, counted with domain_spill */
 	uint64_t reads_spilled_load;	 /**< for the load of this domain */
 	uint64_t reads_spilled_position; /**< its databases lack the position */
-	uint64_t reads_spilled_failure;	 /**< they fail, leave or are missing */
+	uint64_t reads_spilled_failure;	 /**< it has no usable replica */
 	uint64_t finished; /**< statements in the histograms below */
 	/** number of statements in each bucket */
 	uint64_t latency_counts[KL_ROUTE_KIND_COUNT][KL_STMT_END_COUNT]
--- a/path/engine_spill.c
+++ b/path/engine_spill.c
@@ -19,9 +19,10 @@
 
 static bool is_home(const kl_endpoint_t *endpoint);
 static bool works(const kl_endpoint_t *endpoint);
+static bool is_primary(const kl_endpoint_t *endpoint);
 static bool has_candidate(const kl_client_t *client, kl_cluster_t *cluster,
 			  const kl_endpoint_t *primary, const char *domain);
-static bool has_working_home(const kl_cluster_t *cluster);
+static bool has_home_replica(const kl_cluster_t *cluster);
 static bool may_leave(const kl_client_t *client);
 static bool was_full(const kl_client_t *client);
 static void update_cluster(kl_cluster_t *cluster);
@@ -40,17 +41,10 @@
 	const char *home = engine->settings.data_path.domain;
 	const kl_spill_domain_t *other;
 
-	/* After a failure, and without a database at home: any domain. */
+	/* After a failure, and without a replica at home: any domain. */
 	if (!engine->settings.domain_spill ||
 	    (client->stmt.avoid_endpoint && !was_full(client)))
 		return NULL;
-	if (cluster->spill.away && !client->stmt.avoid_endpoint) {
-		other = kl_spill_next_away(&cluster->spill);
-		return other && has_candidate(client, cluster, primary,
-					      other->name)
-			       ? other->name
-			       : NULL;
-	}
 	if (!has_candidate(client, cluster, primary, home))
 		return NULL;
 	if (was_full(client) && !is_home(client->stmt.avoid_endpoint))
@@ -79,6 +73,7 @@
 
 	CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
 		if (!strcmp(endpoint->domain, domain) && works(endpoint) &&
+		    !is_primary(endpoint) &&
 		    kl_endpoint_is_candidate(client, endpoint, primary))
 			return true;
 	}
@@ -93,6 +88,18 @@
 	       !kl_endpoint_stalled(endpoint);
 }
 
+/*
+ * The capacity of the primary is needed for what only it can run: it does not
+ * count as a database for reads.
+ */
+static bool is_primary(const kl_endpoint_t *endpoint)
+{
+	const kl_group_t *group = kl_engine_find_group(
+		endpoint->cluster->engine, endpoint->cluster->name);
+
+	return group && !strcmp(group->primary, endpoint->name);
+}
+
 static bool is_home(const kl_endpoint_t *endpoint)
 {
 	const kl_engine_t *engine = endpoint->cluster->engine;
@@ -107,14 +114,11 @@
 	const char *domain;
 
 	client->stmt.chosen_us = engine->now_us;
-	if (!engine->settings.domain_spill)
-		return;
-	if (may_leave(client) || is_home(endpoint))
-		kl_spill_note_objective(&cluster->spill,
-					client->route.target_latency_us,
-					engine->now_us);
-	if (!may_leave(client))
+	if (!engine->settings.domain_spill || !may_leave(client))
 		return;
+	kl_spill_note_objective(&cluster->spill,
+				client->route.target_latency_us,
+				engine->now_us);
 	domain = kl_client_read_domain(
 		client, cluster, kl_endpoint_proven_primary(client, cluster));
 	if (domain)
@@ -125,7 +129,7 @@
 				: kl_spill_domain(&cluster->spill, domain));
 	if (is_home(endpoint))
 		return;
-	if (!has_working_home(cluster))
+	if (!has_home_replica(cluster))
 		engine->counts.reads_spilled_failure++;
 	else if (domain || was_full(client))
 		engine->counts.reads_spilled_load++;
@@ -140,12 +144,13 @@
 	       client->stmt.min_position.term;
 }
 
-static bool has_working_home(const kl_cluster_t *cluster)
+static bool has_home_replica(const kl_cluster_t *cluster)
 {
 	const kl_endpoint_t *endpoint;
 
 	CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
-		if (is_home(endpoint) && works(endpoint))
+		if (is_home(endpoint) && works(endpoint) &&
+		    !is_primary(endpoint))
 			return true;
 	}
 	return false;
@@ -219,19 +224,17 @@
 	uint64_t wait_us = home_wait(cluster);
 	uint32_t share_before = kl_spill_share(&cluster->spill);
 
-	update_figures(cluster);
-	if (!has_working_home(cluster)) {
-		kl_spill_step_away(&cluster->spill, cluster->engine->now_us);
-		report_loads(cluster, 0);
+	if (!has_home_replica(cluster)) {
+		kl_spill_clear(&cluster->spill);
 		return;
 	}
-	kl_spill_come_home(&cluster->spill);
+	update_figures(cluster);
 	report_loads(cluster, wait_us);
 	if (kl_spill_step(&cluster->spill, wait_us, cluster->engine->now_us))
 		log_change(cluster, share_before);
 }
 
-/* Expected wait at the best database of this domain; 0 if there is none. */
+/* Expected wait at the best replica of this domain; 0 if there is none. */
 static uint64_t home_wait(const kl_cluster_t *cluster)
 {
 	uint64_t now_us = cluster->engine->now_us, lowest_us = UINT64_MAX;
@@ -240,7 +243,8 @@
 	CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
 		uint64_t wait_us = kl_wait_expected(&endpoint->wait, now_us);
 
-		if (is_home(endpoint) && works(endpoint) && wait_us < lowest_us)
+		if (is_home(endpoint) && works(endpoint) &&
+		    !is_primary(endpoint) && wait_us < lowest_us)
 			lowest_us = wait_us;
 	}
 	return lowest_us == UINT64_MAX ? 0 : lowest_us;
@@ -260,7 +264,8 @@
 		char name[KL_NAME_MAX * 2];
 		const kl_load_t *load;
 
-		if (!loads || is_home(endpoint) || !works(endpoint))
+		if (!loads || is_home(endpoint) || is_primary(endpoint) ||
+		    !works(endpoint))
 			continue;
 		snprintf(name, sizeof(name), "%s/%s", cluster->name,
 			 endpoint->name);
@@ -294,18 +299,13 @@
 	if (engine->now_us - cluster->last_load_report_us < interval_us)
 		return;
 	cluster->last_load_report_us = engine->now_us;
-	if (cluster->spill.away) {
-		if (needed)
-			report_load(cluster, NULL, true);
-		return;
-	}
 	CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
-		if (is_home(endpoint) && works(endpoint))
+		if (is_home(endpoint) && works(endpoint) &&
+		    !is_primary(endpoint))
 			report_load(cluster, endpoint, needed);
 	}
 }
 
-/* Without an endpoint it only tells that others' figures are needed. */
 static void report_load(const kl_cluster_t *cluster,
 			const kl_endpoint_t *endpoint, bool others_needed)
 {
@@ -314,12 +314,9 @@
 				    .others_needed = others_needed };
 
 	memcpy(report.service, cluster->name, KL_NAME_MAX);
-	if (endpoint) {
-		memcpy(report.upstream, endpoint->name, KL_NAME_MAX);
-		report.wait_us =
-			kl_wait_expected(&endpoint->wait, engine->now_us);
-		report.running = endpoint->running_stmts;
-	}
+	memcpy(report.upstream, endpoint->name, KL_NAME_MAX);
+	report.wait_us = kl_wait_expected(&endpoint->wait, engine->now_us);
+	report.running = endpoint->running_stmts;
 	engine->ops->report_load(engine->context, &report);
 }
 
@@ -344,9 +341,7 @@
 	uint32_t highest = 0;
 
 	CK_STAILQ_FOREACH(cluster, &engine->clusters, link) {
-		uint32_t share = cluster->spill.away
-					 ? 0
-					 : kl_spill_share(&cluster->spill);
+		uint32_t share = kl_spill_share(&cluster->spill);
 
 		if (share > highest)
 			highest = share;
--- a/path/spill.c
+++ b/path/spill.c
@@ -147,7 +147,7 @@
 {
 	uint64_t objective_us = kl_spill_objective_us(spill);
 
-	return objective_us && (spill->away || kl_spill_share(spill) ||
+	return objective_us && (kl_spill_share(spill) ||
 				home_wait_us > objective_us / RETURN_DIVISOR);
 }
 
--- a/path/spill.h
+++ b/path/spill.h
@@ -63,7 +63,6 @@
 /** The shares of one service. */
 typedef struct kl_spill {
 	CK_STAILQ_HEAD(, kl_spill_domain) domains;
-	bool away; /**< no database of this domain can run the reads */
 	uint64_t next_step_us;
 	uint64_t last_wait_us; /**< wait at home at the last step */
 	/** lowest objective noted in the last period and in this one */
@@ -82,8 +81,8 @@
 kl_spill_domain_t *kl_spill_domain(kl_spill_t *spill, const char *name);
 
 /**
- * Note a statement with its latency objective; the lowest one sets the limits.
- * It is a read that may leave, or any statement at a database of this domain.
+ * Note the latency objective of a read that may leave; the lowest one sets the
+ * limits.
  */
 void kl_spill_note_objective(kl_spill_t *spill, uint64_t objective_us,
 			     uint64_t now_us);
@@ -93,7 +92,7 @@
 
 /**
  * Whether the domain's own wait is so long that the figures of other domains
- * are needed, or reads go there now.  While all reads leave they are needed.
+ * are needed, or reads go there now.
  */
 bool kl_spill_needs_figures(const kl_spill_t *spill, uint64_t home_wait_us);
 
@@ -113,25 +112,6 @@
  */
 kl_spill_domain_t *kl_spill_next(const kl_spill_t *spill);
 
-/**
- * Change the shares by one step, if one is due, while no database of this
- * domain works and all reads leave: they are divided by the waits and
- * distances.
- *
- * @return whether a step was due
- */
-bool kl_spill_step_away(kl_spill_t *spill, uint64_t now_us);
-
-/** Forget the shares of kl_spill_step_away(): a database here works again. */
-void kl_spill_come_home(kl_spill_t *spill);
-
-/**
- * Tell where the next read goes while all reads leave, without counting it.
- *
- * @return the domain, or NULL if no figures are known
- */
-kl_spill_domain_t *kl_spill_next_away(const kl_spill_t *spill);
-
 /** Whether recent figures of any other domain are known. */
 bool kl_spill_knows(const kl_spill_t *spill);
 
