--- a/control/control.c
+++ b/control/control.c
@@ -63,6 +63,9 @@
 				  SECTION(OBJECTS), KL_SECTION_USAGE,
 				  kl_usage_create, kl_usage_step,
 				  kl_usage_destroy },
+	[KL_CONTROLLER_LOAD] = { "load", EVENT(PEER) | EVENT(LOAD), 0,
+				 KL_SECTION_LOADS, kl_load_create, kl_load_step,
+				 kl_load_destroy },
 };
 
 void kl_tuning_default(kl_tuning_t *tuning)
--- a/daemon/line_worker.c
+++ b/daemon/line_worker.c
@@ -12,6 +12,7 @@
 #include "daemon/listener.h"
 #include "daemon/log.h"
 #include "daemon/usage_batch.h"
+#include "daemon/spill_metrics.h"
 #include "front/engine_front.h"
 #include "upstream/engine_conn.h"
 
@@ -84,6 +85,7 @@
 				   const kl_primary_position_t *position);
 static void engine_count_operation(void *context, const char *workspace,
 				   uint64_t sent_us);
+static void engine_report_load(void *context, const kl_load_report_t *report);
 static void engine_log_decision(void *context, const kl_decision_t *decision);
 
 static const kl_engine_front_events_t front_events = { front_login,
@@ -107,6 +109,7 @@
 	.report_health = engine_report_health,
 	.report_position = engine_report_position,
 	.count_operation = engine_count_operation,
+	.report_load = engine_report_load,
 	.log_decision = engine_log_decision,
 };
 
@@ -277,6 +280,7 @@
 		       now->admitted - published->admitted);
 	kl_counter_add(KL_COUNTER_STMTS_LEAVING,
 		       now->stmts_leaving - published->stmts_leaving);
+	kl_spill_publish(worker->engine, published);
 	if (now->finished != published->finished)
 		kl_latency_publish(now, published);
 	kl_priorities_add(now->priorities, published->priorities);
@@ -477,6 +481,13 @@
 		kl_usage_batch_add(&worker->usage, workspace, sent_us);
 }
 
+static void engine_report_load(void *context, const kl_load_report_t *report)
+{
+	kl_line_worker_t *worker = context;
+
+	kl_control_thread_report_load(worker->control, report);
+}
+
 static void engine_log_decision(void *context, const kl_decision_t *decision)
 {
 	(void)context;
--- a/path/engine_run.c
+++ b/path/engine_run.c
@@ -190,6 +190,7 @@
 	kl_endpoint_add_latency(stmt->endpoint,
 				client->engine->now_us - stmt->sent_us,
 				client->route.target_latency_us);
+	kl_stmt_note_reply(client, result);
 	if (result->error && client->transaction_status == 'I' &&
 	    result->transaction_status == 'I' && retry(client, result))
 		return;
@@ -410,6 +411,8 @@
 	kl_stmt_t *stmt = &client->stmt;
 	char status_before = client->transaction_status;
 
+	if (kl_stmt_leave_queue(client))
+		return;
 	if (stmt->stage == KL_STMT_WAIT_CONN &&
 	    engine->now_us >= queue_send_deadline(client)) {
 		kl_client_refuse(client, -KL_E_DEADLINE);
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -13,6 +13,7 @@
 const KL_WIRE_ERAS = 8;
 const KL_WIRE_VERSIONS = 258;
 const KL_WIRE_USAGE = 64;
+const KL_WIRE_LOADS = 32;
 
 struct kl_wire_hello {
 	unsigned hyper incarnation;
@@ -122,6 +123,19 @@
 	kl_wire_usage_body body;
 };
 
+struct kl_wire_load {
+	string service<KL_WIRE_NAME>;
+	string upstream<KL_WIRE_NAME>;
+	unsigned hyper wait_us;
+	unsigned int running;
+	unsigned hyper age_us;
+};
+
+struct kl_wire_loads {
+	unsigned hyper asked_us;
+	kl_wire_load entries<KL_WIRE_LOADS>;
+};
+
 union kl_wire_body switch (unsigned int kind) {
 case 0:
 	kl_wire_hello hello;
@@ -141,6 +155,10 @@
 	kl_wire_positions positions;
 case 8:
 	kl_wire_usage usage;
+case 11:
+	kl_wire_loads load_query;
+case 12:
+	kl_wire_loads loads;
 };
 
 struct kl_wire_message {
--- a/peer/peer_wire.h
+++ b/peer/peer_wire.h
@@ -22,6 +22,7 @@
 #define KL_WIRE_ERAS 8
 #define KL_WIRE_VERSIONS 258
 #define KL_WIRE_USAGE 64
+#define KL_WIRE_LOADS 32
 
 struct kl_wire_hello {
 	u_quad_t incarnation;
@@ -155,6 +156,24 @@
 };
 typedef struct kl_wire_usage kl_wire_usage;
 
+struct kl_wire_load {
+	char *service;
+	char *upstream;
+	u_quad_t wait_us;
+	u_int running;
+	u_quad_t age_us;
+};
+typedef struct kl_wire_load kl_wire_load;
+
+struct kl_wire_loads {
+	u_quad_t asked_us;
+	struct {
+		u_int entries_len;
+		kl_wire_load *entries_val;
+	} entries;
+};
+typedef struct kl_wire_loads kl_wire_loads;
+
 struct kl_wire_body {
 	u_int kind;
 	union {
@@ -167,6 +186,8 @@
 		kl_wire_positions query;
 		kl_wire_positions positions;
 		kl_wire_usage usage;
+		kl_wire_loads load_query;
+		kl_wire_loads loads;
 	} kl_wire_body_u;
 };
 typedef struct kl_wire_body kl_wire_body;
@@ -214,6 +235,8 @@
 extern  bool_t xdr_kl_wire_usage_answer (XDR *, kl_wire_usage_answer*);
 extern  bool_t xdr_kl_wire_usage_body (XDR *, kl_wire_usage_body*);
 extern  bool_t xdr_kl_wire_usage (XDR *, kl_wire_usage*);
+extern  bool_t xdr_kl_wire_load (XDR *, kl_wire_load*);
+extern  bool_t xdr_kl_wire_loads (XDR *, kl_wire_loads*);
 extern  bool_t xdr_kl_wire_body (XDR *, kl_wire_body*);
 extern  bool_t xdr_kl_wire_message (XDR *, kl_wire_message*);
 
@@ -233,6 +256,8 @@
 extern bool_t xdr_kl_wire_usage_answer ();
 extern bool_t xdr_kl_wire_usage_body ();
 extern bool_t xdr_kl_wire_usage ();
+extern bool_t xdr_kl_wire_load ();
+extern bool_t xdr_kl_wire_loads ();
 extern bool_t xdr_kl_wire_body ();
 extern bool_t xdr_kl_wire_message ();
 
--- a/tests/engine_model.c
+++ b/tests/engine_model.c
@@ -64,6 +64,7 @@
 			       const kl_primary_position_t *position);
 static void op_count_operation(void *context, const char *workspace,
 			       uint64_t sent_us);
+static void op_report_load(void *context, const kl_load_report_t *report);
 static void op_log_decision(void *context, const kl_decision_t *decision);
 static void schedule(model_t *model, event_kind_t kind, uint64_t delay_us,
 		     model_conn_t *conn, model_event_t *event);
@@ -90,6 +91,7 @@
 	.report_health = op_report_health,
 	.report_position = op_report_position,
 	.count_operation = op_count_operation,
+	.report_load = op_report_load,
 	.log_decision = op_log_decision,
 };
 
@@ -118,6 +120,12 @@
 	return model;
 }
 
+void model_enable_spill(model_t *model)
+{
+	model->settings.domain_spill = true;
+	model_restart_engine(model);
+}
+
 void model_restart_engine(model_t *model)
 {
 	kl_engine_free(model->engine);
@@ -155,8 +163,10 @@
 
 	while (model->now_us < end_at_us) {
 		model->now_us += CLOCK_STEP_US;
-		if (model->now_us % CONFIRM_INTERVAL_US == 0)
+		if (model->now_us % CONFIRM_INTERVAL_US == 0) {
 			model_confirm(model);
+			model_publish_loads(model);
+		}
 		model_clients_tick(model);
 		break_conns(model);
 		CK_STAILQ_FOREACH_SAFE(event, &model->events, link, next) {
@@ -280,10 +290,20 @@
 	model->operations_counted++;
 }
 
+static void op_report_load(void *context, const kl_load_report_t *report)
+{
+	model_t *model = context;
+
+	model->loads_reported++;
+	model->loads_needed += report->others_needed;
+}
+
 static void op_log_decision(void *context, const kl_decision_t *decision)
 {
-	(void)context;
-	(void)decision;
+	const model_t *model = context;
+
+	if (model->trace && !strcmp(decision->name, "domain_spill"))
+		printf("%s %s\n", decision->name, decision->reason);
 }
 
 static void schedule(model_t *model, event_kind_t kind, uint64_t delay_us,
@@ -305,6 +325,7 @@
 	while (db->busy_slots < db->slots &&
 	       (event = CK_STAILQ_FIRST(&db->slot_queue))) {
 		CK_STAILQ_REMOVE_HEAD(&db->slot_queue, link);
+		db->queue_length--;
 		handle_event(model, event);
 	}
 }
@@ -339,6 +360,17 @@
 		if (event->is_statement)
 			check_mark(model, event);
 		if (!event->needs_no_slot && db->busy_slots >= db->slots) {
+			if (event->is_statement && db->queue_max &&
+			    db->queue_length >= db->queue_max) {
+				event->result.error = -KL_E_NO_UPSTREAM;
+				event->result.transaction_status =
+					conn->txn_state;
+				db->statements_refused++;
+				schedule(model, EVENT_ANSWER, NETWORK_DELAY_US,
+					 conn, event);
+				break;
+			}
+			db->queue_length++;
 			CK_STAILQ_INSERT_TAIL(&db->slot_queue, event, link);
 			return;
 		}
--- a/tests/script.h
+++ b/tests/script.h
@@ -37,5 +37,6 @@
 void step_platform(char **words, int count);
 void step_era(char **words, int count);
 void step_drill(char **words, int count);
+void step_figure(char **words, int count);
 
 #endif
--- a/tests/script_run.c
+++ b/tests/script_run.c
@@ -100,6 +100,7 @@
 	{ "reporting", 1, step_reporting },
 	{ "holder", 1, step_holder },
 	{ "reports", 0, step_reports },
+	{ "figure", 4, step_figure },
 };
 
 int main(int argc, char **argv)
