--- a/tests/script_usage.c
+++ b/tests/script_usage.c
@@ -41,8 +41,8 @@
 }
 
 /*
- * holder kill | freeze | thaw | cut: the VM that the record names; thaw: all
- * that are frozen.
+ * holder kill | freeze | thaw | cut | storeless: the VM that the record names;
+ * thaw: all that are frozen; storeless: the platform turns it away.
  * holder freeze_on_store | freeze_on_call: it freezes when it has stored the
  * next report, or when the platform has received that.
  */
@@ -66,6 +66,8 @@
 		return;
 	if (!strcmp(words[0], "kill"))
 		world_kill_vm(holder);
+	if (!strcmp(words[0], "storeless"))
+		holder->platform_cut = true;
 	if (!strcmp(words[0], "cut"))
 		holder->partition = 1;
 	if (!strcmp(words[0], "freeze"))
