Let the successor go before a replaced process of the holder

A new process of the VM that holds the duty claimed it at once, without the counts that the old one had not reported, while its successor has them. The new process now waits for the first two ranks.

--- a/control/usage_duty.c
+++ b/control/usage_duty.c
@@ -24,6 +24,8 @@
 #define OVERDUE_US (1 * KL_SEC)
 /* The prober of rank N waits N times this long before it claims the duty. */
 #define RANK_DELAY_US (400 * KL_MS)
+/* The successor of a prober is one of this many of the first ranks. */
+#define SUCCESSOR_RANKS 2
 /* Delay per rank before a prober creates the record. */
 #define CREATE_RANK_DELAY_US (500 * KL_MS)
 /* The VMs send their counts to a new holder in this time. */
@@ -117,9 +119,12 @@
 	uint64_t wait_us = (uint64_t)(rank > 0 ? rank : 0) * RANK_DELAY_US;
 	kl_usage_record_t claim = state->record;
 
-	/* An earlier process of this VM held it. */
+	/*
+	 * An earlier process of this VM held it.  Its successor goes first,
+	 * because that one has the counts of that process.
+	 */
 	if (!strcmp(state->record.holder, node->self.vm))
-		wait_us = 0;
+		wait_us += SUCCESSOR_RANKS * RANK_DELAY_US;
 	else if (rank < 0)
 		return;
 	if (unchanged_us <= UNCHANGED_US + wait_us ||
--- a/tests/script_usage.c
+++ b/tests/script_usage.c
@@ -41,10 +41,10 @@
 }
 
 /*
- * holder kill | freeze | thaw | cut | storeless: the VM that the record names;
- * thaw: all that are frozen; storeless: the platform turns it away.
- * holder freeze_on_store | freeze_on_call: it freezes when it has stored the
- * next report, or when the platform has received that.
+ * holder kill | restart | freeze | thaw | cut | storeless: the VM that the
+ * record names; thaw: all that are frozen; storeless: the platform turns it
+ * away. holder freeze_on_store | freeze_on_call: it freezes when it has stored
+ * the next report, or when the platform has received that.
  */
 void step_holder(char **words, int count)
 {
@@ -66,6 +66,10 @@
 		return;
 	if (!strcmp(words[0], "kill"))
 		world_kill_vm(holder);
+	if (!strcmp(words[0], "restart")) {
+		world_kill_vm(holder);
+		world_start_vm(holder);
+	}
 	if (!strcmp(words[0], "storeless"))
 		holder->platform_cut = true;
 	if (!strcmp(words[0], "cut"))
