--- a/board/sections.h
+++ b/board/sections.h
@@ -356,7 +356,7 @@
 	uint64_t round_trip_us; /**< shortest one to VMs of that domain */
 } kl_load_t;
 
-/** The known loads of databases of other failure domains. */
+/** The known loads of databases, as other VMs report them. */
 typedef struct kl_loads {
 	kl_snapshot_t base;
 	CK_STAILQ_HEAD(, kl_load) list;
--- a/control/load_query.c
+++ b/control/load_query.c
@@ -1,4 +1,4 @@
-/* Queries for the load of databases in other failure domains, and answers. */
+/* Queries for the load that other VMs see at databases, and answers. */
 #include <string.h>
 
 #include "control/load_internal.h"
@@ -48,7 +48,7 @@
 	}
 }
 
-/* Adds the services for which the load of other domains was needed lately. */
+/* Adds the services for which figures of others were needed lately. */
 static void add_services(const kl_load_state_t *state, kl_peer_loads_t *query,
 			 uint64_t now)
 {
--- a/control/node.h
+++ b/control/node.h
@@ -148,7 +148,7 @@
 	uint64_t wait_us;    /**< expected wait of a statement */
 	uint32_t running;    /**< statements of this VM running there */
 	uint64_t sampled_us; /**< time of the report */
-	bool others_needed;  /**< the load of other domains is needed, too */
+	bool others_needed;  /**< figures of other VMs are needed, too */
 } kl_load_report_t;
 
 /** An event; which members are set depends on the kind. */
