Spill: choose by costs after a refusal in another domain

A read that was refused as full in another domain could be sent there again while that domain's figures were still low. The costs, which avoid the database that refused, choose now, as without the setting. No expected output changes; no script shows this case. kl_spill_knows() has no caller any more.

--- a/path/engine_spill.c
+++ b/path/engine_spill.c
@@ -5,7 +5,7 @@
 #include "path/engine_internal.h"
 
 /* Time between two reports of a database's figures. */
-#define REPORT_NEEDED_US (100 * KL_MS) /* while other domains' are needed */
+#define REPORT_NEEDED_US (100 * KL_MS) /* while those of others are needed */
 #define REPORT_USED_US (200 * KL_MS)   /* of a service that is used here */
 #define REPORT_IDLE_US (800 * KL_MS)   /* of others */
 /* A service is used here if it had a statement this recently. */
@@ -43,9 +43,13 @@
 	const char *home = engine->settings.data_path.domain;
 	const kl_spill_domain_t *other;
 
-	/* After a failure, and without a replica at home: any domain. */
+	/*
+	 * Any domain after a failure, after a refusal elsewhere, and without a
+	 * replica at home.
+	 */
 	if (!engine->settings.domain_spill ||
-	    (client->stmt.avoid_endpoint && !was_full(client)))
+	    (client->stmt.avoid_endpoint &&
+	     (!was_full(client) || !is_home(client->stmt.avoid_endpoint))))
 		return NULL;
 	if (!has_candidate(client, cluster, primary, home))
 		return NULL;
--- a/path/spill.c
+++ b/path/spill.c
@@ -178,17 +178,6 @@
 	return next;
 }
 
-bool kl_spill_knows(const kl_spill_t *spill)
-{
-	const kl_spill_domain_t *domain;
-
-	CK_STAILQ_FOREACH(domain, &spill->domains, link) {
-		if (domain->known)
-			return true;
-	}
-	return false;
-}
-
 kl_spill_domain_t *kl_spill_best(const kl_spill_t *spill)
 {
 	uint64_t limit_us = kl_spill_objective_us(spill) / RETURN_DIVISOR;
--- a/path/spill.h
+++ b/path/spill.h
@@ -131,9 +131,6 @@
  */
 kl_spill_domain_t *kl_spill_next(const kl_spill_t *spill);
 
-/** Whether recent figures of any other domain are known. */
-bool kl_spill_knows(const kl_spill_t *spill);
-
 /**
  * Tell where a read goes that a database at home had no room for.
  *
