--- a/control/peer_message.h
+++ b/control/peer_message.h
@@ -22,8 +22,6 @@
 	KL_PEER_POSITION_QUERY, /**< asks for log positions of primaries */
 	KL_PEER_POSITIONS,	/**< tells log positions of primaries */
 	KL_PEER_USAGE,		/**< brings or acknowledges counts of usage */
-	KL_PEER_PERMIT_REQUEST, /**< asks an arbiter for permits */
-	KL_PEER_PERMIT_GRANT,	/**< grants permits of upstreams */
 	KL_PEER_LOAD_QUERY,	/**< asks for the load of a failure domain */
 	KL_PEER_LOADS,		/**< tells the load of upstreams */
 	KL_PEER_KIND_COUNT
--- a/daemon/line_worker.c
+++ b/daemon/line_worker.c
@@ -153,7 +153,6 @@
 	engine_settings->admit_wait_us = settings->admit_wait_ms * KL_MS;
 	engine_settings->connect_timeout_us = settings->connect_ms * KL_MS;
 	engine_settings->priority_queues = settings->priority_queues;
-	engine_settings->slot_permits = settings->slot_permits;
 	engine_settings->position_wait_us = settings->position_wait_ms * KL_MS;
 	engine_settings->domain_spill = settings->domain_spill;
 }
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -52,7 +52,6 @@
 	{ "usage_window_s", FIELD(usage_window_s), 0, 3600, 0 },
 	{ "usage_delay_s", FIELD(usage_delay_s), 1, 3600, 10 },
 	{ "priority_queues", FIELD(priority_queues), 0, 1, 0 },
-	{ "slot_permits", FIELD(slot_permits), 0, 1, 0 },
 	{ "position_wait_ms", FIELD(position_wait_ms), 0, 1000, 0 },
 	{ "domain_spill", FIELD(domain_spill), 0, 1, 0 },
 };
@@ -143,7 +142,6 @@
 	NUMBER(usage_window_s, CYAML_FLAG_OPTIONAL),
 	NUMBER(usage_delay_s, CYAML_FLAG_OPTIONAL),
 	NUMBER(priority_queues, CYAML_FLAG_OPTIONAL),
-	NUMBER(slot_permits, CYAML_FLAG_OPTIONAL),
 	NUMBER(position_wait_ms, CYAML_FLAG_OPTIONAL),
 	NUMBER(domain_spill, CYAML_FLAG_OPTIONAL),
 	CYAML_FIELD_END
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -69,8 +69,6 @@
 				      the window's end */
 	uint32_t priority_queues;  /**< 1: waiting statements are ordered by
 					priority and workspace */
-	uint32_t slot_permits;	   /**< 1: VMs share the slots of each database
-					by permits */
 	uint32_t position_wait_ms; /**< limit of a read's wait for the primary's
 					log position; 0: none */
 	uint32_t domain_spill;	   /**< 1: reads leave the failure domain when
--- a/path/engine.h
+++ b/path/engine.h
@@ -141,7 +141,6 @@
 	uint64_t admit_wait_us; /**< longest wait of a statement for tokens */
 	uint64_t connect_timeout_us; /**< time limit of a connection attempt */
 	bool priority_queues; /**< order waiting statements by priority */
-	bool slot_permits;    /**< share databases' slots with other VMs */
 	/** longest wait of a read for the primary's log position; 0: none */
 	uint64_t position_wait_us;
 	bool domain_spill; /**< send reads to other failure domains */
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -155,9 +155,9 @@
 	kl_wire_positions positions;
 case 8:
 	kl_wire_usage usage;
-case 11:
+case 9:
 	kl_wire_loads load_query;
-case 12:
+case 10:
 	kl_wire_loads loads;
 };
 
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -318,11 +318,11 @@
 		 if (!xdr_kl_wire_usage (xdrs, &objp->kl_wire_body_u.usage))
 			 return FALSE;
 		break;
-	case 11:
+	case 9:
 		 if (!xdr_kl_wire_loads (xdrs, &objp->kl_wire_body_u.load_query))
 			 return FALSE;
 		break;
-	case 12:
+	case 10:
 		 if (!xdr_kl_wire_loads (xdrs, &objp->kl_wire_body_u.loads))
 			 return FALSE;
 		break;
--- a/tests/unit/mutate.c
+++ b/tests/unit/mutate.c
@@ -261,8 +261,7 @@
 		size_t mutated;
 		int length;
 
-		/* The later kinds have no codec yet. */
-		message.kind = i % KL_PEER_USAGE;
+		message.kind = i % KL_PEER_KIND_COUNT;
 		length = kl_peer_encode(&message, "10.0.0.1", 5, sample,
 					INPUT_MAX);
 		assert_true(length > 0);
