Share the slots of a database among all VMs

With 30 or 80 VMs in front of a database of 4 slots, the windows of the VMs add up to many times its capacity. With slot_permits a VM requests a permit from the upstream's arbiter before it begins an operation there, while the upstream is contended. The arbiter grants by priority and by turns, and adapts the number of permits to the statements inside the database.

--- a/Makefile
+++ b/Makefile
@@ -61,15 +61,15 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(BUILD)/kl-config-soak: $(call objects,$(wildcard tests/config_soak/*.c) tests/soak/common.c tests/soak/relay.c tests/soak/stand.c)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
-$(BUILD)/tests/script_run: $(call objects,tests/script_run.c tests/script_look.c tests/script_report.c tests/world.c tests/world_node.c tests/world_fake.c tests/world_caller.c tests/world_promote.c) $(LIBRARY)
+$(BUILD)/tests/script_run: $(call objects,tests/script_run.c tests/script_look.c tests/script_report.c tests/world.c tests/world_node.c tests/world_fake.c tests/world_caller.c tests/world_promote.c tests/world_permit.c tests/script_permit.c) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(BUILD)/tests/engine_run: $(call objects,tests/engine_run.c tests/engine_board.c tests/engine_clients.c tests/engine_model.c) $(IO_LIBRARY) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(UNIT_PROGRAMS): %: %.o $(BUILD)/daemon/inbox.o $(BUILD)/daemon/settings.o $(IO_LIBRARY) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS) -lcmocka
-$(PROPERTY_PROGRAMS): %: %.o $(BUILD)/tests/world.o $(BUILD)/tests/world_node.o $(BUILD)/tests/world_fake.o $(BUILD)/tests/world_caller.o $(BUILD)/tests/world_promote.o $(IO_LIBRARY) $(LIBRARY)
+$(PROPERTY_PROGRAMS): %: %.o $(BUILD)/tests/world.o $(BUILD)/tests/world_node.o $(BUILD)/tests/world_fake.o $(BUILD)/tests/world_caller.o $(BUILD)/tests/world_promote.o $(BUILD)/tests/world_permit.o $(IO_LIBRARY) $(LIBRARY)
 	$(CXX) $(LDFLAGS) -o $@ $^ $(LIBS) -lrapidcheck
-$(BENCH_PROGRAMS) $(PROCESS_PROGRAMS): %: %.o $(BUILD)/tests/world.o $(BUILD)/tests/world_node.o $(BUILD)/tests/world_fake.o $(BUILD)/tests/world_caller.o $(BUILD)/tests/world_promote.o $(IO_LIBRARY) $(LIBRARY)
+$(BENCH_PROGRAMS) $(PROCESS_PROGRAMS): %: %.o $(BUILD)/tests/world.o $(BUILD)/tests/world_node.o $(BUILD)/tests/world_fake.o $(BUILD)/tests/world_caller.o $(BUILD)/tests/world_promote.o $(BUILD)/tests/world_permit.o $(IO_LIBRARY) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 # The example is built with the public headers and the library only.
 $(BUILD)/examples/lend: examples/lend.c $(LIBRARY)
--- a/board/board.h
+++ b/board/board.h
@@ -23,6 +23,7 @@
 	KL_SECTION_BUCKETS,	 /**< kl_buckets_t, written by share */
 	KL_SECTION_LIFECYCLE,	 /**< kl_lifecycle_t, written by drain */
 	KL_SECTION_POSITIONS,	 /**< kl_positions_t, written by position */
+	KL_SECTION_PERMITS,	 /**< kl_permits_t, written by permit */
 	KL_SECTION_COUNT
 } kl_section_t;
 
--- a/board/sections.h
+++ b/board/sections.h
@@ -342,6 +342,37 @@
 	kl_index_t *index;
 } kl_positions_t;
 
+#define KL_PERMIT_LEVELS 8 /**< levels of priority; 0 is the highest */
+
+/**
+ * This VM's permits for the execution slots of one upstream.  The worker writes
+ * what its statements do there, and the controller what the arbiter grants.
+ */
+typedef struct kl_permit_account {
+	kl_named_t name;	 /**< "SERVICE/UPSTREAM" */
+	uint64_t unused;	 /**< permits granted and not used; atomic */
+	uint64_t valid_until_us; /**< end of these; atomic */
+	/** statements given a connection and not answered; atomic */
+	uint64_t running;
+	/** statements that wait for a permit, by priority; atomic */
+	uint64_t wanted[KL_PERMIT_LEVELS];
+	uint64_t answered;	     /**< statements answered so far; atomic */
+	uint64_t latency_sum_us;     /**< sum of their latencies; atomic */
+	uint64_t contended_until_us; /**< permits are needed until then;
+					atomic */
+	/** no arbiter answers: one statement at a time until then; atomic */
+	uint64_t single_until_us;
+	uint32_t references; /**< see kl_permit_account_acquire(); atomic */
+} kl_permit_account_t;
+
+/** The accounts of all upstreams whose execution slots are known. */
+typedef struct kl_permits {
+	kl_snapshot_t base;
+	kl_index_t *index; /**< accounts by name */
+	uint32_t count;	   /**< entries of accounts */
+	kl_permit_account_t **accounts;
+} kl_permits_t;
+
 /** Create an object with a copy of body. @return NULL when out of memory */
 kl_object_t *kl_object_new(const char *name, uint64_t version,
 			   const char *body);
--- a/control/control.c
+++ b/control/control.c
@@ -57,6 +57,11 @@
 				     0, KL_SECTION_POSITIONS,
 				     kl_position_create, kl_position_step,
 				     kl_position_destroy },
+	[KL_CONTROLLER_PERMIT] = { "permit",
+				   EVENT(TICK) | EVENT(PEER) | EVENT(PERMITS),
+				   SECTION(CONFIG), KL_SECTION_PERMITS,
+				   kl_permit_create, kl_permit_step,
+				   kl_permit_destroy },
 };
 
 void kl_tuning_default(kl_tuning_t *tuning)
--- a/control/controllers.h
+++ b/control/controllers.h
@@ -53,6 +53,10 @@
 void kl_position_step(kl_node_t *node, const kl_event_t *event);
 void kl_position_destroy(kl_node_t *node);
 
+int kl_permit_create(kl_node_t *node);
+void kl_permit_step(kl_node_t *node, const kl_event_t *event);
+void kl_permit_destroy(kl_node_t *node);
+
 /** Whether every slot has had an owner, ever since the fleet's first start. */
 bool kl_share_all_slots_created(const kl_node_t *node);
 /** Number of slots (see control/slot.h) recorded as this VM's. */
--- a/control/node.h
+++ b/control/node.h
@@ -32,6 +32,7 @@
 	KL_CONTROLLER_SHARE,
 	KL_CONTROLLER_DRAIN,
 	KL_CONTROLLER_POSITION,
+	KL_CONTROLLER_PERMIT,
 	KL_CONTROLLER_COUNT
 } kl_controller_id_t;
 
@@ -46,6 +47,7 @@
 	KL_EVENT_STOP,		  /**< a planned stop of this process begins */
 	KL_EVENT_PASSIVE_CHECK,	  /**< result of a passive health check */
 	KL_EVENT_POSITION,	  /**< a primary's log position, or its lack */
+	KL_EVENT_PERMITS,	  /**< a worker changed its permit accounts */
 	KL_EVENT_COUNT
 } kl_event_kind_t;
 
@@ -167,6 +169,15 @@
 	uint64_t age_us; /**< age of the data, or duration of the operation */
 } kl_decision_t;
 
+/** Events of permits that are counted. */
+typedef enum kl_permit_event {
+	KL_PERMIT_GRANTED, /**< granted by this VM as arbiter */
+	KL_PERMIT_EXPIRED, /**< granted by it and not returned in time */
+	/** an arbiter did not answer this VM in time */
+	KL_PERMIT_UNANSWERED,
+	KL_PERMIT_EVENT_COUNT
+} kl_permit_event_t;
+
 /** Operations of the embedding program; calls return before their answer. */
 typedef struct kl_node_ops {
 	/** Monotonic clock, microseconds. */
@@ -181,6 +192,11 @@
 	void (*call_database)(void *context, const kl_database_call_t *call);
 	/** Write a decision to the log. */
 	void (*log_decision)(void *context, const kl_decision_t *decision);
+	/** Statements that wait for permits may be tried again. */
+	void (*permits_changed)(void *context);
+	/** Count events of permits. */
+	void (*count_permits)(void *context, kl_permit_event_t event,
+			      uint64_t amount);
 } kl_node_ops_t;
 
 /** Identity of this VM and process. */
@@ -222,6 +238,8 @@
 	 * of the databases.
 	 */
 	bool platform_promotes;
+	/** The VMs share the execution slots of databases by permits. */
+	bool slot_permits;
 } kl_tuning_t;
 
 /** Address of a peer to contact while no other VM is known. */
--- a/control/peer_message.h
+++ b/control/peer_message.h
@@ -93,6 +93,45 @@
 	kl_peer_position_t list[KL_PEER_POSITIONS_MAX];
 } kl_peer_positions_t;
 
+/** Most upstreams in a request for permits, or in its answer. */
+#define KL_PEER_PERMITS_MAX 16
+
+/**
+ * What a VM holds and wants at one upstream.  It states the whole and not a
+ * change, so that a lost or repeated message does no harm.
+ */
+typedef struct kl_permit_request {
+	char account[KL_NAME_MAX]; /**< "SERVICE/UPSTREAM" */
+	uint32_t held; /**< statements running, and permits not used */
+	uint32_t wanted[KL_PERMIT_LEVELS]; /**< permits more, by priority */
+	uint64_t seen_sequence;		   /**< of the newest grant received */
+	uint64_t answered;		   /**< statements answered so far */
+	uint64_t latency_sum_us;	   /**< sum of their latencies */
+	bool wants_answer;		   /**< also if none can be granted */
+} kl_permit_request_t;
+
+/** An arbiter's answer for one upstream. */
+typedef struct kl_permit_grant {
+	char account[KL_NAME_MAX];
+	uint64_t sequence;	  /**< rises with each grant of this arbiter */
+	uint64_t request_sent_us; /**< of the newest request received */
+	uint32_t permits;	  /**< granted in addition to those held */
+	bool contended;		  /**< VMs wait for permits, or did lately */
+} kl_permit_grant_t;
+
+/** Requests for the permits of several upstreams. */
+typedef struct kl_peer_permit_requests {
+	uint64_t sent_us; /**< sender's clock */
+	uint32_t count;	  /**< entries of list */
+	kl_permit_request_t list[KL_PEER_PERMITS_MAX];
+} kl_peer_permit_requests_t;
+
+/** Grants for several upstreams. */
+typedef struct kl_peer_permit_grants {
+	uint32_t count; /**< entries of list */
+	kl_permit_grant_t list[KL_PEER_PERMITS_MAX];
+} kl_peer_permit_grants_t;
+
 /** A message between VMs; which members are set depends on the kind. */
 typedef struct kl_peer_message {
 	kl_peer_kind_t kind;
@@ -105,6 +144,8 @@
 	kl_loan_request_t loan_request;
 	kl_loan_grant_t loan_grant;
 	kl_peer_positions_t positions;
+	kl_peer_permit_requests_t permit_requests;
+	kl_peer_permit_grants_t permit_grants;
 } kl_peer_message_t;
 
 #endif
--- a/daemon/control_thread.c
+++ b/daemon/control_thread.c
@@ -41,6 +41,11 @@
 	uint32_t slots_owned; /* as of the last tick; atomic */
 	/* Whether KL_EVENT_REQUEST_WAITING is in the inbox; atomic. */
 	uint32_t waiting_event_queued;
+	/* Whether KL_EVENT_PERMITS is in the inbox; atomic. */
+	uint32_t permits_event_queued;
+	pthread_mutex_t permits_lock; /* protects the handler */
+	void (*permits_handler)(void *context);
+	void *permits_context;
 };
 
 /* An event posted to the inbox; kind determines which fields are set. */
@@ -64,6 +69,9 @@
 static void node_call_platform(void *context, const kl_platform_call_t *call);
 static void node_call_database(void *context, const kl_database_call_t *call);
 static void node_log_decision(void *context, const kl_decision_t *decision);
+static void node_permits_changed(void *context);
+static void node_count_permits(void *context, kl_permit_event_t event,
+			       uint64_t amount);
 static void log_platform_error(const kl_platform_answer_t *answer);
 static void on_platform_answer(void *context, kl_platform_answer_t *answer);
 static void on_database_answer(void *context,
@@ -84,6 +92,8 @@
 	.call_platform = node_call_platform,
 	.call_database = node_call_database,
 	.log_decision = node_log_decision,
+	.permits_changed = node_permits_changed,
+	.count_permits = node_count_permits,
 };
 
 kl_control_thread_t *kl_control_thread_new(const kl_settings_t *settings)
@@ -100,6 +110,7 @@
 	if (!control)
 		return NULL;
 	control->socket = -1;
+	pthread_mutex_init(&control->permits_lock, NULL);
 	control->random = g_rand_new();
 	control->base = event_base_new();
 	control->inbox = kl_inbox_new(control->base, control);
@@ -169,6 +180,7 @@
 	}
 	event_base_free(control->base);
 	g_rand_free(control->random);
+	pthread_mutex_destroy(&control->permits_lock);
 	free(control);
 }
 
@@ -185,6 +197,23 @@
 	post_event(control, KL_EVENT_REQUEST_WAITING, "");
 }
 
+void kl_control_thread_report_permits(kl_control_thread_t *control)
+{
+	/* One pending event serves all accounts. */
+	if (ck_pr_fas_32(&control->permits_event_queued, 1))
+		return;
+	post_event(control, KL_EVENT_PERMITS, "");
+}
+
+void kl_control_thread_on_permits(kl_control_thread_t *control,
+				  void (*handler)(void *context), void *context)
+{
+	pthread_mutex_lock(&control->permits_lock);
+	control->permits_handler = handler;
+	control->permits_context = context;
+	pthread_mutex_unlock(&control->permits_lock);
+}
+
 void kl_control_thread_report_service_use(kl_control_thread_t *control,
 					  const char *service)
 {
@@ -264,6 +293,7 @@
 	tuning->suspect_after_us = settings->suspect_ms * KL_MS;
 	tuning->slot_lease_us = settings->share_hold_s * KL_SEC;
 	tuning->slot_count = settings->slots;
+	tuning->slot_permits = settings->slot_permits;
 	tuning->min_downtime_us = settings->down_ms * KL_MS;
 	if (strcmp(settings->platform_format, "native")) {
 		tuning->feed_count = KL_FEED_COUNT;
@@ -370,6 +400,29 @@
 	kl_log_decision(decision);
 }
 
+static void node_permits_changed(void *context)
+{
+	kl_control_thread_t *control = context;
+
+	pthread_mutex_lock(&control->permits_lock);
+	if (control->permits_handler)
+		control->permits_handler(control->permits_context);
+	pthread_mutex_unlock(&control->permits_lock);
+}
+
+static void node_count_permits(void *context, kl_permit_event_t event,
+			       uint64_t amount)
+{
+	static const kl_counter_t counters[KL_PERMIT_EVENT_COUNT] = {
+		[KL_PERMIT_GRANTED] = KL_COUNTER_PERMITS_GRANTED,
+		[KL_PERMIT_EXPIRED] = KL_COUNTER_PERMITS_EXPIRED,
+		[KL_PERMIT_UNANSWERED] = KL_COUNTER_PERMITS_UNANSWERED,
+	};
+	(void)context;
+
+	kl_counter_add(counters[event], amount);
+}
+
 static void log_platform_error(const kl_platform_answer_t *answer)
 {
 	static const char *const events[KL_PLATFORM_OP_COUNT] = {
@@ -461,6 +514,9 @@
 			ck_pr_store_32(&control->waiting_event_queued, 0);
 			control->node.waiting_event_count++;
 		}
+		/* Cleared first, so that a later change is not missed. */
+		if (posted->kind == KL_EVENT_PERMITS)
+			ck_pr_fas_32(&control->permits_event_queued, 0);
 		kl_node_step(&control->node, &event);
 	}
 	kl_object_list_clear(&posted->objects);
--- a/daemon/control_thread.h
+++ b/daemon/control_thread.h
@@ -28,6 +28,21 @@
 /** Report that a request waits for a replica or for rate tokens; any thread. */
 void kl_control_thread_report_waiting_request(kl_control_thread_t *control);
 
+/**
+ * Report that statements run at, or wait for, upstreams that need permits; any
+ * thread.
+ */
+void kl_control_thread_report_permits(kl_control_thread_t *control);
+
+/**
+ * Set what the control thread calls when permits arrived; it must not block.
+ *
+ * @param handler NULL: nothing; then no call is in progress on return
+ */
+void kl_control_thread_on_permits(kl_control_thread_t *control,
+				  void (*handler)(void *context),
+				  void *context);
+
 /**
  * Report that clients of this VM use a service, so that its databases are
  * probed; any thread.
--- a/daemon/counter.c
+++ b/daemon/counter.c
@@ -54,6 +54,16 @@
 					 "calls that failed" },
 	[KL_COUNTER_DOCUMENTS_REFUSED] = { "kl_documents_refused_total",
 					   "bad documents not installed" },
+	[KL_COUNTER_PERMITS_GRANTED] = { "kl_permits_granted_total",
+					 "permits granted as arbiter" },
+	[KL_COUNTER_PERMITS_EXPIRED] = { "kl_permits_expired_total",
+					 "permits granted as arbiter that "
+					 "were not returned in time" },
+	[KL_COUNTER_PERMITS_UNANSWERED] = { "kl_permits_unanswered_total",
+					    "times that an arbiter did not "
+					    "answer" },
+	[KL_COUNTER_PERMIT_WAITS] = { "kl_permit_waits_total",
+				      "operations that waited for a permit" },
 };
 
 static const counter_row_t gauge_rows[KL_GAUGE_COUNT] = {
--- a/daemon/line_worker.c
+++ b/daemon/line_worker.c
@@ -32,7 +32,8 @@
 	kl_reader_t *reader;
 	kl_engine_t *engine;
 	kl_engine_counts_t published_counts; /* already added to the metrics */
-	uint64_t session_count; /* number of open sessions; atomic */
+	uint64_t session_count;	 /* number of open sessions; atomic */
+	uint32_t permits_queued; /* handle_permits is in the inbox; atomic */
 };
 
 static void *run(void *arg);
@@ -46,6 +47,8 @@
 static void handle_drain(void *owner, kl_message_t *message);
 static void handle_stop_accept(void *owner, kl_message_t *message);
 static void handle_exit(void *owner, kl_message_t *message);
+static void on_permits(void *context);
+static void handle_permits(void *owner, kl_message_t *message);
 static void post_message(kl_line_worker_t *worker,
 			 void (*handler)(void *owner, kl_message_t *message));
 static void fill_engine_settings(const kl_settings_t *settings,
@@ -78,6 +81,7 @@
 			    const kl_conn_msg_t *msg);
 static void engine_conn_close(void *context, void *handle);
 static void engine_tokens_needed(void *context);
+static void engine_permits_needed(void *context);
 static void engine_report_health(void *context,
 				 const kl_passive_check_t *check);
 static void engine_report_position(void *context,
@@ -102,6 +106,7 @@
 	.conn_send = engine_conn_send,
 	.conn_close = engine_conn_close,
 	.tokens_needed = engine_tokens_needed,
+	.permits_needed = engine_permits_needed,
 	.report_health = engine_report_health,
 	.report_position = engine_report_position,
 	.log_decision = engine_log_decision,
@@ -127,6 +132,7 @@
 	if (!worker->engine || !worker->tick || open_listener(worker))
 		goto fail;
 	schedule_tick(worker);
+	kl_control_thread_on_permits(control, on_permits, worker);
 	if (pthread_create(&worker->thread, NULL, run, worker))
 		goto fail;
 	return worker;
@@ -184,6 +190,7 @@
 {
 	if (!worker)
 		return;
+	kl_control_thread_on_permits(worker->control, NULL, NULL);
 	if (worker->thread) {
 		post_message(worker, handle_exit);
 		pthread_join(worker->thread, NULL);
@@ -269,6 +276,8 @@
 		       now->admitted - published->admitted);
 	kl_counter_add(KL_COUNTER_STMTS_LEAVING,
 		       now->stmts_leaving - published->stmts_leaving);
+	kl_counter_add(KL_COUNTER_PERMIT_WAITS,
+		       now->permit_waits - published->permit_waits);
 	if (now->finished != published->finished)
 		publish_latencies(now, published);
 	kl_engine_get_gauges(worker->engine, &gauges);
@@ -347,6 +356,27 @@
 	free(message);
 }
 
+/* Called by the control thread: wakes this worker. */
+static void on_permits(void *context)
+{
+	kl_line_worker_t *worker = context;
+
+	if (!ck_pr_fas_32(&worker->permits_queued, 1))
+		post_message(worker, handle_permits);
+}
+
+static void handle_permits(void *owner, kl_message_t *message)
+{
+	kl_line_worker_t *worker = owner;
+
+	free(message);
+	if (!worker)
+		return;
+	/* Cleared first, so that a later grant is not missed. */
+	ck_pr_fas_32(&worker->permits_queued, 0);
+	kl_engine_permits_changed(worker->engine, kl_clock_us());
+}
+
 static void front_login(void *owner, kl_engine_front_t *front,
 			const char *database, const char *key)
 {
@@ -465,6 +495,13 @@
 	kl_control_thread_report_waiting_request(worker->control);
 }
 
+static void engine_permits_needed(void *context)
+{
+	kl_line_worker_t *worker = context;
+
+	kl_control_thread_report_permits(worker->control);
+}
+
 static void engine_report_health(void *context, const kl_passive_check_t *check)
 {
 	kl_line_worker_t *worker = context;
--- a/path/engine.c
+++ b/path/engine.c
@@ -38,6 +38,7 @@
 	kl_engine_enter(engine, engine->now_us);
 	while ((client = CK_LIST_FIRST(&engine->clients)))
 		kl_client_end_session(client, 0);
+	kl_permits_unbind(engine);
 	kl_endpoints_free(engine);
 	kl_engine_exit(engine);
 	free(engine);
@@ -83,6 +84,7 @@
 
 void kl_engine_exit(kl_engine_t *engine)
 {
+	kl_permits_publish(engine);
 	kl_read_end(engine->reader);
 }
 
--- a/path/engine.h
+++ b/path/engine.h
@@ -109,6 +109,8 @@
 	void (*conn_close)(void *context, void *handle);
 	/** A statement waits for tokens. */
 	void (*tokens_needed)(void *context);
+	/** Statements run at, or wait for, upstreams that need permits. */
+	void (*permits_needed)(void *context);
 	/** Report whether requests to an upstream fail. */
 	void (*report_health)(void *context, const kl_passive_check_t *check);
 	/**
@@ -160,6 +162,7 @@
 	uint64_t conns_closed;	/**< connections to databases closed or lost */
 	uint64_t admitted;	/**< operations that got their tokens */
 	uint64_t stmts_leaving; /**< statements sent to leaving upstreams */
+	uint64_t permit_waits;	/**< operations that waited for a permit */
 	uint64_t finished;	/**< statements in the histograms below */
 	/** number of statements in each bucket */
 	uint64_t latency_counts[KL_ROUTE_KIND_COUNT][KL_STMT_END_COUNT]
@@ -196,6 +199,9 @@
 void kl_engine_drain(kl_engine_t *engine, uint64_t now_us,
 		     uint64_t transactions_until_us, uint64_t end_us);
 
+/** Try the queued statements again, after permits were granted. */
+void kl_engine_permits_changed(kl_engine_t *engine, uint64_t now_us);
+
 /** Whether logins or statements wait that the next tick checks again. */
 bool kl_engine_has_waiting_stmts(const kl_engine_t *engine);
 
--- a/path/engine_conn.c
+++ b/path/engine_conn.c
@@ -99,7 +99,7 @@
 			if (!has_long_wait(endpoint))
 				break;
 		}
-		if (!chosen)
+		if (!chosen || !kl_stmt_take_permit(chosen))
 			return;
 		conn = kl_conn_find_idle(endpoint, chosen->workspace);
 		kl_endpoint_dequeue(chosen);
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -95,6 +95,8 @@
 	uint64_t last_lagging_us;
 	uint64_t last_position_us; /**< time of the last position report */
 	kl_position_t position;	   /**< end of its log in that report */
+	/** permits for its execution slots, or NULL if none are needed */
+	kl_permit_account_t *permits;
 	CK_STAILQ_HEAD(, kl_conn) conns;
 	/** clients whose statements wait for a connection, in order of arrival
 	 */
@@ -147,6 +149,7 @@
 	/** bucket that counts it as waiting for tokens, or NULL */
 	kl_bucket_t *waiting_bucket;
 	bool admitted; /**< it took its tokens */
+	bool waited_for_permit;
 	/** time of the first try to take tokens, or 0 */
 	uint64_t tokens_requested_us;
 } kl_stmt_t;
@@ -214,6 +217,9 @@
 	uint64_t seen_config;
 	uint64_t seen_terms;
 	uint64_t seen_members;
+	/** sequences of those that accounts of permits were last bound from */
+	uint64_t bound_config;
+	uint64_t bound_permits;
 	uint64_t last_session_number;
 	uint64_t last_sweep_us; /**< time of the last periodic work */
 	/** planned stop: time when open transactions are ended; else 0 */
@@ -409,6 +415,20 @@
  */
 void kl_conns_sweep(kl_engine_t *engine);
 
+/* engine_permit.c */
+/**
+ * Take a permit for a queued statement, if its upstream needs one.
+ *
+ * @return false if the statement has to wait for it
+ */
+bool kl_stmt_take_permit(kl_client_t *client);
+/** Count a statement that was answered, for the permits of its upstream. */
+void kl_permits_count_answer(const kl_client_t *client, int error);
+/** State what the statements of this VM do; called at the end of each event. */
+void kl_permits_publish(kl_engine_t *engine);
+/** Unbind the endpoints from their accounts. */
+void kl_permits_unbind(kl_engine_t *engine);
+
 /* engine_status.c */
 /** Query the primary's log position if no recent reply has reported it. */
 void kl_cluster_sample_primary(kl_cluster_t *cluster);
--- a/path/engine_run.c
+++ b/path/engine_run.c
@@ -188,6 +188,7 @@
 	kl_endpoint_add_latency(stmt->endpoint,
 				client->engine->now_us - stmt->sent_us,
 				client->route.target_latency_us);
+	kl_permits_count_answer(client, result->error);
 	if (result->error && client->transaction_status == 'I' &&
 	    result->transaction_status == 'I' && retry(client, result))
 		return;
--- a/path/path.h
+++ b/path/path.h
@@ -29,6 +29,7 @@
 	const kl_buckets_t *buckets;
 	const kl_lifecycle_t *lifecycle;
 	const kl_positions_t *positions;
+	const kl_permits_t *permits;
 	uint64_t now_us; /**< time of the decision, microseconds */
 } kl_view_t;
 
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -10,6 +10,8 @@
 const KL_WIRE_OBJECTS = 256;
 const KL_WIRE_FEEDS = 8;
 const KL_WIRE_POSITIONS = 16;
+const KL_WIRE_PERMITS = 16;
+const KL_WIRE_LEVELS = 8;
 
 struct kl_wire_hello {
 	unsigned hyper incarnation;
@@ -77,6 +79,33 @@
 	kl_wire_position entries<KL_WIRE_POSITIONS>;
 };
 
+struct kl_wire_permit_request {
+	string account<KL_WIRE_NAME>;
+	unsigned int held;
+	unsigned int wanted<KL_WIRE_LEVELS>;
+	unsigned hyper seen;
+	unsigned hyper answered;
+	unsigned hyper latency_us;
+	bool wants_answer;
+};
+
+struct kl_wire_permit_requests {
+	unsigned hyper asked_us;
+	kl_wire_permit_request entries<KL_WIRE_PERMITS>;
+};
+
+struct kl_wire_permit_grant {
+	string account<KL_WIRE_NAME>;
+	unsigned hyper sequence;
+	unsigned hyper asked_us;
+	unsigned int permits;
+	bool contended;
+};
+
+struct kl_wire_permit_grants {
+	kl_wire_permit_grant entries<KL_WIRE_PERMITS>;
+};
+
 union kl_wire_body switch (unsigned int kind) {
 case 0:
 	kl_wire_hello hello;
@@ -94,6 +123,10 @@
 	kl_wire_positions query;
 case 7:
 	kl_wire_positions positions;
+case 9:
+	kl_wire_permit_requests permit_requests;
+case 10:
+	kl_wire_permit_grants permit_grants;
 };
 
 struct kl_wire_message {
--- a/peer/peer_codec.c
+++ b/peer/peer_codec.c
@@ -5,6 +5,7 @@
 
 #include "kumquatloft/kind.h"
 #include "peer/peer_codec.h"
+#include "peer/permit_codec.h"
 #include "peer/peer_wire.h"
 
 typedef struct kind_codec {
@@ -56,6 +57,10 @@
 	/* Both kinds have the same encoding. */
 	[KL_PEER_POSITION_QUERY] = { encode_positions, decode_positions },
 	[KL_PEER_POSITIONS] = { encode_positions, decode_positions },
+	[KL_PEER_PERMIT_REQUEST] = { kl_permit_requests_encode,
+				     kl_permit_requests_decode },
+	[KL_PEER_PERMIT_GRANT] = { kl_permit_grants_encode,
+				   kl_permit_grants_decode },
 };
 
 int kl_peer_encode(const kl_peer_message_t *message, const char *host,
@@ -84,6 +89,7 @@
 	if (message->kind == KL_PEER_POSITION_QUERY ||
 	    message->kind == KL_PEER_POSITIONS)
 		free(wire.body.kl_wire_body_u.positions.entries.entries_val);
+	kl_permits_encode_free(&wire);
 	return length;
 }
 
--- a/peer/peer_wire.h
+++ b/peer/peer_wire.h
@@ -19,6 +19,8 @@
 #define KL_WIRE_OBJECTS 256
 #define KL_WIRE_FEEDS 8
 #define KL_WIRE_POSITIONS 16
+#define KL_WIRE_PERMITS 16
+#define KL_WIRE_LEVELS 8
 
 struct kl_wire_hello {
 	u_quad_t incarnation;
@@ -100,6 +102,46 @@
 };
 typedef struct kl_wire_positions kl_wire_positions;
 
+struct kl_wire_permit_request {
+	char *account;
+	u_int held;
+	struct {
+		u_int wanted_len;
+		u_int *wanted_val;
+	} wanted;
+	u_quad_t seen;
+	u_quad_t answered;
+	u_quad_t latency_us;
+	bool_t wants_answer;
+};
+typedef struct kl_wire_permit_request kl_wire_permit_request;
+
+struct kl_wire_permit_requests {
+	u_quad_t asked_us;
+	struct {
+		u_int entries_len;
+		kl_wire_permit_request *entries_val;
+	} entries;
+};
+typedef struct kl_wire_permit_requests kl_wire_permit_requests;
+
+struct kl_wire_permit_grant {
+	char *account;
+	u_quad_t sequence;
+	u_quad_t asked_us;
+	u_int permits;
+	bool_t contended;
+};
+typedef struct kl_wire_permit_grant kl_wire_permit_grant;
+
+struct kl_wire_permit_grants {
+	struct {
+		u_int entries_len;
+		kl_wire_permit_grant *entries_val;
+	} entries;
+};
+typedef struct kl_wire_permit_grants kl_wire_permit_grants;
+
 struct kl_wire_body {
 	u_int kind;
 	union {
@@ -111,6 +153,8 @@
 		kl_wire_grant grant;
 		kl_wire_positions query;
 		kl_wire_positions positions;
+		kl_wire_permit_requests permit_requests;
+		kl_wire_permit_grants permit_grants;
 	} kl_wire_body_u;
 };
 typedef struct kl_wire_body kl_wire_body;
@@ -152,6 +196,10 @@
 extern  bool_t xdr_kl_wire_grant (XDR *, kl_wire_grant*);
 extern  bool_t xdr_kl_wire_position (XDR *, kl_wire_position*);
 extern  bool_t xdr_kl_wire_positions (XDR *, kl_wire_positions*);
+extern  bool_t xdr_kl_wire_permit_request (XDR *, kl_wire_permit_request*);
+extern  bool_t xdr_kl_wire_permit_requests (XDR *, kl_wire_permit_requests*);
+extern  bool_t xdr_kl_wire_permit_grant (XDR *, kl_wire_permit_grant*);
+extern  bool_t xdr_kl_wire_permit_grants (XDR *, kl_wire_permit_grants*);
 extern  bool_t xdr_kl_wire_body (XDR *, kl_wire_body*);
 extern  bool_t xdr_kl_wire_message (XDR *, kl_wire_message*);
 
@@ -165,6 +213,10 @@
 extern bool_t xdr_kl_wire_grant ();
 extern bool_t xdr_kl_wire_position ();
 extern bool_t xdr_kl_wire_positions ();
+extern bool_t xdr_kl_wire_permit_request ();
+extern bool_t xdr_kl_wire_permit_requests ();
+extern bool_t xdr_kl_wire_permit_grant ();
+extern bool_t xdr_kl_wire_permit_grants ();
 extern bool_t xdr_kl_wire_body ();
 extern bool_t xdr_kl_wire_message ();
 
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -150,6 +150,71 @@
 	return TRUE;
 }
 
+bool_t
+xdr_kl_wire_permit_request (XDR *xdrs, kl_wire_permit_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->account, KL_WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->held))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->wanted.wanted_val, (u_int *) &objp->wanted.wanted_len, KL_WIRE_LEVELS,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seen))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->answered))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->latency_us))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->wants_answer))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_kl_wire_permit_requests (XDR *xdrs, kl_wire_permit_requests *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->asked_us))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, KL_WIRE_PERMITS,
+		sizeof (kl_wire_permit_request), (xdrproc_t) xdr_kl_wire_permit_request))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_kl_wire_permit_grant (XDR *xdrs, kl_wire_permit_grant *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->account, KL_WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->asked_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->permits))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->contended))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_kl_wire_permit_grants (XDR *xdrs, kl_wire_permit_grants *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, KL_WIRE_PERMITS,
+		sizeof (kl_wire_permit_grant), (xdrproc_t) xdr_kl_wire_permit_grant))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_kl_wire_body (XDR *xdrs, kl_wire_body *objp)
 {
@@ -190,6 +255,14 @@
 		 if (!xdr_kl_wire_positions (xdrs, &objp->kl_wire_body_u.positions))
 			 return FALSE;
 		break;
+	case 9:
+		 if (!xdr_kl_wire_permit_requests (xdrs, &objp->kl_wire_body_u.permit_requests))
+			 return FALSE;
+		break;
+	case 10:
+		 if (!xdr_kl_wire_permit_grants (xdrs, &objp->kl_wire_body_u.permit_grants))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/tests/script.h
+++ b/tests/script.h
@@ -27,5 +27,10 @@
 void step_fails(char **words, int count);
 void step_peerless(char **words, int count);
 void step_sample(char **words, int count);
+void step_slots(char **words, int count);
+void step_offer(char **words, int count);
+void step_count(char **words, int count);
+void step_bounds(char **words, int count);
+void step_permits(char **words, int count);
 
 #endif
--- a/tests/script_run.c
+++ b/tests/script_run.c
@@ -94,6 +94,11 @@
 	{ "fails", 2, step_fails },
 	{ "peerless", 2, step_peerless },
 	{ "sample", 2, step_sample },
+	{ "slots", 3, step_slots },
+	{ "offer", 3, step_offer },
+	{ "count", 1, step_count },
+	{ "bounds", 2, step_bounds },
+	{ "permits", 1, step_permits },
 };
 
 int main(int argc, char **argv)
@@ -298,7 +303,7 @@
 		script_world->platform_down = !strcmp(words[0], "down");
 }
 
-/* net loss PERCENT | double PERCENT | jitter MS */
+/* net loss PERCENT | double PERCENT | delay US | jitter MS */
 static void step_net(char **words, int count)
 {
 	(void)count;
@@ -308,6 +313,8 @@
 	else if (!strcmp(words[0], "double"))
 		script_world->peer_duplicate_percent =
 			(int)script_parse_number(words[1]);
+	else if (!strcmp(words[0], "delay"))
+		script_world->peer_delay_us = script_parse_number(words[1]);
 	else if (!strcmp(words[0], "jitter"))
 		script_world->jitter_us = script_parse_number(words[1]) * KL_MS;
 }
@@ -437,6 +444,8 @@
 		script_world->data_path_settings.stale_after_us = us;
 	else if (!strcmp(words[0], "quiet"))
 		script_world->services_unused = us != 0;
+	else if (!strcmp(words[0], "permits"))
+		script_world->tuning.slot_permits = us != 0;
 	else if (!strcmp(words[0], "promotes"))
 		world_use_platform_promotion(script_world);
 }
--- a/tests/unit/sync.c
+++ b/tests/unit/sync.c
@@ -63,8 +63,8 @@
 static void deliver_feed(kl_node_t *node, kl_feed_t feed, const char *prefix,
 			 uint64_t revision, const char *text);
 
-static const kl_node_ops_t ops = { op_now,	op_random,   op_send,
-				   op_platform, op_database, op_log };
+static const kl_node_ops_t ops = { op_now,	op_random, op_send, op_platform,
+				   op_database, op_log,	   NULL,    NULL };
 
 static int start(void **state)
 {
--- a/tests/world.c
+++ b/tests/world.c
@@ -22,6 +22,7 @@
 	world->vms = g_ptr_array_new();
 	world->dbs = g_ptr_array_new();
 	world->workloads = g_ptr_array_new();
+	world->gates = g_ptr_array_new();
 	world->pending_writes = g_ptr_array_new_with_free_func(g_free);
 	world->events = g_sequence_new(NULL);
 	world->random = g_rand_new_with_seed(seed);
@@ -66,6 +67,8 @@
 		g_queue_clear(&workload->queued_arrivals_ms);
 		g_free(workload);
 	}
+	for (guint i = 0; i < world->gates->len; i++)
+		world_free_gate(g_ptr_array_index(world->gates, i));
 	for (event_iterator = g_sequence_get_begin_iter(world->events);
 	     !g_sequence_iter_is_end(event_iterator);
 	     event_iterator = g_sequence_iter_next(event_iterator))
@@ -78,6 +81,7 @@
 	g_ptr_array_free(world->vms, TRUE);
 	g_ptr_array_free(world->dbs, TRUE);
 	g_ptr_array_free(world->workloads, TRUE);
+	g_ptr_array_free(world->gates, TRUE);
 	g_ptr_array_free(world->pending_writes, TRUE);
 	g_rand_free(world->random);
 	g_free(world);
@@ -337,9 +341,16 @@
 static void deliver_event(world_t *world, world_event_t *event)
 {
 	vm_t *vm = event->vm;
-	bool dropped = event->kind != WORLD_EVENT_PEER_MESSAGE &&
-		       (!vm->up ||
-			vm->node.self.incarnation != event->sender_incarnation);
+	bool dropped;
+
+	if (event->kind == WORLD_EVENT_CALL) {
+		event->run(world, event->run_data);
+		event_free(event);
+		return;
+	}
+	dropped = event->kind != WORLD_EVENT_PEER_MESSAGE &&
+		  (!vm->up ||
+		   vm->node.self.incarnation != event->sender_incarnation);
 
 	switch (event->kind) {
 	case WORLD_EVENT_PLATFORM_CALL:
--- a/tests/world.h
+++ b/tests/world.h
@@ -46,9 +46,22 @@
 	 * if they do not fail.
 	 */
 	uint64_t unreachable_since_us[WORLD_CHECKED_DBS];
-	int port; /**< for peers; index in world.vms plus 1 */
+	int port;	   /**< for peers; index in world.vms plus 1 */
+	bool permits_told; /**< KL_EVENT_PERMITS is under way */
+	uint64_t permit_events[KL_PERMIT_EVENT_COUNT];
 } vm_t;
 
+/** What happened at a database with execution slots since the last reset. */
+typedef struct slot_counts {
+	uint64_t queued_us; /**< sum of the times of statements in its queue */
+	/** sum of the times of slots that were idle while a VM had work */
+	uint64_t idle_us;
+	uint64_t served;
+	uint64_t served_by_level[KL_PERMIT_LEVELS];
+	uint64_t busy;	  /**< refused, since its queue was full */
+	uint64_t dropped; /**< refused by VMs after a long wait */
+} slot_counts_t;
+
 /** A database; all databases of a service form one replication group. */
 typedef struct db {
 	char service[KL_NAME_MAX];
@@ -73,8 +86,34 @@
 	char replaced_promoter[KL_NAME_MAX];
 	uint64_t replaced_promoter_us;
 	uint64_t last_promotion_us; /**< last call of fencing_token_vm */
+	uint32_t slots;		    /**< statements that it executes at once */
+	uint64_t work_us;	    /**< mean time of a statement */
+	uint32_t busy_slots;	    /**< slots in use */
+	uint32_t waiting;	    /**< statements that wait at VMs */
+	GQueue queue;		    /**< statements that wait inside it */
+	uint64_t changed_us;	    /**< when these last changed */
+	uint64_t counted_since_us;
+	slot_counts_t slot_counts;
 } db_t;
 
+/** Statements of one priority that clients send to one VM and database. */
+typedef struct world_arrival {
+	struct world_gate *gate;
+	uint32_t level;
+} world_arrival_t;
+
+/** What one VM sends to one database with execution slots. */
+typedef struct world_gate {
+	vm_t *vm;
+	db_t *db;
+	uint64_t incarnation; /**< of the process that the numbers are of */
+	uint64_t running;
+	uint64_t served;
+	double rate[KL_PERMIT_LEVELS]; /**< statements a second */
+	world_arrival_t arrivals[KL_PERMIT_LEVELS];
+	GQueue waiting[KL_PERMIT_LEVELS];
+} world_gate_t;
+
 /** Offered load of one workspace at one VM. */
 typedef struct workload {
 	vm_t *vm;
@@ -106,6 +145,7 @@
 	GPtrArray *vms;		   /**< vm_t */
 	GPtrArray *dbs;		   /**< db_t */
 	GPtrArray *workloads;	   /**< workload_t */
+	GPtrArray *gates;	   /**< world_gate_t */
 	GPtrArray *pending_writes; /**< pending_write_t, used by scripts */
 	GSequence *events;	   /**< world_event_t by time */
 	GRand *random;
@@ -186,6 +226,14 @@
  */
 void world_add_workspaces(world_t *world, int workspaces, int rate);
 
+/** Find or add the gate of a VM to a database with slots. */
+world_gate_t *world_find_gate(world_t *world, vm_t *vm, db_t *db);
+/** Set the statements a second of a priority from a VM to such a database. */
+void world_offer(world_t *world, vm_t *vm, db_t *db, double rate,
+		 uint32_t level);
+/** Count what happens at such a database from now on. */
+void world_reset_slot_counts(world_t *world, db_t *db);
+
 /** Advance the clock by a duration, microseconds. */
 void world_run(world_t *world, uint64_t duration_us);
 
--- a/tests/world_internal.h
+++ b/tests/world_internal.h
@@ -23,6 +23,7 @@
 	WORLD_EVENT_PLATFORM_ANSWER,
 	WORLD_EVENT_DATABASE_CALL,
 	WORLD_EVENT_DATABASE_ANSWER,
+	WORLD_EVENT_CALL, /**< of run() */
 } world_event_kind_t;
 
 /** A message in transit.  An answer reuses the event of its call. */
@@ -43,6 +44,8 @@
 	kl_platform_answer_t platform_answer;
 	kl_object_list_t answer_objects;
 	kl_database_answer_t database_answer;
+	void (*run)(world_t *world, void *data);
+	void *run_data;
 } world_event_t;
 
 /** Run a call of the platform and schedule its answer. */
@@ -92,6 +95,10 @@
 /** Report to each VM that its clients use every service. */
 void world_report_service_use(world_t *world);
 
+/** Let a VM try the statements again that wait for permits. */
+void world_permits_changed(vm_t *vm);
+void world_free_gate(world_gate_t *gate);
+
 /** Operations of the simulated VMs; the context is the vm_t. */
 extern const kl_node_ops_t world_node_ops;
 
--- a/tests/world_node.c
+++ b/tests/world_node.c
@@ -12,12 +12,20 @@
 static void node_call_platform(void *context, const kl_platform_call_t *call);
 static void node_call_database(void *context, const kl_database_call_t *call);
 static void node_log_decision(void *context, const kl_decision_t *decision);
+static void node_permits_changed(void *context);
+static void node_count_permits(void *context, kl_permit_event_t event,
+			       uint64_t amount);
 static void copy_objects(kl_object_list_t *to, const kl_object_list_t *from);
 static size_t message_size(const kl_peer_message_t *message);
 
-const kl_node_ops_t world_node_ops = { node_now,	   node_random,
-				       node_send_to_peer,  node_call_platform,
-				       node_call_database, node_log_decision };
+const kl_node_ops_t world_node_ops = { node_now,
+				       node_random,
+				       node_send_to_peer,
+				       node_call_platform,
+				       node_call_database,
+				       node_log_decision,
+				       node_permits_changed,
+				       node_count_permits };
 
 static uint64_t node_now(void *context)
 {
@@ -119,6 +127,17 @@
 		(unsigned long long)decision->term);
 }
 
+static void node_permits_changed(void *context)
+{
+	world_permits_changed(context);
+}
+
+static void node_count_permits(void *context, kl_permit_event_t event,
+			       uint64_t amount)
+{
+	((vm_t *)context)->permit_events[event] += amount;
+}
+
 static void copy_objects(kl_object_list_t *to, const kl_object_list_t *from)
 {
 	const kl_object_t *object;
