Keep the messages for permits constant as the fleet grows

Now a VM that is kept waiting tells further demand with its next message, and the arbiter sets the interval of reports by the number of VMs that wait. A grant may now follow long after its request, so its age is taken from the clock difference that the fastest answer showed.

--- a/control/peer_message.h
+++ b/control/peer_message.h
@@ -117,6 +117,7 @@
 	uint64_t request_sent_us; /**< of the newest request received */
 	uint32_t permits;	  /**< granted in addition to those held */
 	bool contended;		  /**< VMs wait for permits, or did lately */
+	uint64_t refresh_us; /**< a VM that waits reports again after this */
 } kl_permit_grant_t;
 
 /** Requests for the permits of several upstreams. */
@@ -128,7 +129,8 @@
 
 /** Grants for several upstreams. */
 typedef struct kl_peer_permit_grants {
-	uint32_t count; /**< entries of list */
+	uint64_t sent_us; /**< arbiter's clock */
+	uint32_t count;	  /**< entries of list */
 	kl_permit_grant_t list[KL_PEER_PERMITS_MAX];
 } kl_peer_permit_grants_t;
 
--- a/control/permit.c
+++ b/control/permit.c
@@ -184,8 +184,11 @@
 			    const kl_peer_message_t *message)
 {
 	const kl_peer_permit_requests_t *requests = &message->permit_requests;
+	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
 	uint64_t now = kl_node_now(node);
 
+	if (!members || !kl_index_get(members->index, message->from))
+		return;
 	for (uint32_t i = 0; i < requests->count; i++) {
 		const kl_permit_request_t *request = &requests->list[i];
 		kl_permit_entry_t *entry =
@@ -214,7 +217,7 @@
 			kl_index_get(state->index, grants->list[i].account);
 
 		if (entry)
-			changed |= kl_permit_accept(node, entry, message->from,
+			changed |= kl_permit_accept(node, entry, message,
 						    &grants->list[i]);
 	}
 	if (changed)
--- a/control/permit_ask.c
+++ b/control/permit_ask.c
@@ -4,8 +4,11 @@
 
 #include "control/permit_internal.h"
 
-/* A VM stops using permits this early, since it looks only at events. */
-#define EXPIRY_MARGIN_US (30 * KL_MS)
+/*
+ * A VM uses a permit for this long after it was sent: a tenth less than its
+ * lifetime, for clocks that run at unequal speeds.
+ */
+#define USABLE_US (KL_PERMIT_LIFETIME_US - KL_PERMIT_LIFETIME_US / 10)
 /* A request is repeated after this time without an answer. */
 #define REPEAT_US (15 * KL_MS)
 /* An arbiter that did not answer for this long is not used ... */
@@ -14,6 +17,7 @@
 #define SILENT_PAUSE_US (1 * KL_SEC)
 /* What is held or wanted is reported again before it would expire. */
 #define REFRESH_US (100 * KL_MS)
+#define REFRESH_MAX_US (1 * KL_SEC)
 /*
  * A VM that uses an upstream without permits asks this often whether others
  * wait for them: only those who wait notice the contention.
@@ -21,15 +25,25 @@
 #define INQUIRY_US (1 * KL_SEC)
 /* The upstream is contended for this long after its arbiter says so. */
 #define CONTENDED_US (1 * KL_SEC)
+/*
+ * A round trip is measured again after this time, for clocks that run at
+ * unequal speeds.
+ */
+#define ROUND_TRIP_MAX_AGE_US (10 * KL_SEC)
 /* More permits in one grant are malformed. */
 #define GRANT_MAX 1000
 
+static void add_permits(kl_permit_account_t *account, uint64_t permits,
+			uint64_t now_us, uint64_t valid_until_us);
+static uint64_t measure_age(kl_permit_asker_t *asker, uint64_t sent_us,
+			    const kl_permit_grant_t *grant, uint64_t now_us);
+static void forget_told(kl_permit_asker_t *asker);
 static void choose_arbiter(const kl_node_t *node, kl_permit_entry_t *entry);
 static void begin_pause(kl_node_t *node, kl_permit_entry_t *entry);
 static void note_contention(kl_node_t *node, kl_permit_entry_t *entry);
 static bool is_due(const kl_permit_entry_t *entry,
 		   const kl_permit_request_t *request, uint64_t now_us);
-static bool wants_any(const kl_permit_request_t *request);
+static bool wants_any(const uint32_t wanted[KL_PERMIT_LEVELS]);
 static void read_account(kl_permit_account_t *account, uint64_t now_us,
 			 kl_permit_request_t *request);
 static void cover(uint32_t wanted[KL_PERMIT_LEVELS], uint64_t permits);
@@ -42,7 +56,7 @@
 	uint64_t now = kl_node_now(node);
 	kl_peer_message_t *message;
 	kl_permit_request_t request;
-	bool is_needed = kl_permit_is_needed(account, now);
+	bool wants, is_needed = kl_permit_is_needed(account, now);
 
 	if (ck_pr_load_64(&account->single_until_us) > now)
 		return;
@@ -62,54 +76,104 @@
 		return;
 	memcpy(request.account, entry->name.name, KL_NAME_MAX);
 	request.seen_sequence = asker->seen_sequence;
-	request.wants_answer = wants_any(&request) || !is_needed;
+	wants = wants_any(request.wanted);
+	/* One that is kept waiting hears of grants without asking for them. */
+	request.wants_answer =
+		!is_needed || (wants && (!asker->kept_waiting ||
+					 now - asker->heard_us >= REFRESH_US));
 	message->permit_requests.list[message->permit_requests.count++] =
 		request;
 	asker->sent_us = message->permit_requests.sent_us;
 	asker->answered = request.answered;
 	asker->held = request.held;
 	memcpy(asker->wanted, request.wanted, sizeof(asker->wanted));
-	if (!wants_any(&request))
+	if (!wants)
 		asker->waiting_since_us = 0;
-	else if (!asker->waiting_since_us)
+	else if (request.wants_answer && !asker->waiting_since_us)
 		asker->waiting_since_us = now;
 }
 
 bool kl_permit_accept(kl_node_t *node, kl_permit_entry_t *entry,
-		      const char *from, const kl_permit_grant_t *grant)
+		      const kl_peer_message_t *message,
+		      const kl_permit_grant_t *grant)
 {
 	kl_permit_asker_t *asker = &entry->asker;
 	kl_permit_account_t *account = entry->account;
-	uint64_t now = kl_node_now(node);
-	uint64_t valid_until_us = grant->request_sent_us +
-				  KL_PERMIT_LIFETIME_US - EXPIRY_MARGIN_US;
+	uint64_t now = kl_node_now(node), age_us;
 
 	/*
 	 * Ignores a grant of another VM, one whose request this process did not
-	 * send, one that came too late, and a repeat.
+	 * send, and a repeat.
 	 */
-	if (strcmp(from, asker->arbiter) ||
+	if (strcmp(message->from, asker->arbiter) ||
 	    grant->request_sent_us > asker->sent_us ||
 	    grant->request_sent_us < node->started_us ||
-	    valid_until_us <= now || grant->sequence <= asker->seen_sequence ||
+	    grant->sequence <= asker->seen_sequence ||
 	    grant->permits > GRANT_MAX)
 		return false;
+	age_us = measure_age(asker, message->permit_grants.sent_us, grant, now);
+	if (age_us >= USABLE_US)
+		return false;
 	asker->seen_sequence = grant->sequence;
 	asker->heard_us = now;
-	asker->waiting_since_us = 0;
+	asker->refresh_us = grant->refresh_us < REFRESH_MAX_US
+				    ? grant->refresh_us
+				    : REFRESH_MAX_US;
+	cover(asker->wanted, grant->permits);
+	asker->held += grant->permits;
+	if (grant->request_sent_us == asker->sent_us) {
+		asker->waiting_since_us = 0;
+		asker->kept_waiting = wants_any(asker->wanted);
+	}
 	if (grant->contended)
 		ck_pr_store_64(&account->contended_until_us,
-			       now + CONTENDED_US);
+			       now + CONTENDED_US + asker->refresh_us);
 	if (!grant->permits)
 		return false;
-	asker->held += grant->permits;
-	cover(asker->wanted, grant->permits);
-	if (ck_pr_load_64(&account->valid_until_us) <= now)
+	add_permits(account, grant->permits, now, now + USABLE_US - age_us);
+	return true;
+}
+
+static void add_permits(kl_permit_account_t *account, uint64_t permits,
+			uint64_t now_us, uint64_t valid_until_us)
+{
+	uint64_t held_until_us = ck_pr_load_64(&account->valid_until_us);
+
+	if (held_until_us <= now_us)
 		kl_permit_keep(account, 0);
-	if (ck_pr_load_64(&account->valid_until_us) < valid_until_us)
+	if (held_until_us < valid_until_us)
 		ck_pr_store_64(&account->valid_until_us, valid_until_us);
-	kl_permit_add(account, grant->permits);
-	return true;
+	kl_permit_add(account, permits);
+}
+
+/*
+ * Returns how long ago a grant was sent, at most: how much later it came than
+ * the answer with the shortest round trip, and that round trip.
+ */
+static uint64_t measure_age(kl_permit_asker_t *asker, uint64_t sent_us,
+			    const kl_permit_grant_t *grant, uint64_t now_us)
+{
+	int64_t difference = (int64_t)(now_us - sent_us), age;
+	uint64_t round_trip_us = now_us > grant->request_sent_us
+					 ? now_us - grant->request_sent_us
+					 : 0;
+	bool is_answer = asker->waiting_since_us &&
+			 grant->request_sent_us == asker->sent_us;
+
+	if (is_answer &&
+	    (!asker->round_trip_at_us ||
+	     round_trip_us <= asker->round_trip_us ||
+	     now_us - asker->round_trip_at_us > ROUND_TRIP_MAX_AGE_US)) {
+		asker->round_trip_us = round_trip_us;
+		asker->round_trip_at_us = now_us;
+		asker->clock_difference_us = difference;
+	}
+	if (!asker->round_trip_at_us)
+		return round_trip_us;
+	age = (int64_t)((uint64_t)difference -
+			(uint64_t)asker->clock_difference_us +
+			asker->round_trip_us);
+	return age > 0 ? (uint64_t)age : 0;
 }
 
 /*
@@ -143,10 +207,19 @@
 	if (!strcmp(asker->arbiter, best ? best->name.name : ""))
 		return;
 	kl_name_copy(asker->arbiter, best ? best->name.name : "");
-	asker->seen_sequence = 0;
 	asker->sent_us = 0;
+	forget_told(asker);
+}
+
+/* Begins anew with an arbiter, which has to be told everything. */
+static void forget_told(kl_permit_asker_t *asker)
+{
 	asker->waiting_since_us = 0;
+	asker->seen_sequence = 0;
+	asker->round_trip_at_us = 0;
+	asker->kept_waiting = false;
 	asker->held = 0;
+	asker->refresh_us = REFRESH_US;
 	memset(asker->wanted, 0, sizeof(asker->wanted));
 }
 
@@ -161,9 +234,11 @@
 				   .peer = asker->arbiter,
 				   .age_us = now - asker->waiting_since_us };
 
-	asker->waiting_since_us = 0;
-	asker->held = 0;
-	memset(asker->wanted, 0, sizeof(asker->wanted));
+	/*
+	 * The sequence, too: an arbiter whose host started again counts from a
+	 * lower number.  Its earlier grants have expired when the pause ends.
+	 */
+	forget_told(asker);
 	kl_permit_keep(entry->account, 0);
 	ck_pr_store_64(&entry->account->single_until_us, now + SILENT_PAUSE_US);
 	/* It stays contended until the arbiter has been asked again. */
@@ -187,7 +262,10 @@
 	entry->asker.was_contended = is_contended;
 }
 
-/* Whether the arbiter has to be told something now. */
+/*
+ * Whether the arbiter has to be told something now.  A VM that is kept waiting
+ * tells further demand with its next message.
+ */
 static bool is_due(const kl_permit_entry_t *entry,
 		   const kl_permit_request_t *request, uint64_t now_us)
 {
@@ -201,21 +279,25 @@
 		return request->answered != asker->answered &&
 		       since_us >= INQUIRY_US;
 	if (request->held != asker->held ||
-	    memcmp(request->wanted, asker->wanted, sizeof(asker->wanted)))
+	    wants_any(request->wanted) != wants_any(asker->wanted))
 		return true;
-	if (wants_any(request))
-		return since_us >=
-		       (asker->waiting_since_us ? REPEAT_US : REFRESH_US);
-	return request->held && since_us >= REFRESH_US;
+	if (request->held && since_us >= REFRESH_US)
+		return true;
+	if (asker->waiting_since_us && since_us >= REPEAT_US)
+		return true;
+	for (int i = 0; i < KL_PERMIT_LEVELS; i++)
+		if (request->wanted[i] != asker->wanted[i] &&
+		    (!asker->kept_waiting || !asker->wanted[i]))
+			return true;
+	return wants_any(request->wanted) && since_us >= asker->refresh_us;
 }
 
-static bool wants_any(const kl_permit_request_t *request)
+static bool wants_any(const uint32_t wanted[KL_PERMIT_LEVELS])
 {
-	uint32_t sum = 0;
-
 	for (int i = 0; i < KL_PERMIT_LEVELS; i++)
-		sum += request->wanted[i];
-	return sum > 0;
+		if (wanted[i])
+			return true;
+	return false;
 }
 
 /*
--- a/control/permit_internal.h
+++ b/control/permit_internal.h
@@ -37,6 +37,16 @@
 	uint32_t wanted[KL_PERMIT_LEVELS]; /**< less what it granted since */
 	uint64_t answered;  /**< number of answers when it was last asked */
 	bool was_contended; /**< as of the last update */
+	/** The arbiter has answered, and cannot grant all that is wanted. */
+	bool kept_waiting;
+	uint64_t refresh_us; /**< interval of reports, set by the arbiter */
+	/**
+	 * Shortest round trip, when it was measured, and the difference of the
+	 * clocks that its answer showed.
+	 */
+	uint64_t round_trip_us;
+	uint64_t round_trip_at_us; /**< or 0 */
+	int64_t clock_difference_us;
 } kl_permit_asker_t;
 
 /** An upstream: this VM's account, and its pool where it is the arbiter. */
@@ -63,6 +73,7 @@
 
 /** Take in an arbiter's answer. @return whether statements may be tried */
 bool kl_permit_accept(kl_node_t *node, kl_permit_entry_t *entry,
-		      const char *from, const kl_permit_grant_t *grant);
+		      const kl_peer_message_t *message,
+		      const kl_permit_grant_t *grant);
 
 #endif
--- a/control/permit_outbox.c
+++ b/control/permit_outbox.c
@@ -36,6 +36,7 @@
 	if (kind == KL_PEER_PERMIT_REQUEST)
 		outgoing->message.permit_requests.sent_us =
 			next_stamp(node, outbox);
+	outgoing->message.permit_grants.sent_us = kl_node_now(node);
 	CK_STAILQ_INSERT_TAIL(&outbox->list, outgoing, link);
 	return &outgoing->message;
 }
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -100,9 +100,11 @@
 	unsigned hyper asked_us;
 	unsigned int permits;
 	bool contended;
+	unsigned hyper refresh_us;
 };
 
 struct kl_wire_permit_grants {
+	unsigned hyper sent_us;
 	kl_wire_permit_grant entries<KL_WIRE_PERMITS>;
 };
 
--- a/peer/peer_wire.h
+++ b/peer/peer_wire.h
@@ -131,10 +131,12 @@
 	u_quad_t asked_us;
 	u_int permits;
 	bool_t contended;
+	u_quad_t refresh_us;
 };
 typedef struct kl_wire_permit_grant kl_wire_permit_grant;
 
 struct kl_wire_permit_grants {
+	u_quad_t sent_us;
 	struct {
 		u_int entries_len;
 		kl_wire_permit_grant *entries_val;
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -201,6 +201,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->contended))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->refresh_us))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -209,6 +211,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_quad_t (xdrs, &objp->sent_us))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, KL_WIRE_PERMITS,
 		sizeof (kl_wire_permit_grant), (xdrproc_t) xdr_kl_wire_permit_grant))
 		 return FALSE;
--- a/peer/permit_codec.c
+++ b/peer/permit_codec.c
@@ -62,6 +62,7 @@
 	kl_wire_permit_grants *out = &wire->body.kl_wire_body_u.permit_grants;
 	const kl_peer_permit_grants_t *grants = &message->permit_grants;
 
+	out->sent_us = grants->sent_us;
 	out->entries.entries_val =
 		calloc(KL_PEER_PERMITS_MAX, sizeof(kl_wire_permit_grant));
 	if (!out->entries.entries_val)
@@ -75,6 +76,7 @@
 		entry->asked_us = grant->request_sent_us;
 		entry->permits = grant->permits;
 		entry->contended = grant->contended;
+		entry->refresh_us = grant->refresh_us;
 	}
 	out->entries.entries_len = grants->count;
 }
@@ -86,6 +88,7 @@
 		&wire->body.kl_wire_body_u.permit_grants;
 	kl_peer_permit_grants_t *grants = &message->permit_grants;
 
+	grants->sent_us = in->sent_us;
 	for (u_int i = 0; i < in->entries.entries_len; i++) {
 		const kl_wire_permit_grant *entry = &in->entries.entries_val[i];
 		kl_permit_grant_t *grant = &grants->list[grants->count++];
@@ -95,6 +98,7 @@
 		grant->request_sent_us = entry->asked_us;
 		grant->permits = entry->permits;
 		grant->contended = entry->contended;
+		grant->refresh_us = entry->refresh_us;
 	}
 }
 
--- a/tests/engine_model.c
+++ b/tests/engine_model.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "platform/line.h"
+#include "board/permit.h"
 #include "tests/engine_clients.h"
 
 #define CLOCK_STEP_US 1000
@@ -84,6 +85,7 @@
 	.conn_send = op_conn_send,
 	.conn_close = op_conn_close,
 	.tokens_needed = op_tokens_needed,
+	.permits_needed = op_tokens_needed,
 	.report_health = op_report_health,
 	.report_position = op_report_position,
 	.log_decision = op_log_decision,
@@ -96,7 +98,8 @@
 		.data_path = { .lease_us = 5 * KL_SEC, .leave_us = 4 * KL_SEC },
 		.statement_timeout_us = 3 * KL_SEC,
 		.admit_wait_us = 30 * KL_MS,
-		.connect_timeout_us = 500 * KL_MS
+		.connect_timeout_us = 500 * KL_MS,
+		.slot_permits = true
 	};
 
 	kl_name_copy(settings.data_path.domain, "d1");
@@ -132,6 +135,8 @@
 	}
 	model_clients_free();
 	kl_board_free(model->board);
+	if (model->permits)
+		kl_permit_account_release(model->permits);
 	for (uint32_t i = 0; i < model->bucket_count; i++)
 		kl_bucket_release(model->buckets[i]);
 	free(model);
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -92,6 +92,7 @@
 	uint32_t load_count;
 	kl_bucket_t *buckets[MODEL_ITEMS_MAX];
 	uint32_t bucket_count;
+	kl_permit_account_t *permits; /**< of one database, or NULL */
 	CK_STAILQ_HEAD(, model_conn) conns;
 	CK_STAILQ_HEAD(, model_event) events; /**< scheduled for later */
 	uint64_t last_commit;		/**< number of the newest commit */
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "board/permit.h"
 #include "kumquatloft/share.h"
 #include "tests/engine_model.h"
 
@@ -43,6 +44,8 @@
 static void step_trace(char **args, int count);
 static void step_vms(char **args, int count);
 static void step_shared(char **args, int count);
+static void step_permits(char **args, int count);
+static void show_permits(void);
 
 static const struct {
 	const char *name;
@@ -60,6 +63,7 @@
 	{ "show", 1, step_show },     { "trace", 1, step_trace },
 	{ "vms", 1, step_vms },	      { "shared", 1, step_shared },
 	{ "readd", 1, step_readd },   { "mark", 2, step_mark },
+	{ "permits", 2, step_permits },
 };
 
 int main(int argc, char **argv)
@@ -373,7 +377,40 @@
 	kl_engine_drain(model->engine, model->now_us, until_us, end_us);
 }
 
-/* show sessions|connections */
+/*
+ * permits DB COUNT|needed: grants permits for its slots, or makes them needed
+ * for the first time
+ */
+static void step_permits(char **args, int count)
+{
+	kl_permits_t *permits = kl_permits_new(1);
+	char name[2 * KL_NAME_MAX];
+	(void)count;
+
+	if (!model->permits) {
+		snprintf(name, sizeof(name), "s/%s", args[0]);
+		model->permits = kl_permit_account_new(name);
+		model->permits->contended_until_us = UINT64_MAX;
+		model->permits->valid_until_us = UINT64_MAX;
+	}
+	kl_permits_add(permits, model->permits);
+	kl_board_publish(model->writer, KL_SECTION_PERMITS, &permits->base);
+	kl_permit_add(model->permits, strtoull(args[1], NULL, 10));
+	kl_engine_permits_changed(model->engine, model->now_us);
+}
+
+static void show_permits(void)
+{
+	const kl_permit_account_t *account = model->permits;
+
+	printf("running %" PRIu64 " unused %" PRIu64 " wanted", account->running,
+	       account->unused);
+	for (int i = 0; i < KL_PERMIT_LEVELS; i++)
+		printf(" %" PRIu64, account->wanted[i]);
+	printf("\n");
+}
+
+/* show sessions|connections|counts|permits */
 static void step_show(char **args, int count)
 {
 	bool connections = !strcmp(args[0], "connections");
@@ -381,6 +418,8 @@
 	kl_engine_gauges_t gauges;
 	(void)count;
 
+	if (!strcmp(args[0], "permits"))
+		show_permits();
 	if (!strcmp(args[0], "sessions"))
 		printf("%u sessions\n", kl_engine_client_count(model->engine));
 	for (uint32_t i = 0; connections && i < model->db_count; i++)
