--- a/tests/unit/permit.c
+++ b/tests/unit/permit.c
@@ -11,6 +11,7 @@
 #include <glib.h>
 
 #include "control/permit_grant.h"
+#include "control/permit_limit.h"
 #include "peer/peer_codec.h"
 
 #define INPUTS 100000 /* for each kind */
@@ -95,6 +96,57 @@
 	kl_permit_pool_free(pool);
 }
 
+/* Guards against less urgent work that gets a permit first. */
+static void urgent_work_goes_first(void **state)
+{
+	kl_permit_pool_t *pool = kl_permit_pool_new(2, 1);
+	kl_permit_request_t urgent = { .wanted = { 0, 1 } };
+	kl_permit_request_t other = { .wanted = { 0, 0, 0, 4 } };
+	kl_permit_request_t one_less = { .held = 2 };
+	kl_permit_grant_t grant;
+	(void)state;
+
+	request(pool, "full", 1000, 3, 0, 0);
+	kl_permit_pool_request(pool, "a", 2000, &other, 2000);
+	kl_permit_pool_request(pool, "b", 2000, &urgent, 2000);
+	kl_permit_pool_request(pool, "full", 3000, &one_less, 3000);
+	kl_permit_pool_decide(pool, 3000);
+	assert_string_equal(kl_permit_pool_next_answer(pool, 3000, &grant),
+			    "b");
+	assert_int_equal(grant.permits, 1);
+	assert_null(kl_permit_pool_next_answer(pool, 3000, &grant));
+	kl_permit_pool_free(pool);
+}
+
+/* Guards against slots that stay idle, and against a queue that stays long. */
+static void limit_follows_statements_inside(void **state)
+{
+	kl_permit_limit_t limit;
+	uint64_t now_us = 1;
+	(void)state;
+
+	kl_permit_limit_init(&limit, 4, now_us);
+	for (int i = 0; i < 50; i++) {
+		now_us += 100000;
+		limit.is_short = true;
+		kl_permit_limit_add(&limit, 3 * 100000); /* 3 are inside */
+		kl_permit_limit_adapt(&limit, now_us);
+	}
+	assert_int_equal(limit.allowance, 8);
+	for (int i = 0; i < 50; i++) {
+		now_us += 100000;
+		limit.is_short = true;
+		kl_permit_limit_add(&limit, 9 * 100000); /* 9 are inside */
+		kl_permit_limit_adapt(&limit, now_us);
+	}
+	assert_int_equal(limit.allowance, 0);
+	for (int i = 0; i < 50; i++) {
+		now_us += 100000;
+		kl_permit_limit_adapt(&limit, now_us); /* none wait */
+	}
+	assert_int_equal(limit.allowance, 0);
+}
+
 /* Guards against a malformed request that takes all permits for ever. */
 static void absurd_numbers_are_bounded(void **state)
 {
@@ -205,6 +257,8 @@
 		cmocka_unit_test(older_request_changes_nothing),
 		cmocka_unit_test(permits_end_without_reports),
 		cmocka_unit_test(vms_take_turns),
+		cmocka_unit_test(urgent_work_goes_first),
+		cmocka_unit_test(limit_follows_statements_inside),
 		cmocka_unit_test(absurd_numbers_are_bounded),
 		cmocka_unit_test(messages_arrive_as_sent),
 		cmocka_unit_test(malformed_messages_decode_safely),
