Permits: take the permit before the connection

A statement asked for a permit only once it had an idle connection. While it waited, the connection counted as idle, was closed for another workspace's statement and opened again, and each opening takes a slot of the database.

While the upstream is contended, a queued statement now gets a permit first. Then it uses an idle connection of its workspace or opens one under the same permit; the time of the opening counts for the adaptation of the permits. What is wanted counts all queued statements by priority, as far as the window and the connections allow. The limit of connections moves to a file of its own.

In the script permits a statement is sent later by the time of a handshake, because its connection is no longer opened while it waits for the permit; what it counts is unchanged.

--- a/board/permit.c
+++ b/board/permit.c
@@ -135,6 +135,11 @@
 			       now_us + CONTENDED_US);
 }
 
+void kl_permit_add_time(kl_permit_account_t *account, uint64_t time_us)
+{
+	ck_pr_add_64(&account->latency_sum_us, time_us);
+}
+
 void kl_permit_add(kl_permit_account_t *account, uint64_t permits)
 {
 	ck_pr_add_64(&account->unused, permits);
--- a/board/permit.h
+++ b/board/permit.h
@@ -54,6 +54,9 @@
 			    uint64_t latency_us, uint64_t objective_us,
 			    bool busy);
 
+/** Worker: add the time that a connection took to open under a permit. */
+void kl_permit_add_time(kl_permit_account_t *account, uint64_t time_us);
+
 /** Controller: add permits that were granted. */
 void kl_permit_add(kl_permit_account_t *account, uint64_t permits);
 
--- a/path/engine_conn.c
+++ b/path/engine_conn.c
@@ -19,23 +19,12 @@
  */
 #define RECENT_WAIT_US (1 * KL_SEC)
 
-/* Time between two raises of the connection limit above the even share. */
-#define LIMIT_RAISE_INTERVAL_US (150 * KL_MS)
-/*
- * The connection limit is not raised for this long after the database refused a
- * connection because it had too many.
- */
-#define DB_FULL_HOLD_US (1500 * KL_MS)
-/* No connection is opened for this long after a failed attempt. */
-#define CONNECT_BACKOFF_US (30 * KL_MS)
 /* A statement's wait is long above its latency objective divided by this. */
 #define LONG_WAIT_DIVISOR 4
 
 static void assign_idle(kl_endpoint_t *endpoint);
 static void reroute_queue(kl_endpoint_t *endpoint);
-static bool has_long_wait(const kl_endpoint_t *endpoint);
-static bool allow_new_conn(kl_endpoint_t *endpoint);
-static void lower_conn_limit(kl_endpoint_t *endpoint);
+static void open_conns(kl_endpoint_t *endpoint);
 static uint32_t count_opening(const kl_endpoint_t *endpoint,
 			      const char *workspace);
 static void conn_free(kl_conn_t *conn);
@@ -68,6 +57,7 @@
 {
 	client->stmt.stage = KL_STMT_WAIT_CONN;
 	client->stmt.endpoint = endpoint;
+	client->stmt.has_permit = false;
 	endpoint->queue_length++;
 	CK_STAILQ_INSERT_TAIL(&endpoint->queue, client, queue_link);
 }
@@ -96,19 +86,24 @@
 			if (!kl_conn_find_idle(endpoint, client->workspace))
 				continue;
 			chosen = client;
-			if (!has_long_wait(endpoint))
+			if (!kl_endpoint_has_long_wait(endpoint))
 				break;
 		}
 		if (!chosen || !kl_stmt_take_permit(chosen))
 			return;
 		conn = kl_conn_find_idle(endpoint, chosen->workspace);
-		kl_endpoint_dequeue(chosen);
-		conn->stage = KL_CONN_IN_USE;
-		kl_stmt_run(chosen, conn);
+		kl_conn_assign(conn, chosen);
 	}
 }
 
-static bool has_long_wait(const kl_endpoint_t *endpoint)
+void kl_conn_assign(kl_conn_t *conn, kl_client_t *client)
+{
+	kl_endpoint_dequeue(client);
+	conn->stage = KL_CONN_IN_USE;
+	kl_stmt_run(client, conn);
+}
+
+bool kl_endpoint_has_long_wait(const kl_endpoint_t *endpoint)
 {
 	const kl_client_t *oldest = CK_STAILQ_FIRST(&endpoint->queue);
 
@@ -120,26 +115,35 @@
 void kl_endpoint_serve_queue(kl_endpoint_t *endpoint)
 {
 	uint64_t now_us = endpoint->cluster->engine->now_us;
-	kl_client_t *client, *next;
-	uint32_t needed = 0;
+	bool needs_permits = kl_permits_are_needed(endpoint);
 
 	if (!kl_endpoint_may_start(endpoint))
 		reroute_queue(endpoint);
-	assign_idle(endpoint);
-	if (has_long_wait(endpoint) ||
+	if (needs_permits)
+		kl_permits_serve_queue(endpoint);
+	else
+		assign_idle(endpoint);
+	if (kl_endpoint_has_long_wait(endpoint) ||
 	    (endpoint->queue_length &&
 	     endpoint->running_stmts >= endpoint->stmt_window))
 		endpoint->last_long_wait_us = now_us;
+	if (!needs_permits)
+		open_conns(endpoint);
+}
+
+/* Opens connections for queued statements. */
+static void open_conns(kl_endpoint_t *endpoint)
+{
+	kl_client_t *client, *next;
+	uint32_t needed = 0;
+
 	CK_STAILQ_FOREACH_SAFE(client, &endpoint->queue, queue_link, next) {
 		needed++;
 		if (count_opening(endpoint, client->workspace) >= needed ||
 		    endpoint->running_stmts + needed > endpoint->stmt_window ||
 		    !kl_endpoint_may_connect(endpoint))
 			continue;
-		if (endpoint->open_conns >= endpoint->conn_limit &&
-		    !allow_new_conn(endpoint))
-			continue;
-		kl_conn_open(endpoint, client->workspace);
+		kl_endpoint_open_conn(endpoint, client->workspace);
 	}
 }
 
@@ -156,46 +160,6 @@
 	}
 }
 
-bool kl_endpoint_may_connect(const kl_endpoint_t *endpoint)
-{
-	return endpoint->cluster->engine->now_us -
-		       endpoint->last_connect_failure_us >=
-	       CONNECT_BACKOFF_US;
-}
-
-/*
- * Allows one more connection when the limit is reached: closes the connection
- * that has been idle longest, or raises the limit above this VM's even share.
- * Other VMs may not need their shares; if they do, the database refuses the
- * connection.
- */
-static bool allow_new_conn(kl_endpoint_t *endpoint)
-{
-	uint64_t now_us = endpoint->cluster->engine->now_us;
-	kl_conn_t *conn = kl_endpoint_longest_idle(endpoint);
-
-	if (conn) {
-		kl_conn_close(conn);
-		return true;
-	}
-	if (endpoint->conn_limit >= endpoint->conn_limit_max ||
-	    now_us - endpoint->last_limit_raise_us < LIMIT_RAISE_INTERVAL_US ||
-	    now_us - endpoint->last_db_full_us < DB_FULL_HOLD_US)
-		return false;
-	endpoint->last_limit_raise_us = now_us;
-	endpoint->conn_limit++;
-	return true;
-}
-
-/* Lowers the limit to the open connections: the database allows no more. */
-static void lower_conn_limit(kl_endpoint_t *endpoint)
-{
-	endpoint->last_db_full_us = endpoint->cluster->engine->now_us;
-	endpoint->last_connect_failure_us = endpoint->last_db_full_us;
-	endpoint->conn_limit =
-		endpoint->open_conns > 1 ? endpoint->open_conns : 1;
-}
-
 static uint32_t count_opening(const kl_endpoint_t *endpoint,
 			      const char *workspace)
 {
@@ -310,6 +274,7 @@
 	if (conn->client)
 		conn->client->conn = NULL;
 	kl_conn_stmt_done(conn);
+	kl_permits_conn_lost(conn);
 	CK_STAILQ_REMOVE(&endpoint->conns, conn, kl_conn, link);
 	endpoint->open_conns--;
 	free(conn);
@@ -321,7 +286,8 @@
 
 	kl_engine_enter(engine, now_us);
 	kl_endpoint_answered(conn->endpoint, conn, position);
-	kl_conn_release(conn);
+	if (!kl_permits_conn_ready(conn))
+		kl_conn_release(conn);
 	kl_engine_exit(engine);
 }
 
@@ -364,7 +330,7 @@
 	conn_free(conn);
 	if (error == -KL_E_CONNECTIONS) {
 		kl_endpoint_is_alive(endpoint);
-		lower_conn_limit(endpoint);
+		kl_endpoint_lower_limit(endpoint);
 	}
 	if (client)
 		kl_stmt_conn_lost(client);
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -150,6 +150,7 @@
 	kl_bucket_t *waiting_bucket;
 	bool admitted; /**< it took its tokens */
 	bool waited_for_permit;
+	bool has_permit; /**< queued: a connection opens under its permit */
 	/** time of the first try to take tokens, or 0 */
 	uint64_t tokens_requested_us;
 } kl_stmt_t;
@@ -193,8 +194,9 @@
 	uint64_t stage_since_us; /**< when the stage began */
 	uint64_t sent_us;	 /**< when the last statement was sent */
 	bool is_status_query;	 /**< KL_CONN_DETACHED: for a status reply */
+	bool has_permit; /**< KL_CONN_OPENING: under a statement's permit */
+	bool runs_stmt;	 /**< counted in the endpoint's running_stmts */
 	/** its upstream was proven to be the primary at sent_us */
-	bool runs_stmt; /**< counted in the endpoint's running_stmts */
 	bool primary_proven;
 	/** replies to set-up, reset and status messages not yet received */
 	uint32_t pending_replies;
@@ -400,8 +402,10 @@
 void kl_conn_close(kl_conn_t *conn);
 /** Send a message. @return 0, or an error if nothing was sent */
 int kl_conn_send(kl_conn_t *conn, const kl_conn_msg_t *message);
-/** Whether the last failed attempt to connect is long enough ago. */
-bool kl_endpoint_may_connect(const kl_endpoint_t *endpoint);
+/** Whether the oldest queued statement has waited long. */
+bool kl_endpoint_has_long_wait(const kl_endpoint_t *endpoint);
+/** Run a queued statement on a connection that nothing else uses. */
+void kl_conn_assign(kl_conn_t *conn, kl_client_t *client);
 /** Open a connection. @return NULL if that failed at once */
 kl_conn_t *kl_conn_open(kl_endpoint_t *endpoint, const char *workspace);
 /** Find the connection that has been idle longest. @return NULL: none is */
@@ -415,13 +419,55 @@
  */
 void kl_conns_sweep(kl_engine_t *engine);
 
-/* engine_permit.c */
+/* engine_conn_limit.c */
+/**
+ * The connection limit is not raised for this long after the database refused a
+ * connection because it had too many.
+ */
+#define DB_FULL_HOLD_US (1500 * KL_MS)
+/** Whether the last failed attempt to connect is long enough ago. */
+bool kl_endpoint_may_connect(const kl_endpoint_t *endpoint);
+/** Lower the limit to the open connections: the database allows no more. */
+void kl_endpoint_lower_limit(kl_endpoint_t *endpoint);
+/** Whether a connection may be opened, if need be in place of an idle one. */
+bool kl_endpoint_may_open(const kl_endpoint_t *endpoint);
+/**
+ * Open a connection within the limit, if need be in place of an idle one.
+ *
+ * @return NULL if that is not possible now
+ */
+kl_conn_t *kl_endpoint_open_conn(kl_endpoint_t *endpoint,
+				 const char *workspace);
+
+/* engine_permit_queue.c */
 /**
  * Take a permit for a queued statement, if its upstream needs one.
  *
  * @return false if the statement has to wait for it
  */
 bool kl_stmt_take_permit(kl_client_t *client);
+/** Whether new operations at an endpoint need permits now. */
+bool kl_permits_are_needed(const kl_endpoint_t *endpoint);
+/**
+ * Take permits for queued statements.  Each gets an idle connection, or one
+ * that opens under the same permit.
+ */
+void kl_permits_serve_queue(kl_endpoint_t *endpoint);
+/**
+ * Give a connection that opened under a permit to a statement that waits for
+ * it, or to another one of its workspace.
+ *
+ * @return false if there is none, which ends the permit
+ */
+bool kl_permits_conn_ready(kl_conn_t *conn);
+/** End the permit of a connection that is freed while it opens. */
+void kl_permits_conn_lost(kl_conn_t *conn);
+/** Level of the permit that the client's statement needs. */
+uint32_t kl_permit_level(const kl_client_t *client);
+/** Number of connections that open under a permit. */
+uint32_t kl_permits_count_opening(const kl_endpoint_t *endpoint);
+
+/* engine_permit.c */
 /** Count a statement that was answered, for the permits of its upstream. */
 void kl_permits_count_answer(const kl_client_t *client, int error);
 /** State what the statements of this VM do; called at the end of each event. */
--- a/path/engine_permit.c
+++ b/path/engine_permit.c
@@ -8,26 +8,12 @@
 
 static void bind_accounts(kl_engine_t *engine);
 static void bind_endpoint(kl_endpoint_t *endpoint, const kl_permits_t *permits);
+static uint64_t count_places(const kl_endpoint_t *endpoint);
 static void read_use(const kl_endpoint_t *endpoint, kl_permit_use_t *use);
 static uint64_t count_running(const kl_endpoint_t *endpoint);
 static void count_wanted(const kl_endpoint_t *endpoint,
 			 uint64_t wanted[KL_PERMIT_LEVELS]);
 static void limit_wanted(uint64_t wanted[KL_PERMIT_LEVELS], uint64_t max);
-static uint32_t priority_level(const kl_client_t *client);
-
-bool kl_stmt_take_permit(kl_client_t *client)
-{
-	kl_engine_t *engine = client->engine;
-	kl_permit_account_t *account = client->stmt.endpoint->permits;
-
-	if (!account ||
-	    kl_permit_take(account, priority_level(client), engine->now_us))
-		return true;
-	if (!client->stmt.waited_for_permit)
-		engine->counts.permit_waits++;
-	client->stmt.waited_for_permit = true;
-	return false;
-}
 
 void kl_permits_count_answer(const kl_client_t *client, int error)
 {
@@ -137,41 +123,61 @@
 		count_wanted(endpoint, use->wanted);
 }
 
-/* Statements that run, or whose session state is being replayed. */
+/*
+ * Uses of permits: statements that run, or whose session state is being
+ * replayed, or whose connection is being opened.
+ */
 static uint64_t count_running(const kl_endpoint_t *endpoint)
 {
 	const kl_conn_t *conn;
 	uint64_t count = 0;
 
 	CK_STAILQ_FOREACH(conn, &endpoint->conns, link)
-		count += conn->runs_stmt ||
+		count += conn->runs_stmt || conn->has_permit ||
 			 (conn->stage == KL_CONN_IN_USE && conn->client &&
 			  conn->client->stmt.stage == KL_STMT_SETUP);
 	return count;
 }
 
 /*
- * Counts the queued statements that could be sent at once: those with an idle
- * connection, as far as this VM's window allows.
+ * Counts the queued statements that could be sent or get a connection at once,
+ * as far as this VM's window and its connections allow.
  */
 static void count_wanted(const kl_endpoint_t *endpoint,
 			 uint64_t wanted[KL_PERMIT_LEVELS])
 {
+	bool may_open = kl_endpoint_may_open(endpoint);
+	uint64_t used =
+		endpoint->running_stmts + kl_permits_count_opening(endpoint);
+	uint64_t places = count_places(endpoint), room = 0;
 	const kl_client_t *client;
+
+	if (used < endpoint->stmt_window)
+		room = endpoint->stmt_window - used;
+	CK_STAILQ_FOREACH(client, &endpoint->queue, queue_link) {
+		if (!client->stmt.has_permit &&
+		    (may_open ||
+		     kl_conn_find_idle(endpoint, client->workspace)))
+			wanted[kl_permit_level(client)]++;
+	}
+	limit_wanted(wanted, places < room ? places : room);
+}
+
+/* Connections that are idle, or could be opened without closing one. */
+static uint64_t count_places(const kl_endpoint_t *endpoint)
+{
 	const kl_conn_t *conn;
-	uint64_t idle = 0, room = 0;
+	uint64_t idle = 0, free_places = 0;
 
 	CK_STAILQ_FOREACH(conn, &endpoint->conns, link)
 		idle += conn->stage == KL_CONN_IDLE;
-	if (endpoint->running_stmts < endpoint->stmt_window)
-		room = endpoint->stmt_window - endpoint->running_stmts;
-	if (!idle || !room)
-		return;
-	CK_STAILQ_FOREACH(client, &endpoint->queue, queue_link) {
-		if (kl_conn_find_idle(endpoint, client->workspace))
-			wanted[priority_level(client)]++;
-	}
-	limit_wanted(wanted, idle < room ? idle : room);
+	if (endpoint->open_conns < endpoint->conn_limit)
+		free_places = endpoint->conn_limit - endpoint->open_conns;
+	if (!kl_endpoint_may_connect(endpoint))
+		free_places = 0;
+	if (!idle && !free_places && kl_endpoint_may_open(endpoint))
+		return 1; /* the limit may be raised */
+	return idle + free_places;
 }
 
 /* Reduces the counts to a sum of max, the least urgent first. */
@@ -183,10 +189,3 @@
 		max -= wanted[i];
 	}
 }
-
-static uint32_t priority_level(const kl_client_t *client)
-{
-	return client->route.priority < KL_PERMIT_LEVELS
-		       ? client->route.priority
-		       : KL_PERMIT_LEVELS - 1;
-}
