Permits: count an upstream as contended on robust signs only

A single latency over a quarter of the objective is ordinary work (objective 150 ms, work of 18 to 30 ms and 12 ms for a connection), so permits and their messages were used with capacity to spare. Besides, each VM asked each arbiter once a second whether others wait.

The signs are now a BUSY answer, a connection refused because the database has too many, and an average of at least five answers of a second above half of their objectives. A VM reports a sign with its requests; the arbiter then tells all VMs once a second, also while VMs wait for permits. VMs that use an uncontended upstream send nothing.

--- a/board/permit.c
+++ b/board/permit.c
@@ -6,9 +6,17 @@
 
 /* An upstream stays contended for this long after a sign of it. */
 #define CONTENDED_US 1000000ull
-/* An answer is late above its latency objective divided by this. */
-#define LATE_DIVISOR 4
-
+/*
+ * The answers of a second tell contention if their average is above half of the
+ * objective.  A single late answer tells none: ordinary work takes a quarter of
+ * the objective now and then.
+ */
+#define AVERAGE_US 1000000ull
+#define AVERAGE_MIN_ANSWERS 5
+#define LATE_PERMILLE 500
+
+static bool is_late_on_average(kl_permit_account_t *account, uint64_t now_us,
+			       uint64_t latency_us, uint64_t objective_us);
 static void destroy_permits(kl_snapshot_t *snapshot);
 
 kl_permit_account_t *kl_permit_account_new(const char *name)
@@ -130,9 +138,35 @@
 {
 	ck_pr_inc_64(&account->answered);
 	ck_pr_add_64(&account->latency_sum_us, latency_us);
-	if (busy || latency_us > objective_us / LATE_DIVISOR)
-		ck_pr_store_64(&account->contended_until_us,
-			       now_us + CONTENDED_US);
+	if (is_late_on_average(account, now_us, latency_us, objective_us) ||
+	    busy)
+		kl_permit_note_contention(account, now_us);
+}
+
+static bool is_late_on_average(kl_permit_account_t *account, uint64_t now_us,
+			       uint64_t latency_us, uint64_t objective_us)
+{
+	if (now_us - account->second_start_us > AVERAGE_US) {
+		account->second_start_us = now_us;
+		account->second_answers = 0;
+		account->second_permille = 0;
+	}
+	if (objective_us) {
+		account->second_answers++;
+		account->second_permille += latency_us * 1000 / objective_us;
+	}
+	return account->second_answers >= AVERAGE_MIN_ANSWERS &&
+	       account->second_permille >
+		       LATE_PERMILLE * account->second_answers;
+}
+
+void kl_permit_note_contention(kl_permit_account_t *account, uint64_t now_us)
+{
+	uint64_t until_us = now_us + CONTENDED_US;
+
+	ck_pr_store_64(&account->sign_us, now_us);
+	if (ck_pr_load_64(&account->contended_until_us) < until_us)
+		ck_pr_store_64(&account->contended_until_us, until_us);
 }
 
 void kl_permit_add_time(kl_permit_account_t *account, uint64_t time_us)
--- a/board/permit.h
+++ b/board/permit.h
@@ -48,12 +48,16 @@
 
 /**
  * Worker: count an answered statement.  The upstream is contended if it refused
- * the statement as busy, or answered later than a quarter of the objective.
+ * the statement as busy, or if the answers of a second took more than half of
+ * their objectives on average.
  */
 void kl_permit_count_answer(kl_permit_account_t *account, uint64_t now_us,
 			    uint64_t latency_us, uint64_t objective_us,
 			    bool busy);
 
+/** Worker: note a sign that the upstream is contended. */
+void kl_permit_note_contention(kl_permit_account_t *account, uint64_t now_us);
+
 /** Worker: add the time that a connection took to open under a permit. */
 void kl_permit_add_time(kl_permit_account_t *account, uint64_t time_us);
 
--- a/board/sections.h
+++ b/board/sections.h
@@ -360,6 +360,12 @@
 	uint64_t latency_sum_us;     /**< sum of their latencies; atomic */
 	uint64_t contended_until_us; /**< permits are needed until then;
 					atomic */
+	/** time of the last sign of contention that this VM saw; atomic */
+	uint64_t sign_us;
+	/* Answers of a second, whose average tells contention; worker only. */
+	uint64_t second_start_us;
+	uint64_t second_answers;
+	uint64_t second_permille; /**< sum of latencies to objectives */
 	/** no arbiter answers: one statement at a time until then; atomic */
 	uint64_t single_until_us;
 	uint32_t references; /**< see kl_permit_account_acquire(); atomic */
--- a/control/peer_message.h
+++ b/control/peer_message.h
@@ -108,9 +108,13 @@
 	uint64_t answered;		   /**< statements answered so far */
 	uint64_t latency_sum_us;	   /**< sum of their latencies */
 	bool wants_answer;		   /**< also if none can be granted */
+	bool contended; /**< the VM itself saw a sign of contention lately */
 } kl_permit_request_t;
 
-/** An arbiter's answer for one upstream. */
+/**
+ * An arbiter's answer for one upstream.  With request_sent_us 0 it is a notice
+ * that the upstream is contended, for VMs that requested nothing.
+ */
 typedef struct kl_permit_grant {
 	char account[KL_NAME_MAX];
 	uint64_t sequence;	  /**< rises with each grant of this arbiter */
--- a/control/permit.c
+++ b/control/permit.c
@@ -245,6 +245,8 @@
 		message->permit_grants.list[message->permit_grants.count++] =
 			grant;
 	}
+	if (kl_permit_pool_notice_is_due(entry->pool, now))
+		kl_permit_notify(node, entry, &state->outbox);
 	expired = kl_permit_pool_take_expired(entry->pool);
 	if (granted)
 		node->ops->count_permits(node->ops_context, KL_PERMIT_GRANTED,
--- a/control/permit_ask.c
+++ b/control/permit_ask.c
@@ -18,12 +18,7 @@
 /* What is held or wanted is reported again before it would expire. */
 #define REFRESH_US (100 * KL_MS)
 #define REFRESH_MAX_US (1 * KL_SEC)
-/*
- * A VM that uses an upstream without permits asks this often whether others
- * wait for them: only those who wait notice the contention.
- */
-#define INQUIRY_US (1 * KL_SEC)
-/* The upstream is contended for this long after its arbiter says so. */
+/* An upstream is contended for this long after a sign of it. */
 #define CONTENDED_US (1 * KL_SEC)
 /*
  * A round trip is measured again after this time, for clocks that run at
@@ -56,7 +51,7 @@
 	uint64_t now = kl_node_now(node);
 	kl_peer_message_t *message;
 	kl_permit_request_t request;
-	bool wants, is_needed = kl_permit_is_needed(account, now);
+	bool wants;
 
 	if (ck_pr_load_64(&account->single_until_us) > now)
 		return;
@@ -78,13 +73,11 @@
 	request.seen_sequence = asker->seen_sequence;
 	wants = wants_any(request.wanted);
 	/* One that is kept waiting hears of grants without asking for them. */
-	request.wants_answer =
-		!is_needed || (wants && (!asker->kept_waiting ||
-					 now - asker->heard_us >= REFRESH_US));
+	request.wants_answer = wants && (!asker->kept_waiting ||
+					 now - asker->heard_us >= REFRESH_US);
 	message->permit_requests.list[message->permit_requests.count++] =
 		request;
 	asker->sent_us = message->permit_requests.sent_us;
-	asker->answered = request.answered;
 	asker->held = request.held;
 	memcpy(asker->wanted, request.wanted, sizeof(asker->wanted));
 	if (!wants)
@@ -101,6 +94,10 @@
 	kl_permit_account_t *account = entry->account;
 	uint64_t now = kl_node_now(node), age_us;
 
+	if (!grant->request_sent_us && grant->contended && !grant->permits) {
+		kl_permit_accept_notice(node, entry, message->from);
+		return false;
+	}
 	/*
 	 * Ignores a grant of another VM, one whose request this process did not
 	 * send, and a repeat.
@@ -276,8 +273,7 @@
 	if (!asker->arbiter[0])
 		return false;
 	if (!kl_permit_is_needed(entry->account, now_us))
-		return request->answered != asker->answered &&
-		       since_us >= INQUIRY_US;
+		return false;
 	if (request->held != asker->held ||
 	    wants_any(request->wanted) != wants_any(asker->wanted))
 		return true;
@@ -308,7 +304,7 @@
 static void read_account(kl_permit_account_t *account, uint64_t now_us,
 			 kl_permit_request_t *request)
 {
-	uint64_t unused, sum = 0;
+	uint64_t unused, sign_us, sum = 0;
 
 	memset(request, 0, sizeof(*request));
 	for (int i = 0; i < KL_PERMIT_LEVELS; i++) {
@@ -322,6 +318,8 @@
 	ck_pr_fence_load();
 	request->held = (uint32_t)(unused + ck_pr_load_64(&account->running));
 	cover(request->wanted, unused);
+	sign_us = ck_pr_load_64(&account->sign_us);
+	request->contended = sign_us && sign_us + CONTENDED_US > now_us;
 	request->answered = ck_pr_load_64(&account->answered);
 	request->latency_sum_us = ck_pr_load_64(&account->latency_sum_us);
 }
--- a/control/permit_grant.c
+++ b/control/permit_grant.c
@@ -19,21 +19,25 @@
 #define MISSED_REFRESHES 3
 /* VMs are told that the upstream is contended until this long after it was. */
 #define CONTENDED_US 1000000ull
+/* Interval of the notices to all VMs meanwhile. */
+#define NOTICE_US 1000000ull
 
 struct kl_permit_pool {
 	CK_STAILQ_HEAD(, kl_permit_holder) vms;
 	kl_permit_limit_t limit;
-	uint32_t outstanding; /* as of the last decision */
-	uint32_t expired;     /* since they were last asked for */
-	uint64_t sequence;    /* of the newest answer */
-	uint64_t turn;	      /* number of the newest grant */
-	uint64_t short_us;    /* when VMs last waited for permits */
-	uint64_t refresh_us;  /* interval of reports of VMs that wait */
+	uint32_t outstanding;  /* as of the last decision */
+	uint32_t expired;      /* since they were last asked for */
+	uint64_t sequence;     /* of the newest answer */
+	uint64_t turn;	       /* number of the newest grant */
+	uint64_t contended_us; /* when VMs waited or saw a sign of it */
+	uint64_t notice_us;    /* when all VMs were last told, or 0 */
+	uint64_t refresh_us;   /* interval of reports of VMs that wait */
 };
 
 static kl_permit_holder_t *find_vm(const kl_permit_pool_t *pool,
 				   const char *name);
 static void expire(kl_permit_pool_t *pool, uint64_t now_us);
+static bool is_contended(const kl_permit_pool_t *pool, uint64_t now_us);
 static uint32_t count_outstanding(const kl_permit_pool_t *pool);
 static kl_permit_holder_t *choose(const kl_permit_pool_t *pool, uint64_t now_us,
 				  int *level);
@@ -92,6 +96,8 @@
 				    request->latency_sum_us -
 					    vm->request.latency_sum_us);
 	kl_permit_holder_report(vm, sent_us, request, now_us);
+	if (request->contended)
+		pool->contended_us = now_us;
 	return true;
 }
 
@@ -108,7 +114,7 @@
 	while ((vm = choose(pool, now_us, &level))) {
 		if (pool->outstanding >= limit) {
 			pool->limit.is_short = true;
-			pool->short_us = now_us;
+			pool->contended_us = now_us;
 			return;
 		}
 		vm->request.wanted[level]--;
@@ -130,8 +136,7 @@
 		grant->sequence = ++pool->sequence;
 		grant->request_sent_us = vm->sent_us;
 		grant->permits = vm->pending;
-		grant->contended = pool->short_us &&
-				   now_us - pool->short_us < CONTENDED_US;
+		grant->contended = is_contended(pool, now_us);
 		grant->refresh_us = pool->refresh_us;
 		kl_permit_holder_answered(vm, grant->sequence, now_us);
 		return vm->name;
@@ -139,6 +144,14 @@
 	return NULL;
 }
 
+bool kl_permit_pool_notice_is_due(kl_permit_pool_t *pool, uint64_t now_us)
+{
+	if (!is_contended(pool, now_us) || now_us - pool->notice_us < NOTICE_US)
+		return false;
+	pool->notice_us = now_us;
+	return true;
+}
+
 uint32_t kl_permit_pool_take_expired(kl_permit_pool_t *pool)
 {
 	uint32_t expired = pool->expired;
@@ -194,6 +207,11 @@
 		pool->refresh_us = REFRESH_MAX_US;
 }
 
+static bool is_contended(const kl_permit_pool_t *pool, uint64_t now_us)
+{
+	return pool->contended_us && now_us - pool->contended_us < CONTENDED_US;
+}
+
 static uint32_t count_outstanding(const kl_permit_pool_t *pool)
 {
 	uint32_t sum = 0;
--- a/control/permit_grant.h
+++ b/control/permit_grant.h
@@ -52,6 +52,9 @@
 const char *kl_permit_pool_next_answer(kl_permit_pool_t *pool, uint64_t now_us,
 				       kl_permit_grant_t *grant);
 
+/** Whether all VMs are to be told now that the upstream is contended. */
+bool kl_permit_pool_notice_is_due(kl_permit_pool_t *pool, uint64_t now_us);
+
 /** Number of permits that expired since the last call. */
 uint32_t kl_permit_pool_take_expired(kl_permit_pool_t *pool);
 
--- a/control/permit_internal.h
+++ b/control/permit_internal.h
@@ -35,8 +35,7 @@
 	uint64_t seen_sequence; /**< of the newest grant */
 	uint32_t held;		/**< as told to the arbiter, and its grants */
 	uint32_t wanted[KL_PERMIT_LEVELS]; /**< less what it granted since */
-	uint64_t answered;  /**< number of answers when it was last asked */
-	bool was_contended; /**< as of the last update */
+	bool was_contended;		   /**< as of the last update */
 	/** The arbiter has answered, and cannot grant all that is wanted. */
 	bool kept_waiting;
 	uint64_t refresh_us; /**< interval of reports, set by the arbiter */
@@ -67,6 +66,14 @@
 					    const char *vm,
 					    kl_peer_kind_t kind);
 
+/** Arbiter: tell all VMs that an upstream is contended. */
+void kl_permit_notify(kl_node_t *node, const kl_permit_entry_t *entry,
+		      kl_permit_outbox_t *outbox);
+
+/** Take in such a notice, unless it comes from another VM. */
+void kl_permit_accept_notice(kl_node_t *node, kl_permit_entry_t *entry,
+			     const char *from);
+
 /** Tell the arbiter what changed, and request permits that are wanted. */
 void kl_permit_ask(kl_node_t *node, kl_permit_entry_t *entry,
 		   kl_permit_outbox_t *outbox);
--- a/path/engine_conn.c
+++ b/path/engine_conn.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "board/permit.h"
 #include "path/engine_internal.h"
 
 /* Time limit of a status query. */
@@ -331,6 +332,8 @@
 	if (error == -KL_E_CONNECTIONS) {
 		kl_endpoint_is_alive(endpoint);
 		kl_endpoint_lower_limit(endpoint);
+		if (endpoint->permits)
+			kl_permit_note_contention(endpoint->permits, now_us);
 	}
 	if (client)
 		kl_stmt_conn_lost(client);
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -87,6 +87,7 @@
 	unsigned hyper answered;
 	unsigned hyper latency_us;
 	bool wants_answer;
+	bool contended;
 };
 
 struct kl_wire_permit_requests {
--- a/peer/peer_wire.h
+++ b/peer/peer_wire.h
@@ -113,6 +113,7 @@
 	u_quad_t answered;
 	u_quad_t latency_us;
 	bool_t wants_answer;
+	bool_t contended;
 };
 typedef struct kl_wire_permit_request kl_wire_permit_request;
 
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -170,6 +170,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->wants_answer))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->contended))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/peer/permit_codec.c
+++ b/peer/permit_codec.c
@@ -27,6 +27,7 @@
 		entry->answered = request->answered;
 		entry->latency_us = request->latency_sum_us;
 		entry->wants_answer = request->wants_answer;
+		entry->contended = request->contended;
 	}
 	out->entries.entries_len = requests->count;
 }
@@ -53,6 +54,7 @@
 		request->answered = entry->answered;
 		request->latency_sum_us = entry->latency_us;
 		request->wants_answer = entry->wants_answer;
+		request->contended = entry->contended;
 	}
 }
 
--- a/tests/unit/permit.c
+++ b/tests/unit/permit.c
@@ -10,6 +10,7 @@
 #include <cmocka.h>
 #include <glib.h>
 
+#include "board/permit.h"
 #include "control/permit_grant.h"
 #include "control/permit_limit.h"
 #include "peer/peer_codec.h"
@@ -181,6 +182,7 @@
 		request->answered = 12;
 		request->latency_sum_us = 1234567;
 		request->wants_answer = true;
+		request->contended = true;
 		strcpy(grant->account, "orders/p1");
 		grant->sequence = 78;
 		grant->request_sent_us = 4;
@@ -190,6 +192,49 @@
 	}
 }
 
+/*
+ * Guards against an upstream that counts as contended because of single answers
+ * that took a third of their objective, and against contention that is missed.
+ */
+static void single_late_answers_are_no_contention(void **state)
+{
+	kl_permit_account_t *account = kl_permit_account_new("orders/p1");
+	uint64_t now = 1000000;
+	(void)state;
+
+	for (int i = 0; i < 20; i++, now += 10000)
+		kl_permit_count_answer(account, now, 50000, 150000, false);
+	kl_permit_count_answer(account, now, 140000, 150000, false);
+	assert_false(kl_permit_is_needed(account, now));
+	now += 2000000;
+	for (int i = 0; i < 5; i++)
+		kl_permit_count_answer(account, now, 80000, 150000, false);
+	assert_true(kl_permit_is_needed(account, now));
+	now += 2000000;
+	assert_false(kl_permit_is_needed(account, now));
+	kl_permit_count_answer(account, now, 100, 150000, true);
+	assert_true(kl_permit_is_needed(account, now));
+	kl_permit_account_release(account);
+}
+
+/* Guards against VMs that never hear that others find an upstream contended. */
+static void sign_of_one_vm_is_announced_once_a_second(void **state)
+{
+	kl_permit_pool_t *pool = kl_permit_pool_new(4, 1);
+	kl_permit_request_t sign = { .held = 1, .contended = true };
+	(void)state;
+
+	request(pool, "a", 5000000, 1, 0, 0);
+	assert_false(kl_permit_pool_notice_is_due(pool, 5000000));
+	kl_permit_pool_request(pool, "a", 5000001, &sign, 5000001);
+	assert_true(kl_permit_pool_notice_is_due(pool, 5000001));
+	assert_false(kl_permit_pool_notice_is_due(pool, 5500000));
+	kl_permit_pool_request(pool, "a", 5900000, &sign, 5900000);
+	assert_true(kl_permit_pool_notice_is_due(pool, 6100000));
+	assert_false(kl_permit_pool_notice_is_due(pool, 7200000));
+	kl_permit_pool_free(pool);
+}
+
 /* Guards against a field that is not sent, or is taken for another. */
 static void messages_arrive_as_sent(void **state)
 {
@@ -260,6 +305,8 @@
 		cmocka_unit_test(urgent_work_goes_first),
 		cmocka_unit_test(limit_follows_statements_inside),
 		cmocka_unit_test(absurd_numbers_are_bounded),
+		cmocka_unit_test(single_late_answers_are_no_contention),
+		cmocka_unit_test(sign_of_one_vm_is_announced_once_a_second),
 		cmocka_unit_test(messages_arrive_as_sent),
 		cmocka_unit_test(malformed_messages_decode_safely),
 	};
