--- a/tests/engine_model.c
+++ b/tests/engine_model.c
@@ -66,6 +66,7 @@
 static void op_log_decision(void *context, const kl_decision_t *decision);
 static void schedule(model_t *model, event_kind_t kind, uint64_t delay_us,
 		     model_conn_t *conn, model_event_t *event);
+static void grant_permits(model_t *model);
 static void serve_slot_queue(model_t *model, model_db_t *db);
 static void handle_event(model_t *model, model_event_t *event);
 static void run_statement(model_t *model, model_event_t *event);
@@ -162,9 +163,27 @@
 		}
 		if (model->now_us % TICK_INTERVAL_US == 0)
 			kl_engine_tick(model->engine, model->now_us);
+		if (model->permit_limit)
+			grant_permits(model);
 	}
 }
 
+/* Does what an arbiter without other VMs does, in a message each step. */
+static void grant_permits(model_t *model)
+{
+	kl_permit_account_t *account = model->permits;
+	uint64_t wanted = 0;
+
+	for (int i = 0; i < KL_PERMIT_LEVELS; i++)
+		wanted += account->wanted[i];
+	kl_permit_keep(account, wanted);
+	if (account->running + account->unused >= model->permit_limit ||
+	    account->unused >= wanted)
+		return;
+	kl_permit_add(account, 1);
+	kl_engine_permits_changed(model->engine, model->now_us);
+}
+
 void model_confirm(model_t *model)
 {
 	kl_confirmation_t *confirmation;
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -93,6 +93,8 @@
 	kl_bucket_t *buckets[MODEL_ITEMS_MAX];
 	uint32_t bucket_count;
 	kl_permit_account_t *permits; /**< of one database, or NULL */
+	/** permits outstanding that an arbiter keeps up, or 0 */
+	uint64_t permit_limit;
 	CK_STAILQ_HEAD(, model_conn) conns;
 	CK_STAILQ_HEAD(, model_event) events; /**< scheduled for later */
 	uint64_t last_commit;		/**< number of the newest commit */
