Permits: split the choice of the arbiter, and free simulated statements

The simulated fleet keeps its statements in a list: the address sanitizer reported those that were under way at the end of a script as leaked, so that the scripts permits_spare, permits_isolated, permits_dead_vm and permits_no_contention failed under it. They pass now.

--- a/control/permit.c
+++ b/control/permit.c
@@ -35,7 +35,6 @@
 		      kl_permit_entry_t *entry);
 static void update_all(kl_node_t *node, permit_state_t *state, bool arbitrates);
 static void deliver_own(kl_node_t *node, permit_state_t *state);
-static void send_all(kl_node_t *node, permit_state_t *state);
 
 int kl_permit_create(kl_node_t *node)
 {
@@ -73,7 +72,7 @@
 		handle_message(node, state, event->peer);
 	apply_config(node, state);
 	deliver_own(node, state);
-	send_all(node, state);
+	kl_permit_outbox_send(node, &state->outbox);
 }
 
 /* Keeps an entry for each upstream whose execution slots are known. */
@@ -288,16 +287,3 @@
 		}
 	} while (found);
 }
-
-static void send_all(kl_node_t *node, permit_state_t *state)
-{
-	kl_permit_outgoing_t *outgoing;
-
-	while ((outgoing = CK_STAILQ_FIRST(&state->outbox.list))) {
-		CK_STAILQ_REMOVE_HEAD(&state->outbox.list, link);
-		node->ops->send_to_peer(node->ops_context, outgoing->vm,
-					outgoing->host, outgoing->port,
-					&outgoing->message);
-		free(outgoing);
-	}
-}
--- a/control/permit_ask.c
+++ b/control/permit_ask.c
@@ -33,7 +33,6 @@
 static uint64_t measure_age(kl_permit_asker_t *asker, uint64_t sent_us,
 			    const kl_permit_grant_t *grant, uint64_t now_us);
 static void forget_told(kl_permit_asker_t *asker);
-static void choose_arbiter(const kl_node_t *node, kl_permit_entry_t *entry);
 static void begin_pause(kl_node_t *node, kl_permit_entry_t *entry);
 static void note_contention(kl_node_t *node, kl_permit_entry_t *entry);
 static bool is_due(const kl_permit_entry_t *entry,
@@ -55,7 +54,8 @@
 
 	if (ck_pr_load_64(&account->single_until_us) > now)
 		return;
-	choose_arbiter(node, entry);
+	if (kl_permit_choose_arbiter(node, entry))
+		forget_told(asker);
 	note_contention(node, entry);
 	if (asker->waiting_since_us &&
 	    now - asker->waiting_since_us > ANSWER_TIMEOUT_US) {
@@ -173,41 +173,6 @@
 	return age > 0 ? (uint64_t)age : 0;
 }
 
-/*
- * Chooses the registered VM of the upstream's failure domain that ranks highest
- * for it, or of all VMs if the domain has none.
- */
-static void choose_arbiter(const kl_node_t *node, kl_permit_entry_t *entry)
-{
-	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
-	kl_permit_asker_t *asker = &entry->asker;
-	const kl_member_t *member, *best = NULL;
-	unsigned long long best_rank = 0;
-	bool best_near = false;
-
-	if (!members || members->base.sequence == asker->members_sequence)
-		return;
-	asker->members_sequence = members->base.sequence;
-	CK_STAILQ_FOREACH(member, &members->list, link) {
-		bool near = !strcmp(member->domain, entry->domain);
-		unsigned long long rank;
-
-		if (!member->registered || (best_near && !near))
-			continue;
-		rank = kl_rendezvous_rank(entry->name.name, member->name.name);
-		if (best && near == best_near && rank <= best_rank)
-			continue;
-		best = member;
-		best_near = near;
-		best_rank = rank;
-	}
-	if (!strcmp(asker->arbiter, best ? best->name.name : ""))
-		return;
-	kl_name_copy(asker->arbiter, best ? best->name.name : "");
-	asker->sent_us = 0;
-	forget_told(asker);
-}
-
 /* Begins anew with an arbiter, which has to be told everything. */
 static void forget_told(kl_permit_asker_t *asker)
 {
--- a/control/permit_internal.h
+++ b/control/permit_internal.h
@@ -66,6 +66,18 @@
 					    const char *vm,
 					    kl_peer_kind_t kind);
 
+/** Send the messages of this step. */
+void kl_permit_outbox_send(kl_node_t *node, kl_permit_outbox_t *outbox);
+
+/**
+ * Choose the arbiter after the members changed: the registered VM of the
+ * upstream's failure domain that ranks highest for it, or of all VMs if the
+ * domain has none.
+ *
+ * @return whether it is another one than before
+ */
+bool kl_permit_choose_arbiter(const kl_node_t *node, kl_permit_entry_t *entry);
+
 /** Arbiter: tell all VMs that an upstream is contended. */
 void kl_permit_notify(kl_node_t *node, const kl_permit_entry_t *entry,
 		      kl_permit_outbox_t *outbox);
--- a/control/permit_outbox.c
+++ b/control/permit_outbox.c
@@ -41,6 +41,19 @@
 	return &outgoing->message;
 }
 
+void kl_permit_outbox_send(kl_node_t *node, kl_permit_outbox_t *outbox)
+{
+	kl_permit_outgoing_t *outgoing;
+
+	while ((outgoing = CK_STAILQ_FIRST(&outbox->list))) {
+		CK_STAILQ_REMOVE_HEAD(&outbox->list, link);
+		node->ops->send_to_peer(node->ops_context, outgoing->vm,
+					outgoing->host, outgoing->port,
+					&outgoing->message);
+		free(outgoing);
+	}
+}
+
 /*
  * The time, raised so that it is later than the last one: an arbiter ignores a
  * request that isn't newer than another.
--- a/tests/world.c
+++ b/tests/world.c
@@ -59,6 +59,7 @@
 
 		g_array_free(db->log, TRUE);
 		g_array_free(db->written_at_us, TRUE);
+		g_queue_clear(&db->queue);
 		g_free(db);
 	}
 	for (guint i = 0; i < world->workloads->len; i++) {
--- a/tests/world.h
+++ b/tests/world.h
@@ -112,6 +112,7 @@
 	double rate[KL_PERMIT_LEVELS]; /**< statements a second */
 	world_arrival_t arrivals[KL_PERMIT_LEVELS];
 	GQueue waiting[KL_PERMIT_LEVELS];
+	CK_LIST_HEAD(, world_stmt) sent; /**< and not answered */
 } world_gate_t;
 
 /** Offered load of one workspace at one VM. */
--- a/tests/world_permit.c
+++ b/tests/world_permit.c
@@ -15,7 +15,8 @@
 #define DEADLINE_US (800 * KL_MS) /* a VM refuses what waited for longer */
 
 /** A statement of a VM. */
-typedef struct stmt {
+typedef struct world_stmt {
+	CK_LIST_ENTRY(world_stmt) link; /**< in gate->sent */
 	world_gate_t *gate;
 	uint64_t incarnation; /**< of the process that took it */
 	uint64_t arrived_us;
@@ -51,6 +52,7 @@
 	gate = g_new0(world_gate_t, 1);
 	gate->vm = vm;
 	gate->db = db;
+	CK_LIST_INIT(&gate->sent);
 	for (int i = 0; i < KL_PERMIT_LEVELS; i++)
 		g_queue_init(&gate->waiting[i]);
 	g_ptr_array_add(world->gates, gate);
@@ -82,8 +84,12 @@
 
 void world_free_gate(world_gate_t *gate)
 {
+	stmt_t *stmt, *next;
+
 	for (int i = 0; i < KL_PERMIT_LEVELS; i++)
 		g_queue_clear_full(&gate->waiting[i], g_free);
+	CK_LIST_FOREACH_SAFE(stmt, &gate->sent, link, next)
+		g_free(stmt);
 	g_free(gate);
 }
 
@@ -156,6 +162,7 @@
 	stmt = g_queue_pop_head(&gate->waiting[level]);
 	gate->db->waiting--;
 	gate->running++;
+	CK_LIST_INSERT_HEAD(&gate->sent, stmt, link);
 	stmt->sent_us = world->now_us;
 	call_later(world, DB_DELAY_US, reach_db, stmt);
 	return true;
@@ -261,6 +268,7 @@
 					       OBJECTIVE_US, stmt->busy);
 		serve(world, gate);
 	}
+	CK_LIST_REMOVE(stmt, link);
 	g_free(stmt);
 }
 
