--- a/tests/engine_model.c
+++ b/tests/engine_model.c
@@ -120,12 +120,6 @@
 	return model;
 }
 
-void model_enable_spill(model_t *model)
-{
-	model->settings.domain_spill = true;
-	model_restart_engine(model);
-}
-
 void model_restart_engine(model_t *model)
 {
 	kl_engine_free(model->engine);
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -115,8 +115,6 @@
 
 /** Replace the engine by one with the model's settings; no client is there. */
 void model_restart_engine(model_t *model);
-/** Replace the engine by one with the setting domain_spill. */
-void model_enable_spill(model_t *model);
 
 /** Advance the virtual clock, one millisecond a step. */
 void model_run(model_t *model, uint64_t ms);
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -46,7 +46,6 @@
 static void step_trace(char **args, int count);
 static void step_vms(char **args, int count);
 static void step_shared(char **args, int count);
-static void step_spill(char **args, int count);
 static void step_figure(char **args, int count);
 
 static const struct {
@@ -78,7 +77,6 @@
 	{ "mark", 2, step_mark },
 	{ "restored", 0, step_restored },
 	{ "engine", 2, step_engine },
-	{ "spill", 1, step_spill },
 	{ "figure", 2, step_figure },
 };
 
@@ -205,6 +203,8 @@
 
 	if (!strcmp(args[0], "priority_queues"))
 		model->settings.priority_queues = value;
+	else if (!strcmp(args[0], "domain_spill"))
+		model->settings.domain_spill = value;
 	else if (!strcmp(args[0], "position_wait_ms"))
 		model->settings.position_wait_us =
 			strtoul(args[1], NULL, 10) * KL_MS;
@@ -501,14 +501,6 @@
 	model_publish_position(model, strtoull(args[0], NULL, 10) * KL_MS);
 }
 
-/* spill on: the setting domain_spill; before all other steps */
-static void step_spill(char **args, int count)
-{
-	(void)args;
-	(void)count;
-	model_enable_spill(model);
-}
-
 /*
  * figure DB WAIT_MS | figure DB off: what VMs of its domain say of its load;
  * "off": they say nothing new
