Keep one holder of usage reports across a restore of the store

A copy of the store may name a holder that was succeeded before.

A VM keeps the contents of a later record than the copy. A holder whose record may be a copy claims the duty again with a higher token; without a later record it waits for one that has it, and skips the windows that may have been reported.

--- a/control/sync_era.c
+++ b/control/sync_era.c
@@ -5,6 +5,11 @@
 #include "control/store_era.h"
 #include "control/sync_internal.h"
 
+/*
+ * A message may raise the era by at most this, since the store's answers are
+ * refused once a later era is known.
+ */
+#define PEER_ERA_RISE_MAX 8
 /*
  * Confirmations of a new era count this long after this VM learned of it: the
  * newest terms that any VM holds are written again by then.  A VM whose lease
@@ -13,7 +18,7 @@
 #define SETTLE_US (1 * KL_SEC)
 #define SETTLE_LAPSED_US (3 * KL_SEC)
 
-static void rise(kl_node_t *node, kl_sync_t *sync, uint64_t era);
+static void adopt_era(kl_node_t *node, kl_sync_t *sync, uint64_t era);
 static void list_all(kl_node_t *node, kl_sync_t *sync);
 static void add_first_revision(kl_sync_t *sync, uint32_t age,
 			       uint64_t revision);
@@ -35,7 +40,7 @@
 		return false;
 	}
 	if (answer->era > sync->era) {
-		rise(node, sync, answer->era);
+		adopt_era(node, sync, answer->era);
 		list_all(node, sync);
 		/* It began in the old era, and lacks changes of the new one. */
 		if (answer->op == KL_PLATFORM_WATCH)
@@ -53,8 +58,12 @@
 	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
 	uint64_t difference = sync->era - message->store_era;
 
+	if (sync->era && message->store_era > sync->era + PEER_ERA_RISE_MAX) {
+		sync->refused_era_count++;
+		return false;
+	}
 	if (message->store_era > sync->era) {
-		rise(node, sync, message->store_era);
+		adopt_era(node, sync, message->store_era);
 		if (members && members->is_watcher)
 			list_all(node, sync);
 		difference = 0;
@@ -68,7 +77,7 @@
 	return difference == 0;
 }
 
-static void rise(kl_node_t *node, kl_sync_t *sync, uint64_t era)
+static void adopt_era(kl_node_t *node, kl_sync_t *sync, uint64_t era)
 {
 	kl_decision_t decision = { .name = "era_rose",
 				   .reason = sync->era ? "store_restored"
@@ -104,7 +113,10 @@
 			kl_sync_list_again(node, sync, i, now);
 }
 
-/* A lower one tells that more of what was withheld is newer than the copy. */
+/*
+ * Lowers the known first revision of an era.  Objects that were withheld may
+ * then be newer than the copy, so their feeds are listed again.
+ */
 static void add_first_revision(kl_sync_t *sync, uint32_t age, uint64_t revision)
 {
 	uint64_t *first = &sync->first_revisions[age];
--- a/control/usage.c
+++ b/control/usage.c
@@ -23,6 +23,8 @@
 
 static bool is_enabled(const kl_node_t *node);
 static void update_record(kl_node_t *node, kl_usage_state_t *state);
+static bool is_earlier(const kl_usage_record_t *record,
+		       const kl_usage_record_t *held);
 static void update_rank(kl_node_t *node, kl_usage_state_t *state);
 static void check_clock(kl_node_t *node, kl_usage_state_t *state);
 static void handle_peer(kl_node_t *node, kl_usage_state_t *state,
@@ -116,17 +118,37 @@
 	if (!object || object->version <= held->version)
 		return;
 	if (kl_usage_record_decode(&record, object->body)) {
-		/* Without a record the next holder starts anew. */
-		kl_usage_record_clear(held);
+		/* What is held tells the next holder which tokens were used. */
+		held->version = 0;
 		return;
 	}
 	record.version = object->version;
-	kl_usage_record_clear(held);
-	*held = record;
+	state->record_kept = is_earlier(&record, held);
+	if (state->record_kept) {
+		held->version = record.version;
+		kl_usage_record_clear(&record);
+	} else {
+		kl_usage_record_clear(held);
+		*held = record;
+	}
+	if (kl_usage_is_holder(node, state) &&
+	    held->token != state->duty.confirmed_token)
+		state->duty.claimed_us = kl_node_now(node);
 	state->record_seen_us = kl_node_now(node);
 	state->changed = true;
 }
 
+/*
+ * Whether a record is older than the one held: the store was restored from a
+ * copy.  The platform has seen the later token and report.
+ */
+static bool is_earlier(const kl_usage_record_t *record,
+		       const kl_usage_record_t *held)
+{
+	return record->token < held->token ||
+	       (record->token == held->token && record->window < held->window);
+}
+
 /* Chooses the VMs that may hold the duty, when the members have changed. */
 static void update_rank(kl_node_t *node, kl_usage_state_t *state)
 {
--- a/control/usage_duty.c
+++ b/control/usage_duty.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #include "control/controllers.h"
+#include "control/store_era.h"
 #include "control/usage_internal.h"
 
 /*
@@ -28,6 +29,13 @@
 #define SUCCESSOR_RANKS 2
 /* Delay per rank before a prober creates the record. */
 #define CREATE_RANK_DELAY_US (500 * KL_MS)
+/*
+ * More than the changes of the holder in the time that a copy of the store is
+ * old; each takes at least UNCHANGED_US.
+ */
+#define LOST_TOKENS_MAX 100
+/* A VM that holds a later record than the copy writes it in this time. */
+#define COPY_WAIT_US (2 * KL_SEC)
 /* The VMs send their counts to a new holder in this time. */
 #define SETTLE_US (1200 * KL_MS)
 /* A call is made only this long after the update that confirms the token. */
@@ -46,7 +54,11 @@
 
 static void create_record(kl_node_t *node, kl_usage_state_t *state);
 static void watch_holder(kl_node_t *node, kl_usage_state_t *state);
-static void do_duty(kl_node_t *node, kl_usage_state_t *state);
+static void renew_duty(kl_node_t *node, kl_usage_state_t *state);
+static uint64_t next_token(const kl_node_t *node,
+			   const kl_usage_state_t *state);
+static bool may_be_copy(const kl_node_t *node, const kl_usage_record_t *record);
+static void advance_report(kl_node_t *node, kl_usage_state_t *state);
 static void give_up(kl_node_t *node, kl_usage_state_t *state);
 static void finish_report(kl_node_t *node, kl_usage_state_t *state);
 static void store_report(kl_node_t *node, kl_usage_state_t *state);
@@ -74,7 +86,7 @@
 	if (!state->record.version)
 		create_record(node, state);
 	else if (kl_usage_is_holder(node, state))
-		do_duty(node, state);
+		advance_report(node, state);
 	else
 		watch_holder(node, state);
 }
@@ -91,7 +103,7 @@
 	int64_t first_us = kl_usage_clock_true(&state->clock, node->started_us);
 	int64_t due_us =
 		true_now(node, state) - (int64_t)node->tuning.usage_delay_us;
-	kl_usage_record_t record = { .token = 1,
+	kl_usage_record_t record = { .token = next_token(node, state),
 				     .answered = true,
 				     .counts = (char *)"{}" };
 
@@ -108,6 +120,8 @@
 	record.window = kl_usage_window_at(node, first_us > due_us ? first_us
 								   : due_us) -
 			1;
+	if (record.window < state->record.window)
+		record.window = state->record.window;
 	kl_usage_put_record(node, state, &record);
 }
 
@@ -134,15 +148,38 @@
 			     (int64_t)(OVERDUE_US + wait_us)))
 		return;
 	memcpy(claim.holder, node->self.vm, KL_NAME_MAX);
-	claim.token++;
+	claim.token = next_token(node, state);
 	kl_usage_put_record(node, state, &claim);
 }
 
-static void do_duty(kl_node_t *node, kl_usage_state_t *state)
+/*
+ * Returns a token that no holder has used, also if the record is a copy from
+ * before holders that a restored store has forgotten.
+ */
+static uint64_t next_token(const kl_node_t *node, const kl_usage_state_t *state)
+{
+	return state->record.token +
+	       (may_be_copy(node, &state->record) ? LOST_TOKENS_MAX : 1);
+}
+
+/* Whether a restored store may have a record of before the last one. */
+static bool may_be_copy(const kl_node_t *node, const kl_usage_record_t *record)
+{
+	uint64_t first = kl_sync_first_revision(node);
+
+	return kl_sync_era(node) > 1 && record->version &&
+	       (!first || kl_version_revision(record->version) <= first);
+}
+
+static void advance_report(kl_node_t *node, kl_usage_state_t *state)
 {
 	const kl_usage_record_t *record = &state->record;
 	kl_usage_duty_t *duty = &state->duty;
 
+	if (may_be_copy(node, record)) {
+		renew_duty(node, state);
+		return;
+	}
 	if (!record->answered && !is_finished(state)) {
 		if (!is_too_late(node, state, record->window)) {
 			call_platform(node, state);
@@ -157,6 +194,30 @@
 		finish_report(node, state);
 }
 
+/*
+ * Claims the duty again after the store was restored.  A VM that holds a later
+ * record than the copy does so at once.  Another one may have been succeeded
+ * before; it waits, and skips the windows that its successor may have reported.
+ */
+static void renew_duty(kl_node_t *node, kl_usage_state_t *state)
+{
+	kl_usage_record_t claim = state->record;
+	int64_t reported_us =
+		true_now(node, state) - tenths_of_delay(node, STORE_TENTHS);
+	uint64_t newest = kl_usage_window_at(node, reported_us);
+
+	claim.token = next_token(node, state);
+	if (!state->record_kept) {
+		if (kl_node_now(node) - state->record_seen_us < COPY_WAIT_US)
+			return;
+		claim.answered = true;
+		claim.counts = (char *)"{}";
+		if (claim.window < newest)
+			claim.window = newest;
+	}
+	kl_usage_put_record(node, state, &claim);
+}
+
 /* Whether the record's report needs no further call. */
 static bool is_finished(const kl_usage_state_t *state)
 {
--- a/control/usage_internal.h
+++ b/control/usage_internal.h
@@ -62,6 +62,8 @@
 	kl_index_t *peer_index;
 	kl_usage_record_t record; /**< version 0: none is known */
 	uint64_t record_seen_us;  /**< when its version was first seen */
+	/** Its contents are later than those of the restored store. */
+	bool record_kept;
 	uint64_t objects_sequence;
 	uint64_t members_version; /**< that rank and successor are from */
 	int rank; /**< this VM's among those that may hold the duty, or -1 */
--- a/control/usage_send.c
+++ b/control/usage_send.c
@@ -19,8 +19,8 @@
  * acknowledged, so that the first one that arrives again leaves no gap.
  */
 #define ANSWER_TIMEOUT_US (2500 * KL_MS)
-/* Counts are kept this much longer than their report may be late. */
-#define KEEP_US (20 * KL_SEC)
+/* Counts are kept this long after their report is due. */
+#define KEEP_AFTER_DUE_US (20 * KL_SEC)
 
 static void keep_waiting(kl_usage_state_t *state,
 			 const kl_usage_sample_t *sample);
@@ -277,7 +277,8 @@
 void kl_usage_forget_own(kl_node_t *node, kl_usage_state_t *state)
 {
 	int64_t true_us = kl_usage_clock_true(&state->clock, kl_node_now(node));
-	int64_t keep_us = (int64_t)(node->tuning.usage_delay_us + KEEP_US);
+	int64_t keep_us =
+		(int64_t)(node->tuning.usage_delay_us + KEEP_AFTER_DUE_US);
 	kl_usage_tally_t *tally = CK_STAILQ_FIRST(&state->own);
 	const kl_usage_count_t *count;
 	uint64_t late = 0;
