Say of late reads that they may have run, and mend names that readers stumbled on

A read whose first try was lost after it was sent, and that then comes too late, was refused as not run. The memory of the use of an upstream is bounded whatever the objectives are.

--- a/path/engine_begin.c
+++ b/path/engine_begin.c
@@ -269,7 +269,8 @@
 	}
 	extend_queue_deadline(client);
 	if (kl_endpoint_is_too_late(endpoint, client)) {
-		kl_client_refuse(client, -KL_E_DEADLINE);
+		stmt->endpoint = endpoint;
+		kl_client_refuse(client, kl_client_late_error(client));
 		return;
 	}
 	/*
--- a/path/engine_client.c
+++ b/path/engine_client.c
@@ -309,6 +309,12 @@
 	kl_client_refuse(client, -KL_E_PROTOCOL);
 }
 
+int kl_client_late_error(const kl_client_t *client)
+{
+	return client->stmt.last_error == -KL_E_UPSTREAM ? -KL_E_UPSTREAM
+							 : -KL_E_DEADLINE;
+}
+
 void kl_client_refuse(kl_client_t *client, int error)
 {
 	kl_engine_t *engine = client->engine;
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -200,10 +200,10 @@
 	 * answered and so not counted yet, or 0 */
 	uint64_t uncounted_since_us;
 	bool is_status_query; /**< KL_CONN_DETACHED: for a status reply */
+	bool runs_stmt;	      /**< counted in the endpoint's running_stmts */
+	/** that statement, as its queue counts it */
+	kl_running_stmt_t running;
 	/** its upstream was proven to be the primary at sent_us */
-	bool runs_stmt; /**< counted in the endpoint's running_stmts */
-	kl_running_stmt_t
-		running; /**< that statement, as its queue counts it */
 	bool primary_proven;
 	/** replies to set-up, reset and status messages not yet received */
 	uint32_t pending_replies;
@@ -303,6 +303,11 @@
 void kl_client_uncount_waiting(kl_client_t *client);
 /** The admission bucket of the client's workspace, or NULL. */
 kl_bucket_t *kl_client_bucket(const kl_client_t *client);
+/**
+ * The error for a statement that can't be answered in time.  It says that the
+ * statement did not run, unless an earlier try may have run.
+ */
+int kl_client_late_error(const kl_client_t *client);
 /** Reply to the statement with an error; some errors end the session. */
 void kl_client_refuse(kl_client_t *client, int error);
 /** Report the statement's success, without a database's reply. */
--- a/path/engine_queue.c
+++ b/path/engine_queue.c
@@ -8,8 +8,10 @@
  * that is on its way or follows at once.  What is sent can't be overtaken.
  */
 #define STMTS_PER_SLOT 2
+/* The mean time to connect moves by this part of the difference. */
+#define CONNECT_AVERAGE_DIVISOR 8
 
-static void describe(kl_client_t *client);
+static void fill_queued_stmt(kl_client_t *client);
 static void update_places(kl_endpoint_t *endpoint);
 static bool has_idle_conn(const void *context, const char *workspace);
 static bool may_replace_conn(const void *context, const char *workspace);
@@ -26,7 +28,7 @@
 {
 	client->stmt.stage = KL_STMT_WAIT_CONN;
 	client->stmt.endpoint = endpoint;
-	describe(client);
+	fill_queued_stmt(client);
 	client->queued_since_us = client->engine->now_us;
 	update_places(endpoint);
 	kl_stmt_queue_push(&endpoint->queue, &client->queued,
@@ -49,13 +51,13 @@
 {
 	kl_stmt_queue_t *queue = &endpoint->queue;
 
-	describe(client);
+	fill_queued_stmt(client);
 	update_places(endpoint);
 	return queue->order->too_late(queue, &client->queued,
 				      client->engine->now_us);
 }
 
-static void describe(kl_client_t *client)
+static void fill_queued_stmt(kl_client_t *client)
 {
 	const kl_config_t *config = client->engine->view.config;
 	const kl_workspace_t *workspace =
@@ -89,7 +91,7 @@
 {
 	uint32_t idle, places = endpoint->stmt_window;
 
-	if (!endpoint->queue.order->keeps_time)
+	if (!endpoint->queue.order->tracks_usage)
 		return;
 	idle = count_conns(endpoint, KL_CONN_IDLE);
 	if (places > endpoint->conn_limit)
@@ -102,7 +104,7 @@
 {
 	uint32_t stmts = endpoint->execution_slots * STMTS_PER_SLOT;
 
-	if (!endpoint->queue.order->keeps_time || !stmts || stmts > most)
+	if (!endpoint->queue.order->tracks_usage || !stmts || stmts > most)
 		return most;
 	return stmts;
 }
@@ -140,7 +142,7 @@
 {
 	const kl_conn_t *conn;
 
-	if (!endpoint->queue.order->keeps_time)
+	if (!endpoint->queue.order->tracks_usage)
 		return true;
 	CK_STAILQ_FOREACH(conn, &endpoint->conns, link) {
 		bool in_transaction =
@@ -174,7 +176,10 @@
 	uint64_t average_us = endpoint->connect_avg_us;
 
 	endpoint->connect_avg_us =
-		average_us ? (7 * average_us + connect_us) / 8 : connect_us;
+		average_us ? ((CONNECT_AVERAGE_DIVISOR - 1) * average_us +
+			      connect_us) /
+				     CONNECT_AVERAGE_DIVISOR
+			   : connect_us;
 }
 
 void kl_endpoint_stmt_sent(kl_conn_t *conn)
@@ -201,7 +206,7 @@
 	kl_cluster_t *cluster;
 	kl_endpoint_t *endpoint;
 
-	if (!kl_engine_stmt_order(engine)->keeps_time)
+	if (!kl_engine_stmt_order(engine)->tracks_usage)
 		return;
 	CK_STAILQ_FOREACH(cluster, &engine->clusters, link) {
 		CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
@@ -217,7 +222,7 @@
 	const kl_cluster_t *cluster;
 	const kl_endpoint_t *endpoint;
 
-	if (!kl_engine_stmt_order(engine)->keeps_time)
+	if (!kl_engine_stmt_order(engine)->tracks_usage)
 		return false;
 	CK_STAILQ_FOREACH(cluster, &engine->clusters, link) {
 		CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
--- a/path/engine_run.c
+++ b/path/engine_run.c
@@ -415,7 +415,7 @@
 		return;
 	if (stmt->stage == KL_STMT_WAIT_CONN &&
 	    engine->now_us >= queue_send_deadline(client)) {
-		kl_client_refuse(client, -KL_E_DEADLINE);
+		kl_client_refuse(client, kl_client_late_error(client));
 		return;
 	}
 	if (stmt->stage == KL_STMT_SETUP &&
--- a/path/engine_spill.c
+++ b/path/engine_spill.c
@@ -17,7 +17,7 @@
 #define ANSWERS_MIN 3
 
 static bool is_home(const kl_endpoint_t *endpoint);
-static bool works(const kl_endpoint_t *endpoint);
+static bool is_healthy(const kl_endpoint_t *endpoint);
 static bool is_primary(const kl_endpoint_t *endpoint);
 static bool has_candidate(const kl_client_t *client, kl_cluster_t *cluster,
 			  const kl_endpoint_t *primary, const char *domain);
@@ -74,7 +74,7 @@
 	const kl_endpoint_t *endpoint;
 
 	CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
-		if (!strcmp(endpoint->domain, domain) && works(endpoint) &&
+		if (!strcmp(endpoint->domain, domain) && is_healthy(endpoint) &&
 		    !is_primary(endpoint) &&
 		    kl_endpoint_is_candidate(client, endpoint, primary))
 			return true;
@@ -83,7 +83,7 @@
 }
 
 /* Whether nothing but its load speaks against a database. */
-static bool works(const kl_endpoint_t *endpoint)
+static bool is_healthy(const kl_endpoint_t *endpoint)
 {
 	return endpoint->accepts_stmts && !endpoint->leaving &&
 	       !endpoint->failing_since_us && !endpoint->may_be_down &&
@@ -151,7 +151,7 @@
 	const kl_endpoint_t *endpoint;
 
 	CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
-		if (is_home(endpoint) && works(endpoint) &&
+		if (is_home(endpoint) && is_healthy(endpoint) &&
 		    !is_primary(endpoint))
 			return true;
 	}
@@ -168,7 +168,8 @@
 	kl_stmt_t *stmt = &client->stmt;
 	kl_endpoint_t *endpoint = stmt->endpoint;
 
-	if (!engine->settings.domain_spill ||
+	/* Only once, since a statement that is queued again gets more time. */
+	if (!engine->settings.domain_spill || stmt->avoid_endpoint ||
 	    stmt->stage != KL_STMT_WAIT_CONN || !may_leave(client) ||
 	    !is_home(endpoint) ||
 	    engine->now_us - stmt->chosen_us <=
@@ -191,7 +192,7 @@
 	const kl_stmt_t *stmt = &client->stmt;
 	uint64_t now_us = client->engine->now_us;
 
-	/* BEGIN takes no time at the database, nor does an error. */
+	/* Statements of transactions wait for their client, too. */
 	if (client->transaction_status != 'I' ||
 	    result->transaction_status != 'I')
 		return;
@@ -249,7 +250,7 @@
 		const kl_load_t *load;
 		uint64_t wait_us;
 
-		if (!is_home(endpoint) || !works(endpoint) ||
+		if (!is_home(endpoint) || !is_healthy(endpoint) ||
 		    is_primary(endpoint))
 			continue;
 		load = find_load(endpoint);
@@ -315,7 +316,7 @@
 		const kl_load_t *load;
 
 		if (is_home(endpoint) || is_primary(endpoint) ||
-		    !works(endpoint))
+		    !is_healthy(endpoint))
 			continue;
 		load = find_load(endpoint);
 		if (!load)
@@ -347,7 +348,7 @@
 		return;
 	cluster->last_load_report_us = engine->now_us;
 	CK_STAILQ_FOREACH(endpoint, &cluster->endpoints, link) {
-		if (!is_home(endpoint) || !works(endpoint) ||
+		if (!is_home(endpoint) || !is_healthy(endpoint) ||
 		    is_primary(endpoint))
 			continue;
 		if (kl_wait_is_known(&endpoint->wait, engine->now_us))
--- a/path/engine_usage.c
+++ b/path/engine_usage.c
@@ -7,10 +7,7 @@
 
 static bool did_not_run(int error);
 
-/*
- * This decides what is counted: operations.  To count single statements, drop
- * the condition on the transaction's status.
- */
+/* An operation begins with a statement that is sent outside a transaction. */
 void kl_usage_stmt_sent(kl_conn_t *conn)
 {
 	if (conn->client && conn->client->transaction_status == 'I')
--- a/path/spill.c
+++ b/path/spill.c
@@ -7,7 +7,7 @@
 /*
  * Reads leave while the wait at home exceeds the objective divided by the
  * first, and return when it is below the objective divided by the second.
- * Nothing changes in between, so that the shares don't oscillate.
+ * Shares do not rise in between, so that the shares don't oscillate.
  */
 #define LEAVE_DIVISOR 4
 #define RETURN_DIVISOR 8
@@ -17,7 +17,7 @@
 /*
  * A share changes by a step that grows while it changes in one direction and
  * shrinks when the direction changes: a constant step either settles too late
- * in a burst, or makes the share oscillate by a fifth of the reads.
+ * in a burst, or makes the share oscillate.
  */
 #define STEP_MIN (KL_SPILL_WHOLE / 128)
 #define STEP_MAX (KL_SPILL_WHOLE / 8)
--- a/path/spill_wait.c
+++ b/path/spill_wait.c
@@ -15,8 +15,7 @@
 /*
  * A new sample's weight in the average, of WEIGHT_WHOLE, is the time since the
  * last one in these units: a VM with few statements must notice a change as
- * soon as one with many.  Averages over more samples of such a VM follow a wave
- * of 12 s too late.
+ * soon as one with many.
  */
 #define WEIGHT_UNIT_US 50000
 #define WEIGHT_WHOLE 8
--- a/path/stmt_order.c
+++ b/path/stmt_order.c
@@ -5,7 +5,7 @@
 
 /* How the statements of one priority are compared. */
 typedef struct comparison {
-	uint64_t walk;
+	uint64_t scan;
 	uint64_t run_us;     /* mean time of a statement */
 	uint64_t connect_us; /* time that opening a connection takes */
 	uint64_t served_us;  /* when a statement sent now is answered */
@@ -18,10 +18,10 @@
 					  uint64_t now_us);
 static uint64_t mean_run_us(const kl_stmt_queue_t *queue,
 			    const kl_queued_stmt_t *stmt, uint64_t latency_us);
-static void begin_walk(kl_stmt_queue_t *queue);
+static void begin_scan(kl_stmt_queue_t *queue);
 static void find_conns(kl_stmt_queue_t *queue, const kl_queue_offer_t *offer);
-static void pass(kl_stmt_queue_t *queue, kl_queued_stmt_t *stmt);
-static uint32_t passed_of(const kl_time_flow_t *flow, uint64_t walk);
+static void reserve(kl_stmt_queue_t *queue, kl_queued_stmt_t *stmt);
+static uint32_t reserved_of(const kl_time_flow_t *flow, uint64_t scan);
 static kl_queued_stmt_t *find_first(const kl_stmt_queue_t *queue,
 				    uint64_t connect_us, uint64_t now_us);
 static uint32_t first_priority(const kl_stmt_queue_t *queue);
@@ -32,7 +32,7 @@
 		       const comparison_t *comparison);
 
 const kl_stmt_order_t kl_stmt_order_priority = {
-	.keeps_time = true,
+	.tracks_usage = true,
 	.choose = choose_by_priority,
 	.next = next_by_priority,
 	.too_late = kl_stmt_too_late,
@@ -51,13 +51,13 @@
 	uint32_t places = offer->places, new_conns = offer->new_conns;
 	kl_queued_stmt_t *stmt;
 
-	begin_walk(queue);
+	begin_scan(queue);
 	find_conns(queue, offer);
 	while (places) {
 		stmt = find_first(queue, offer->connect_us, offer->now_us);
 		if (!stmt || offer->has_conn(offer->context, stmt->workspace))
 			return stmt;
-		pass(queue, stmt);
+		reserve(queue, stmt);
 		if (new_conns) {
 			new_conns--;
 			places--;
@@ -77,12 +77,12 @@
 	kl_queued_stmt_t *stmt;
 
 	if (previous)
-		pass(queue, previous);
+		reserve(queue, previous);
 	else
-		begin_walk(queue);
+		begin_scan(queue);
 	stmt = find_first(queue, 0, now_us);
 	if (stmt)
-		stmt->conns_needed = passed_of(stmt->flow, queue->walk) + 1;
+		stmt->conns_needed = reserved_of(stmt->flow, queue->scan) + 1;
 	return stmt;
 }
 
@@ -97,35 +97,35 @@
 			offer->has_conn(offer->context, flow->workspace);
 }
 
-static void begin_walk(kl_stmt_queue_t *queue)
+static void begin_scan(kl_stmt_queue_t *queue)
 {
-	queue->walk++;
-	memset(queue->passed, 0, sizeof(queue->passed));
+	queue->scan++;
+	memset(queue->reserved, 0, sizeof(queue->reserved));
 }
 
-/* Reserves a place for a statement in the current walk. */
-static void pass(kl_stmt_queue_t *queue, kl_queued_stmt_t *stmt)
+/* Reserves a place for a statement in the current scan. */
+static void reserve(kl_stmt_queue_t *queue, kl_queued_stmt_t *stmt)
 {
 	kl_time_flow_t *flow = stmt->flow;
 
-	stmt->walk = queue->walk;
-	queue->passed[stmt->priority]++;
-	flow->passed = passed_of(flow, queue->walk) + 1;
-	flow->walk = queue->walk;
+	stmt->scan = queue->scan;
+	queue->reserved[stmt->priority]++;
+	flow->reserved = reserved_of(flow, queue->scan) + 1;
+	flow->scan = queue->scan;
 }
 
-/* Returns how many statements of a workspace a walk has passed. */
-static uint32_t passed_of(const kl_time_flow_t *flow, uint64_t walk)
+/* Returns how many statements of a workspace a scan has reserved. */
+static uint32_t reserved_of(const kl_time_flow_t *flow, uint64_t scan)
 {
-	return flow->walk == walk ? flow->passed : 0;
+	return flow->scan == scan ? flow->reserved : 0;
 }
 
-/* Returns the first statement that the current walk has not passed yet. */
+/* Returns the first statement that the current scan has not reserved yet. */
 static kl_queued_stmt_t *find_first(const kl_stmt_queue_t *queue,
 				    uint64_t connect_us, uint64_t now_us)
 {
 	uint32_t priority = first_priority(queue);
-	comparison_t comparison = { .walk = queue->walk,
+	comparison_t comparison = { .scan = queue->scan,
 				    .connect_us = connect_us };
 	kl_queued_stmt_t *stmt, *first = NULL;
 
@@ -134,7 +134,7 @@
 	comparison.run_us = kl_upstream_time_run_us(&queue->time, priority);
 	comparison.served_us = now_us + comparison.run_us;
 	CK_STAILQ_FOREACH(stmt, &queue->stmts, link) {
-		if (stmt->priority != priority || stmt->walk == queue->walk)
+		if (stmt->priority != priority || stmt->scan == queue->scan)
 			continue;
 		if (!first || goes_before(stmt, first, &comparison))
 			first = stmt;
@@ -154,16 +154,16 @@
 	uint32_t highest = KL_PRIORITY_LEVELS, lowest = 0;
 
 	for (uint32_t i = 0; i < KL_PRIORITY_LEVELS; i++) {
-		uint64_t passed_us =
-			queue->passed[i] * kl_upstream_time_run_us(time, i);
+		uint64_t reserved_us =
+			queue->reserved[i] * kl_upstream_time_run_us(time, i);
 
-		total_us += passed_us;
-		if (queue->waiting[i] <= queue->passed[i])
+		total_us += reserved_us;
+		if (queue->waiting[i] <= queue->reserved[i])
 			continue;
 		if (highest == KL_PRIORITY_LEVELS)
 			highest = i;
 		lowest = i;
-		lowest_us = time->used_us[i] + passed_us;
+		lowest_us = time->used_us[i] + reserved_us;
 	}
 	return lowest_us < total_us / KL_QUEUE_FLOOR_DIVISOR ? lowest : highest;
 }
@@ -197,8 +197,8 @@
 static uint64_t use_us(const kl_time_flow_t *flow,
 		       const comparison_t *comparison)
 {
-	uint64_t passed = passed_of(flow, comparison->walk);
-	uint64_t used_us = flow->used_us + passed * comparison->run_us;
+	uint64_t reserved = reserved_of(flow, comparison->scan);
+	uint64_t used_us = flow->used_us + reserved * comparison->run_us;
 
 	return flow->has_conn ? used_us : used_us + comparison->connect_us;
 }
--- a/path/stmt_queue.c
+++ b/path/stmt_queue.c
@@ -5,6 +5,9 @@
 
 /* A statement's wait is long above its latency objective divided by this. */
 #define LONG_WAIT_DIVISOR 4
+/* Bounds of the time in which use is forgotten by half. */
+#define HALF_LIFE_MIN_US 100000
+#define HALF_LIFE_MAX_US 10000000
 
 static kl_queued_stmt_t *choose_by_arrival(kl_stmt_queue_t *queue,
 					   const kl_queue_offer_t *offer);
@@ -18,7 +21,7 @@
 				    uint64_t latency_us);
 
 const kl_stmt_order_t kl_stmt_order_arrival = {
-	.keeps_time = false,
+	.tracks_usage = false,
 	.choose = choose_by_arrival,
 	.next = next_by_arrival,
 	.too_late = never_too_late,
@@ -50,16 +53,20 @@
 {
 	kl_upstream_time_t *time = &queue->time;
 
-	if (queue->order->keeps_time) {
-		if (time->memory_us < stmt->target_us)
-			time->memory_us = stmt->target_us;
+	if (queue->order->tracks_usage) {
+		if (time->half_life_us < stmt->target_us)
+			time->half_life_us = stmt->target_us;
+		if (time->half_life_us < HALF_LIFE_MIN_US)
+			time->half_life_us = HALF_LIFE_MIN_US;
+		if (time->half_life_us > HALF_LIFE_MAX_US)
+			time->half_life_us = HALF_LIFE_MAX_US;
 		kl_upstream_time_update(time, queue->full, now_us);
 		stmt->flow = kl_upstream_time_flow(time, stmt->workspace);
 		stmt->flow->weight = stmt->weight;
 		stmt->flow->waiting[stmt->priority]++;
 		stmt->flow->waiting_count++;
 	}
-	stmt->walk = 0;
+	stmt->scan = 0;
 	queue->waiting[stmt->priority]++;
 	queue->length++;
 	CK_STAILQ_INSERT_TAIL(&queue->stmts, stmt, link);
@@ -68,7 +75,7 @@
 void kl_stmt_queue_remove(kl_stmt_queue_t *queue, kl_queued_stmt_t *stmt,
 			  uint64_t now_us)
 {
-	if (queue->order->keeps_time) {
+	if (queue->order->tracks_usage) {
 		kl_upstream_time_update(&queue->time, queue->full, now_us);
 		stmt->flow->waiting[stmt->priority]--;
 		stmt->flow->waiting_count--;
@@ -82,7 +89,7 @@
 			const char *workspace, uint32_t priority,
 			uint64_t now_us)
 {
-	if (!queue->order->keeps_time)
+	if (!queue->order->tracks_usage)
 		return;
 	kl_upstream_time_update(&queue->time, queue->full, now_us);
 	kl_upstream_time_sent(&queue->time, running, workspace, priority,
@@ -93,7 +100,7 @@
 			const kl_running_stmt_t *running, const char *workspace,
 			uint64_t now_us)
 {
-	if (!queue->order->keeps_time)
+	if (!queue->order->tracks_usage)
 		return;
 	kl_upstream_time_update(&queue->time, queue->full, now_us);
 	kl_upstream_time_done(&queue->time, running, workspace, now_us);
--- a/path/stmt_queue.h
+++ b/path/stmt_queue.h
@@ -39,7 +39,7 @@
 	uint32_t priority;    /**< below KL_PRIORITY_LEVELS */
 	/* Set by the queue: */
 	uint32_t conns_needed; /**< connections for it and those before it */
-	uint64_t walk;	       /**< number of the last walk that passed it */
+	uint64_t scan;	       /**< number of the last scan that reserved it */
 	kl_time_flow_t *flow;  /**< of its workspace */
 } kl_queued_stmt_t;
 
@@ -55,14 +55,14 @@
 	bool (*has_conn)(const void *context, const char *workspace);
 	/** Whether another workspace's connection may be closed for it. */
 	bool (*may_replace)(const void *context, const char *workspace);
-	const void *context; /**< passed to these */
+	const void *context; /**< reserved to these */
 } kl_queue_offer_t;
 
 typedef struct kl_stmt_queue kl_stmt_queue_t;
 
 /** An order of waiting statements. */
 typedef struct kl_stmt_order {
-	bool keeps_time; /**< it needs the queue's time */
+	bool tracks_usage; /**< it needs the queue's time */
 	/** Choose a statement for an idle connection. @return NULL: none */
 	kl_queued_stmt_t *(*choose)(kl_stmt_queue_t *queue,
 				    const kl_queue_offer_t *offer);
@@ -102,9 +102,9 @@
 	const kl_stmt_order_t *order;
 	CK_STAILQ_HEAD(, kl_queued_stmt) stmts; /**< in order of arrival */
 	uint32_t length;
-	uint32_t waiting[KL_PRIORITY_LEVELS]; /**< statements by priority */
-	uint64_t walk;			      /**< number of the last walk */
-	uint32_t passed[KL_PRIORITY_LEVELS];  /**< what this walk passed */
+	uint32_t waiting[KL_PRIORITY_LEVELS];  /**< statements by priority */
+	uint64_t scan;			       /**< number of the last scan */
+	uint32_t reserved[KL_PRIORITY_LEVELS]; /**< what this scan reserved */
 	/** statements that may run at once; all of them are in use */
 	uint32_t places;
 	bool full;
--- a/path/stmt_refusal.c
+++ b/path/stmt_refusal.c
@@ -12,9 +12,10 @@
 
 static uint64_t work_before(const kl_stmt_queue_t *queue,
 			    const kl_queued_stmt_t *stmt, uint64_t during_us);
-static uint64_t equal_before(const kl_stmt_queue_t *queue,
-			     const kl_queued_stmt_t *stmt, uint64_t during_us);
-static uint64_t share(uint64_t time_us, uint64_t part, uint64_t whole);
+static uint64_t work_before_in_priority(const kl_stmt_queue_t *queue,
+					const kl_queued_stmt_t *stmt,
+					uint64_t during_us);
+static uint64_t proportion(uint64_t time_us, uint64_t part, uint64_t whole);
 
 /*
  * The work that goes before a statement rises with the time that it waits, but
@@ -60,14 +61,14 @@
 	for (uint32_t i = 0; i < stmt->priority; i++)
 		urgent_us +=
 			queue->waiting[i] * kl_upstream_time_run_us(time, i) +
-			share(during_us, time->used_us[i], total_us);
+			proportion(during_us, time->used_us[i], total_us);
 	for (uint32_t i = stmt->priority + 1; i < KL_PRIORITY_LEVELS; i++)
 		lower += queue->waiting[i];
 	if (lower)
 		urgent_us += floor_us;
 	else if (urgent_us > during_us - floor_us)
 		urgent_us = during_us - floor_us;
-	return urgent_us + equal_before(queue, stmt, during_us);
+	return urgent_us + work_before_in_priority(queue, stmt, during_us);
 }
 
 /*
@@ -75,14 +76,15 @@
  * first with what it has waiting, and what will arrive, until it has used as
  * much as the statement's own.
  */
-static uint64_t equal_before(const kl_stmt_queue_t *queue,
-			     const kl_queued_stmt_t *stmt, uint64_t during_us)
+static uint64_t work_before_in_priority(const kl_stmt_queue_t *queue,
+					const kl_queued_stmt_t *stmt,
+					uint64_t during_us)
 {
 	const kl_upstream_time_t *time = &queue->time;
 	uint64_t run_us = kl_upstream_time_run_us(time, stmt->priority);
 	uint64_t total_us = kl_upstream_time_capacity(time, queue->places);
 	uint64_t equal_us =
-		share(during_us, time->used_us[stmt->priority], total_us);
+		proportion(during_us, time->used_us[stmt->priority], total_us);
 	uint64_t own_us = run_us, own_used_us = 0, sum_us;
 	const kl_time_flow_t *flow, *own = NULL;
 
@@ -94,13 +96,14 @@
 		own_us += own->waiting[stmt->priority] * run_us;
 		own_used_us = own->used_us;
 	}
-	/* A place becomes free when half of a mean run time has passed. */
+	/* A place becomes free when half of a mean run time has reserved. */
 	sum_us = own_us - run_us / 2;
 	CK_STAILQ_FOREACH(flow, &time->flows, link) {
-		uint64_t until_us =
-			share(own_used_us + own_us, flow->weight, stmt->weight);
-		uint64_t work_us = flow->waiting[stmt->priority] * run_us +
-				   share(equal_us, flow->used_us, total_us);
+		uint64_t until_us = proportion(own_used_us + own_us,
+					       flow->weight, stmt->weight);
+		uint64_t work_us =
+			flow->waiting[stmt->priority] * run_us +
+			proportion(equal_us, flow->used_us, total_us);
 
 		if (flow == own || until_us <= flow->used_us)
 			continue;
@@ -111,7 +114,7 @@
 }
 
 /* Returns a part of a time. */
-static uint64_t share(uint64_t time_us, uint64_t part, uint64_t whole)
+static uint64_t proportion(uint64_t time_us, uint64_t part, uint64_t whole)
 {
 	return whole ? time_us * part / whole : 0;
 }
--- a/path/upstream_time.c
+++ b/path/upstream_time.c
@@ -12,7 +12,7 @@
 static void decay(kl_upstream_time_t *time, uint64_t now_us);
 static void charge(kl_upstream_time_t *time, const char *workspace,
 		   uint32_t priority, int64_t time_us);
-static void add(uint64_t *sum, int64_t difference);
+static void add_clamped(uint64_t *sum, int64_t difference);
 
 void kl_upstream_time_init(kl_upstream_time_t *time)
 {
@@ -59,14 +59,15 @@
 	time->all_us += passed_us;
 	if (full)
 		time->full_us += passed_us;
-	if (time->memory_us && now_us - time->last_decay_us >= time->memory_us)
+	if (time->half_life_us &&
+	    now_us - time->last_decay_us >= time->half_life_us)
 		decay(time, now_us);
 }
 
 /* Halves what was used, and forgets workspaces that use nothing. */
 static void decay(kl_upstream_time_t *time, uint64_t now_us)
 {
-	uint64_t halvings = (now_us - time->last_decay_us) / time->memory_us;
+	uint64_t halvings = (now_us - time->last_decay_us) / time->half_life_us;
 	unsigned shift =
 		halvings < HALVINGS_MAX ? (unsigned)halvings : HALVINGS_MAX;
 	kl_time_flow_t *flow, *next;
@@ -125,12 +126,12 @@
 {
 	kl_time_flow_t *flow = kl_upstream_time_flow(time, workspace);
 
-	add(&time->used_us[priority], time_us);
-	add(&flow->used_us, time_us);
+	add_clamped(&time->used_us[priority], time_us);
+	add_clamped(&flow->used_us, time_us);
 }
 
 /* A correction may exceed what a decay has left. */
-static void add(uint64_t *sum, int64_t difference)
+static void add_clamped(uint64_t *sum, int64_t difference)
 {
 	if (difference < 0 && *sum < (uint64_t)-difference)
 		*sum = 0;
--- a/path/upstream_time.h
+++ b/path/upstream_time.h
@@ -26,9 +26,9 @@
 	uint64_t used_us; /**< time of the upstream used recently */
 	uint32_t waiting[KL_PRIORITY_LEVELS]; /**< waiting statements */
 	uint32_t waiting_count;		      /**< the sum of these */
-	uint64_t walk;	 /**< of the queue: the last one that passed it */
-	uint32_t passed; /**< statements that this walk passed */
-	bool has_conn;	 /**< an idle connection, when a walk began */
+	uint64_t scan;	   /**< of the queue: the last one that reserved it */
+	uint32_t reserved; /**< statements that this scan reserved */
+	bool has_conn;	   /**< an idle connection, when a scan began */
 } kl_time_flow_t;
 
 /** The use of one upstream. */
@@ -45,7 +45,7 @@
 	uint64_t full_run_us; /**< run time of what ended in that time */
 	bool was_full;	      /**< no place was free before the last update */
 	/** half of what was used is forgotten in this time */
-	uint64_t memory_us;
+	uint64_t half_life_us;
 	uint64_t last_decay_us;
 } kl_upstream_time_t;
 
