--- a/control/sync_era.c
+++ b/control/sync_era.c
@@ -15,8 +15,8 @@
  * newest terms that any VM holds are written again by then.  A VM whose lease
  * had ended may have missed a term, and waits longer; it served no writes.
  */
-#define SETTLE_US (1 * KL_SEC)
-#define SETTLE_LAPSED_US (3 * KL_SEC)
+#define ERA_GRACE_US (1 * KL_SEC)
+#define ERA_GRACE_LAPSED_US (3 * KL_SEC)
 
 static void adopt_era(kl_node_t *node, kl_sync_t *sync, uint64_t era);
 static void list_all(kl_node_t *node, kl_sync_t *sync);
@@ -93,7 +93,7 @@
 			i >= missed ? sync->first_revisions[i - missed] : 0;
 	if (sync->era)
 		sync->settled_us =
-			now + (lapsed ? SETTLE_LAPSED_US : SETTLE_US);
+			now + (lapsed ? ERA_GRACE_LAPSED_US : ERA_GRACE_US);
 	sync->era = era;
 	for (uint32_t i = 0; i < KL_FEED_COUNT; i++)
 		sync->feeds[i].has_withheld = false;
--- a/control/terms.c
+++ b/control/terms.c
@@ -65,7 +65,7 @@
 
 /*
  * A store with eras may write a record again under another version.  Each state
- * is recorded once in a term: claimed, promoting, stable.
+ * is recorded once in a term: FENCING, PROMOTING, STABLE.
  */
 static uint64_t change_of(const kl_group_t *group)
 {
--- a/control/usage_duty.c
+++ b/control/usage_duty.c
@@ -37,7 +37,7 @@
 /* A VM that holds a later record than the copy writes it in this time. */
 #define COPY_WAIT_US (2 * KL_SEC)
 /* The VMs send their counts to a new holder in this time. */
-#define SETTLE_US (1200 * KL_MS)
+#define COLLECT_COUNTS_US (1200 * KL_MS)
 /* A call is made only this long after the update that confirms the token. */
 #define CONFIRMATION_MAX_AGE_US (1 * KL_SEC)
 /* An update without an answer is given up after this time. */
@@ -188,7 +188,7 @@
 		give_up(node, state);
 	}
 	if (may_store(node, state, record->window + 1) &&
-	    kl_node_now(node) - duty->claimed_us >= SETTLE_US)
+	    kl_node_now(node) - duty->claimed_us >= COLLECT_COUNTS_US)
 		store_report(node, state);
 	else if (!record->answered && duty->answered_window == record->window)
 		finish_report(node, state);
--- a/path/engine_begin.c
+++ b/path/engine_begin.c
@@ -82,7 +82,7 @@
 			  : QUEUE_WAIT_MIN_US;
 	stmt->queue_deadline_us = stmt->received_us + wait_us;
 	stmt->deadline_us = stmt->received_us + client->route.stmt_timeout_us;
-	stmt->objective_us =
+	stmt->answer_due_us =
 		stmt->received_us + client->route.target_latency_us;
 	client->txn_wrote = false;
 	client->txn_read_only = parsed->verb == KL_VERB_BEGIN_READ;
@@ -234,8 +234,8 @@
 		until_us = stmt->deadline_us;
 	if (until_us > stmt->queue_deadline_us)
 		stmt->queue_deadline_us = until_us;
-	if (until_us > stmt->objective_us)
-		stmt->objective_us = until_us;
+	if (until_us > stmt->answer_due_us)
+		stmt->answer_due_us = until_us;
 }
 
 kl_bucket_t *kl_client_bucket(const kl_client_t *client)
--- a/path/engine_client.c
+++ b/path/engine_client.c
@@ -338,7 +338,7 @@
 	else
 		engine->counts.unknown_outcomes++;
 	if (error == -KL_E_DEADLINE)
-		kl_stmt_note_refusal(client);
+		kl_stmt_note_overload(client);
 	engine->ops->log_decision(engine->context, &decision);
 	count_result(client, error);
 	finish_stmt(client);
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -136,7 +136,7 @@
 	uint64_t queue_deadline_us; /**< it got no connection */
 	uint64_t deadline_us;	    /**< the database did not reply */
 	/** time by which it is to be answered: the objective, or later */
-	uint64_t objective_us;
+	uint64_t answer_due_us;
 	uint64_t retry_at_us;  /**< time before which no upstream is chosen */
 	uint64_t sent_us;      /**< when it was sent, or its set-up began */
 	uint64_t group_change; /**< of the group's record at sent_us */
@@ -413,8 +413,9 @@
 /** Note how long the client's statement took until its reply. */
 void kl_stmt_note_reply(const kl_client_t *client,
 			const kl_stmt_result_t *result);
-/** Note that the statement was refused because it would have been late. */
-void kl_stmt_note_refusal(const kl_client_t *client);
+/** Note that the statement was refused, or left a queue, for lack of capacity.
+ */
+void kl_stmt_note_overload(const kl_client_t *client);
 /** Periodic work: update the shares, report the load of databases. */
 void kl_spills_sweep(kl_engine_t *engine);
 
--- a/path/engine_queue.c
+++ b/path/engine_queue.c
@@ -75,7 +75,7 @@
 	queued->priority = kl_client_priority(client);
 	queued->received_us = client->stmt.received_us;
 	queued->target_us = client->route.target_latency_us;
-	queued->deadline_us = client->stmt.objective_us;
+	queued->deadline_us = client->stmt.answer_due_us;
 	queued->limit_us = client->stmt.queue_deadline_us;
 }
 
--- a/path/engine_run.c
+++ b/path/engine_run.c
@@ -340,8 +340,8 @@
 		stmt->route_deadline_us = until_us;
 	if (until_us > stmt->queue_deadline_us)
 		stmt->queue_deadline_us = until_us;
-	if (until_us > stmt->objective_us)
-		stmt->objective_us = until_us;
+	if (until_us > stmt->answer_due_us)
+		stmt->answer_due_us = until_us;
 }
 
 void kl_stmt_conn_lost(kl_client_t *client)
--- a/path/engine_spill.c
+++ b/path/engine_spill.c
@@ -177,7 +177,7 @@
 			    LONG_WAIT_DIVISOR ||
 	    !kl_spill_best(&endpoint->cluster->spill))
 		return false;
-	kl_stmt_note_refusal(client);
+	kl_stmt_note_overload(client);
 	kl_endpoint_dequeue(client);
 	stmt->avoid_endpoint = endpoint;
 	stmt->endpoint = NULL;
@@ -197,13 +197,13 @@
 	    result->transaction_status != 'I')
 		return;
 	if (result->error == -KL_E_NO_UPSTREAM)
-		kl_stmt_note_refusal(client);
+		kl_stmt_note_overload(client);
 	else if (!result->error)
 		kl_wait_add(&stmt->endpoint->wait, now_us - stmt->chosen_us,
 			    client->route.target_latency_us, now_us);
 }
 
-void kl_stmt_note_refusal(const kl_client_t *client)
+void kl_stmt_note_overload(const kl_client_t *client)
 {
 	/* Whether it waited or was refused at once: it would have been late. */
 	if (client->stmt.endpoint)
@@ -327,7 +327,7 @@
 			continue;
 		domain->known = true;
 		domain->wait_us = load->wait_us;
-		domain->distance_us = load->round_trip_us;
+		domain->round_trip_us = load->round_trip_us;
 	}
 }
 
--- a/path/spill.c
+++ b/path/spill.c
@@ -136,7 +136,7 @@
 /* When a read that is sent there now would begin to run. */
 static uint64_t remote_us(const kl_spill_domain_t *domain)
 {
-	return domain->wait_us + domain->distance_us;
+	return domain->wait_us + domain->round_trip_us;
 }
 
 static void change_share(kl_spill_t *spill, kl_spill_domain_t *domain,
--- a/path/spill.h
+++ b/path/spill.h
@@ -15,7 +15,7 @@
 
 #include "board/index.h"
 
-/** A share of all reads, see kl_spill_domain_t. */
+/** The share that stands for all reads. */
 #define KL_SPILL_WHOLE 1024
 /** Time between two changes of the shares. */
 #define KL_SPILL_STEP_US 200000
@@ -70,13 +70,13 @@
 	CK_STAILQ_ENTRY(kl_spill_domain) link;
 	char name[KL_NAME_MAX];
 	uint32_t share; /**< part of the reads, of KL_SPILL_WHOLE */
-	uint32_t step;	/**< by which the share last changed */
+	uint32_t step;	/**< size of the last step */
 	int direction;	/**< of that change: 1 up, -1 down, 0: none yet */
-	/** share of the reads so far that did not go there */
+	/** reads owed to the domain, of KL_SPILL_WHOLE each */
 	uint32_t credit;
-	bool known;	      /**< the figures below are recent */
-	uint64_t wait_us;     /**< expected wait at its best database */
-	uint64_t distance_us; /**< round trip to the domain */
+	bool known;		/**< the figures below are recent */
+	uint64_t wait_us;	/**< expected wait at its best database */
+	uint64_t round_trip_us; /**< round trip to the domain */
 } kl_spill_domain_t;
 
 /** The shares of one service. */
--- a/tests/unit/spill.c
+++ b/tests/unit/spill.c
@@ -190,7 +190,7 @@
 		domain->known = kl_load_answers_median(
 					&vm->answers[d], model->now_us,
 					&domain->wait_us, &sampled_us) >= 3;
-		domain->distance_us = DISTANCE_US;
+		domain->round_trip_us = DISTANCE_US;
 	}
 	wait_us = kl_wait_expected(&vm->wait, OBJECTIVE_US, model->now_us);
 	if (kl_load_answers_median(&vm->answers[home], model->now_us,
