--- a/scripts/stand.sh
+++ b/scripts/stand.sh
@@ -135,7 +135,7 @@
 
 # Starts a daemon on ports 1700N (clients), 1710N (peers), 1720N (status) and
 # 1740N (readiness).
-line_daemon_start() { # vm, domain, number
+line_daemon_start() { # vm, domain, number [further settings lines]
 	cat >"$STAND/$1.yaml" <<YAML
 vm: $1
 domain: $2
@@ -149,6 +149,7 @@
 platform_format: objects
 drain_ms: 3000
 transaction_grace_ms: 1500
+${4:-}
 YAML
 	"$BUILD/kumquatloftd" --settings "$STAND/$1.yaml" \
 		>>"$STAND/$1.log" 2>&1 &
--- a/tests/world.c
+++ b/tests/world.c
@@ -23,6 +23,7 @@
 	world->dbs = g_ptr_array_new();
 	world->workloads = g_ptr_array_new();
 	world->gates = g_ptr_array_new();
+	world->stmts = g_ptr_array_new_with_free_func(g_free);
 	world->pending_writes = g_ptr_array_new_with_free_func(g_free);
 	world->events = g_sequence_new(NULL);
 	world->random = g_rand_new_with_seed(seed);
@@ -58,6 +59,7 @@
 		db_t *db = g_ptr_array_index(world->dbs, i);
 
 		g_array_free(db->log, TRUE);
+		g_queue_clear(&db->queue);
 		g_array_free(db->written_at_us, TRUE);
 		g_free(db);
 	}
@@ -82,6 +84,7 @@
 	g_ptr_array_free(world->dbs, TRUE);
 	g_ptr_array_free(world->workloads, TRUE);
 	g_ptr_array_free(world->gates, TRUE);
+	g_ptr_array_free(world->stmts, TRUE);
 	g_ptr_array_free(world->pending_writes, TRUE);
 	g_rand_free(world->random);
 	g_free(world);
--- a/tests/world.h
+++ b/tests/world.h
@@ -142,10 +142,11 @@
 /** The simulated cluster. */
 typedef struct world {
 	uint64_t now_us;
-	GPtrArray *vms;		   /**< vm_t */
-	GPtrArray *dbs;		   /**< db_t */
-	GPtrArray *workloads;	   /**< workload_t */
-	GPtrArray *gates;	   /**< world_gate_t */
+	GPtrArray *vms;	      /**< vm_t */
+	GPtrArray *dbs;	      /**< db_t */
+	GPtrArray *workloads; /**< workload_t */
+	GPtrArray *gates;     /**< world_gate_t */
+	GPtrArray *stmts;     /**< statements of the gates, freed at the end */
 	GPtrArray *pending_writes; /**< pending_write_t, used by scripts */
 	GSequence *events;	   /**< world_event_t by time */
 	GRand *random;
--- a/tests/world_permit.c
+++ b/tests/world_permit.c
@@ -83,7 +83,7 @@
 void world_free_gate(world_gate_t *gate)
 {
 	for (int i = 0; i < KL_PERMIT_LEVELS; i++)
-		g_queue_clear_full(&gate->waiting[i], g_free);
+		g_queue_clear(&gate->waiting[i]);
 	g_free(gate);
 }
 
@@ -103,6 +103,7 @@
 	if (!is_running(gate->vm))
 		return;
 	stmt = g_new0(stmt_t, 1);
+	g_ptr_array_add(world->stmts, stmt);
 	stmt->gate = gate;
 	stmt->level = arrival->level;
 	stmt->arrived_us = world->now_us;
@@ -132,7 +133,7 @@
 		while ((stmt = g_queue_peek_head(queue)) &&
 		       (world->now_us - stmt->arrived_us > DEADLINE_US ||
 			stmt->incarnation != gate->incarnation)) {
-			g_free(g_queue_pop_head(queue));
+			g_queue_pop_head(queue);
 			gate->db->waiting--;
 			gate->db->slot_counts.dropped++;
 		}
@@ -261,7 +262,6 @@
 					       OBJECTIVE_US, stmt->busy);
 		serve(world, gate);
 	}
-	g_free(stmt);
 }
 
 static kl_permit_account_t *find_account(world_gate_t *gate)
