--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -52,17 +52,17 @@
 	int min_args;
 	step_handler_t handler;
 } steps[] = {
-	{ "db", 5, step_db },	      { "set", 3, step_set },
-	{ "route", 5, step_route },   { "drop", 1, step_drop },
-	{ "key", 2, step_key },	      { "revoke", 1, step_revoke },
-	{ "tokens", 2, step_tokens }, { "primary", 1, step_primary },
-	{ "lease", 1, step_lease },   { "login", 3, step_login },
-	{ "query", 3, step_query },   { "leave", 1, step_leave },
-	{ "load", 7, step_load },     { "report", 0, step_report },
-	{ "run", 1, step_run },	      { "drain", 1, step_drain },
-	{ "show", 1, step_show },     { "trace", 1, step_trace },
-	{ "vms", 1, step_vms },	      { "shared", 1, step_shared },
-	{ "readd", 1, step_readd },   { "mark", 2, step_mark },
+	{ "db", 5, step_db },		{ "set", 3, step_set },
+	{ "route", 5, step_route },	{ "drop", 1, step_drop },
+	{ "key", 2, step_key },		{ "revoke", 1, step_revoke },
+	{ "tokens", 2, step_tokens },	{ "primary", 1, step_primary },
+	{ "lease", 1, step_lease },	{ "login", 3, step_login },
+	{ "query", 3, step_query },	{ "leave", 1, step_leave },
+	{ "load", 7, step_load },	{ "report", 0, step_report },
+	{ "run", 1, step_run },		{ "drain", 1, step_drain },
+	{ "show", 1, step_show },	{ "trace", 1, step_trace },
+	{ "vms", 1, step_vms },		{ "shared", 1, step_shared },
+	{ "readd", 1, step_readd },	{ "mark", 2, step_mark },
 	{ "permits", 2, step_permits },
 };
 
@@ -403,8 +403,8 @@
 {
 	const kl_permit_account_t *account = model->permits;
 
-	printf("running %" PRIu64 " unused %" PRIu64 " wanted", account->running,
-	       account->unused);
+	printf("running %" PRIu64 " unused %" PRIu64 " wanted",
+	       account->running, account->unused);
 	for (int i = 0; i < KL_PERMIT_LEVELS; i++)
 		printf(" %" PRIu64, account->wanted[i]);
 	printf("\n");
