Tell a newer configuration from a restored copy by its number

Callers: after a drill of the store, versions that the operator wrote within some 50 ms of its return were ignored by all VMs until the next one.

Cause: an object was taken for a part of the copy if its revision was not above the first one that any VM saw of the new era. That one may have later writes than the copy.

Change: objects carry the generation that their writer gives them: the number of the configuration's version, start and count of a database's reports, the revision of a mark. It decides across eras; revisions decide only without it. It passes between VMs behind the era of a delta, which older VMs ignore.

The same cause on related paths: a route that the newer version removes was kept as lost; the configuration went back while lost versions were written again one after the other; a report that a database leaves and a mark that is set again were ignored.

--- a/board/sections.c
+++ b/board/sections.c
@@ -37,6 +37,16 @@
 	return object;
 }
 
+kl_object_t *kl_object_copy(const kl_object_t *object)
+{
+	kl_object_t *copy =
+		kl_object_new(object->name.name, object->version, object->body);
+
+	if (copy)
+		copy->generation = object->generation;
+	return copy;
+}
+
 void kl_object_free(kl_object_t *object)
 {
 	if (!object)
--- a/board/sections.h
+++ b/board/sections.h
@@ -52,6 +52,11 @@
 	CK_STAILQ_ENTRY(kl_object) link;
 	/** Of its last change: the store's era and revision. */
 	uint64_t version;
+	/**
+	 * Orders the contents of one writer across a restore of the store; 0:
+	 * not known.  A removed object keeps that of what was removed.
+	 */
+	uint64_t generation;
 	/** That change was stored no earlier than this; 0: not known. */
 	uint64_t changed_after_us;
 	kl_feed_t feed;
@@ -392,6 +397,13 @@
 kl_object_t *kl_object_new(const char *name, uint64_t version,
 			   const char *body);
 
+/**
+ * Copy what identifies an object: its name, version, generation and body.
+ *
+ * @return NULL when out of memory
+ */
+kl_object_t *kl_object_copy(const kl_object_t *object);
+
 /** Free an object; NULL is allowed. */
 void kl_object_free(kl_object_t *object);
 
--- a/control/sync_apply.c
+++ b/control/sync_apply.c
@@ -15,6 +15,7 @@
 			const kl_feed_update_t *update);
 static void keep_unreadable_objects(kl_node_t *node, const kl_objects_t *old,
 				    const kl_feed_update_t *update);
+static void set_generations(const kl_objects_t *old, kl_feed_update_t *update);
 static bool has_changes(const kl_sync_t *sync, const kl_objects_t *old,
 			const kl_feed_update_t *update);
 static kl_index_t *index_newest(const kl_feed_update_t *update, size_t count);
@@ -29,8 +30,7 @@
 static void log_update(kl_node_t *node, const kl_feed_state_t *feed,
 		       const kl_feed_update_t *update);
 
-bool kl_sync_apply(kl_node_t *node, kl_sync_t *sync,
-		   const kl_feed_update_t *update)
+bool kl_sync_apply(kl_node_t *node, kl_sync_t *sync, kl_feed_update_t *update)
 {
 	const kl_objects_t *old = kl_node_get(node, KL_SECTION_OBJECTS);
 	kl_feed_state_t *feed = &sync->feeds[update->feed];
@@ -42,6 +42,7 @@
 	if (feed->loaded && node->tuning.feed_count > 1)
 		drop_removed_objects(old, feed, update);
 	keep_unreadable_objects(node, old, update);
+	set_generations(old, update);
 	kl_sync_withhold(node, sync, old, update);
 	if (feed->loaded && update->revision <= feed->revision &&
 	    (node->tuning.feed_count == 1 || !has_changes(sync, old, update)))
@@ -139,6 +140,25 @@
 	}
 }
 
+/* Finds the newest generation; a removal keeps that of what it removes. */
+static void set_generations(const kl_objects_t *old, kl_feed_update_t *update)
+{
+	kl_object_t *object;
+
+	update->generation = 0;
+	CK_STAILQ_FOREACH(object, update->objects, link) {
+		const kl_object_t *held =
+			old ? kl_index_get(old->index, object->name.name)
+			    : NULL;
+
+		if (held && !object->generation &&
+		    !strcmp(object->body, "null"))
+			object->generation = held->generation;
+		if (object->generation > update->generation)
+			update->generation = object->generation;
+	}
+}
+
 void kl_sync_log_unreadable(kl_node_t *node, kl_feed_t feed, const char *name,
 			    uint64_t version)
 {
@@ -248,6 +268,7 @@
 		    object->feed == update->feed)
 			feed->revision = copy->version;
 		copy->feed = object->feed;
+		copy->generation = object->generation;
 		copy->store_is_behind = object->store_is_behind;
 		copy->changed_after_us = object->changed_after_us;
 		CK_STAILQ_INSERT_TAIL(&objects->list, copy, link);
--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -69,6 +69,7 @@
 	kl_object_list_t *objects; /**< emptied by kl_sync_apply() */
 	uint64_t revision;	   /**< of the feed once this is applied */
 	uint64_t read_revision;	   /**< the platform's, when this was read */
+	uint64_t generation;	   /**< newest of its objects, or 0 */
 	bool full;		   /**< any object not listed is removed */
 	/** It has every change since the copy's revision, undone ones too. */
 	bool has_every_change;
@@ -86,8 +87,7 @@
 			    uint64_t version);
 
 /** Publish the objects with an update applied. @return whether any changed */
-bool kl_sync_apply(kl_node_t *node, kl_sync_t *sync,
-		   const kl_feed_update_t *update);
+bool kl_sync_apply(kl_node_t *node, kl_sync_t *sync, kl_feed_update_t *update);
 
 /**
  * Record that the revision held was current at sent_us, when the confirming
@@ -156,6 +156,20 @@
 void kl_sync_offer_withheld(kl_sync_t *sync, const kl_objects_t *objects,
 			    const kl_feed_update_t *update);
 
+/** Whether a feed has what operators and databases write. */
+bool kl_sync_is_configuration(kl_feed_t feed);
+
+/**
+ * Whether an object is from a copy of the store that is older than what is held
+ * of it.
+ *
+ * @param held_version of what is held, or of the feed if that is nothing
+ * @param held_generation the same; 0: not known
+ */
+bool kl_sync_is_outdated(const kl_sync_t *sync, kl_feed_t feed,
+			 const kl_object_t *object, uint64_t held_version,
+			 uint64_t held_generation);
+
 /** Whether a full list lacks an object because the store lost it. */
 bool kl_sync_is_lost(const kl_sync_t *sync, const kl_object_t *held,
 		     const kl_feed_update_t *update);
--- a/control/sync_peer.c
+++ b/control/sync_peer.c
@@ -120,8 +120,7 @@
 			reply.delta.has_more = true;
 			break;
 		}
-		copy = kl_object_new(object->name.name, object->version,
-				     object->body);
+		copy = kl_object_copy(object);
 		if (!copy)
 			break;
 		CK_STAILQ_INSERT_TAIL(&reply.delta.objects, copy, link);
@@ -158,8 +157,7 @@
 	}
 	sync->fetch_revision = delta->revision;
 	CK_STAILQ_FOREACH(object, &delta->objects, link) {
-		kl_object_t *copy = kl_object_new(
-			object->name.name, object->version, object->body);
+		kl_object_t *copy = kl_object_copy(object);
 
 		if (!copy)
 			return;
--- a/control/sync_withhold.c
+++ b/control/sync_withhold.c
@@ -11,11 +11,8 @@
 
 #define GROUP_PREFIX "group/"
 
-static bool is_configuration(kl_feed_t feed);
 static bool is_group(const kl_object_t *object);
-static uint64_t first_revision_after(const kl_sync_t *sync, uint64_t version);
-static bool is_outdated(const kl_sync_t *sync, const kl_object_t *object,
-			uint64_t held_version);
+static uint64_t newest_generation(const kl_objects_t *objects, kl_feed_t feed);
 static void withhold_configuration(kl_node_t *node, kl_sync_t *sync,
 				   const kl_objects_t *old,
 				   const kl_feed_update_t *update);
@@ -29,51 +26,18 @@
 static void log_object(kl_node_t *node, const char *event,
 		       const kl_object_t *object, kl_feed_t feed);
 
-/* What operators and databases write, and write again after a drill. */
-static bool is_configuration(kl_feed_t feed)
-{
-	return feed == KL_FEED_CONFIG || feed == KL_FEED_UPSTREAMS ||
-	       feed == KL_FEED_MARKS;
-}
-
 static bool is_group(const kl_object_t *object)
 {
 	return !strncmp(object->name.name, GROUP_PREFIX, strlen(GROUP_PREFIX));
 }
 
-/*
- * The lowest revision that was seen in the eras after that of a version.  What
- * has a higher one in these eras is not from a copy of that version's era.
- */
-static uint64_t first_revision_after(const kl_sync_t *sync, uint64_t version)
-{
-	uint64_t lowest = UINT64_MAX;
-
-	for (uint64_t i = 0;
-	     i < KL_STORE_ERAS && i < sync->era - kl_version_era(version); i++)
-		if (sync->first_revisions[i] &&
-		    sync->first_revisions[i] < lowest)
-			lowest = sync->first_revisions[i];
-	return lowest;
-}
-
-/* Whether an object is from a copy that is older than what is held. */
-static bool is_outdated(const kl_sync_t *sync, const kl_object_t *object,
-			uint64_t held_version)
-{
-	uint64_t revision = kl_version_revision(object->version);
-
-	return kl_version_era(held_version) < kl_version_era(object->version) &&
-	       revision < kl_version_revision(held_version) &&
-	       revision <= first_revision_after(sync, held_version);
-}
-
 bool kl_sync_replaces(const kl_sync_t *sync, const kl_object_t *object,
 		      const kl_object_t *held)
 {
 	return object->version > held->version ||
-	       (is_configuration(held->feed) &&
-		is_outdated(sync, held, object->version) &&
+	       (kl_sync_is_configuration(held->feed) &&
+		kl_sync_is_outdated(sync, held->feed, held, object->version,
+				    object->generation) &&
 		strcmp(object->body, held->body) != 0);
 }
 
@@ -90,7 +54,7 @@
 	bool holds_lost = false;
 	const kl_object_t *object;
 
-	if (!update->full || !is_configuration(update->feed) ||
+	if (!update->full || !kl_sync_is_configuration(update->feed) ||
 	    update->read_revision < first)
 		return;
 	CK_STAILQ_FOREACH(object, &objects->list, link)
@@ -104,24 +68,12 @@
 	feed->known_range_count = 0;
 }
 
-bool kl_sync_is_lost(const kl_sync_t *sync, const kl_object_t *held,
-		     const kl_feed_update_t *update)
-{
-	if (held->store_is_behind)
-		return true;
-	return is_configuration(held->feed) &&
-	       kl_version_era(held->version) <
-		       kl_version_era(update->read_revision) &&
-	       kl_version_revision(held->version) >
-		       first_revision_after(sync, held->version);
-}
-
 void kl_sync_withhold(kl_node_t *node, kl_sync_t *sync, const kl_objects_t *old,
 		      const kl_feed_update_t *update)
 {
 	if (!sync->era || !old || !sync->feeds[update->feed].loaded)
 		return;
-	if (is_configuration(update->feed))
+	if (kl_sync_is_configuration(update->feed))
 		withhold_configuration(node, sync, old, update);
 	if (update->feed != KL_FEED_TERMS)
 		return;
@@ -139,14 +91,16 @@
 				   const kl_feed_update_t *update)
 {
 	kl_feed_state_t *feed = &sync->feeds[update->feed];
+	uint64_t newest = newest_generation(old, update->feed);
 	kl_object_t *object, *next;
 
 	CK_STAILQ_FOREACH_SAFE(object, update->objects, link, next) {
 		const kl_object_t *held =
 			kl_index_get(old->index, object->name.name);
 
-		if (!is_outdated(sync, object,
-				 held ? held->version : feed->revision) ||
+		if (!kl_sync_is_outdated(sync, update->feed, object,
+					 held ? held->version : feed->revision,
+					 held ? held->generation : newest) ||
 		    (held && !strcmp(held->body, object->body)))
 			continue;
 		if (!feed->has_withheld)
@@ -164,6 +118,20 @@
 	}
 }
 
+/* The newest of a feed whose objects are all written by one writer, or 0. */
+static uint64_t newest_generation(const kl_objects_t *objects, kl_feed_t feed)
+{
+	uint64_t newest = 0;
+	const kl_object_t *object;
+
+	CK_STAILQ_FOREACH(object, &objects->list, link) {
+		if (feed == KL_FEED_CONFIG && object->feed == feed &&
+		    object->generation > newest)
+			newest = object->generation;
+	}
+	return newest;
+}
+
 /*
  * Replaces the records of groups that are behind those held.  They keep the
  * store's version, so that they can be written again conditionally.
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -46,6 +46,14 @@
 	unsigned hyper versions<KL_WIRE_VERSIONS>;
 };
 
+/*
+ * Follows the era of a delta if any of its objects has a generation.  VMs of
+ * earlier versions ignore it, and send none.
+ */
+struct kl_wire_generations {
+	unsigned hyper generations<KL_WIRE_OBJECTS>;
+};
+
 struct kl_wire_fetch {
 	unsigned int feed;
 	unsigned hyper since;
--- a/peer/peer_codec.c
+++ b/peer/peer_codec.c
@@ -129,7 +129,7 @@
 	if (message->kind == KL_PEER_HELLO)
 		decode_extension(&xdr, &message->hello);
 	if (xdr_getpos(&xdr) < length)
-		error = kl_peer_era_decode(&xdr, message);
+		error = kl_peer_era_decode(&xdr, message, length);
 	else
 		error = 0;
 out:
--- a/peer/peer_era.c
+++ b/peer/peer_era.c
@@ -13,6 +13,9 @@
 		       uint64_t *version);
 static int add_versions(kl_peer_message_t *message,
 			const kl_wire_store_era *in);
+static void encode_generations(XDR *xdr, const kl_peer_message_t *message);
+static int decode_generations(XDR *xdr, kl_peer_message_t *message,
+			      size_t length);
 
 void kl_peer_era_remove(kl_peer_message_t *message)
 {
@@ -76,9 +79,31 @@
 	out.versions.versions_val = versions;
 	if (!xdr_kl_wire_store_era(xdr, &out))
 		xdr_setpos(xdr, end);
+	else if (message->kind == KL_PEER_DELTA)
+		encode_generations(xdr, message);
 }
 
-int kl_peer_era_decode(XDR *xdr, kl_peer_message_t *message)
+/* Nothing is sent if no object has one. */
+static void encode_generations(XDR *xdr, const kl_peer_message_t *message)
+{
+	u_quad_t generations[KL_WIRE_OBJECTS];
+	kl_wire_generations out = { .generations = { 0, generations } };
+	u_int end = xdr_getpos(xdr);
+	bool has_any = false;
+	const kl_object_t *object;
+
+	CK_STAILQ_FOREACH(object, &message->delta.objects, link) {
+		if (out.generations.generations_len == KL_WIRE_OBJECTS)
+			return;
+		has_any |= object->generation != 0;
+		generations[out.generations.generations_len++] =
+			object->generation;
+	}
+	if (has_any && !xdr_kl_wire_generations(xdr, &out))
+		xdr_setpos(xdr, end);
+}
+
+int kl_peer_era_decode(XDR *xdr, kl_peer_message_t *message, size_t length)
 {
 	kl_wire_store_era in;
 	int error = -KL_E_PROTOCOL;
@@ -95,11 +120,37 @@
 	     i++)
 		message->first_revisions[i] =
 			in.first_revisions.first_revisions_val[i];
+	if (message->kind == KL_PEER_DELTA)
+		error = decode_generations(xdr, message, length);
 out:
 	xdr_free((xdrproc_t)xdr_kl_wire_store_era, (char *)&in);
 	return error;
 }
 
+static int decode_generations(XDR *xdr, kl_peer_message_t *message,
+			      size_t length)
+{
+	kl_wire_generations in;
+	int error = -KL_E_PROTOCOL;
+	kl_object_t *object;
+	u_int i = 0;
+
+	memset(&in, 0, sizeof(in));
+	if (xdr_getpos(xdr) >= length)
+		return 0;
+	if (!xdr_kl_wire_generations(xdr, &in))
+		goto out;
+	CK_STAILQ_FOREACH(object, &message->delta.objects, link) {
+		if (i == in.generations.generations_len)
+			goto out;
+		object->generation = in.generations.generations_val[i++];
+	}
+	error = 0;
+out:
+	xdr_free((xdrproc_t)xdr_kl_wire_generations, (char *)&in);
+	return error;
+}
+
 static int add_versions(kl_peer_message_t *message, const kl_wire_store_era *in)
 {
 	uint64_t *fixed[FIXED_VERSIONS_MAX];
--- a/peer/peer_wire.h
+++ b/peer/peer_wire.h
@@ -57,6 +57,14 @@
 };
 typedef struct kl_wire_store_era kl_wire_store_era;
 
+struct kl_wire_generations {
+	struct {
+		u_int generations_len;
+		u_quad_t *generations_val;
+	} generations;
+};
+typedef struct kl_wire_generations kl_wire_generations;
+
 struct kl_wire_fetch {
 	u_int feed;
 	u_quad_t since;
@@ -223,6 +231,7 @@
 extern  bool_t xdr_kl_wire_hello (XDR *, kl_wire_hello*);
 extern  bool_t xdr_kl_wire_hello_extension (XDR *, kl_wire_hello_extension*);
 extern  bool_t xdr_kl_wire_store_era (XDR *, kl_wire_store_era*);
+extern  bool_t xdr_kl_wire_generations (XDR *, kl_wire_generations*);
 extern  bool_t xdr_kl_wire_fetch (XDR *, kl_wire_fetch*);
 extern  bool_t xdr_kl_wire_object (XDR *, kl_wire_object*);
 extern  bool_t xdr_kl_wire_delta (XDR *, kl_wire_delta*);
@@ -244,6 +253,7 @@
 extern bool_t xdr_kl_wire_hello ();
 extern bool_t xdr_kl_wire_hello_extension ();
 extern bool_t xdr_kl_wire_store_era ();
+extern bool_t xdr_kl_wire_generations ();
 extern bool_t xdr_kl_wire_fetch ();
 extern bool_t xdr_kl_wire_object ();
 extern bool_t xdr_kl_wire_delta ();
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -56,6 +56,17 @@
 	return TRUE;
 }
 
+bool_t
+xdr_kl_wire_generations (XDR *xdrs, kl_wire_generations *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->generations.generations_val, (u_int *) &objp->generations.generations_len, KL_WIRE_OBJECTS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_kl_wire_fetch (XDR *xdrs, kl_wire_fetch *objp)
 {
--- a/tests/process/drill.sh
+++ b/tests/process/drill.sh
@@ -4,40 +4,9 @@
 # header Store-Era, answers with 410 and lists whose revisions went back.
 . "$(dirname "$0")/lib.bash"
 
-configuration() { # version, keys, further routes
-	echo "{\"configVersion\":$1,
-	\"routes\":[{\"database\":\"orders\",\"routeType\":\"primary\",
-	\"timeoutMs\":1000,\"targetLatencyMs\":200,\"priority\":1,
-	\"service\":\"stand\",\"public\":false}$3],
-	\"services\":[{\"name\":\"stand\",\"maxConns\":30}],
-	\"limits\":{\"txIdleMs\":3000},\"tenants\":[{\"name\":\"bakery\",
-	\"apiKeys\":[$2],\"ratePerS\":1000,\"burst\":1000}]}" | tr -d '\n\t'
-}
-
 old_route=',{"database":"stock","routeType":"primary","timeoutMs":1000,
 "targetLatencyMs":200,"priority":1,"service":"stand","public":false}'
 
-# Prints the answer to a start of a session.
-login() { # number, database, key
-	local answer
-	exec 5<>"/dev/tcp/$STAND_HOST/1700$1"
-	printf 'STARTUP %s %s\r\n' "$2" "$3" >&5
-	read -t 5 -r answer <&5
-	answer=${answer%$'\r'}
-	echo "${answer%% [0-9]*}"
-	exec 5>&-
-}
-
-await_login() { # number, database, key, answer
-	local tries=100
-	until login "$1" "$2" "$3" | grep -q "$4"; do
-		tries=$((tries - 1))
-		[ $tries != 0 ] || { echo "no $4"; return 1; }
-		read -t 0.05 -r _ <>"$STAND/pause" || true
-	done
-	echo "$4"
-}
-
 logins() {
 	for n in 1 2; do
 		echo "$n: $(login $n orders key-one), withdrawn key:" \
@@ -49,7 +18,7 @@
 line_start
 line_fault store era "${ERA:-1}"
 line_fault store rewrite_ms 6000
-line_put config main "$(configuration 1 '"key-one","key-two"' "$old_route")"
+line_put config main "$(line_configuration 1 '"key-one","key-two"' "$old_route")"
 line_daemon_start a1 d1 1
 line_daemon_start b1 d2 2
 for n in 1 2; do
@@ -60,7 +29,7 @@
 logins
 
 echo "# a key is withdrawn, and a route removed"
-line_put config main "$(configuration 2 '"key-one"' '')"
+line_put config main "$(line_configuration 2 '"key-one"' '')"
 for n in 1 2; do
 	await_login $n orders key-two ERROR
 done
@@ -79,7 +48,7 @@
 echo "# the operator's writes are restored, and a key is added"
 sleep 4
 logins
-line_put config main "$(configuration 3 '"key-one","key-two"' '')"
+line_put config main "$(line_configuration 3 '"key-one","key-two"' '')"
 for n in 1 2; do
 	await_login $n orders key-two READY
 done
@@ -87,7 +56,7 @@
 echo "# a malformed era and a falling one are refused, and counted"
 before=$(counter 1 kl_platform_errors_total)
 line_fault store era -1
-line_put config main "$(configuration 4 '"key-one"' '')"
+line_put config main "$(line_configuration 4 '"key-one"' '')"
 sleep 1.5
 login 1 orders key-two
 [ "$(counter 1 kl_platform_errors_total)" -gt "$before" ] && echo "counted"
--- a/tests/process/lib.bash
+++ b/tests/process/lib.bash
@@ -81,3 +81,36 @@
 	eval "exec ${CLIENT[1]}>&-"
 	wait "$client_pid"
 }
+
+# Prints a configuration with one workspace and the route "orders".
+line_configuration() { # version, keys, further routes
+	echo "{\"configVersion\":$1,
+	\"routes\":[{\"database\":\"orders\",\"routeType\":\"primary\",
+	\"timeoutMs\":1000,\"targetLatencyMs\":200,\"priority\":1,
+	\"service\":\"stand\",\"public\":false}$3],
+	\"services\":[{\"name\":\"stand\",\"maxConns\":30}],
+	\"limits\":{\"txIdleMs\":3000},\"tenants\":[{\"name\":\"bakery\",
+	\"apiKeys\":[$2],\"ratePerS\":1000,\"burst\":1000}]}" | tr -d '\n\t'
+}
+
+# Prints the answer to a start of a session with the line protocol.
+login() { # number, database, key
+	local answer
+	exec 5<>"/dev/tcp/$STAND_HOST/1700$1"
+	printf 'STARTUP %s %s\r\n' "$2" "$3" >&5
+	read -t 5 -r answer <&5
+	answer=${answer%$'\r'}
+	echo "${answer%% [0-9]*}"
+	exec 5>&-
+}
+
+# Waits until the answer to a start of a session matches the pattern.
+await_login() { # number, database, key, answer
+	local tries=100
+	until login "$1" "$2" "$3" | grep -q "$4"; do
+		tries=$((tries - 1))
+		[ $tries != 0 ] || { echo "no $4"; return 1; }
+		read -t 0.05 -r _ <>"$STAND/pause" || true
+	done
+	echo "$4"
+}
--- a/tests/unit/codec.c
+++ b/tests/unit/codec.c
@@ -172,6 +172,44 @@
 	kl_peer_message_clear(&decoded);
 }
 
+/*
+ * Guards against a VM that can't tell a newer version from the copy, because
+ * another VM brought it what it holds.
+ */
+static void generations_follow_the_eras(void **state)
+{
+	kl_peer_message_t message = { .kind = KL_PEER_DELTA, .store_era = 3 };
+	kl_peer_message_t decoded;
+	char buffer[4096];
+	int length;
+	(void)state;
+
+	CK_STAILQ_INIT(&message.delta.objects);
+	for (int i = 0; i < 2; i++) {
+		kl_object_t *object =
+			kl_object_new(i ? "route/b" : "route/a", 7, "{}");
+
+		object->generation = i ? 12 : 0;
+		CK_STAILQ_INSERT_TAIL(&message.delta.objects, object, link);
+	}
+	length = kl_peer_encode(&message, "127.0.0.1", 99, buffer,
+				sizeof(buffer));
+	assert_true(length > 0);
+	kl_peer_message_clear(&message);
+	assert_int_equal(kl_peer_decode(&decoded, buffer, (size_t)length), 0);
+	assert_int_equal(CK_STAILQ_FIRST(&decoded.delta.objects)->generation,
+			 0);
+	assert_int_equal(
+		CK_STAILQ_NEXT(CK_STAILQ_FIRST(&decoded.delta.objects), link)
+			->generation,
+		12);
+	kl_peer_message_clear(&decoded);
+	/* Fewer generations than objects. */
+	assert_int_equal(kl_peer_decode(&decoded, buffer, (size_t)length - 8),
+			 -KL_E_PROTOCOL);
+	kl_peer_message_clear(&decoded);
+}
+
 /* Guards against versions of an era that the sender does not know itself. */
 static void malformed_eras_of_messages_are_refused(void **state)
 {
@@ -258,6 +296,7 @@
 		cmocka_unit_test(hello_extension_may_be_missing),
 		cmocka_unit_test(positions_survive_encoding),
 		cmocka_unit_test(eras_follow_the_message),
+		cmocka_unit_test(generations_follow_the_eras),
 		cmocka_unit_test(malformed_eras_of_messages_are_refused),
 		cmocka_unit_test(
 			corrupt_datagrams_are_refused_or_decoded_safely),
--- a/tests/unit/sync_era.c
+++ b/tests/unit/sync_era.c
@@ -90,15 +90,14 @@
 	return 0;
 }
 
-/* Delivers an answer with one mark, or with none if its name is NULL. */
-static void deliver(kl_node_t *node, kl_platform_op_t op, uint64_t era,
-		    uint64_t revision, const char *name, uint64_t version,
-		    const char *body)
+/* Delivers an answer with some objects, which it frees. */
+static void deliver_objects(kl_node_t *node, kl_platform_op_t op,
+			    kl_feed_t feed, uint64_t era, uint64_t revision,
+			    kl_object_list_t *objects)
 {
-	kl_object_list_t objects = CK_STAILQ_HEAD_INITIALIZER(objects);
 	kl_platform_answer_t answer = { .op = op,
 					.owner = KL_CONTROLLER_SYNC,
-					.feed = KL_FEED_MARKS,
+					.feed = feed,
 					.is_full_list = op == KL_PLATFORM_LIST,
 					.revision = revision,
 					.era = era,
@@ -106,15 +105,46 @@
 						op == KL_PLATFORM_WATCH
 							? watch_sent_us
 							: now_us - KL_MS,
-					.objects = &objects };
+					.objects = objects };
 	kl_event_t event = { .kind = KL_EVENT_PLATFORM, .platform = &answer };
-	kl_object_t *object = name ? kl_object_new(name, version, body) : NULL;
 
-	if (object)
-		CK_STAILQ_INSERT_TAIL(&objects, object, link);
 	kl_store_era_add(&answer);
 	kl_node_step(node, &event);
-	kl_object_list_clear(&objects);
+	kl_object_list_clear(objects);
+}
+
+/* Adds an object to a list, unless its name is NULL. */
+static void add(kl_object_list_t *objects, const char *name, uint64_t version,
+		uint64_t generation, const char *body)
+{
+	kl_object_t *object = name ? kl_object_new(name, version, body) : NULL;
+
+	if (!object)
+		return;
+	object->generation = generation;
+	CK_STAILQ_INSERT_TAIL(objects, object, link);
+}
+
+/* Delivers an answer with one mark, or with none if its name is NULL. */
+static void deliver(kl_node_t *node, kl_platform_op_t op, uint64_t era,
+		    uint64_t revision, const char *name, uint64_t version,
+		    const char *body)
+{
+	kl_object_list_t objects = CK_STAILQ_HEAD_INITIALIZER(objects);
+
+	add(&objects, name, version, 0, body);
+	deliver_objects(node, op, KL_FEED_MARKS, era, revision, &objects);
+}
+
+/* Delivers a list with one object of a feed, or with none. */
+static void deliver_one(kl_node_t *node, kl_feed_t feed, uint64_t era,
+			uint64_t revision, const char *name, uint64_t version,
+			uint64_t generation, const char *body)
+{
+	kl_object_list_t objects = CK_STAILQ_HEAD_INITIALIZER(objects);
+
+	add(&objects, name, version, generation, body);
+	deliver_objects(node, KL_PLATFORM_LIST, feed, era, revision, &objects);
 }
 
 static void deliver_list(kl_node_t *node, uint64_t era, uint64_t revision,
@@ -223,6 +253,95 @@
 	assert_true(mark_lists > 0);
 }
 
+/*
+ * Guards against a newer version of the configuration that is taken for a part
+ * of the copy: it was written before any VM had asked the restored store, so no
+ * lower revision of the era is ever seen.
+ */
+static void higher_number_is_no_part_of_the_copy(void **state)
+{
+	kl_node_t *node = *state;
+
+	deliver_one(node, KL_FEED_CONFIG, 1, 90, "route/a", 80, 2, "{\"v\":2}");
+	deliver_one(node, KL_FEED_CONFIG, 2, 72, "route/a", 72, 3, "{\"v\":3}");
+	assert_string_equal(body_of(node, "route/a"), "{\"v\":3}");
+}
+
+/* The same for what the newer version lacks, and for what it adds. */
+static void higher_number_removes_and_adds(void **state)
+{
+	kl_object_list_t objects = CK_STAILQ_HEAD_INITIALIZER(objects);
+	kl_node_t *node = *state;
+
+	add(&objects, "route/a", 80, 2, "{\"v\":2}");
+	add(&objects, "route/b", 80, 2, "{\"v\":2}");
+	deliver_objects(node, KL_PLATFORM_LIST, KL_FEED_CONFIG, 1, 90,
+			&objects);
+	add(&objects, "route/a", 72, 3, "{\"v\":2}");
+	add(&objects, "route/c", 72, 3, "{\"v\":3}");
+	deliver_objects(node, KL_PLATFORM_LIST, KL_FEED_CONFIG, 2, 72,
+			&objects);
+	assert_string_equal(body_of(node, "route/b"), "null");
+	assert_string_equal(body_of(node, "route/c"), "{\"v\":3}");
+}
+
+/*
+ * Guards against a configuration that goes back while lost versions are written
+ * again one after the other, with revisions that the copy can't have.
+ */
+static void lower_number_is_older_whatever_its_revision(void **state)
+{
+	kl_node_t *node = *state;
+
+	deliver_one(node, KL_FEED_CONFIG, 1, 90, "route/a", 80, 5, "{\"v\":5}");
+	deliver_one(node, KL_FEED_CONFIG, 2, 40, "route/a", 30, 3, "{\"v\":3}");
+	deliver_one(node, KL_FEED_CONFIG, 2, 95, "route/a", 95, 4, "{\"v\":4}");
+	assert_string_equal(body_of(node, "route/a"), "{\"v\":5}");
+	deliver_one(node, KL_FEED_CONFIG, 2, 96, "route/a", 96, 5, "{\"v\":5}");
+	deliver_one(node, KL_FEED_CONFIG, 2, 97, "route/a", 97, 6, "{\"v\":6}");
+	assert_string_equal(body_of(node, "route/a"), "{\"v\":6}");
+}
+
+/* Guards against a database whose report that it leaves is ignored. */
+static void later_report_of_a_database_is_accepted(void **state)
+{
+	kl_node_t *node = *state;
+
+	deliver_one(node, KL_FEED_UPSTREAMS, 1, 90, "upstream/p1", 80, 7,
+		    "{\"leaving\":false}");
+	deliver_one(node, KL_FEED_UPSTREAMS, 2, 72, "upstream/p1", 71, 9,
+		    "{\"leaving\":true}");
+	assert_string_equal(body_of(node, "upstream/p1"), "{\"leaving\":true}");
+}
+
+/* An earlier one is from the copy, as long as the revision allows it. */
+static void earlier_report_of_a_database_is_withheld(void **state)
+{
+	kl_node_t *node = *state;
+
+	deliver_one(node, KL_FEED_UPSTREAMS, 1, 90, "upstream/p1", 80, 7,
+		    "{\"leaving\":true}");
+	deliver_one(node, KL_FEED_UPSTREAMS, 2, 72, "upstream/p1", 71, 6,
+		    "{\"leaving\":false}");
+	assert_string_equal(body_of(node, "upstream/p1"), "{\"leaving\":true}");
+}
+
+/*
+ * Guards against a mark that is ignored because the domain was marked before:
+ * the mark that was removed returns with the copy in its own revision only.
+ */
+static void mark_of_another_revision_is_accepted(void **state)
+{
+	kl_node_t *node = *state;
+
+	deliver_one(node, KL_FEED_MARKS, 1, 70, "mark/a", 60, 60, "{}");
+	deliver_one(node, KL_FEED_MARKS, 1, 90, NULL, 0, 0, NULL);
+	deliver_one(node, KL_FEED_MARKS, 2, 72, "mark/a", 60, 60, "{}");
+	assert_string_equal(body_of(node, "mark/a"), "null");
+	deliver_one(node, KL_FEED_MARKS, 2, 73, "mark/a", 72, 72, "{}");
+	assert_string_equal(body_of(node, "mark/a"), "{}");
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -235,6 +354,19 @@
 			start, stop),
 		cmocka_unit_test_setup_teardown(
 			watch_of_the_old_era_is_not_applied, start, stop),
+		cmocka_unit_test_setup_teardown(
+			higher_number_is_no_part_of_the_copy, start, stop),
+		cmocka_unit_test_setup_teardown(higher_number_removes_and_adds,
+						start, stop),
+		cmocka_unit_test_setup_teardown(
+			lower_number_is_older_whatever_its_revision, start,
+			stop),
+		cmocka_unit_test_setup_teardown(
+			later_report_of_a_database_is_accepted, start, stop),
+		cmocka_unit_test_setup_teardown(
+			earlier_report_of_a_database_is_withheld, start, stop),
+		cmocka_unit_test_setup_teardown(
+			mark_of_another_revision_is_accepted, start, stop),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world_node.c
+++ b/tests/world_node.c
@@ -130,8 +130,7 @@
 	const kl_object_t *object;
 
 	CK_STAILQ_FOREACH(object, from, link) {
-		kl_object_t *copy = kl_object_new(
-			object->name.name, object->version, object->body);
+		kl_object_t *copy = kl_object_copy(object);
 
 		CK_STAILQ_INSERT_TAIL(to, copy, link);
 	}
