Keep a mark for a time that a restored store may have lost

After a drill an evacuated domain could get statements again until the operator writes its mark again.

Cause: a mark that the restored store lacks was taken as removed if its revision is not above the first one that any VM saw of the new era. That one may have later writes than the copy, so the mark may as well be lost.

Change: for 20 s after the era rose such a mark stands, unless its removal is seen; then watchers list the marks again. A mark too many serves fewer, a mark too few breaks the bound of an evacuation.

--- a/control/sync.c
+++ b/control/sync.c
@@ -85,6 +85,7 @@
 
 	switch (event->kind) {
 	case KL_EVENT_TICK:
+		kl_sync_end_kept_marks(node, sync, now);
 		if (node->tuning.feed_count > 1)
 			poll_feeds(node, sync, now);
 		else
--- a/control/sync_era.c
+++ b/control/sync_era.c
@@ -18,6 +18,12 @@
 #define ERA_GRACE_US (1 * KL_SEC)
 #define ERA_GRACE_LAPSED_US (3 * KL_SEC)
 
+/*
+ * For this long after a drill a mark that the store lacks stands, unless its
+ * removal is seen: operators write lost marks again in this time.
+ */
+#define MARK_KEEP_US (20 * KL_SEC)
+
 static void adopt_era(kl_node_t *node, kl_sync_t *sync, uint64_t era);
 static void list_all(kl_node_t *node, kl_sync_t *sync);
 static void add_first_revision(kl_sync_t *sync, uint32_t age,
@@ -91,9 +97,12 @@
 	for (uint32_t i = KL_STORE_ERAS; i-- > 0;)
 		sync->first_revisions[i] =
 			i >= missed ? sync->first_revisions[i - missed] : 0;
-	if (sync->era)
+	if (sync->era) {
 		sync->settled_us =
 			now + (lapsed ? ERA_GRACE_LAPSED_US : ERA_GRACE_US);
+		sync->marks_kept_until_us = now + MARK_KEEP_US;
+		sync->keeps_marks = true;
+	}
 	sync->era = era;
 	for (uint32_t i = 0; i < KL_FEED_COUNT; i++)
 		sync->feeds[i].has_withheld = false;
@@ -103,6 +112,18 @@
 	node->ops->log_decision(node->ops_context, &decision);
 }
 
+/* A watcher lists the marks again; the other VMs learn from it what is gone. */
+void kl_sync_end_kept_marks(kl_node_t *node, kl_sync_t *sync, uint64_t now)
+{
+	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
+
+	if (!sync->keeps_marks || now < sync->marks_kept_until_us)
+		return;
+	sync->keeps_marks = false;
+	if (!members || members->is_watcher)
+		sync->feeds[KL_FEED_MARKS].needs_list = true;
+}
+
 /* Feeds that were not loaded yet are being listed already. */
 static void list_all(kl_node_t *node, kl_sync_t *sync)
 {
--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -58,6 +58,9 @@
 	/** Lowest revisions seen in that era and in those before it; 0: none */
 	uint64_t first_revisions[KL_STORE_ERAS];
 	uint64_t settled_us; /**< confirmations of the era count from then on */
+	/** Until then a mark that the store lacks may be one that it lost. */
+	uint64_t marks_kept_until_us;
+	bool keeps_marks;	    /**< that time is not over */
 	uint64_t refused_era_count; /**< answers and messages of older eras */
 	/** Objects received for the outstanding fetch. */
 	kl_object_list_t fetched_objects;
@@ -130,6 +133,9 @@
 bool kl_sync_accept_message(kl_node_t *node, kl_sync_t *sync,
 			    const kl_peer_message_t *message);
 
+/** End the time in which a mark that the store lacks may be a lost one. */
+void kl_sync_end_kept_marks(kl_node_t *node, kl_sync_t *sync, uint64_t now);
+
 /** List a feed again, without regard to calls that are under way. */
 void kl_sync_list_again(const kl_node_t *node, kl_sync_t *sync, kl_feed_t feed,
 			uint64_t now);
--- a/control/sync_outdated.c
+++ b/control/sync_outdated.c
@@ -114,6 +114,9 @@
 	if (held->feed == KL_FEED_CONFIG && update->generation &&
 	    held->generation)
 		return update->generation < held->generation;
+	/* A mark too few breaks a bound, one too many does not. */
+	if (held->feed == KL_FEED_MARKS && sync->keeps_marks)
+		return true;
 	return kl_version_revision(held->version) >
 	       first_revision_after(sync, held->version);
 }
--- a/tests/unit/sync_era.c
+++ b/tests/unit/sync_era.c
@@ -342,6 +342,27 @@
 	assert_string_equal(body_of(node, "mark/a"), "{}");
 }
 
+/*
+ * Guards against an evacuated domain that is used again: the store lost the
+ * mark, and has so many later writes that the mark may also have been removed.
+ */
+static void lost_mark_stands_until_it_may_be_written_again(void **state)
+{
+	kl_node_t *node = *state;
+
+	deliver_one(node, KL_FEED_MARKS, 1, 90, "mark/a", 80, 80, "{}");
+	deliver_one(node, KL_FEED_MARKS, 2, 85, NULL, 0, 0, NULL);
+	assert_string_equal(body_of(node, "mark/a"), "{}");
+	run(node, 19 * KL_SEC);
+	deliver_one(node, KL_FEED_MARKS, 2, 86, NULL, 0, 0, NULL);
+	assert_string_equal(body_of(node, "mark/a"), "{}");
+	mark_lists = 0;
+	run(node, 2 * KL_SEC);
+	assert_true(mark_lists > 0);
+	deliver_one(node, KL_FEED_MARKS, 2, 87, NULL, 0, 0, NULL);
+	assert_string_equal(body_of(node, "mark/a"), "null");
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -367,6 +388,9 @@
 			earlier_report_of_a_database_is_withheld, start, stop),
 		cmocka_unit_test_setup_teardown(
 			mark_of_another_revision_is_accepted, start, stop),
+		cmocka_unit_test_setup_teardown(
+			lost_mark_stands_until_it_may_be_written_again, start,
+			stop),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
