--- a/daemon/counter.c
+++ b/daemon/counter.c
@@ -43,6 +43,9 @@
 	[KL_COUNTER_PEER_SENT] = { "kl_peer_sent_total", "peer messages sent" },
 	[KL_COUNTER_PEER_SENT_BYTES] = { "kl_peer_sent_bytes_total",
 					 "bytes of peer messages sent" },
+	[KL_COUNTER_PEER_UNSENT] = { "kl_peer_unsent_total",
+				     "peer messages that were too large, or "
+				     "that the system did not send" },
 	[KL_COUNTER_PEER_RECEIVED] = { "kl_peer_received_total",
 				       "peer messages received" },
 	[KL_COUNTER_PEER_MALFORMED] = { "kl_peer_malformed_total",
