Send objects that are too large for a message in parts

Callers: a VM that learns the configuration from its peers missed every change of a configuration with a workspace of 1,000 keys.

Cause: all keys of a workspace are one document, and a document in a message has at most 49,152 bytes. A larger one could not be encoded, and the message was dropped; the receiver fetched the same feed again without end, and asked nobody else.

Change: such an object is sent in parts of 8,000 bytes, requested one by one, in messages of two new kinds, so that a VM of an earlier version takes none for a whole object. Lost ones are requested again. A fetch holds at most 8 MiB for an object and 24 MiB in all; beyond that the VM lists the feed from the store, logs fetch_refused and counts it.

--- a/control/controllers.h
+++ b/control/controllers.h
@@ -20,6 +20,8 @@
 uint64_t kl_sync_first_revision(const kl_node_t *node);
 /** Number of answers and messages of older eras. */
 uint64_t kl_sync_refused_era_count(const kl_node_t *node);
+/** Number of fetches from other VMs that were refused. */
+uint64_t kl_sync_refused_fetch_count(const kl_node_t *node);
 /** Send a hello to a VM and request an answer. */
 void kl_sync_send_hello(kl_node_t *node, const kl_member_t *member);
 
--- a/control/peer_message.h
+++ b/control/peer_message.h
@@ -24,6 +24,8 @@
 	KL_PEER_USAGE,		/**< brings or acknowledges counts of usage */
 	KL_PEER_LOAD_QUERY,	/**< asks for the load of a failure domain */
 	KL_PEER_LOADS,		/**< tells the load of upstreams */
+	KL_PEER_PART_FETCH,	/**< requests more of an object sent in parts */
+	KL_PEER_PART,		/**< brings a part of a large object */
 	KL_PEER_KIND_COUNT
 } kl_peer_kind_t;
 
@@ -31,6 +33,11 @@
 #define KL_AGE_UNCONFIRMED UINT64_MAX
 /** Most bytes of objects in a delta, unless a single object is larger. */
 #define KL_DELTA_BYTES_MAX 8000
+/** Most bytes of an object's body in a delta; larger ones are sent in parts. */
+#define KL_OBJECT_WHOLE_MAX 49152
+/** Most bytes of an object, and of all objects, that a fetch may bring. */
+#define KL_OBJECT_BYTES_MAX (8u << 20)
+#define KL_FETCH_BYTES_MAX (24u << 20)
 
 /**
  * The revisions that a VM holds, and the age of their confirmation.  A receiver
@@ -69,6 +76,15 @@
 	kl_object_list_t objects;
 } kl_peer_delta_t;
 
+/**
+ * A part of an object's body.  The delta of the same message has one object,
+ * whose body is the part; the fetch counts whole objects.
+ */
+typedef struct kl_peer_part {
+	uint32_t offset; /**< of the part, or of the one requested; bytes */
+	uint32_t size;	 /**< bytes of the whole body */
+} kl_peer_part_t;
+
 /** Newest eras of the store whose first revisions are known. */
 #define KL_STORE_ERAS 4
 
@@ -156,7 +172,7 @@
 typedef struct kl_peer_message {
 	kl_peer_kind_t kind;
 	char from[KL_NAME_MAX]; /**< name of the VM that sends it */
-	/** Hello, fetch, delta: newest era of the store known; 0: none. */
+	/** Hello, fetch, delta, part: newest era of the store; 0: none. */
 	uint64_t store_era;
 	/** Hello: lowest revisions seen in that era and those before; 0: none.
 	 */
@@ -164,6 +180,7 @@
 	kl_peer_hello_t hello;
 	kl_peer_fetch_t fetch;
 	kl_peer_delta_t delta;
+	kl_peer_part_t part;
 	char subject[KL_NAME_MAX]; /**< suspect: service; loan: workspace */
 	uint64_t term; /**< suspect: the term that the primary serves */
 	kl_loan_request_t loan_request;
@@ -173,4 +190,10 @@
 	kl_peer_loads_t loads;
 } kl_peer_message_t;
 
+/** Whether messages of a kind bring objects. */
+static inline bool kl_peer_has_objects(kl_peer_kind_t kind)
+{
+	return kind == KL_PEER_DELTA || kind == KL_PEER_PART;
+}
+
 #endif
--- a/control/share.c
+++ b/control/share.c
@@ -121,7 +121,7 @@
 	uint64_t part_ppm, lease_end_us;
 
 	if (event->kind == KL_EVENT_PEER &&
-	    event->peer->kind != KL_PEER_DELTA) {
+	    !kl_peer_has_objects(event->peer->kind)) {
 		handle_loan_message(node, state, event->peer);
 		return;
 	}
--- a/control/sync.c
+++ b/control/sync.c
@@ -74,7 +74,7 @@
 {
 	kl_sync_t *sync = node->state[KL_CONTROLLER_SYNC];
 
-	kl_object_list_clear(&sync->fetched_objects);
+	kl_sync_end_fetch(sync);
 	free(sync);
 }
 
@@ -86,6 +86,7 @@
 	switch (event->kind) {
 	case KL_EVENT_TICK:
 		kl_sync_end_kept_marks(node, sync, now);
+		kl_sync_retry_fetch(node, sync);
 		if (node->tuning.feed_count > 1)
 			poll_feeds(node, sync, now);
 		else
@@ -107,9 +108,10 @@
 	case KL_EVENT_PEER:
 		if (event->peer->kind == KL_PEER_HELLO)
 			kl_sync_handle_hello(node, sync, event->peer);
-		else if (event->peer->kind == KL_PEER_FETCH)
+		else if (event->peer->kind == KL_PEER_FETCH ||
+			 event->peer->kind == KL_PEER_PART_FETCH)
 			kl_sync_handle_fetch(node, sync, event->peer);
-		else if (event->peer->kind == KL_PEER_DELTA)
+		else if (kl_peer_has_objects(event->peer->kind))
 			kl_sync_handle_delta(node, sync, event->peer);
 		break;
 	default:
@@ -307,6 +309,13 @@
 	return sync->refused_era_count;
 }
 
+uint64_t kl_sync_refused_fetch_count(const kl_node_t *node)
+{
+	const kl_sync_t *sync = node->state[KL_CONTROLLER_SYNC];
+
+	return sync->refused_fetch_count;
+}
+
 static void handle_answer(kl_node_t *node, kl_sync_t *sync,
 			  kl_platform_answer_t *answer)
 {
--- a/control/sync_era.c
+++ b/control/sync_era.c
@@ -106,9 +106,7 @@
 	sync->era = era;
 	for (uint32_t i = 0; i < KL_FEED_COUNT; i++)
 		sync->feeds[i].has_withheld = false;
-	sync->fetch_vm[0] = '\0'; /* a delta that is on its way is older */
-	sync->fetch_sent_us = 0;
-	kl_object_list_clear(&sync->fetched_objects);
+	kl_sync_end_fetch(sync); /* a delta that is on its way is older */
 	node->ops->log_decision(node->ops_context, &decision);
 }
 
--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -33,7 +33,9 @@
 	uint64_t next_list_us;	/**< earliest time of the next list */
 	uint64_t watch_sent_us; /**< send time of the outstanding watch, or 0 */
 	uint64_t next_watch_us; /**< earliest time of the next watch */
-	bool watch_refused;	/**< no watch until a list was successful */
+	/** Fetches of this revision are too large; 0: none. */
+	uint64_t refused_revision;
+	bool watch_refused; /**< no watch until a list was successful */
 	/** Objects of the store's era were withheld as older than those held.
 	 */
 	bool has_withheld;
@@ -49,8 +51,11 @@
 	uint64_t registered_us;
 	uint64_t last_hello_us; /**< time of the last hellos */
 	uint64_t fetch_sent_us; /**< send time of the outstanding fetch, or 0 */
-	char fetch_vm[KL_NAME_MAX]; /**< VM that the fetch was sent to */
-	kl_peer_fetch_t fetch;	    /**< the outstanding fetch */
+	char fetch_vm[KL_NAME_MAX];   /**< VM that the fetch was sent to */
+	char fetch_host[KL_HOST_MAX]; /**< address of that VM */
+	uint16_t fetch_port;
+	uint32_t fetch_retries; /**< times that the fetch was sent again */
+	kl_peer_fetch_t fetch;	/**< the outstanding fetch */
 	/** Revisions that the VM named in its last hello, by feed. */
 	uint64_t fetch_vm_revisions[KL_FEED_COUNT];
 	uint64_t fetch_revision; /**< of the first delta of it, or 0 */
@@ -64,6 +69,12 @@
 	uint64_t refused_era_count; /**< answers and messages of older eras */
 	/** Objects received for the outstanding fetch. */
 	kl_object_list_t fetched_objects;
+	size_t fetched_bytes; /**< of their bodies */
+	/** The object whose parts are being received, or NULL. */
+	kl_object_t *part;
+	uint32_t part_size;	      /**< bytes of its body */
+	uint32_t part_length;	      /**< bytes of its body received */
+	uint64_t refused_fetch_count; /**< fetches that were too large */
 } kl_sync_t;
 
 /** Objects of a feed, from the platform or from another VM. */
@@ -183,11 +194,23 @@
 /** Handle a message from another VM. */
 void kl_sync_handle_hello(kl_node_t *node, kl_sync_t *sync,
 			  const kl_peer_message_t *message);
+/** The same for a fetch, and for a request for a part. */
 void kl_sync_handle_fetch(kl_node_t *node, kl_sync_t *sync,
 			  const kl_peer_message_t *message);
+/** The same for a delta, and for a part. */
 void kl_sync_handle_delta(kl_node_t *node, kl_sync_t *sync,
 			  const kl_peer_message_t *message);
 
+/** Fetch a feed that another VM has newer, unless a fetch is outstanding. */
+void kl_sync_fetch_newer(kl_node_t *node, kl_sync_t *sync,
+			 const kl_peer_message_t *hello);
+
+/** Send a fetch that has brought a part again, if it gets no answer. */
+void kl_sync_retry_fetch(kl_node_t *node, kl_sync_t *sync);
+
+/** Forget the outstanding fetch, and what was received for it. */
+void kl_sync_end_fetch(kl_sync_t *sync);
+
 /**
  * Keep the time since which this VM is registered; its record may be removed
  * and restored.
--- a/daemon/control_thread.c
+++ b/daemon/control_thread.c
@@ -360,7 +360,7 @@
 				   .reason = "too_large",
 				   .peer = vm };
 
-	if (message->kind == KL_PEER_DELTA)
+	if (kl_peer_has_objects(message->kind))
 		decision.feed = kl_feed_name(message->delta.fetch.feed);
 	kl_counter_add(KL_COUNTER_PEER_UNSENT, 1);
 	kl_log_decision(&decision);
--- a/daemon/status.c
+++ b/daemon/status.c
@@ -23,7 +23,7 @@
 static void on_metrics(struct evhttp_request *request, void *arg);
 static void on_status(struct evhttp_request *request, void *arg);
 static void add_feeds(struct evbuffer *body, kl_node_t *node);
-static void add_era(struct evbuffer *body, const kl_node_t *node);
+static void add_sync(struct evbuffer *body, const kl_node_t *node);
 static void add_latencies(struct evbuffer *body);
 static void add_priorities(struct evbuffer *body);
 static double get_served(const kl_priority_counts_t *counts);
@@ -125,7 +125,7 @@
 	add_latencies(body);
 	add_priorities(body);
 	add_feeds(body, server->node);
-	add_era(body, server->node);
+	add_sync(body, server->node);
 	kl_status_add_usage(body, server->node);
 	reply(request, "text/plain; version=0.0.4", body);
 }
@@ -148,8 +148,8 @@
 	kl_read_end(node->reader);
 }
 
-/* How often the store was restored from a copy, and what that made invalid. */
-static void add_era(struct evbuffer *body, const kl_node_t *node)
+/* What the sync controller counts: eras of the store, and what it refused. */
+static void add_sync(struct evbuffer *body, const kl_node_t *node)
 {
 	evbuffer_add_printf(
 		body,
@@ -159,8 +159,13 @@
 		"# HELP kl_store_era_refused_total answers and messages of an "
 		"older era\n"
 		"# TYPE kl_store_era_refused_total counter\n"
-		"kl_store_era_refused_total %" PRIu64 "\n",
-		kl_sync_era(node), kl_sync_refused_era_count(node));
+		"kl_store_era_refused_total %" PRIu64 "\n"
+		"# HELP kl_fetch_refused_total fetches from other VMs that "
+		"were too large or made no sense\n"
+		"# TYPE kl_fetch_refused_total counter\n"
+		"kl_fetch_refused_total %" PRIu64 "\n",
+		kl_sync_era(node), kl_sync_refused_era_count(node),
+		kl_sync_refused_fetch_count(node));
 }
 
 /* One histogram for each kind of route and each way that statements end. */
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -74,6 +74,18 @@
 	kl_wire_object objects<KL_WIRE_OBJECTS>;
 };
 
+struct kl_wire_part_fetch {
+	kl_wire_fetch asked;
+	unsigned int offset;
+};
+
+/* The only object of the delta has a part of its body. */
+struct kl_wire_part {
+	kl_wire_delta delta;
+	unsigned int offset;
+	unsigned int size;
+};
+
 struct kl_wire_ask {
 	unsigned hyper asked_us;
 	hyper want;
@@ -167,6 +179,10 @@
 	kl_wire_loads load_query;
 case 10:
 	kl_wire_loads loads;
+case 11:
+	kl_wire_part_fetch part_fetch;
+case 12:
+	kl_wire_part part;
 };
 
 struct kl_wire_message {
--- a/peer/peer_codec.c
+++ b/peer/peer_codec.c
@@ -28,6 +28,16 @@
 			 kl_wire_message *wire);
 static void decode_delta(kl_peer_message_t *message,
 			 const kl_wire_message *wire);
+static void encode_delta_body(const kl_peer_delta_t *delta, kl_wire_delta *out);
+static void decode_delta_body(kl_peer_delta_t *delta, const kl_wire_delta *in);
+static void encode_part_fetch(const kl_peer_message_t *message,
+			      kl_wire_message *wire);
+static void decode_part_fetch(kl_peer_message_t *message,
+			      const kl_wire_message *wire);
+static void encode_part(const kl_peer_message_t *message,
+			kl_wire_message *wire);
+static void decode_part(kl_peer_message_t *message,
+			const kl_wire_message *wire);
 static void encode_suspect(const kl_peer_message_t *message,
 			   kl_wire_message *wire);
 static void decode_suspect(kl_peer_message_t *message,
@@ -65,8 +75,13 @@
 	[KL_PEER_USAGE] = { kl_usage_encode, kl_usage_decode },
 	[KL_PEER_LOAD_QUERY] = { encode_loads, decode_loads },
 	[KL_PEER_LOADS] = { encode_loads, decode_loads },
+	[KL_PEER_PART_FETCH] = { encode_part_fetch, decode_part_fetch },
+	[KL_PEER_PART] = { encode_part, decode_part },
 };
 
+_Static_assert(KL_WIRE_BODY == KL_OBJECT_WHOLE_MAX,
+	       "an object that is not sent in parts fits its encoding");
+
 int kl_peer_encode(const kl_peer_message_t *message, const char *host,
 		   uint16_t port, char *buffer, size_t size)
 {
@@ -95,6 +110,8 @@
 	xdr_destroy(&xdr);
 	if (message->kind == KL_PEER_DELTA)
 		free(wire.body.kl_wire_body_u.delta.objects.objects_val);
+	if (message->kind == KL_PEER_PART)
+		free(wire.body.kl_wire_body_u.part.delta.objects.objects_val);
 	if (message->kind == KL_PEER_POSITION_QUERY ||
 	    message->kind == KL_PEER_POSITIONS)
 		free(wire.body.kl_wire_body_u.positions.entries.entries_val);
@@ -258,20 +275,30 @@
 static void encode_delta(const kl_peer_message_t *message,
 			 kl_wire_message *wire)
 {
-	kl_wire_delta *out = &wire->body.kl_wire_body_u.delta;
+	encode_delta_body(&message->delta, &wire->body.kl_wire_body_u.delta);
+}
+
+static void decode_delta(kl_peer_message_t *message,
+			 const kl_wire_message *wire)
+{
+	decode_delta_body(&message->delta, &wire->body.kl_wire_body_u.delta);
+}
+
+static void encode_delta_body(const kl_peer_delta_t *delta, kl_wire_delta *out)
+{
 	const kl_object_t *object;
 	u_int count = 0;
 
-	encode_fetch_body(&out->asked, &message->delta.fetch);
-	out->revision = message->delta.revision;
-	out->more = message->delta.has_more;
-	out->whole = message->delta.is_full_list;
-	CK_STAILQ_FOREACH(object, &message->delta.objects, link)
+	encode_fetch_body(&out->asked, &delta->fetch);
+	out->revision = delta->revision;
+	out->more = delta->has_more;
+	out->whole = delta->is_full_list;
+	CK_STAILQ_FOREACH(object, &delta->objects, link)
 		count++;
 	out->objects.objects_val = calloc(count + 1, sizeof(kl_wire_object));
 	if (!out->objects.objects_val)
 		return;
-	CK_STAILQ_FOREACH(object, &message->delta.objects, link) {
+	CK_STAILQ_FOREACH(object, &delta->objects, link) {
 		kl_wire_object *entry =
 			&out->objects.objects_val[out->objects.objects_len++];
 
@@ -281,26 +308,58 @@
 	}
 }
 
-static void decode_delta(kl_peer_message_t *message,
-			 const kl_wire_message *wire)
+static void decode_delta_body(kl_peer_delta_t *delta, const kl_wire_delta *in)
 {
-	const kl_wire_delta *in = &wire->body.kl_wire_body_u.delta;
-
-	decode_fetch_body(&message->delta.fetch, &in->asked);
-	message->delta.revision = in->revision;
-	message->delta.has_more = in->more;
-	message->delta.is_full_list = in->whole;
+	decode_fetch_body(&delta->fetch, &in->asked);
+	delta->revision = in->revision;
+	delta->has_more = in->more;
+	delta->is_full_list = in->whole;
 	for (u_int i = 0; i < in->objects.objects_len; i++) {
 		const kl_wire_object *entry = &in->objects.objects_val[i];
 		kl_object_t *object =
 			kl_object_new(entry->name, entry->changed, entry->body);
 
 		if (object)
-			CK_STAILQ_INSERT_TAIL(&message->delta.objects, object,
-					      link);
+			CK_STAILQ_INSERT_TAIL(&delta->objects, object, link);
 	}
 }
 
+static void encode_part_fetch(const kl_peer_message_t *message,
+			      kl_wire_message *wire)
+{
+	kl_wire_part_fetch *out = &wire->body.kl_wire_body_u.part_fetch;
+
+	encode_fetch_body(&out->asked, &message->fetch);
+	out->offset = message->part.offset;
+}
+
+static void decode_part_fetch(kl_peer_message_t *message,
+			      const kl_wire_message *wire)
+{
+	const kl_wire_part_fetch *in = &wire->body.kl_wire_body_u.part_fetch;
+
+	decode_fetch_body(&message->fetch, &in->asked);
+	message->part.offset = in->offset;
+}
+
+static void encode_part(const kl_peer_message_t *message, kl_wire_message *wire)
+{
+	kl_wire_part *out = &wire->body.kl_wire_body_u.part;
+
+	encode_delta_body(&message->delta, &out->delta);
+	out->offset = message->part.offset;
+	out->size = message->part.size;
+}
+
+static void decode_part(kl_peer_message_t *message, const kl_wire_message *wire)
+{
+	const kl_wire_part *in = &wire->body.kl_wire_body_u.part;
+
+	decode_delta_body(&message->delta, &in->delta);
+	message->part.offset = in->offset;
+	message->part.size = in->size;
+}
+
 static void encode_suspect(const kl_peer_message_t *message,
 			   kl_wire_message *wire)
 {
--- a/peer/peer_era.c
+++ b/peer/peer_era.c
@@ -39,9 +39,11 @@
 			versions[count++] = &message->hello.feed_revisions[i];
 		break;
 	case KL_PEER_FETCH:
+	case KL_PEER_PART_FETCH:
 		versions[count++] = &message->fetch.since_revision;
 		break;
 	case KL_PEER_DELTA:
+	case KL_PEER_PART:
 		versions[count++] = &message->delta.fetch.since_revision;
 		versions[count++] = &message->delta.revision;
 		break;
@@ -65,7 +67,7 @@
 		return;
 	for (uint32_t i = 0; i < count; i++)
 		versions[i] = *fixed[i];
-	if (message->kind == KL_PEER_DELTA) {
+	if (kl_peer_has_objects(message->kind)) {
 		CK_STAILQ_FOREACH(object, &message->delta.objects, link) {
 			if (count == KL_WIRE_VERSIONS)
 				return;
@@ -79,7 +81,7 @@
 	out.versions.versions_val = versions;
 	if (!xdr_kl_wire_store_era(xdr, &out))
 		xdr_setpos(xdr, end);
-	else if (message->kind == KL_PEER_DELTA)
+	else if (kl_peer_has_objects(message->kind))
 		encode_generations(xdr, message);
 }
 
@@ -120,7 +122,7 @@
 	     i++)
 		message->first_revisions[i] =
 			in.first_revisions.first_revisions_val[i];
-	if (message->kind == KL_PEER_DELTA)
+	if (kl_peer_has_objects(message->kind))
 		error = decode_generations(xdr, message, length);
 out:
 	xdr_free((xdrproc_t)xdr_kl_wire_store_era, (char *)&in);
@@ -162,7 +164,7 @@
 	for (uint32_t i = 0; i < count; i++)
 		if (add_version(in, i, fixed[i]))
 			return -KL_E_PROTOCOL;
-	if (message->kind != KL_PEER_DELTA)
+	if (!kl_peer_has_objects(message->kind))
 		return 0;
 	CK_STAILQ_FOREACH(object, &message->delta.objects, link)
 		if (add_version(in, count++, &object->version))
--- a/peer/peer_wire.h
+++ b/peer/peer_wire.h
@@ -91,6 +91,19 @@
 };
 typedef struct kl_wire_delta kl_wire_delta;
 
+struct kl_wire_part_fetch {
+	kl_wire_fetch asked;
+	u_int offset;
+};
+typedef struct kl_wire_part_fetch kl_wire_part_fetch;
+
+struct kl_wire_part {
+	kl_wire_delta delta;
+	u_int offset;
+	u_int size;
+};
+typedef struct kl_wire_part kl_wire_part;
+
 struct kl_wire_ask {
 	u_quad_t asked_us;
 	quad_t want;
@@ -196,6 +209,8 @@
 		kl_wire_usage usage;
 		kl_wire_loads load_query;
 		kl_wire_loads loads;
+		kl_wire_part_fetch part_fetch;
+		kl_wire_part part;
 	} kl_wire_body_u;
 };
 typedef struct kl_wire_body kl_wire_body;
@@ -235,6 +250,8 @@
 extern  bool_t xdr_kl_wire_fetch (XDR *, kl_wire_fetch*);
 extern  bool_t xdr_kl_wire_object (XDR *, kl_wire_object*);
 extern  bool_t xdr_kl_wire_delta (XDR *, kl_wire_delta*);
+extern  bool_t xdr_kl_wire_part_fetch (XDR *, kl_wire_part_fetch*);
+extern  bool_t xdr_kl_wire_part (XDR *, kl_wire_part*);
 extern  bool_t xdr_kl_wire_ask (XDR *, kl_wire_ask*);
 extern  bool_t xdr_kl_wire_grant (XDR *, kl_wire_grant*);
 extern  bool_t xdr_kl_wire_position (XDR *, kl_wire_position*);
@@ -257,6 +274,8 @@
 extern bool_t xdr_kl_wire_fetch ();
 extern bool_t xdr_kl_wire_object ();
 extern bool_t xdr_kl_wire_delta ();
+extern bool_t xdr_kl_wire_part_fetch ();
+extern bool_t xdr_kl_wire_part ();
 extern bool_t xdr_kl_wire_ask ();
 extern bool_t xdr_kl_wire_grant ();
 extern bool_t xdr_kl_wire_position ();
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -114,6 +114,32 @@
 	return TRUE;
 }
 
+bool_t
+xdr_kl_wire_part_fetch (XDR *xdrs, kl_wire_part_fetch *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_kl_wire_fetch (xdrs, &objp->asked))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->offset))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_kl_wire_part (XDR *xdrs, kl_wire_part *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_kl_wire_delta (xdrs, &objp->delta))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->offset))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->size))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_kl_wire_ask (XDR *xdrs, kl_wire_ask *objp)
 {
@@ -337,6 +363,14 @@
 		 if (!xdr_kl_wire_loads (xdrs, &objp->kl_wire_body_u.loads))
 			 return FALSE;
 		break;
+	case 11:
+		 if (!xdr_kl_wire_part_fetch (xdrs, &objp->kl_wire_body_u.part_fetch))
+			 return FALSE;
+		break;
+	case 12:
+		 if (!xdr_kl_wire_part (xdrs, &objp->kl_wire_body_u.part))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/tests/script.h
+++ b/tests/script.h
@@ -35,6 +35,7 @@
 
 /* Steps that act on the platform's store. */
 void step_platform(char **words, int count);
+void step_keys(char **words, int count);
 void step_era(char **words, int count);
 void step_drill(char **words, int count);
 void step_figure(char **words, int count);
--- a/tests/script_run.c
+++ b/tests/script_run.c
@@ -61,6 +61,7 @@
 	{ "db", 3, step_db },
 	{ "service", 2, step_service },
 	{ "doc", 2, step_doc },
+	{ "keys", 4, step_keys },
 	{ "run", 1, step_run },
 	{ "cut", 1, step_cut },
 	{ "heal", 0, step_heal },
--- a/tests/unit/codec.c
+++ b/tests/unit/codec.c
@@ -210,6 +210,51 @@
 	kl_peer_message_clear(&decoded);
 }
 
+static void parts_survive_encoding(void **state)
+{
+	kl_peer_message_t message = {
+		.kind = KL_PEER_PART,
+		.store_era = 2,
+		.part = { .offset = 8000, .size = 98000 },
+		.delta = { .fetch = { .feed = KL_FEED_CONFIG, .skip = 3 },
+			   .revision = kl_store_version(2, 9),
+			   .has_more = true }
+	};
+	kl_object_t *object =
+		kl_object_new("workspace/a", kl_store_version(2, 8), "[1,");
+	kl_peer_message_t decoded;
+	char buffer[4096];
+	int length;
+	(void)state;
+
+	CK_STAILQ_INIT(&message.delta.objects);
+	CK_STAILQ_INSERT_TAIL(&message.delta.objects, object, link);
+	length = kl_peer_encode(&message, "127.0.0.1", 99, buffer,
+				sizeof(buffer));
+	assert_true(length > 0);
+	kl_peer_message_clear(&message);
+	assert_int_equal(kl_peer_decode(&decoded, buffer, (size_t)length), 0);
+	assert_int_equal(decoded.kind, KL_PEER_PART);
+	assert_int_equal(decoded.part.offset, 8000);
+	assert_int_equal(decoded.part.size, 98000);
+	assert_int_equal(decoded.delta.fetch.skip, 3);
+	assert_int_equal(decoded.delta.revision, kl_store_version(2, 9));
+	assert_true(decoded.delta.has_more);
+	object = CK_STAILQ_FIRST(&decoded.delta.objects);
+	assert_string_equal(object->body, "[1,");
+	assert_int_equal(object->version, kl_store_version(2, 8));
+	kl_peer_message_clear(&decoded);
+	message.kind = KL_PEER_PART_FETCH;
+	message.fetch.since_revision = kl_store_version(1, 5);
+	length = kl_peer_encode(&message, "127.0.0.1", 99, buffer,
+				sizeof(buffer));
+	assert_true(length > 0);
+	assert_int_equal(kl_peer_decode(&decoded, buffer, (size_t)length), 0);
+	assert_int_equal(decoded.part.offset, 8000);
+	assert_int_equal(decoded.fetch.since_revision, kl_store_version(1, 5));
+	kl_peer_message_clear(&decoded);
+}
+
 /* Guards against versions of an era that the sender does not know itself. */
 static void malformed_eras_of_messages_are_refused(void **state)
 {
@@ -297,6 +342,7 @@
 		cmocka_unit_test(positions_survive_encoding),
 		cmocka_unit_test(eras_follow_the_message),
 		cmocka_unit_test(generations_follow_the_eras),
+		cmocka_unit_test(parts_survive_encoding),
 		cmocka_unit_test(malformed_eras_of_messages_are_refused),
 		cmocka_unit_test(
 			corrupt_datagrams_are_refused_or_decoded_safely),
--- /dev/null
+++ b/tests/unit/sync_fetch.c
@@ -0,0 +1,248 @@
+/*
+ * Tests of fetches whose objects come in parts: what is too large, repeated or
+ * makes no sense.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "control/controllers.h"
+
+static uint64_t now_us = 1000 * KL_SEC;
+static kl_peer_message_t last_fetch; /* the last message sent to b1 */
+static uint32_t fetches;	     /* fetches of either kind sent */
+static uint32_t config_lists;	     /* lists of the configuration sent */
+
+static uint64_t op_now(void *context)
+{
+	(void)context;
+	return now_us;
+}
+
+static uint32_t op_random(void *context)
+{
+	(void)context;
+	return 0;
+}
+
+static void op_send(void *context, const char *vm, const char *host,
+		    uint16_t port, const kl_peer_message_t *message)
+{
+	(void)context;
+	(void)vm;
+	(void)host;
+	(void)port;
+	if (message->kind != KL_PEER_FETCH &&
+	    message->kind != KL_PEER_PART_FETCH)
+		return;
+	last_fetch = *message;
+	fetches++;
+}
+
+static void op_platform(void *context, const kl_platform_call_t *call)
+{
+	(void)context;
+	config_lists +=
+		call->op == KL_PLATFORM_LIST && call->feed == KL_FEED_CONFIG;
+}
+
+static void op_database(void *context, const kl_database_call_t *call)
+{
+	(void)context;
+	(void)call;
+}
+
+static void op_log(void *context, const kl_decision_t *decision)
+{
+	(void)context;
+	(void)decision;
+}
+
+static const kl_node_ops_t ops = { op_now,	op_random,   op_send,
+				   op_platform, op_database, op_log };
+
+static int start(void **state)
+{
+	kl_node_t *node = calloc(1, sizeof(*node));
+
+	kl_name_copy(node->self.vm, "a1");
+	kl_name_copy(node->self.domain, "d1");
+	strcpy(node->self.host, "10.0.0.1");
+	node->self.port = 1;
+	kl_tuning_default(&node->tuning);
+	node->tuning.feed_count = KL_FEED_COUNT;
+	node->ops = &ops;
+	CK_SLIST_INIT(&node->seeds);
+	fetches = 0;
+	config_lists = 0;
+	*state = node;
+	return kl_node_start(node);
+}
+
+static int stop(void **state)
+{
+	kl_node_t *node = *state;
+
+	kl_node_stop(node);
+	free(node);
+	return 0;
+}
+
+static void step(kl_node_t *node, kl_peer_message_t *message)
+{
+	kl_event_t event = { .kind = KL_EVENT_PEER, .peer = message };
+
+	strcpy(message->from, "b1");
+	strcpy(message->hello.host, "10.0.0.2");
+	message->hello.port = 2;
+	kl_node_step(node, &event);
+	kl_object_list_clear(&message->delta.objects);
+}
+
+/* The VM b1 tells that it has a revision of the configuration. */
+static void hello(kl_node_t *node, uint64_t revision)
+{
+	kl_peer_message_t message = { .kind = KL_PEER_HELLO };
+
+	CK_STAILQ_INIT(&message.delta.objects);
+	message.hello.feed_revisions[KL_FEED_CONFIG] = revision;
+	step(node, &message);
+}
+
+/* Answers the last fetch with a part of the object "route/a". */
+static void part(kl_node_t *node, uint64_t revision, uint32_t offset,
+		 uint32_t size, const char *text)
+{
+	kl_peer_message_t message = {
+		.kind = KL_PEER_PART,
+		.part = { .offset = offset, .size = size },
+		.delta = { .fetch = last_fetch.fetch, .revision = revision }
+	};
+	kl_object_t *object = kl_object_new("route/a", revision, text);
+
+	CK_STAILQ_INIT(&message.delta.objects);
+	CK_STAILQ_INSERT_TAIL(&message.delta.objects, object, link);
+	step(node, &message);
+}
+
+static void run(kl_node_t *node, uint64_t duration_us)
+{
+	kl_event_t event = { .kind = KL_EVENT_TICK };
+
+	for (uint64_t end_us = now_us + duration_us; now_us < end_us;
+	     now_us += 10 * KL_MS)
+		kl_node_step(node, &event);
+}
+
+static const char *body(const kl_node_t *node)
+{
+	const kl_objects_t *objects = kl_node_get(node, KL_SECTION_OBJECTS);
+	const kl_object_t *object =
+		objects ? kl_index_get(objects->index, "route/a") : NULL;
+
+	return object ? object->body : "none";
+}
+
+static void parts_are_joined_and_repeated_ones_ignored(void **state)
+{
+	kl_node_t *node = *state;
+
+	hello(node, 7);
+	assert_int_equal(last_fetch.kind, KL_PEER_FETCH);
+	part(node, 7, 0, 9, "{\"a\"");
+	assert_int_equal(last_fetch.kind, KL_PEER_PART_FETCH);
+	assert_int_equal(last_fetch.part.offset, 4);
+	part(node, 7, 0, 9, "{\"a\"");
+	assert_int_equal(last_fetch.part.offset, 4);
+	part(node, 7, 4, 9, ":123}");
+	assert_string_equal(body(node), "{\"a\":123}");
+}
+
+/* Guards against a fetch that a lost message ends for good. */
+static void lost_part_is_requested_again(void **state)
+{
+	kl_node_t *node = *state;
+
+	hello(node, 7);
+	part(node, 7, 0, 9, "{\"a\"");
+	fetches = 0;
+	run(node, 250 * KL_MS);
+	assert_int_equal(fetches, 2);
+	part(node, 7, 4, 9, ":123}");
+	assert_string_equal(body(node), "{\"a\":123}");
+}
+
+/*
+ * Guards against a VM that grows by what another one sends, and against one
+ * that fetches what it refused again and again.
+ */
+static void too_large_object_is_read_from_the_store(void **state)
+{
+	kl_node_t *node = *state;
+
+	hello(node, 7);
+	config_lists = 0;
+	part(node, 7, 0, KL_OBJECT_BYTES_MAX + 1, "{");
+	assert_int_equal(kl_sync_refused_fetch_count(node), 1);
+	run(node, 500 * KL_MS);
+	assert_true(config_lists > 0);
+	fetches = 0;
+	hello(node, 7);
+	assert_int_equal(fetches, 0);
+	hello(node, 8);
+	assert_int_equal(fetches, 1);
+}
+
+static void part_that_makes_no_sense_ends_the_fetch(void **state)
+{
+	static const struct {
+		uint32_t size;
+		const char *text;
+	} parts[] = { { 8, ":1}" }, { 9, "" }, { 9, ":1234567890}" } };
+	kl_node_t *node = *state;
+
+	for (uint32_t i = 0; i < 3; i++) {
+		hello(node, 7 + i);
+		part(node, 7 + i, 0, 9, "{\"a\"");
+		part(node, 7 + i, 4, parts[i].size, parts[i].text);
+		assert_int_equal(kl_sync_refused_fetch_count(node), i + 1);
+		assert_string_equal(body(node), "none");
+	}
+}
+
+/* The sender's object may be replaced while its parts are fetched. */
+static void new_revision_begins_the_fetch_again(void **state)
+{
+	kl_node_t *node = *state;
+
+	hello(node, 7);
+	part(node, 7, 0, 9, "{\"a\"");
+	part(node, 8, 4, 9, ":999}");
+	assert_int_equal(last_fetch.kind, KL_PEER_FETCH);
+	assert_int_equal(last_fetch.part.offset, 0);
+	part(node, 8, 0, 7, "{\"b\":1}");
+	assert_string_equal(body(node), "{\"b\":1}");
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			parts_are_joined_and_repeated_ones_ignored, start,
+			stop),
+		cmocka_unit_test_setup_teardown(lost_part_is_requested_again,
+						start, stop),
+		cmocka_unit_test_setup_teardown(
+			too_large_object_is_read_from_the_store, start, stop),
+		cmocka_unit_test_setup_teardown(
+			part_that_makes_no_sense_ends_the_fetch, start, stop),
+		cmocka_unit_test_setup_teardown(
+			new_revision_begins_the_fetch_again, start, stop),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/world_node.c
+++ b/tests/world_node.c
@@ -14,6 +14,7 @@
 static void node_call_database(void *context, const kl_database_call_t *call);
 static void node_log_decision(void *context, const kl_decision_t *decision);
 static void copy_objects(kl_object_list_t *to, const kl_object_list_t *from);
+static bool is_too_large(const kl_peer_message_t *message);
 static size_t message_size(const kl_peer_message_t *message);
 
 const kl_node_ops_t world_node_ops = { node_now,	   node_random,
@@ -39,6 +40,9 @@
 	(void)name;
 	(void)host;
 
+	/* What can't be encoded is not sent. */
+	if (is_too_large(message))
+		return;
 	vm->peer_messages_sent++;
 	vm->load_messages_sent += message->kind == KL_PEER_LOAD_QUERY ||
 				  message->kind == KL_PEER_LOADS;
@@ -66,7 +70,7 @@
 		event->peer_message.hello.port = (uint16_t)vm->port;
 		CK_STAILQ_INIT(&event->answer_objects);
 		CK_STAILQ_INIT(&event->peer_message.delta.objects);
-		if (message->kind == KL_PEER_DELTA)
+		if (kl_peer_has_objects(message->kind))
 			copy_objects(&event->peer_message.delta.objects,
 				     &message->delta.objects);
 		world_schedule(world, event, delay_us);
@@ -136,6 +140,19 @@
 	}
 }
 
+static bool is_too_large(const kl_peer_message_t *message)
+{
+	const kl_object_t *object;
+
+	if (!kl_peer_has_objects(message->kind))
+		return false;
+	CK_STAILQ_FOREACH(object, &message->delta.objects, link) {
+		if (strlen(object->body) > KL_OBJECT_WHOLE_MAX)
+			return true;
+	}
+	return false;
+}
+
 /* Estimates the encoded size, bytes: a header and the objects of a delta. */
 static size_t message_size(const kl_peer_message_t *message)
 {
@@ -146,7 +163,7 @@
 		size += 8 +
 			(strlen(message->usage.list[i].workspace) + 3) / 4 * 4;
 
-	if (message->kind != KL_PEER_DELTA)
+	if (!kl_peer_has_objects(message->kind))
 		return size;
 	CK_STAILQ_FOREACH(object, &message->delta.objects, link)
 		size += 24 + strlen(object->name.name) + strlen(object->body);
