Ask the store for changes that no other VM brings

Cause: such a VM fetched again and again, and asked the store only if its lease was not confirmed, which goes through another feed.

Change: a feed that another VM has newer, and that does not change here for a second, is listed from the store once, at a random time in the next half second; log line feed_overdue.

Measured: unit sync_fetch, feed_that_no_vm_brings_is_read_from_the_store, fails with the new call taken out, and passes.

--- a/control/sync.c
+++ b/control/sync.c
@@ -87,6 +87,8 @@
 	case KL_EVENT_TICK:
 		kl_sync_end_kept_marks(node, sync, now);
 		kl_sync_retry_fetch(node, sync);
+		if (node->tuning.feed_count > 1)
+			kl_sync_list_overdue(node, sync);
 		if (node->tuning.feed_count > 1)
 			poll_feeds(node, sync, now);
 		else
--- a/control/sync_apply.c
+++ b/control/sync_apply.c
@@ -56,6 +56,7 @@
 		return false;
 	feed->revision = update->revision;
 	feed->loaded = true;
+	feed->behind_since_us = kl_node_now(node);
 	kl_revision_times_seen(&sync->revision_times, update->read_revision);
 	changed_index = index_newest(update, count);
 	if (old)
--- a/control/sync_fetch.c
+++ b/control/sync_fetch.c
@@ -25,6 +25,13 @@
 #define FETCH_RETRY_US (100 * KL_MS)
 #define FETCH_RETRIES_MAX 6
 
+/*
+ * A feed that other VMs have newer, and that did not change here for so long,
+ * is listed from the store; VMs do so at different times.
+ */
+#define FETCH_OVERDUE_US (1 * KL_SEC)
+#define FETCH_OVERDUE_SPREAD_US (500 * KL_MS)
+
 static bool find_newer_feed(const kl_sync_t *sync, kl_feed_t *feed);
 static bool add_object(kl_peer_message_t *reply, const kl_object_t *object,
 		       size_t *bytes);
@@ -42,6 +49,47 @@
 			const kl_peer_message_t *sender, kl_feed_t feed);
 static void send_fetch(kl_node_t *node, kl_sync_t *sync);
 
+void kl_sync_note_newer(const kl_node_t *node, kl_sync_t *sync,
+			const kl_peer_message_t *hello)
+{
+	for (uint32_t i = 0; i < KL_FEED_COUNT; i++) {
+		kl_feed_state_t *feed = &sync->feeds[i];
+		uint64_t revision = hello->hello.feed_revisions[i];
+
+		if (revision <= feed->revision ||
+		    revision <= feed->told_revision)
+			continue;
+		if (feed->told_revision <= feed->revision)
+			feed->behind_since_us = kl_node_now(node);
+		feed->told_revision = revision;
+	}
+}
+
+void kl_sync_list_overdue(kl_node_t *node, kl_sync_t *sync)
+{
+	uint64_t now = kl_node_now(node);
+
+	for (uint32_t i = 0; i < KL_FEED_COUNT; i++) {
+		kl_feed_state_t *feed = &sync->feeds[i];
+		kl_decision_t decision = {
+			.name = "feed_overdue",
+			.feed = kl_feed_name(i),
+			.position = kl_version_revision(feed->told_revision),
+			.age_us = now - feed->behind_since_us
+		};
+
+		if (feed->told_revision <= feed->revision ||
+		    now < feed->behind_since_us + FETCH_OVERDUE_US ||
+		    feed->needs_list)
+			continue;
+		feed->needs_list = true;
+		feed->next_list_us =
+			now + kl_node_random(node) % FETCH_OVERDUE_SPREAD_US;
+		feed->told_revision = 0; /* until it is told again */
+		node->ops->log_decision(node->ops_context, &decision);
+	}
+}
+
 void kl_sync_fetch_newer(kl_node_t *node, kl_sync_t *sync,
 			 const kl_peer_message_t *hello)
 {
--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -33,6 +33,10 @@
 	uint64_t next_list_us;	/**< earliest time of the next list */
 	uint64_t watch_sent_us; /**< send time of the outstanding watch, or 0 */
 	uint64_t next_watch_us; /**< earliest time of the next watch */
+	/** Highest revision that another VM told of. */
+	uint64_t told_revision;
+	/** When it was first above the revision held since this changed. */
+	uint64_t behind_since_us;
 	/** Fetches of this revision are too large; 0: none. */
 	uint64_t refused_revision;
 	bool watch_refused; /**< no watch until a list was successful */
@@ -201,6 +205,13 @@
 void kl_sync_handle_delta(kl_node_t *node, kl_sync_t *sync,
 			  const kl_peer_message_t *message);
 
+/** Note which feeds another VM has newer. */
+void kl_sync_note_newer(const kl_node_t *node, kl_sync_t *sync,
+			const kl_peer_message_t *hello);
+
+/** Let a feed be listed that other VMs have newer and don't bring. */
+void kl_sync_list_overdue(kl_node_t *node, kl_sync_t *sync);
+
 /** Fetch a feed that another VM has newer, unless a fetch is outstanding. */
 void kl_sync_fetch_newer(kl_node_t *node, kl_sync_t *sync,
 			 const kl_peer_message_t *hello);
--- a/control/sync_peer.c
+++ b/control/sync_peer.c
@@ -22,6 +22,7 @@
 			   hello->sent_us, false);
 	if (!accepted)
 		return;
+	kl_sync_note_newer(node, sync, message);
 	kl_sync_fetch_newer(node, sync, message);
 	if (!hello->echo_us || hello->echo_us > now)
 		return;
--- a/tests/unit/sync_fetch.c
+++ b/tests/unit/sync_fetch.c
@@ -113,6 +113,22 @@
 	step(node, &message);
 }
 
+/* Lists a configuration without any object, so that the feed is loaded. */
+static void list_empty(kl_node_t *node)
+{
+	kl_object_list_t objects = CK_STAILQ_HEAD_INITIALIZER(objects);
+	kl_platform_answer_t answer = { .op = KL_PLATFORM_LIST,
+					.owner = KL_CONTROLLER_SYNC,
+					.feed = KL_FEED_CONFIG,
+					.is_full_list = true,
+					.revision = 3,
+					.call_sent_us = now_us - KL_MS,
+					.objects = &objects };
+	kl_event_t event = { .kind = KL_EVENT_PLATFORM, .platform = &answer };
+
+	kl_node_step(node, &event);
+}
+
 /* Answers the last fetch with a part of the object "route/a". */
 static void part(kl_node_t *node, uint64_t revision, uint32_t offset,
 		 uint32_t size, const char *text)
@@ -197,6 +213,28 @@
 	assert_int_equal(fetches, 1);
 }
 
+/*
+ * Guards against a VM that stays behind for good because another one tells of
+ * changes and does not bring them, as one of an earlier version may.
+ */
+static void feed_that_no_vm_brings_is_read_from_the_store(void **state)
+{
+	kl_node_t *node = *state;
+
+	list_empty(node);
+	config_lists = 0;
+	hello(node, 7);
+	run(node, 900 * KL_MS);
+	assert_int_equal(config_lists, 0);
+	run(node, 700 * KL_MS);
+	assert_true(config_lists > 0);
+	/* Once, as long as nobody tells of it again. */
+	list_empty(node);
+	config_lists = 0;
+	run(node, 5 * KL_SEC);
+	assert_int_equal(config_lists, 0);
+}
+
 static void part_that_makes_no_sense_ends_the_fetch(void **state)
 {
 	static const struct {
@@ -238,6 +276,9 @@
 						start, stop),
 		cmocka_unit_test_setup_teardown(
 			too_large_object_is_read_from_the_store, start, stop),
+		cmocka_unit_test_setup_teardown(
+			feed_that_no_vm_brings_is_read_from_the_store, start,
+			stop),
 		cmocka_unit_test_setup_teardown(
 			part_that_makes_no_sense_ends_the_fetch, start, stop),
 		cmocka_unit_test_setup_teardown(
