Keep a session's log position for each service

Cause: a session kept the log position of its last write only, with the service of that write. The trace on: the read is sent to a replica with position 1.1, the oldest sample within the route's age, while the session's write is 1.9 and the replica has 1.8.

Change: a session keeps a position for each service, eight at most, in a list (path/session_writes.c). Once one has been forgotten, and after a commit that came without a position, its reads at such a service go to the primary. Log line session_write_forgotten, counter kl_session_writes_forgotten_total. The engine's test model has several services now.

--- a/daemon/counter.c
+++ b/daemon/counter.c
@@ -29,6 +29,9 @@
 	[KL_COUNTER_STMTS_LEAVING] = { "kl_leaving_upstream_total",
 				       "statements sent to upstreams that "
 				       "leave" },
+	[KL_COUNTER_WRITES_FORGOTTEN] = { "kl_session_writes_forgotten_total",
+					  "writes whose log position a "
+					  "session did not keep" },
 	[KL_COUNTER_RETRIES] = { "kl_retries_total", "statements sent again" },
 	[KL_COUNTER_PROOFS_LEASE] = { "kl_proofs_lease_total",
 				      "writes proven by lease" },
--- a/daemon/line_worker.c
+++ b/daemon/line_worker.c
@@ -279,6 +279,8 @@
 		       now->admitted - published->admitted);
 	kl_counter_add(KL_COUNTER_STMTS_LEAVING,
 		       now->stmts_leaving - published->stmts_leaving);
+	kl_counter_add(KL_COUNTER_WRITES_FORGOTTEN,
+		       now->writes_forgotten - published->writes_forgotten);
 	kl_spill_publish(worker->engine, published);
 	if (now->finished != published->finished)
 		kl_latency_publish(now, published);
--- a/path/engine.h
+++ b/path/engine.h
@@ -181,6 +181,8 @@
 	uint64_t conns_closed;	/**< connections to databases closed or lost */
 	uint64_t admitted;	/**< operations that got their tokens */
 	uint64_t stmts_leaving; /**< statements sent to leaving upstreams */
+	/** writes whose log position a session did not keep */
+	uint64_t writes_forgotten;
 	/** reads sent to another failure domain, counted with domain_spill */
 	uint64_t reads_spilled_load;	 /**< for the load of this domain */
 	uint64_t reads_spilled_position; /**< its databases lack the position */
--- a/path/engine_begin.c
+++ b/path/engine_begin.c
@@ -39,6 +39,8 @@
 
 static int copy_route(kl_client_t *client);
 static void set_min_position(kl_client_t *client);
+static void cover_session_writes(kl_client_t *client,
+				 const kl_cluster_t *cluster);
 static bool waits_for_position(kl_client_t *client);
 static uint64_t token_wait_us(const kl_client_t *client);
 static bool take_tokens(kl_client_t *client);
@@ -135,21 +137,33 @@
 					 : 0,
 				 &stmt->min_position))
 		return;
-	if (client->route.kind != KL_ROUTE_SESSION ||
-	    strcmp(client->last_write_service, client->route.service))
+	if (client->route.kind == KL_ROUTE_SESSION)
+		cover_session_writes(client, cluster);
+}
+
+/* Raises the log position that a replica must have to the session's writes. */
+static void cover_session_writes(kl_client_t *client,
+				 const kl_cluster_t *cluster)
+{
+	static const kl_position_t not_known;
+	kl_stmt_t *stmt = &client->stmt;
+	kl_position_t position;
+
+	switch (kl_session_writes_find(&client->writes, cluster->name,
+				       &position)) {
+	case KL_WRITE_NONE:
 		return;
-	/* Writes of earlier terms precede the newest term in the log. */
-	if (client->last_write.term <
-	    cluster->newest_term_first_position.term) {
-		if (kl_position_compare(stmt->min_position,
-					cluster->newest_term_first_position) <
-		    0)
-			stmt->min_position =
-				cluster->newest_term_first_position;
-	} else if (kl_position_compare(stmt->min_position, client->last_write) <
-		   0) {
-		stmt->min_position = client->last_write;
+	case KL_WRITE_UNKNOWN:
+		stmt->min_position = not_known;
+		return;
+	case KL_WRITE_KNOWN:
+		break;
 	}
+	/* Writes of earlier terms precede the newest term in the log. */
+	if (position.term < cluster->newest_term_first_position.term)
+		position = cluster->newest_term_first_position;
+	if (kl_position_compare(stmt->min_position, position) < 0)
+		stmt->min_position = position;
 }
 
 /*
--- a/path/engine_client.c
+++ b/path/engine_client.c
@@ -56,6 +56,7 @@
 	client->transaction_status = 'I';
 	client->idle_since_us = now_us;
 	kl_state_init(&client->state);
+	kl_session_writes_init(&client->writes);
 	CK_LIST_INSERT_HEAD(&engine->clients, client, link);
 	engine->client_count++;
 	if (*key)
@@ -427,6 +428,7 @@
 		engine->ops->end_session(engine->context, client->front, error);
 	kl_uncount_session(client->session_bucket);
 	kl_state_clear(&client->state);
+	kl_session_writes_clear(&client->writes);
 	CK_LIST_REMOVE(client, link);
 	engine->client_count--;
 	free(client);
--- a/path/engine_internal.h
+++ b/path/engine_internal.h
@@ -7,6 +7,7 @@
 
 #include "path/engine.h"
 #include "path/session_state.h"
+#include "path/session_writes.h"
 #include "path/stmt_queue.h"
 #include "path/spill.h"
 
@@ -180,9 +181,8 @@
 	uint64_t txn_group_change; /**< of the group's record at BEGIN */
 	uint64_t idle_since_us;	   /**< when the last statement was answered */
 	kl_route_params_t route;
-	kl_position_t last_write; /**< log position of its last write */
-	char last_write_service[KL_NAME_MAX]; /**< service of that write */
-	kl_conn_t *conn; /**< connection that it uses, or NULL */
+	kl_session_writes_t writes; /**< log positions of its last writes */
+	kl_conn_t *conn;	    /**< connection that it uses, or NULL */
 	kl_stmt_t stmt;
 };
 
--- a/path/engine_run.c
+++ b/path/engine_run.c
@@ -39,6 +39,7 @@
 static bool retry(kl_client_t *client, const kl_stmt_result_t *result);
 static bool is_commit(const kl_client_t *client,
 		      const kl_stmt_result_t *result);
+static void note_write(kl_client_t *client, kl_position_t position);
 static bool still_primary(const kl_client_t *client);
 static bool commit_is_useless(const kl_client_t *client,
 			      const kl_group_t *group);
@@ -199,9 +200,7 @@
 			fail_unproven(client);
 			return;
 		}
-		client->last_write = result->log_end;
-		memcpy(client->last_write_service, client->route.service,
-		       KL_NAME_MAX);
+		note_write(client, result->log_end);
 	}
 	update_txn(client, result);
 	if (client->transaction_status == 'I') {
@@ -229,6 +228,22 @@
 	       stmt->verb == KL_VERB_COMMIT && client->txn_wrote;
 }
 
+/* Notes a write that reads of this session must see. */
+static void note_write(kl_client_t *client, kl_position_t position)
+{
+	kl_engine_t *engine = client->engine;
+	kl_decision_t decision = { .name = "session_write_forgotten",
+				   .request = client->stmt.id,
+				   .workspace = client->workspace,
+				   .service = client->route.service };
+
+	if (kl_session_writes_add(&client->writes, client->route.service,
+				  position))
+		return;
+	engine->counts.writes_forgotten++;
+	engine->ops->log_decision(engine->context, &decision);
+}
+
 /* Whether the primary that ran the statement is proven to be still primary. */
 static bool still_primary(const kl_client_t *client)
 {
--- a/tests/engine_board.c
+++ b/tests/engine_board.c
@@ -7,7 +7,10 @@
 #include "tests/engine_model.h"
 
 static void add_marks(const model_t *model, kl_config_t *config);
-static void add_service(const model_t *model, kl_config_t *config);
+static void add_services(const model_t *model, kl_config_t *config);
+static kl_service_t *get_service(kl_config_t *config, const char *name);
+static void add_group(const model_t *model, kl_terms_t *terms,
+		      const char *service, const char *primary);
 static void add_upstream(const model_t *model, uint32_t index,
 			 const kl_config_t *config, kl_service_t *service);
 static void add_routes(const model_t *model, kl_config_t *config);
@@ -21,7 +24,7 @@
 	kl_lifecycle_t *lifecycle = kl_lifecycle_new(KL_PHASE_SERVING);
 
 	add_marks(model, config);
-	add_service(model, config);
+	add_services(model, config);
 	add_routes(model, config);
 	add_keys(model, config);
 	members->active_count = model->vm_count;
@@ -45,16 +48,27 @@
 	}
 }
 
-static void add_service(const model_t *model, kl_config_t *config)
+static void add_services(const model_t *model, kl_config_t *config)
 {
-	kl_service_t *service = calloc(1, sizeof(*service));
+	get_service(config, MODEL_SERVICE);
+	for (uint32_t i = 0; i < model->db_count; i++)
+		add_upstream(model, i, config,
+			     get_service(config, model->dbs[i].service));
+}
 
-	kl_name_copy(service->name.name, "s");
+/* Returns a service of the configuration, which it is added to if need be. */
+static kl_service_t *get_service(kl_config_t *config, const char *name)
+{
+	kl_service_t *service = kl_index_get(config->service_index, name);
+
+	if (service)
+		return service;
+	service = calloc(1, sizeof(*service));
+	kl_name_copy(service->name.name, name);
 	CK_STAILQ_INIT(&service->upstreams);
 	CK_STAILQ_INSERT_TAIL(&config->services, service, link);
 	kl_index_put(config->service_index, &service->name);
-	for (uint32_t i = 0; i < model->db_count; i++)
-		add_upstream(model, i, config, service);
+	return service;
 }
 
 static void add_upstream(const model_t *model, uint32_t index,
@@ -91,7 +105,7 @@
 		kl_route_rule_t *route = calloc(1, sizeof(*route));
 
 		kl_name_copy(route->name.name, arguments[0]);
-		kl_name_copy(route->service, "s");
+		kl_name_copy(route->service, model->route_services[i]);
 		for (int k = 0; k < KL_ROUTE_KIND_COUNT; k++)
 			if (!strcmp(arguments[1], kinds[k]))
 				route->kind = k;
@@ -130,7 +144,7 @@
 	kl_positions_t *positions = kl_positions_new(4);
 	kl_primary_position_t *position = calloc(1, sizeof(*position));
 
-	kl_name_copy(position->name.name, "s");
+	kl_name_copy(position->name.name, MODEL_SERVICE);
 	position->group_change = model->record_version;
 	position->sampled_us = model->now_us - age_us;
 	position->term = 1;
@@ -154,7 +168,8 @@
 		if (!db->figure_sampled_us)
 			continue;
 		load = calloc(1, sizeof(*load));
-		snprintf(load->name.name, KL_NAME_MAX, "s/%.32s", db->name);
+		snprintf(load->name.name, KL_NAME_MAX, MODEL_SERVICE "/%.32s",
+			 db->name);
 		load->wait_us = db->figure_wait_us;
 		load->answers = 5;
 		load->sampled_us = db->figure_sampled_us;
@@ -169,12 +184,27 @@
 void model_publish_terms(model_t *model)
 {
 	kl_terms_t *terms = kl_terms_new(4);
-	kl_group_t *group = calloc(1, sizeof(*group));
 
 	terms->revision =
 		kl_store_version(model->store_era, model->record_version);
-	kl_name_copy(group->name.name, "s");
-	kl_name_copy(group->primary, model->recorded_primary);
+	add_group(model, terms, MODEL_SERVICE, model->recorded_primary);
+	for (uint32_t i = 0; i < model->db_count; i++) {
+		const model_db_t *db = &model->dbs[i];
+
+		if (db->primary && strcmp(db->service, MODEL_SERVICE) != 0)
+			add_group(model, terms, db->service, db->name);
+	}
+	kl_board_publish(model->writer, KL_SECTION_TERMS, &terms->base);
+	kl_board_reclaim(model->writer);
+}
+
+static void add_group(const model_t *model, kl_terms_t *terms,
+		      const char *service, const char *primary)
+{
+	kl_group_t *group = calloc(1, sizeof(*group));
+
+	kl_name_copy(group->name.name, service);
+	kl_name_copy(group->primary, primary);
 	group->version = terms->revision;
 	group->change = model->record_version;
 	group->first_seen_us = model->now_us;
@@ -182,8 +212,6 @@
 	group->state = model->fencing ? KL_GROUP_FENCING : KL_GROUP_STABLE;
 	CK_STAILQ_INSERT_TAIL(&terms->groups, group, link);
 	kl_index_put(terms->index, &group->name);
-	kl_board_publish(model->writer, KL_SECTION_TERMS, &terms->base);
-	kl_board_reclaim(model->writer);
 }
 
 void model_publish_buckets(model_t *model)
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -11,6 +11,9 @@
 /** Most databases of a script; also most routes, keys, buckets and loads. */
 #define MODEL_ITEMS_MAX 16
 
+/** The service of databases and routes for which a script names none. */
+#define MODEL_SERVICE "s"
+
 typedef struct model_conn model_conn_t;
 
 /** A simulated database. */
@@ -80,11 +83,14 @@
 	bool trace; /**< print statements sent and health reports */
 	/** arguments of the "route" steps; an empty name: it was dropped */
 	char routes[MODEL_ITEMS_MAX][7][KL_NAME_MAX];
+	char route_services[MODEL_ITEMS_MAX][KL_NAME_MAX];
 	uint32_t route_count;
 	/** workspace and key; no workspace: the key is withdrawn */
 	char keys[MODEL_ITEMS_MAX][2][KL_NAME_MAX];
 	uint32_t key_count;
 	uint32_t vm_count; /**< VMs among which connections are divided */
+	/** of MODEL_SERVICE; that of another one is its database with "primary"
+	 */
 	char recorded_primary[KL_NAME_MAX];
 	bool fencing; /**< state of the group's record; else it is stable */
 	model_mark_t marks[MODEL_ITEMS_MAX];
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -24,6 +24,7 @@
 static void step_set(char **args, int count);
 static void set_leaving(model_db_t *db, bool leaving);
 static void step_route(char **args, int count);
+static void step_move(char **args, int count);
 static void step_engine(char **args, int count);
 static void step_drop(char **args, int count);
 static void step_key(char **args, int count);
@@ -53,31 +54,19 @@
 	int min_args;
 	step_handler_t handler;
 } steps[] = {
-	{ "db", 5, step_db },
-	{ "set", 3, step_set },
-	{ "route", 5, step_route },
-	{ "drop", 1, step_drop },
-	{ "key", 2, step_key },
-	{ "revoke", 1, step_revoke },
-	{ "tokens", 2, step_tokens },
-	{ "primary", 1, step_primary },
-	{ "lease", 1, step_lease },
-	{ "login", 3, step_login },
-	{ "query", 3, step_query },
-	{ "leave", 1, step_leave },
-	{ "load", 7, step_load },
-	{ "report", 0, step_report },
-	{ "run", 1, step_run },
-	{ "drain", 1, step_drain },
-	{ "show", 1, step_show },
-	{ "trace", 1, step_trace },
-	{ "vms", 1, step_vms },
-	{ "shared", 1, step_shared },
-	{ "readd", 1, step_readd },
-	{ "mark", 2, step_mark },
-	{ "restored", 0, step_restored },
-	{ "engine", 2, step_engine },
-	{ "figure", 2, step_figure },
+	{ "db", 5, step_db },		{ "set", 3, step_set },
+	{ "route", 5, step_route },	{ "move", 2, step_move },
+	{ "drop", 1, step_drop },	{ "key", 2, step_key },
+	{ "revoke", 1, step_revoke },	{ "tokens", 2, step_tokens },
+	{ "primary", 1, step_primary }, { "lease", 1, step_lease },
+	{ "login", 3, step_login },	{ "query", 3, step_query },
+	{ "leave", 1, step_leave },	{ "load", 7, step_load },
+	{ "report", 0, step_report },	{ "run", 1, step_run },
+	{ "drain", 1, step_drain },	{ "show", 1, step_show },
+	{ "trace", 1, step_trace },	{ "vms", 1, step_vms },
+	{ "shared", 1, step_shared },	{ "readd", 1, step_readd },
+	{ "mark", 2, step_mark },	{ "restored", 0, step_restored },
+	{ "engine", 2, step_engine },	{ "figure", 2, step_figure },
 };
 
 int main(int argc, char **argv)
@@ -124,14 +113,13 @@
 	return 0;
 }
 
-/* db NAME DOMAIN SLOTS MAX_CONNECTIONS WORK_MS: registers it in service "s" */
+/* db NAME DOMAIN SLOTS MAX_CONNECTIONS WORK_MS [SERVICE]: registers it */
 static void step_db(char **args, int count)
 {
 	model_db_t *db = &model->dbs[model->db_count++];
-	(void)count;
 
 	kl_name_copy(db->name, args[0]);
-	kl_name_copy(db->service, "s");
+	kl_name_copy(db->service, count > 5 ? args[5] : MODEL_SERVICE);
 	kl_name_copy(db->domain, args[1]);
 	db->slots = (uint32_t)strtoul(args[2], NULL, 10);
 	db->max_connections = (uint32_t)strtoul(args[3], NULL, 10);
@@ -191,10 +179,21 @@
 {
 	for (int i = 0; i < 7 && i < count; i++)
 		kl_name_copy(model->routes[model->route_count][i], args[i]);
+	kl_name_copy(model->route_services[model->route_count], MODEL_SERVICE);
 	model->route_count++;
 	model_publish_config(model);
 }
 
+/* move ROUTE SERVICE: the route leads to another service from now on */
+static void step_move(char **args, int count)
+{
+	(void)count;
+	for (uint32_t i = 0; i < model->route_count; i++)
+		if (!strcmp(model->routes[i][0], args[0]))
+			kl_name_copy(model->route_services[i], args[1]);
+	model_publish_config(model);
+}
+
 /* engine SETTING VALUE: a new engine has this setting; before any login */
 static void step_engine(char **args, int count)
 {
