--- a/control/sync.c
+++ b/control/sync.c
@@ -87,8 +87,6 @@
 	case KL_EVENT_TICK:
 		kl_sync_end_kept_marks(node, sync, now);
 		kl_sync_retry_fetch(node, sync);
-		if (node->tuning.feed_count > 1)
-			kl_sync_list_overdue(node, sync);
 		if (node->tuning.feed_count > 1)
 			poll_feeds(node, sync, now);
 		else
@@ -169,6 +167,7 @@
 	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
 	bool watcher = !members || members->is_watcher;
 
+	kl_sync_list_overdue(node, sync);
 	for (uint32_t i = 0; i < KL_FEED_COUNT; i++) {
 		kl_feed_state_t *feed = &sync->feeds[i];
 		bool due = feed->needs_list || i == KL_FEED_TERMS;
--- a/control/sync_withhold.c
+++ b/control/sync_withhold.c
@@ -118,15 +118,16 @@
 	}
 }
 
-/* The newest of a feed whose objects are all written by one writer, or 0. */
+/* The newest of a feed that is one object of the store; 0 for other feeds. */
 static uint64_t newest_generation(const kl_objects_t *objects, kl_feed_t feed)
 {
 	uint64_t newest = 0;
 	const kl_object_t *object;
 
+	if (feed != KL_FEED_CONFIG)
+		return 0;
 	CK_STAILQ_FOREACH(object, &objects->list, link) {
-		if (feed == KL_FEED_CONFIG && object->feed == feed &&
-		    object->generation > newest)
+		if (object->feed == feed && object->generation > newest)
 			newest = object->generation;
 	}
 	return newest;
