Answer what waits behind a refused statement at a planned stop

Cause: since a session ends with its first refusal, without regard to what its client has sent behind the refused statement.

Change: a refusal ends the session only if nothing of the client waits. What waits is refused first, one statement after the other. The engine's test clients can send without waiting for answers.

--- a/path/engine_drain.c
+++ b/path/engine_drain.c
@@ -44,9 +44,13 @@
 		stage == KL_STMT_WAIT_UPSTREAM || stage == KL_STMT_WAIT_CONN);
 }
 
+/* What the client has sent behind the statement is refused first, one by one. */
 bool kl_drain_ends_refused(const kl_client_t *client, int error)
 {
-	return error == -KL_E_DRAINING || kl_drain_time_is_over(client->engine);
+	const kl_engine_t *engine = client->engine;
+
+	return (error == -KL_E_DRAINING || kl_drain_time_is_over(engine)) &&
+	       engine->ops->input_empty(engine->context, client->front);
 }
 
 bool kl_drain_ends_idle(const kl_client_t *client)
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -152,6 +152,9 @@
 void model_client_query(model_t *model, const char *name, const char *id,
 			const char *text);
 
+/** Send a statement of a client, behind those that are not answered yet. */
+void model_client_send(const char *name, const char *id, const char *text);
+
 /** Disconnect a client. */
 void model_client_leave(model_t *model, const char *name);
 
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -36,6 +36,8 @@
 static void step_lease(char **args, int count);
 static void step_login(char **args, int count);
 static void step_query(char **args, int count);
+static void step_send(char **args, int count);
+static void join_words(char **words, int count, char text[LINE_BYTES]);
 static void step_leave(char **args, int count);
 static void step_load(char **args, int count);
 static void step_report(char **args, int count);
@@ -54,19 +56,33 @@
 	int min_args;
 	step_handler_t handler;
 } steps[] = {
-	{ "db", 5, step_db },		{ "set", 3, step_set },
-	{ "route", 5, step_route },	{ "move", 2, step_move },
-	{ "drop", 1, step_drop },	{ "key", 2, step_key },
-	{ "revoke", 1, step_revoke },	{ "tokens", 2, step_tokens },
-	{ "primary", 1, step_primary }, { "lease", 1, step_lease },
-	{ "login", 3, step_login },	{ "query", 3, step_query },
-	{ "leave", 1, step_leave },	{ "load", 7, step_load },
-	{ "report", 0, step_report },	{ "run", 1, step_run },
-	{ "drain", 1, step_drain },	{ "show", 1, step_show },
-	{ "trace", 1, step_trace },	{ "vms", 1, step_vms },
-	{ "shared", 1, step_shared },	{ "readd", 1, step_readd },
-	{ "mark", 2, step_mark },	{ "restored", 0, step_restored },
-	{ "engine", 2, step_engine },	{ "figure", 2, step_figure },
+	{ "db", 5, step_db },
+	{ "set", 3, step_set },
+	{ "route", 5, step_route },
+	{ "move", 2, step_move },
+	{ "drop", 1, step_drop },
+	{ "key", 2, step_key },
+	{ "revoke", 1, step_revoke },
+	{ "tokens", 2, step_tokens },
+	{ "primary", 1, step_primary },
+	{ "lease", 1, step_lease },
+	{ "login", 3, step_login },
+	{ "query", 3, step_query },
+	{ "send", 3, step_send },
+	{ "leave", 1, step_leave },
+	{ "load", 7, step_load },
+	{ "report", 0, step_report },
+	{ "run", 1, step_run },
+	{ "drain", 1, step_drain },
+	{ "show", 1, step_show },
+	{ "trace", 1, step_trace },
+	{ "vms", 1, step_vms },
+	{ "shared", 1, step_shared },
+	{ "readd", 1, step_readd },
+	{ "mark", 2, step_mark },
+	{ "restored", 0, step_restored },
+	{ "engine", 2, step_engine },
+	{ "figure", 2, step_figure },
 };
 
 int main(int argc, char **argv)
@@ -319,15 +335,30 @@
 /* query CLIENT ID TEXT... */
 static void step_query(char **args, int count)
 {
-	char text[LINE_BYTES] = "";
+	char text[LINE_BYTES];
 
-	for (int i = 2; i < count; i++) {
-		strcat(text, i > 2 ? " " : "");
-		strcat(text, args[i]);
-	}
+	join_words(args + 2, count - 2, text);
 	model_client_query(model, args[0], args[1], text);
 }
 
+/* send CLIENT ID TEXT...: does not wait for the answer to the last statement */
+static void step_send(char **args, int count)
+{
+	char text[LINE_BYTES];
+
+	join_words(args + 2, count - 2, text);
+	model_client_send(args[0], args[1], text);
+}
+
+static void join_words(char **words, int count, char text[LINE_BYTES])
+{
+	*text = '\0';
+	for (int i = 0; i < count; i++) {
+		strcat(text, i ? " " : "");
+		strcat(text, words[i]);
+	}
+}
+
 /* leave CLIENT: disconnects it */
 static void step_leave(char **args, int count)
 {
