Promote no replica that may lack acknowledged commits

Cause: a change of primary waits 0.5 s for the logs of slower replicas, then takes the best one that it has; nothing read syncReplicas.

Change: in a service with synchronous replication R - S + 1 replicas must have told their logs since fencing was complete, and the newest log wins, even if its database leaves. A wait of over a second is logged (promotion_waits). Services without it are not affected.

--- a/board/sections.h
+++ b/board/sections.h
@@ -132,6 +132,8 @@
 	uint32_t upstream_count;
 	/** Most connections to each database from all VMs together. */
 	uint32_t max_upstream_connections;
+	/** Replicas that have a commit before it is acknowledged; 0: none. */
+	uint32_t sync_replicas;
 	bool anonymous;			       /**< clients need no key */
 	char anonymous_workspace[KL_NAME_MAX]; /**< whose plan applies */
 } kl_service_t;
--- a/control/config.c
+++ b/control/config.c
@@ -67,6 +67,8 @@
 	  true },
 	{ "capacity/", kl_capacity_document_is_valid, kl_capacity_document_add,
 	  false },
+	{ "replication/", kl_replication_document_is_valid,
+	  kl_replication_document_add, false },
 	{ "route/", kl_route_document_is_valid, kl_route_document_add, false },
 	{ "limit/", kl_limit_document_is_valid, kl_limit_document_add, false },
 };
--- a/control/document.h
+++ b/control/document.h
@@ -41,6 +41,11 @@
 void kl_capacity_document_add(kl_config_t *config,
 			      const kl_document_t *document);
 
+/** "replication/": how a service's databases replicate. */
+bool kl_replication_document_is_valid(json_t *json);
+void kl_replication_document_add(kl_config_t *config,
+				 const kl_document_t *document);
+
 /** "route/": a database name that clients connect to. */
 bool kl_route_document_is_valid(json_t *json);
 void kl_route_document_add(kl_config_t *config, const kl_document_t *document);
--- a/control/document_route.c
+++ b/control/document_route.c
@@ -86,6 +86,27 @@
 	}
 }
 
+bool kl_replication_document_is_valid(json_t *json)
+{
+	int sync_replicas;
+
+	return !json_unpack_ex(json, NULL, JSON_STRICT, "{s:i}",
+			       "sync_replicas", &sync_replicas) &&
+	       sync_replicas >= 0;
+}
+
+void kl_replication_document_add(kl_config_t *config,
+				 const kl_document_t *document)
+{
+	kl_service_t *service =
+		kl_index_get(config->service_index, document->name);
+	int sync_replicas;
+
+	json_unpack(document->json, "{s:i}", "sync_replicas", &sync_replicas);
+	if (service)
+		service->sync_replicas = (uint32_t)sync_replicas;
+}
+
 bool kl_route_document_is_valid(json_t *json)
 {
 	const char *service, *kind;
--- a/control/promote_choose.c
+++ b/control/promote_choose.c
@@ -29,8 +29,6 @@
 static bool has_acked(const kl_promote_ctx_t *ctx, const kl_member_t *member);
 static bool old_primary_works(const kl_promote_ctx_t *ctx);
 static bool is_planned(const kl_promote_ctx_t *ctx);
-static bool has_newer_log(const kl_status_reply_t *reply,
-			  const kl_status_reply_t *other);
 static bool has_complete_log(const kl_status_reply_t *reply,
 			     const kl_status_reply_t *old_primary);
 
@@ -135,6 +133,7 @@
 	promotion->last_promote_call_us = 0;
 	promotion->platform_accepted_promotion = false;
 	promotion->candidate_not_running = false;
+	promotion->wait_logged = false;
 	if (group->state == KL_GROUP_STABLE)
 		promotion->failed_candidate[0] = '\0';
 	else
@@ -260,14 +259,14 @@
 {
 	const kl_promotion_t *promotion = ctx->promotion;
 	const char *primary = ctx->base.group->primary;
-	const kl_status_reply_t *old_primary =
-		kl_promotion_find_reply(promotion, primary);
 	const kl_status_reply_t *best = NULL;
 	const kl_upstream_t *upstream;
 	bool best_leaving = false, replies_missing = false;
 	bool planned = is_planned(ctx);
 	uint64_t now = ctx->base.now;
 
+	if (ctx->base.service->sync_replicas)
+		return kl_promote_choose_synced(ctx, settled_us, planned);
 	CK_STAILQ_FOREACH(upstream, &ctx->base.service->upstreams, link) {
 		const kl_status_reply_t *reply =
 			kl_promotion_find_reply(promotion, upstream->name.name);
@@ -282,7 +281,7 @@
 		}
 		if (best && upstream->leaving != best_leaving
 			    ? upstream->leaving
-			    : best && !has_newer_log(reply, best))
+			    : best && !kl_promote_has_newer_log(reply, best))
 			continue;
 		best = reply;
 		best_leaving = upstream->leaving;
@@ -291,23 +290,32 @@
 		return NULL;
 	if (replies_missing && now < settled_us + REPLIES_WAIT_US)
 		return NULL;
-	/*
-	 * While the old primary answers, wait for a candidate that has all of
-	 * its log, so that no writes are lost; in a planned change without a
-	 * limit here.
-	 */
-	if (old_primary && old_primary->reported_primary &&
-	    (planned ||
-	     now < settled_us + ctx->base.node->tuning.catch_up_timeout_us) &&
-	    (old_primary->query_sent_us < settled_us ||
-	     !has_complete_log(best, old_primary)))
+	if (kl_promote_waits_for_log(ctx, best, settled_us, planned))
 		return NULL;
 	return best->upstream;
 }
 
-/* Whether a database's log ends in a later term, or later in the same term. */
-static bool has_newer_log(const kl_status_reply_t *reply,
-			  const kl_status_reply_t *other)
+/*
+ * While the old primary answers, a candidate must have all of its log, so that
+ * no writes are lost; in a planned change without a limit here.
+ */
+bool kl_promote_waits_for_log(const kl_promote_ctx_t *ctx,
+			      const kl_status_reply_t *candidate,
+			      uint64_t settled_us, bool planned)
+{
+	const kl_status_reply_t *old_primary = kl_promotion_find_reply(
+		ctx->promotion, ctx->base.group->primary);
+	uint64_t limit_us =
+		settled_us + ctx->base.node->tuning.catch_up_timeout_us;
+
+	return old_primary && old_primary->reported_primary &&
+	       (planned || ctx->base.now < limit_us) &&
+	       (old_primary->query_sent_us < settled_us ||
+		!has_complete_log(candidate, old_primary));
+}
+
+bool kl_promote_has_newer_log(const kl_status_reply_t *reply,
+			      const kl_status_reply_t *other)
 {
 	if (reply->log_term != other->log_term)
 		return reply->log_term > other->log_term;
@@ -318,5 +326,5 @@
 static bool has_complete_log(const kl_status_reply_t *reply,
 			     const kl_status_reply_t *old_primary)
 {
-	return !has_newer_log(old_primary, reply);
+	return !kl_promote_has_newer_log(old_primary, reply);
 }
--- a/control/promote_internal.h
+++ b/control/promote_internal.h
@@ -66,6 +66,7 @@
 	bool platform_accepted_promotion;
 	/** The platform refused it since the candidate is not running. */
 	bool candidate_not_running;
+	bool wait_logged; /**< it was logged that replicas are missing */
 	/** Candidate that was not promoted and is not chosen again, or "". */
 	char failed_candidate[KL_NAME_MAX];
 	/**
@@ -196,6 +197,28 @@
  */
 bool kl_promote_no_successor(const kl_promote_ctx_t *ctx, uint64_t settled_us);
 
+/** Whether a log ends in a later term, or later in the same term. */
+bool kl_promote_has_newer_log(const kl_status_reply_t *reply,
+			      const kl_status_reply_t *other);
+
+/**
+ * Whether a candidate lacks a part of the log that the old primary, which
+ * answers, still has.
+ *
+ * @param planned the change is made only because the primary leaves
+ */
+bool kl_promote_waits_for_log(const kl_promote_ctx_t *ctx,
+			      const kl_status_reply_t *candidate,
+			      uint64_t settled_us, bool planned);
+
+/**
+ * Choose the database to promote in a service with synchronous replication.
+ * Arguments as for kl_promote_choose_candidate() and
+ * kl_promote_waits_for_log().
+ */
+const char *kl_promote_choose_synced(const kl_promote_ctx_t *ctx,
+				     uint64_t settled_us, bool planned);
+
 /**
  * Choose the database to promote.
  *
--- /dev/null
+++ b/control/promote_synced.c
@@ -0,0 +1,100 @@
+/*
+ * Chooses the database to promote in a service whose commits are acknowledged
+ * once a number of replicas has them (synchronous replication).
+ *
+ * With R replicas, S of which have each acknowledged commit, any R - S + 1 of
+ * them include one that has it.  So nothing is promoted before so many have
+ * told their logs since fencing was complete, and then only one with the
+ * newest log.  A replica that does not answer, as a busy one, is waited for as
+ * long as it is registered.
+ */
+#include <string.h>
+
+#include "control/promote_internal.h"
+
+/* Logs of replicas that are missing for longer than this are reported. */
+#define LOG_WAIT_US (1 * KL_SEC)
+
+static bool is_better(const kl_promote_ctx_t *ctx,
+		      const kl_upstream_t *upstream,
+		      const kl_status_reply_t *reply, const kl_upstream_t *best,
+		      const kl_status_reply_t *best_reply);
+static bool has_failed(const kl_promote_ctx_t *ctx,
+		       const kl_upstream_t *upstream);
+static void log_wait(const kl_promote_ctx_t *ctx, uint64_t settled_us);
+
+const char *kl_promote_choose_synced(const kl_promote_ctx_t *ctx,
+				     uint64_t settled_us, bool planned)
+{
+	const kl_service_t *service = ctx->base.service;
+	const kl_upstream_t *upstream, *best = NULL;
+	const kl_status_reply_t *best_reply = NULL;
+	uint32_t replicas = 0, replies = 0;
+
+	CK_STAILQ_FOREACH(upstream, &service->upstreams, link) {
+		const kl_status_reply_t *reply = kl_promotion_find_reply(
+			ctx->promotion, upstream->name.name);
+
+		/*
+		 * The record may name a candidate that was never promoted, so
+		 * the old primary is known by its registration.
+		 */
+		if (upstream->registered_primary)
+			continue;
+		replicas++;
+		if (!reply || reply->query_sent_us < settled_us)
+			continue;
+		replies++;
+		if (best && !is_better(ctx, upstream, reply, best, best_reply))
+			continue;
+		best = upstream;
+		best_reply = reply;
+	}
+	if (!best || replies + service->sync_replicas <= replicas) {
+		log_wait(ctx, settled_us);
+		return NULL;
+	}
+	/* A planned change gains nothing by another one that leaves. */
+	if ((best->leaving && planned) ||
+	    kl_promote_waits_for_log(ctx, best_reply, settled_us, planned))
+		return NULL;
+	return best->name.name;
+}
+
+/* The newest log comes first, whatever else speaks against its database. */
+static bool is_better(const kl_promote_ctx_t *ctx,
+		      const kl_upstream_t *upstream,
+		      const kl_status_reply_t *reply, const kl_upstream_t *best,
+		      const kl_status_reply_t *best_reply)
+{
+	if (kl_promote_has_newer_log(reply, best_reply))
+		return true;
+	if (kl_promote_has_newer_log(best_reply, reply))
+		return false;
+	if (has_failed(ctx, upstream) != has_failed(ctx, best))
+		return has_failed(ctx, best);
+	return best->leaving && !upstream->leaving;
+}
+
+static bool has_failed(const kl_promote_ctx_t *ctx,
+		       const kl_upstream_t *upstream)
+{
+	return !strcmp(upstream->name.name, ctx->promotion->failed_candidate);
+}
+
+/* Tells once for a record that replicas keep a change of primary waiting. */
+static void log_wait(const kl_promote_ctx_t *ctx, uint64_t settled_us)
+{
+	const kl_node_t *node = ctx->base.node;
+	kl_decision_t decision = { .name = "promotion_waits",
+				   .service = ctx->base.service->name.name,
+				   .reason = "replicas_missing",
+				   .term = ctx->base.group->term };
+
+	if (ctx->promotion->wait_logged ||
+	    ctx->base.now < settled_us + LOG_WAIT_US)
+		return;
+	ctx->promotion->wait_logged = true;
+	decision.age_us = ctx->base.now - settled_us;
+	node->ops->log_decision(node->ops_context, &decision);
+}
