Let the first confirmation of a process wait after a drill

Cause: such a process takes the era that it finds for its first one, and its first list for current, though the restored store may still have the record of a former term. The other VMs write the newest one again, and wait 1 s for that.

Change: a process that starts in an era above 1 waits 1 s as well. A store in era 1 was never restored.

Measured: unit sync_era, first_confirmation_waits_in_a_later_era, fails on the code before and passes. Not played on real processes.

--- a/control/sync_era.c
+++ b/control/sync_era.c
@@ -18,6 +18,12 @@
 #define ERA_GRACE_US (1 * KL_SEC)
 #define ERA_GRACE_LAPSED_US (3 * KL_SEC)
 
+/*
+ * A store in this era was never restored.  In a later one a process that starts
+ * can't tell how long ago that was.
+ */
+#define FIRST_ERA 1
+
 /*
  * For this long after a drill a mark that the store lacks stands, unless its
  * removal is seen: operators write lost marks again in this time.
@@ -97,9 +103,12 @@
 	for (uint32_t i = KL_STORE_ERAS; i-- > 0;)
 		sync->first_revisions[i] =
 			i >= missed ? sync->first_revisions[i - missed] : 0;
-	if (sync->era) {
+	if (sync->era)
 		sync->settled_us =
 			now + (lapsed ? ERA_GRACE_LAPSED_US : ERA_GRACE_US);
+	else if (era > FIRST_ERA)
+		sync->settled_us = now + ERA_GRACE_US;
+	if (sync->era) {
 		sync->marks_kept_until_us = now + MARK_KEEP_US;
 		sync->keeps_marks = true;
 	}
--- a/tests/unit/sync_era.c
+++ b/tests/unit/sync_era.c
@@ -363,6 +363,45 @@
 	assert_string_equal(body_of(node, "mark/a"), "null");
 }
 
+/* Lists the terms with this VM's own record: a list after the first confirms */
+static void list_terms(kl_node_t *node, uint64_t era)
+{
+	run(node, 20 * KL_MS);
+	deliver_one(node, KL_FEED_TERMS, era, 90, "vm/a1", 80, 0,
+		    "{\"domain\":\"d1\",\"host\":\"10.0.0.1\",\"port\":1,"
+		    "\"incarnation\":0,\"state\":\"live\"}");
+}
+
+/*
+ * Guards against a VM that reads from a replaced primary: it starts right after
+ * the store was restored, has nothing from before, and finds a former term. The
+ * other VMs write the newest one again in the first second.
+ */
+static void first_confirmation_waits_in_a_later_era(void **state)
+{
+	kl_node_t *node = *state;
+
+	list_terms(node, 2);
+	list_terms(node, 2);
+	assert_null(kl_node_get(node, KL_SECTION_CONFIRMATION));
+	run(node, 900 * KL_MS);
+	list_terms(node, 2);
+	assert_null(kl_node_get(node, KL_SECTION_CONFIRMATION));
+	run(node, 200 * KL_MS);
+	list_terms(node, 2);
+	assert_non_null(kl_node_get(node, KL_SECTION_CONFIRMATION));
+}
+
+/* A store in its first era was never restored. */
+static void first_confirmation_of_the_first_era_counts(void **state)
+{
+	kl_node_t *node = *state;
+
+	list_terms(node, 1);
+	list_terms(node, 1);
+	assert_non_null(kl_node_get(node, KL_SECTION_CONFIRMATION));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -388,6 +427,11 @@
 			earlier_report_of_a_database_is_withheld, start, stop),
 		cmocka_unit_test_setup_teardown(
 			mark_of_another_revision_is_accepted, start, stop),
+		cmocka_unit_test_setup_teardown(
+			first_confirmation_waits_in_a_later_era, start, stop),
+		cmocka_unit_test_setup_teardown(
+			first_confirmation_of_the_first_era_counts, start,
+			stop),
 		cmocka_unit_test_setup_teardown(
 			lost_mark_stands_until_it_may_be_written_again, start,
 			stop),
