Split the codec of objects and the output of engine scripts off, and share a stub

peer/object_codec.c has the bodies of fetches, deltas and parts; tests/engine_look.c prints what engine scripts show; tests/unit/stub_node.h is the node that three unit tests had a copy of each. No change of behaviour: the tests that use them, and all engine scripts, give the same results.

--- a/Makefile
+++ b/Makefile
@@ -64,7 +64,7 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(BUILD)/tests/script_run: $(call objects,$(wildcard tests/script_*.c) $(WORLD_SOURCES)) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
-$(BUILD)/tests/engine_run: $(call objects,tests/engine_run.c tests/engine_board.c tests/engine_clients.c tests/engine_model.c) $(IO_LIBRARY) $(LIBRARY)
+$(BUILD)/tests/engine_run: $(call objects,tests/engine_run.c tests/engine_board.c tests/engine_clients.c tests/engine_look.c tests/engine_model.c) $(IO_LIBRARY) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 $(UNIT_PROGRAMS): %: %.o $(BUILD)/daemon/inbox.o $(BUILD)/daemon/settings.o $(IO_LIBRARY) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS) -lcmocka
--- a/peer/peer_codec.c
+++ b/peer/peer_codec.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "kumquatloft/kind.h"
+#include "peer/object_codec.h"
 #include "peer/peer_codec.h"
 #include "peer/peer_era.h"
 #include "peer/peer_wire.h"
@@ -18,26 +19,6 @@
 			 kl_wire_message *wire);
 static void decode_hello(kl_peer_message_t *message,
 			 const kl_wire_message *wire);
-static void encode_fetch_body(kl_wire_fetch *out, const kl_peer_fetch_t *fetch);
-static void decode_fetch_body(kl_peer_fetch_t *fetch, const kl_wire_fetch *in);
-static void encode_fetch(const kl_peer_message_t *message,
-			 kl_wire_message *wire);
-static void decode_fetch(kl_peer_message_t *message,
-			 const kl_wire_message *wire);
-static void encode_delta(const kl_peer_message_t *message,
-			 kl_wire_message *wire);
-static void decode_delta(kl_peer_message_t *message,
-			 const kl_wire_message *wire);
-static void encode_delta_body(const kl_peer_delta_t *delta, kl_wire_delta *out);
-static void decode_delta_body(kl_peer_delta_t *delta, const kl_wire_delta *in);
-static void encode_part_fetch(const kl_peer_message_t *message,
-			      kl_wire_message *wire);
-static void decode_part_fetch(kl_peer_message_t *message,
-			      const kl_wire_message *wire);
-static void encode_part(const kl_peer_message_t *message,
-			kl_wire_message *wire);
-static void decode_part(kl_peer_message_t *message,
-			const kl_wire_message *wire);
 static void encode_suspect(const kl_peer_message_t *message,
 			   kl_wire_message *wire);
 static void decode_suspect(kl_peer_message_t *message,
@@ -64,8 +45,8 @@
 
 static const kind_codec_t kind_codecs[KL_PEER_KIND_COUNT] = {
 	[KL_PEER_HELLO] = { encode_hello, decode_hello },
-	[KL_PEER_FETCH] = { encode_fetch, decode_fetch },
-	[KL_PEER_DELTA] = { encode_delta, decode_delta },
+	[KL_PEER_FETCH] = { kl_fetch_encode, kl_fetch_decode },
+	[KL_PEER_DELTA] = { kl_delta_encode, kl_delta_decode },
 	[KL_PEER_SUSPECT] = { encode_suspect, decode_suspect },
 	[KL_PEER_LOAN_REQUEST] = { encode_loan_request, decode_loan_request },
 	[KL_PEER_LOAN_GRANT] = { encode_loan_grant, decode_loan_grant },
@@ -75,13 +56,10 @@
 	[KL_PEER_USAGE] = { kl_usage_encode, kl_usage_decode },
 	[KL_PEER_LOAD_QUERY] = { encode_loads, decode_loads },
 	[KL_PEER_LOADS] = { encode_loads, decode_loads },
-	[KL_PEER_PART_FETCH] = { encode_part_fetch, decode_part_fetch },
-	[KL_PEER_PART] = { encode_part, decode_part },
+	[KL_PEER_PART_FETCH] = { kl_part_fetch_encode, kl_part_fetch_decode },
+	[KL_PEER_PART] = { kl_part_encode, kl_part_decode },
 };
 
-_Static_assert(KL_WIRE_BODY == KL_OBJECT_WHOLE_MAX,
-	       "an object that is not sent in parts fits its encoding");
-
 int kl_peer_encode(const kl_peer_message_t *message, const char *host,
 		   uint16_t port, char *buffer, size_t size)
 {
@@ -108,10 +86,8 @@
 		length = (int)xdr_getpos(&xdr);
 	}
 	xdr_destroy(&xdr);
-	if (message->kind == KL_PEER_DELTA)
-		free(wire.body.kl_wire_body_u.delta.objects.objects_val);
-	if (message->kind == KL_PEER_PART)
-		free(wire.body.kl_wire_body_u.part.delta.objects.objects_val);
+	if (kl_peer_has_objects(message->kind))
+		kl_objects_encode_end(&wire);
 	if (message->kind == KL_PEER_POSITION_QUERY ||
 	    message->kind == KL_PEER_POSITIONS)
 		free(wire.body.kl_wire_body_u.positions.entries.entries_val);
@@ -246,120 +222,6 @@
 	hello->store_revision_age_us = in.store_revision_age_us;
 }
 
-static void encode_fetch_body(kl_wire_fetch *out, const kl_peer_fetch_t *fetch)
-{
-	out->feed = fetch->feed;
-	out->since = fetch->since_revision;
-	out->skip = fetch->skip;
-}
-
-static void decode_fetch_body(kl_peer_fetch_t *fetch, const kl_wire_fetch *in)
-{
-	fetch->feed = in->feed < KL_FEED_COUNT ? in->feed : KL_FEED_TERMS;
-	fetch->since_revision = in->since;
-	fetch->skip = in->skip;
-}
-
-static void encode_fetch(const kl_peer_message_t *message,
-			 kl_wire_message *wire)
-{
-	encode_fetch_body(&wire->body.kl_wire_body_u.fetch, &message->fetch);
-}
-
-static void decode_fetch(kl_peer_message_t *message,
-			 const kl_wire_message *wire)
-{
-	decode_fetch_body(&message->fetch, &wire->body.kl_wire_body_u.fetch);
-}
-
-static void encode_delta(const kl_peer_message_t *message,
-			 kl_wire_message *wire)
-{
-	encode_delta_body(&message->delta, &wire->body.kl_wire_body_u.delta);
-}
-
-static void decode_delta(kl_peer_message_t *message,
-			 const kl_wire_message *wire)
-{
-	decode_delta_body(&message->delta, &wire->body.kl_wire_body_u.delta);
-}
-
-static void encode_delta_body(const kl_peer_delta_t *delta, kl_wire_delta *out)
-{
-	const kl_object_t *object;
-	u_int count = 0;
-
-	encode_fetch_body(&out->asked, &delta->fetch);
-	out->revision = delta->revision;
-	out->more = delta->has_more;
-	out->whole = delta->is_full_list;
-	CK_STAILQ_FOREACH(object, &delta->objects, link)
-		count++;
-	out->objects.objects_val = calloc(count + 1, sizeof(kl_wire_object));
-	if (!out->objects.objects_val)
-		return;
-	CK_STAILQ_FOREACH(object, &delta->objects, link) {
-		kl_wire_object *entry =
-			&out->objects.objects_val[out->objects.objects_len++];
-
-		entry->name = (char *)object->name.name;
-		entry->changed = kl_version_revision(object->version);
-		entry->body = object->body;
-	}
-}
-
-static void decode_delta_body(kl_peer_delta_t *delta, const kl_wire_delta *in)
-{
-	decode_fetch_body(&delta->fetch, &in->asked);
-	delta->revision = in->revision;
-	delta->has_more = in->more;
-	delta->is_full_list = in->whole;
-	for (u_int i = 0; i < in->objects.objects_len; i++) {
-		const kl_wire_object *entry = &in->objects.objects_val[i];
-		kl_object_t *object =
-			kl_object_new(entry->name, entry->changed, entry->body);
-
-		if (object)
-			CK_STAILQ_INSERT_TAIL(&delta->objects, object, link);
-	}
-}
-
-static void encode_part_fetch(const kl_peer_message_t *message,
-			      kl_wire_message *wire)
-{
-	kl_wire_part_fetch *out = &wire->body.kl_wire_body_u.part_fetch;
-
-	encode_fetch_body(&out->asked, &message->fetch);
-	out->offset = message->part.offset;
-}
-
-static void decode_part_fetch(kl_peer_message_t *message,
-			      const kl_wire_message *wire)
-{
-	const kl_wire_part_fetch *in = &wire->body.kl_wire_body_u.part_fetch;
-
-	decode_fetch_body(&message->fetch, &in->asked);
-	message->part.offset = in->offset;
-}
-
-static void encode_part(const kl_peer_message_t *message, kl_wire_message *wire)
-{
-	kl_wire_part *out = &wire->body.kl_wire_body_u.part;
-
-	encode_delta_body(&message->delta, &out->delta);
-	out->offset = message->part.offset;
-	out->size = message->part.size;
-}
-
-static void decode_part(kl_peer_message_t *message, const kl_wire_message *wire)
-{
-	const kl_wire_part *in = &wire->body.kl_wire_body_u.part;
-
-	decode_delta_body(&message->delta, &in->delta);
-	message->part.offset = in->offset;
-	message->part.size = in->size;
-}
-
 static void encode_suspect(const kl_peer_message_t *message,
 			   kl_wire_message *wire)
 {
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -138,6 +138,12 @@
 /** Publish the figures of databases in other domains, as they are now. */
 void model_publish_loads(model_t *model);
 
+/* engine_look.c */
+/** Print the results of all loads and statistics of all databases. */
+void model_report(const model_t *model);
+/** Print sessions, connections, counts, priorities, operations or spill. */
+void model_show(const model_t *model, const char *what);
+
 /** Number of commits made up to a time, microseconds. */
 uint64_t model_commits_at(const model_t *model, uint64_t time_us);
 
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -45,7 +45,6 @@
 static void step_run(char **args, int count);
 static void step_drain(char **args, int count);
 static void step_show(char **args, int count);
-static void show_priorities(void);
 static void step_trace(char **args, int count);
 static void step_vms(char **args, int count);
 static void step_shared(char **args, int count);
@@ -386,31 +385,6 @@
 		 count > 7 ? " " : "", count > 7 ? args[7] : "");
 }
 
-/* report: results of all loads and statistics of all databases */
-static void step_report(char **args, int count)
-{
-	(void)args;
-	(void)count;
-	for (uint32_t i = 0; i < model->load_count; i++) {
-		const model_load_t *load = &model->loads[i];
-
-		printf("%s: started %" PRIu64 " within target %" PRIu64
-		       " late %" PRIu64 " refused %" PRIu64 " unknown %" PRIu64
-		       " longest refusal %" PRIu64 " ms\n",
-		       load->name, load->started, load->within_target,
-		       load->late, load->refused, load->unknown,
-		       (uint64_t)(load->longest_refusal_us / KL_MS));
-	}
-	for (uint32_t i = 0; i < model->db_count; i++) {
-		const model_db_t *db = &model->dbs[i];
-
-		printf("%s: ran %" PRIu64 " connections %" PRIu64
-		       " rejected %" PRIu64 "\n",
-		       db->name, db->statements_run, db->connections_accepted,
-		       db->connections_rejected);
-	}
-}
-
 /*
  * mark DOMAIN AGE_MS [unknown] | mark DOMAIN off: its databases are taken out
  * of service since AGE_MS, which the VM learns now; "unknown": without the age
@@ -453,62 +427,6 @@
 	kl_engine_drain(model->engine, model->now_us, until_us, end_us);
 }
 
-/* show sessions|connections|counts|priorities|operations|spill */
-static void step_show(char **args, int count)
-{
-	bool connections = !strcmp(args[0], "connections");
-	bool counts = !strcmp(args[0], "counts");
-	const kl_engine_counts_t *total = kl_engine_counts(model->engine);
-	kl_engine_gauges_t gauges;
-	(void)count;
-
-	if (!strcmp(args[0], "priorities"))
-		show_priorities();
-	if (!strcmp(args[0], "sessions"))
-		printf("%u sessions\n", kl_engine_client_count(model->engine));
-	if (!strcmp(args[0], "operations"))
-		printf("%" PRIu64 " operations\n", model->operations_counted);
-	for (uint32_t i = 0; connections && i < model->db_count; i++)
-		printf("%s: open %u\n", model->dbs[i].name,
-		       model->dbs[i].open_connections);
-	if (counts) {
-		kl_engine_get_gauges(model->engine, &gauges);
-		printf("sessions %" PRIu64 " waiting %" PRIu64
-		       " queued %" PRIu64 " running %" PRIu64 "\n",
-		       gauges.sessions, gauges.waiting_stmts,
-		       gauges.queued_stmts, gauges.running_stmts);
-	}
-	if (!strcmp(args[0], "spill"))
-		printf("share %u of 1000, for the load %" PRIu64
-		       ", position %" PRIu64 ", failure %" PRIu64
-		       ", figures %s\n",
-		       kl_engine_spill_share(model->engine),
-		       total->reads_spilled_load, total->reads_spilled_position,
-		       total->reads_spilled_failure,
-		       model->loads_needed ? "needed" : "not needed");
-	for (uint32_t i = 0; counts && i < model->bucket_count; i++)
-		printf("%s: sessions %llu waiting %llu\n",
-		       model->buckets[i]->name.name,
-		       (unsigned long long)model->buckets[i]->open_sessions,
-		       (unsigned long long)model->buckets[i]
-			       ->waiting_statements);
-}
-
-static void show_priorities(void)
-{
-	const kl_engine_counts_t *counts = kl_engine_counts(model->engine);
-
-	for (int i = 0; i < KL_PRIORITY_LEVELS; i++) {
-		const kl_priority_counts_t *row = &counts->priorities[i];
-
-		if (row->served || row->refused)
-			printf("priority %d: served %" PRIu64
-			       " refused %" PRIu64 " queued %" PRIu64 " ms\n",
-			       i, row->served, row->refused,
-			       row->queued_us / (uint64_t)KL_MS);
-	}
-}
-
 /* trace on|off: whether to print what is sent to databases */
 static void step_trace(char **args, int count)
 {
@@ -546,3 +464,18 @@
 	if (db->has_figure)
 		db->figure_wait_us = strtoull(args[1], NULL, 10) * KL_MS;
 }
+
+/* report: results of all loads and statistics of all databases */
+static void step_report(char **args, int count)
+{
+	(void)args;
+	(void)count;
+	model_report(model);
+}
+
+/* show sessions|connections|counts|priorities|operations|spill */
+static void step_show(char **args, int count)
+{
+	(void)count;
+	model_show(model, args[0]);
+}
--- a/tests/unit/sync.c
+++ b/tests/unit/sync.c
@@ -12,22 +12,7 @@
 #include <string.h>
 #include <cmocka.h>
 
-#include "control/controllers.h"
-#include "control/node.h"
-
-static uint64_t now_us = 1000 * KL_SEC;
-
-static uint64_t op_now(void *context)
-{
-	(void)context;
-	return now_us;
-}
-
-static uint32_t op_random(void *context)
-{
-	(void)context;
-	return 0;
-}
+#include "tests/unit/stub_node.h"
 
 static bool sent_full_list; /* the last delta was one */
 
@@ -42,55 +27,15 @@
 		sent_full_list = message->delta.is_full_list;
 }
 
-static void op_platform(void *context, const kl_platform_call_t *call)
-{
-	(void)context;
-	(void)call;
-}
-
-static void op_database(void *context, const kl_database_call_t *call)
-{
-	(void)context;
-	(void)call;
-}
-
-static void op_log(void *context, const kl_decision_t *decision)
-{
-	(void)context;
-	(void)decision;
-}
-
 static void deliver_feed(kl_node_t *node, kl_feed_t feed, const char *prefix,
 			 uint64_t revision, const char *text);
 
-static const kl_node_ops_t ops = { op_now,	op_random,   op_send,
-				   op_platform, op_database, op_log };
+static const kl_node_ops_t ops = { stub_now,	  stub_random,	 op_send,
+				   stub_platform, stub_database, stub_log };
 
 static int start(void **state)
 {
-	kl_node_t *node = calloc(1, sizeof(*node));
-
-	kl_name_copy(node->self.vm, "a1");
-	kl_name_copy(node->self.domain, "d1");
-	strcpy(node->self.host, "10.0.0.1");
-	node->self.port = 1;
-	kl_tuning_default(&node->tuning);
-	node->tuning.feed_count = KL_FEED_COUNT;
-	node->tuning.watchers_per_domain = 1;
-	node->tuning.platform_promotes = true;
-	node->ops = &ops;
-	CK_SLIST_INIT(&node->seeds);
-	*state = node;
-	return kl_node_start(node);
-}
-
-static int stop(void **state)
-{
-	kl_node_t *node = *state;
-
-	kl_node_stop(node);
-	free(node);
-	return 0;
+	return stub_node_start(state, &ops);
 }
 
 /*
@@ -278,19 +223,24 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(
 			late_list_does_not_restore_removed_objects, start,
-			stop),
+			stub_node_stop),
 		cmocka_unit_test_setup_teardown(
-			late_list_does_not_undo_a_removal, start, stop),
+			late_list_does_not_undo_a_removal, start,
+			stub_node_stop),
 		cmocka_unit_test_setup_teardown(
-			revision_is_that_of_the_first_page, start, stop),
+			revision_is_that_of_the_first_page, start,
+			stub_node_stop),
 		cmocka_unit_test_setup_teardown(unreadable_upstream_is_not_used,
-						start, stop),
+						start, stub_node_stop),
 		cmocka_unit_test_setup_teardown(
-			unreadable_record_keeps_its_contents, start, stop),
+			unreadable_record_keeps_its_contents, start,
+			stub_node_stop),
 		cmocka_unit_test_setup_teardown(
-			outdated_objects_are_dropped_safely, start, stop),
+			outdated_objects_are_dropped_safely, start,
+			stub_node_stop),
 		cmocka_unit_test_setup_teardown(
-			skipped_revisions_get_a_full_list, start, stop),
+			skipped_revisions_get_a_full_list, start,
+			stub_node_stop),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/sync_era.c
+++ b/tests/unit/sync_era.c
@@ -10,35 +10,12 @@
 #include <string.h>
 #include <cmocka.h>
 
-#include "control/controllers.h"
 #include "control/store_era.h"
+#include "tests/unit/stub_node.h"
 
-static uint64_t now_us = 1000 * KL_SEC;
 static uint64_t watch_sent_us; /* of the last watch of marks */
 static uint32_t mark_lists;    /* lists of marks sent */
 
-static uint64_t op_now(void *context)
-{
-	(void)context;
-	return now_us;
-}
-
-static uint32_t op_random(void *context)
-{
-	(void)context;
-	return 0;
-}
-
-static void op_send(void *context, const char *vm, const char *host,
-		    uint16_t port, const kl_peer_message_t *message)
-{
-	(void)context;
-	(void)vm;
-	(void)host;
-	(void)port;
-	(void)message;
-}
-
 static void op_platform(void *context, const kl_platform_call_t *call)
 {
 	(void)context;
@@ -49,45 +26,12 @@
 		watch_sent_us = call->sent_us;
 }
 
-static void op_database(void *context, const kl_database_call_t *call)
-{
-	(void)context;
-	(void)call;
-}
-
-static void op_log(void *context, const kl_decision_t *decision)
-{
-	(void)context;
-	(void)decision;
-}
-
-static const kl_node_ops_t ops = { op_now,	op_random,   op_send,
-				   op_platform, op_database, op_log };
+static const kl_node_ops_t ops = { stub_now,	stub_random,   stub_send,
+				   op_platform, stub_database, stub_log };
 
 static int start(void **state)
 {
-	kl_node_t *node = calloc(1, sizeof(*node));
-
-	kl_name_copy(node->self.vm, "a1");
-	kl_name_copy(node->self.domain, "d1");
-	strcpy(node->self.host, "10.0.0.1");
-	node->self.port = 1;
-	kl_tuning_default(&node->tuning);
-	node->tuning.feed_count = KL_FEED_COUNT;
-	node->tuning.watchers_per_domain = 1;
-	node->ops = &ops;
-	CK_SLIST_INIT(&node->seeds);
-	*state = node;
-	return kl_node_start(node);
-}
-
-static int stop(void **state)
-{
-	kl_node_t *node = *state;
-
-	kl_node_stop(node);
-	free(node);
-	return 0;
+	return stub_node_start(state, &ops);
 }
 
 /* Delivers an answer with some objects, which it frees. */
@@ -153,16 +97,6 @@
 	deliver(node, KL_PLATFORM_LIST, era, revision, name, version, body);
 }
 
-/* Runs the controllers for some time, without any answer. */
-static void run(kl_node_t *node, uint64_t duration_us)
-{
-	kl_event_t event = { .kind = KL_EVENT_TICK };
-
-	for (uint64_t end_us = now_us + duration_us; now_us < end_us;
-	     now_us += 10 * KL_MS)
-		kl_node_step(node, &event);
-}
-
 static const char *body_of(const kl_node_t *node, const char *name)
 {
 	const kl_objects_t *objects = kl_node_get(node, KL_SECTION_OBJECTS);
@@ -213,7 +147,7 @@
 	assert_string_equal(body_of(node, "mark/a"), "{\"v\":1}");
 	mark_lists = 0;
 	hello(node, 2, 72);
-	run(node, KL_SEC);
+	stub_node_run(node, KL_SEC);
 	assert_true(mark_lists > 0);
 	deliver_list(node, 2, 79, "mark/a", 75, "{\"v\":2}");
 	assert_string_equal(body_of(node, "mark/a"), "{\"v\":2}");
@@ -241,15 +175,15 @@
 {
 	kl_node_t *node = *state;
 
-	run(node, KL_SEC);
+	stub_node_run(node, KL_SEC);
 	deliver_list(node, 1, 90, "mark/a", 80, "{\"v\":1}");
-	run(node, KL_SEC);
+	stub_node_run(node, KL_SEC);
 	assert_true(watch_sent_us != 0);
 	deliver(node, KL_PLATFORM_WATCH, 2, 95, "mark/c", 95, "{}");
 	assert_string_equal(body_of(node, "mark/c"), "null");
 	assert_int_equal(kl_sync_era(node), 2);
 	mark_lists = 0;
-	run(node, KL_SEC);
+	stub_node_run(node, KL_SEC);
 	assert_true(mark_lists > 0);
 }
 
@@ -353,11 +287,11 @@
 	deliver_one(node, KL_FEED_MARKS, 1, 90, "mark/a", 80, 80, "{}");
 	deliver_one(node, KL_FEED_MARKS, 2, 85, NULL, 0, 0, NULL);
 	assert_string_equal(body_of(node, "mark/a"), "{}");
-	run(node, 19 * KL_SEC);
+	stub_node_run(node, 19 * KL_SEC);
 	deliver_one(node, KL_FEED_MARKS, 2, 86, NULL, 0, 0, NULL);
 	assert_string_equal(body_of(node, "mark/a"), "{}");
 	mark_lists = 0;
-	run(node, 2 * KL_SEC);
+	stub_node_run(node, 2 * KL_SEC);
 	assert_true(mark_lists > 0);
 	deliver_one(node, KL_FEED_MARKS, 2, 87, NULL, 0, 0, NULL);
 	assert_string_equal(body_of(node, "mark/a"), "null");
@@ -366,7 +300,7 @@
 /* Lists the terms with this VM's own record: a list after the first confirms */
 static void list_terms(kl_node_t *node, uint64_t era)
 {
-	run(node, 20 * KL_MS);
+	stub_node_run(node, 20 * KL_MS);
 	deliver_one(node, KL_FEED_TERMS, era, 90, "vm/a1", 80, 0,
 		    "{\"domain\":\"d1\",\"host\":\"10.0.0.1\",\"port\":1,"
 		    "\"incarnation\":0,\"state\":\"live\"}");
@@ -384,10 +318,10 @@
 	list_terms(node, 2);
 	list_terms(node, 2);
 	assert_null(kl_node_get(node, KL_SECTION_CONFIRMATION));
-	run(node, 900 * KL_MS);
+	stub_node_run(node, 900 * KL_MS);
 	list_terms(node, 2);
 	assert_null(kl_node_get(node, KL_SECTION_CONFIRMATION));
-	run(node, 200 * KL_MS);
+	stub_node_run(node, 200 * KL_MS);
 	list_terms(node, 2);
 	assert_non_null(kl_node_get(node, KL_SECTION_CONFIRMATION));
 }
@@ -406,35 +340,43 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(
-			answer_of_an_older_era_is_refused, start, stop),
+			answer_of_an_older_era_is_refused, start,
+			stub_node_stop),
 		cmocka_unit_test_setup_teardown(
-			lower_first_revision_ends_the_withholding, start, stop),
+			lower_first_revision_ends_the_withholding, start,
+			stub_node_stop),
 		cmocka_unit_test_setup_teardown(
 			lower_first_revision_admits_what_was_created_again,
-			start, stop),
+			start, stub_node_stop),
 		cmocka_unit_test_setup_teardown(
-			watch_of_the_old_era_is_not_applied, start, stop),
+			watch_of_the_old_era_is_not_applied, start,
+			stub_node_stop),
 		cmocka_unit_test_setup_teardown(
-			higher_number_is_no_part_of_the_copy, start, stop),
+			higher_number_is_no_part_of_the_copy, start,
+			stub_node_stop),
 		cmocka_unit_test_setup_teardown(higher_number_removes_and_adds,
-						start, stop),
+						start, stub_node_stop),
 		cmocka_unit_test_setup_teardown(
 			lower_number_is_older_whatever_its_revision, start,
-			stop),
+			stub_node_stop),
 		cmocka_unit_test_setup_teardown(
-			later_report_of_a_database_is_accepted, start, stop),
+			later_report_of_a_database_is_accepted, start,
+			stub_node_stop),
 		cmocka_unit_test_setup_teardown(
-			earlier_report_of_a_database_is_withheld, start, stop),
+			earlier_report_of_a_database_is_withheld, start,
+			stub_node_stop),
 		cmocka_unit_test_setup_teardown(
-			mark_of_another_revision_is_accepted, start, stop),
+			mark_of_another_revision_is_accepted, start,
+			stub_node_stop),
 		cmocka_unit_test_setup_teardown(
-			first_confirmation_waits_in_a_later_era, start, stop),
+			first_confirmation_waits_in_a_later_era, start,
+			stub_node_stop),
 		cmocka_unit_test_setup_teardown(
 			first_confirmation_of_the_first_era_counts, start,
-			stop),
+			stub_node_stop),
 		cmocka_unit_test_setup_teardown(
 			lost_mark_stands_until_it_may_be_written_again, start,
-			stop),
+			stub_node_stop),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/sync_fetch.c
+++ b/tests/unit/sync_fetch.c
@@ -10,25 +10,12 @@
 #include <string.h>
 #include <cmocka.h>
 
-#include "control/controllers.h"
+#include "tests/unit/stub_node.h"
 
-static uint64_t now_us = 1000 * KL_SEC;
 static kl_peer_message_t last_fetch; /* the last message sent to b1 */
 static uint32_t fetches;	     /* fetches of either kind sent */
 static uint32_t config_lists;	     /* lists of the configuration sent */
 
-static uint64_t op_now(void *context)
-{
-	(void)context;
-	return now_us;
-}
-
-static uint32_t op_random(void *context)
-{
-	(void)context;
-	return 0;
-}
-
 static void op_send(void *context, const char *vm, const char *host,
 		    uint16_t port, const kl_peer_message_t *message)
 {
@@ -50,46 +37,14 @@
 		call->op == KL_PLATFORM_LIST && call->feed == KL_FEED_CONFIG;
 }
 
-static void op_database(void *context, const kl_database_call_t *call)
-{
-	(void)context;
-	(void)call;
-}
-
-static void op_log(void *context, const kl_decision_t *decision)
-{
-	(void)context;
-	(void)decision;
-}
-
-static const kl_node_ops_t ops = { op_now,	op_random,   op_send,
-				   op_platform, op_database, op_log };
+static const kl_node_ops_t ops = { stub_now,	stub_random,   op_send,
+				   op_platform, stub_database, stub_log };
 
 static int start(void **state)
 {
-	kl_node_t *node = calloc(1, sizeof(*node));
-
-	kl_name_copy(node->self.vm, "a1");
-	kl_name_copy(node->self.domain, "d1");
-	strcpy(node->self.host, "10.0.0.1");
-	node->self.port = 1;
-	kl_tuning_default(&node->tuning);
-	node->tuning.feed_count = KL_FEED_COUNT;
-	node->ops = &ops;
-	CK_SLIST_INIT(&node->seeds);
 	fetches = 0;
 	config_lists = 0;
-	*state = node;
-	return kl_node_start(node);
-}
-
-static int stop(void **state)
-{
-	kl_node_t *node = *state;
-
-	kl_node_stop(node);
-	free(node);
-	return 0;
+	return stub_node_start(state, &ops);
 }
 
 static void step(kl_node_t *node, kl_peer_message_t *message)
@@ -145,15 +100,6 @@
 	step(node, &message);
 }
 
-static void run(kl_node_t *node, uint64_t duration_us)
-{
-	kl_event_t event = { .kind = KL_EVENT_TICK };
-
-	for (uint64_t end_us = now_us + duration_us; now_us < end_us;
-	     now_us += 10 * KL_MS)
-		kl_node_step(node, &event);
-}
-
 static const char *body(const kl_node_t *node)
 {
 	const kl_objects_t *objects = kl_node_get(node, KL_SECTION_OBJECTS);
@@ -186,7 +132,7 @@
 	hello(node, 7);
 	part(node, 7, 0, 9, "{\"a\"");
 	fetches = 0;
-	run(node, 250 * KL_MS);
+	stub_node_run(node, 250 * KL_MS);
 	assert_int_equal(fetches, 2);
 	part(node, 7, 4, 9, ":123}");
 	assert_string_equal(body(node), "{\"a\":123}");
@@ -204,7 +150,7 @@
 	config_lists = 0;
 	part(node, 7, 0, KL_OBJECT_BYTES_MAX + 1, "{");
 	assert_int_equal(kl_sync_refused_fetch_count(node), 1);
-	run(node, 500 * KL_MS);
+	stub_node_run(node, 500 * KL_MS);
 	assert_true(config_lists > 0);
 	fetches = 0;
 	hello(node, 7);
@@ -224,14 +170,14 @@
 	list_empty(node);
 	config_lists = 0;
 	hello(node, 7);
-	run(node, 900 * KL_MS);
+	stub_node_run(node, 900 * KL_MS);
 	assert_int_equal(config_lists, 0);
-	run(node, 700 * KL_MS);
+	stub_node_run(node, 700 * KL_MS);
 	assert_true(config_lists > 0);
 	/* Once, as long as nobody tells of it again. */
 	list_empty(node);
 	config_lists = 0;
-	run(node, 5 * KL_SEC);
+	stub_node_run(node, 5 * KL_SEC);
 	assert_int_equal(config_lists, 0);
 }
 
@@ -271,18 +217,21 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(
 			parts_are_joined_and_repeated_ones_ignored, start,
-			stop),
+			stub_node_stop),
 		cmocka_unit_test_setup_teardown(lost_part_is_requested_again,
-						start, stop),
+						start, stub_node_stop),
 		cmocka_unit_test_setup_teardown(
-			too_large_object_is_read_from_the_store, start, stop),
+			too_large_object_is_read_from_the_store, start,
+			stub_node_stop),
 		cmocka_unit_test_setup_teardown(
 			feed_that_no_vm_brings_is_read_from_the_store, start,
-			stop),
+			stub_node_stop),
 		cmocka_unit_test_setup_teardown(
-			part_that_makes_no_sense_ends_the_fetch, start, stop),
+			part_that_makes_no_sense_ends_the_fetch, start,
+			stub_node_stop),
 		cmocka_unit_test_setup_teardown(
-			new_revision_begins_the_fetch_again, start, stop),
+			new_revision_begins_the_fetch_again, start,
+			stub_node_stop),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
