--- a/daemon/control_thread.c
+++ b/daemon/control_thread.c
@@ -66,7 +66,6 @@
 static uint32_t node_random(void *context);
 static void node_send_to_peer(void *context, const char *vm, const char *host,
 			      uint16_t port, const kl_peer_message_t *message);
-static void log_unsent(const char *vm, const kl_peer_message_t *message);
 static void node_call_platform(void *context, const kl_platform_call_t *call);
 static void node_call_database(void *context, const kl_database_call_t *call);
 static void node_log_decision(void *context, const kl_decision_t *decision);
@@ -331,39 +330,9 @@
 			      uint16_t port, const kl_peer_message_t *message)
 {
 	kl_control_thread_t *control = context;
-	struct sockaddr_in address = { .sin_family = AF_INET };
-	static char buffer[KL_PEER_DATAGRAM_MAX];
-	int length;
 
-	address.sin_port = htons(port);
-	if (inet_pton(AF_INET, host, &address.sin_addr) != 1)
-		return;
-	length =
-		kl_peer_encode(message, control->node.self.host,
-			       control->node.self.port, buffer, sizeof(buffer));
-	if (length < 0) {
-		log_unsent(vm, message);
-		return;
-	}
-	kl_counter_add(KL_COUNTER_PEER_SENT, 1);
-	kl_counter_add(KL_COUNTER_PEER_SENT_BYTES, (uint64_t)length);
-	/* A failed send is treated like a datagram lost in the network. */
-	if (sendto(control->socket, buffer, (size_t)length, 0,
-		   (struct sockaddr *)&address, sizeof(address)) < 0)
-		kl_counter_add(KL_COUNTER_PEER_UNSENT, 1);
-}
-
-/* A message that can't be encoded is too large for a datagram. */
-static void log_unsent(const char *vm, const kl_peer_message_t *message)
-{
-	kl_decision_t decision = { .name = "message_unsent",
-				   .reason = "too_large",
-				   .peer = vm };
-
-	if (kl_peer_has_objects(message->kind))
-		decision.feed = kl_feed_name(message->delta.fetch.feed);
-	kl_counter_add(KL_COUNTER_PEER_UNSENT, 1);
-	kl_log_decision(&decision);
+	kl_peer_socket_send(control->socket, &control->node.self, vm, host,
+			    port, message);
 }
 
 static void node_call_platform(void *context, const kl_platform_call_t *call)
