Count and log entries of the store that are left out for their names

Callers: not seen. A workspace, failure domain or database whose name is too long for a document (48 to 54 bytes) was ignored without a log line: its keys are refused, its mark has no effect.

Cause: a document's name has 63 bytes at most, with a prefix, and one that does not fit was dropped in platform/documents.c; so was an object without a readable name.

Change: decoders return how many they leave out; log line entries_skipped when the number of a feed changes, counter kl_entries_skipped_total. They are still left out.

Measured: unit documents, names_that_are_too_long_are_counted (new).

--- a/control/controllers.h
+++ b/control/controllers.h
@@ -20,6 +20,8 @@
 uint64_t kl_sync_first_revision(const kl_node_t *node);
 /** Number of answers and messages of older eras. */
 uint64_t kl_sync_refused_era_count(const kl_node_t *node);
+/** Number of entries of the store that were left out for their names. */
+uint64_t kl_sync_skipped_count(const kl_node_t *node);
 /** Number of fetches from other VMs that were refused. */
 uint64_t kl_sync_refused_fetch_count(const kl_node_t *node);
 /** Send a hello to a VM and request an answer. */
--- a/control/node.h
+++ b/control/node.h
@@ -101,6 +101,8 @@
 	bool is_full_list; /**< objects has every object of the feed */
 	/** The feed's only object can't be read, so there are no documents. */
 	bool unreadable;
+	/** Objects and documents left out, as their names can't be held. */
+	uint32_t skipped;
 	uint64_t call_sent_us; /**< time of sending of the call */
 	/** Of the store, rises when it is restored from a copy; 0: none. */
 	uint64_t era;
--- a/control/sync.c
+++ b/control/sync.c
@@ -41,6 +41,8 @@
 		      kl_platform_op_t op, kl_feed_t feed_id, uint64_t now);
 static void handle_answer(kl_node_t *node, kl_sync_t *sync,
 			  kl_platform_answer_t *answer);
+static void note_skipped(kl_node_t *node, kl_sync_t *sync,
+			 const kl_platform_answer_t *answer);
 static bool confirmation_overdue(const kl_node_t *node, const kl_sync_t *sync,
 				 uint64_t now);
 static void delay_watch(const kl_node_t *node, kl_feed_state_t *feed,
@@ -310,6 +312,13 @@
 	return sync->refused_era_count;
 }
 
+uint64_t kl_sync_skipped_count(const kl_node_t *node)
+{
+	const kl_sync_t *sync = node->state[KL_CONTROLLER_SYNC];
+
+	return sync->skipped_count;
+}
+
 uint64_t kl_sync_refused_fetch_count(const kl_node_t *node)
 {
 	const kl_sync_t *sync = node->state[KL_CONTROLLER_SYNC];
@@ -348,6 +357,7 @@
 		return;
 	if (answer->error == -KL_E_STALE_CONFIG)
 		feed->needs_list = true;
+	note_skipped(node, sync, answer);
 	if (answer->unreadable)
 		kl_sync_log_unreadable(node, answer->feed, "",
 				       answer->revision);
@@ -379,6 +389,25 @@
 		kl_sync_confirm(node, sync, answer->call_sent_us);
 }
 
+/* Logs that an answer has entries that can't be held, once for a list. */
+static void note_skipped(kl_node_t *node, kl_sync_t *sync,
+			 const kl_platform_answer_t *answer)
+{
+	kl_feed_state_t *feed = &sync->feeds[answer->feed];
+	kl_decision_t decision = { .name = "entries_skipped",
+				   .reason = "name",
+				   .feed = kl_feed_name(answer->feed),
+				   .position = kl_version_revision(
+					   answer->revision) };
+
+	if (answer->skipped == feed->skipped_last)
+		return;
+	feed->skipped_last = answer->skipped;
+	sync->skipped_count += answer->skipped;
+	if (answer->skipped)
+		node->ops->log_decision(node->ops_context, &decision);
+}
+
 /*
  * After a failed watch.  With several feeds a watch without an answer is
  * repeated at once, or changes would be missed for longer than its duration.
--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -39,7 +39,8 @@
 	uint64_t behind_since_us;
 	/** Fetches of this revision are too large; 0: none. */
 	uint64_t refused_revision;
-	bool watch_refused; /**< no watch until a list was successful */
+	uint32_t skipped_last; /**< entries skipped in the last answer */
+	bool watch_refused;    /**< no watch until a list was successful */
 	/** Objects of the store's era were withheld as older than those held.
 	 */
 	bool has_withheld;
@@ -78,6 +79,7 @@
 	kl_object_t *part;
 	uint32_t part_size;	      /**< bytes of its body */
 	uint32_t part_length;	      /**< bytes of its body received */
+	uint64_t skipped_count;	      /**< entries whose names can't be held */
 	uint64_t refused_fetch_count; /**< fetches that were too large */
 } kl_sync_t;
 
--- a/daemon/status.c
+++ b/daemon/status.c
@@ -163,9 +163,13 @@
 		"# HELP kl_fetch_refused_total fetches from other VMs that "
 		"were too large or made no sense\n"
 		"# TYPE kl_fetch_refused_total counter\n"
-		"kl_fetch_refused_total %" PRIu64 "\n",
+		"kl_fetch_refused_total %" PRIu64 "\n"
+		"# HELP kl_entries_skipped_total entries of the platform's "
+		"store whose names are missing or too long\n"
+		"# TYPE kl_entries_skipped_total counter\n"
+		"kl_entries_skipped_total %" PRIu64 "\n",
 		kl_sync_era(node), kl_sync_refused_era_count(node),
-		kl_sync_refused_fetch_count(node));
+		kl_sync_refused_fetch_count(node), kl_sync_skipped_count(node));
 }
 
 /* One histogram for each kind of route and each way that statements end. */
--- a/tests/unit/documents.c
+++ b/tests/unit/documents.c
@@ -1,4 +1,7 @@
-/* Tests of the generations that the platform's objects give their documents. */
+/*
+ * Tests of what the documents take from the platform's objects that have them:
+ * their generations and names.
+ */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -80,12 +83,36 @@
 	kl_object_list_clear(&objects);
 }
 
+/* Guards against a mark or a workspace that is ignored without a trace. */
+static void names_that_are_too_long_are_counted(void **state)
+{
+	const char *list =
+		"{\"storeRevision\":50,\"items\":[{\"meta\":{\"name\":"
+		"\"a-failure-domain-whose-name-is-longer-than-it-may-be\","
+		"\"revision\":40},\"spec\":{}},{\"meta\":{\"name\":\"d1\","
+		"\"revision\":41},\"spec\":{}},{\"meta\":{\"revision\":42}}]}";
+	kl_platform_call_t call = { .op = KL_PLATFORM_LIST,
+				    .feed = KL_FEED_MARKS };
+	kl_json_slice_t body = { list, strlen(list) };
+	kl_object_list_t objects = CK_STAILQ_HEAD_INITIALIZER(objects);
+	kl_platform_answer_t answer = { .objects = &objects };
+	char after[KL_NAME_MAX] = "";
+	(void)state;
+
+	kl_format_objects.decode_response(&call, 200, body, &answer, after);
+	assert_int_equal(answer.skipped, 2);
+	assert_string_equal(CK_STAILQ_FIRST(&objects)->name.name,
+			    "mark/databases/d1");
+	kl_object_list_clear(&objects);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(reports_are_ordered_by_start_and_count),
 		cmocka_unit_test(versions_are_ordered_by_number),
 		cmocka_unit_test(documents_have_the_generation_of_their_object),
+		cmocka_unit_test(names_that_are_too_long_are_counted),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
