Wait for the login in process readded_workspace, as it says

Cause: a mistake of the test. It connects until the answer has the word "connected", and "not connected" has it, too, so that the first answer always ended the loop; it passed only if the VM had the new key by then.

Shown: with the daemon paused for 0.3 s while the key is created the same line differs, and the test passes with the pattern ": connected". What it expects is unchanged: the login, within its 400 tries.

--- a/tests/process/readded_workspace.sh
+++ b/tests/process/readded_workspace.sh
@@ -23,7 +23,7 @@
 connects_until "not run"
 ctl workspace add bakery gold
 KEY=$(create_key bakery)
-connects_until "connected"
+connects_until ": connected" # "not connected" has the word, too
 send_step "wait one"; show_answer
 send_step "close one"; show_answer
 send_step "close probe"; show_answer
