--- a/path/engine_drain.c
+++ b/path/engine_drain.c
@@ -44,7 +44,7 @@
 		stage == KL_STMT_WAIT_UPSTREAM || stage == KL_STMT_WAIT_CONN);
 }
 
-/* What the client has sent behind the statement is refused first, one by one. */
+/* What the client has sent behind the statement is refused first. */
 bool kl_drain_ends_refused(const kl_client_t *client, int error)
 {
 	const kl_engine_t *engine = client->engine;
