Review case 12: a watch with a large answer is asked for again without end

The waiting watches go silent while eleven configurations of 0.8 MB are stored. The next watch's answer is larger than the client takes, so no machine learns that a key was dropped, as long as the script looks.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -17,3 +17,4 @@
 cd review/standins-3
 out=../../$out
 build lapse lapse.c config.c common.c
+build backlog backlog.c config.c common.c
