Review case 13: machines that watch nothing miss a dropped key

The store turns the first machine of each of three zones away and cuts off waiting watches. The six others run requests with a dropped key 3 to 5 s after the acknowledgement.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -18,3 +18,5 @@
 out=../../$out
 build lapse lapse.c config.c common.c
 build backlog backlog.c config.c common.c
+build relay relay.c
+build watch-cut watch_cut.c config.c common.c
