--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -20,3 +20,4 @@
 build backlog backlog.c config.c common.c
 build relay relay.c
 build watch-cut watch_cut.c config.c common.c
+build bomb bomb.c config.c common.c
