--- a/review/standins-3/backlog.c
+++ b/review/standins-3/backlog.c
@@ -19,7 +19,7 @@
 #define MORE_ROUTES                                                           \
 	3800		  /* a configuration of 0.8 MB; the store takes 1 MiB \
 			   */
-#define CHANGES 25	  /* config_storm with gap_s 0.06 and for_s 1.5 */
+#define CHANGES 11	  /* of the 25 that a config_storm may have */
 #define GAP_MS 60	  /* config_storm with gap_s 0.06 */
 #define VALUE_MAX 1048576 /* maxValueBytes */
 #define APPLY_MS 3000	  /* configApplyMs */
