Take no update of usage reports for one's own that met its condition by chance

Seen: reports with a lower token, and two reports of a window. A holder that was frozen sends a conditional update in the era before a restore of the store. Its revision was assigned a second time, so the update succeeds, and the former holder goes on reporting. It showed in the script usage_drill_holder when another write of the store moved the revisions by one (point 5 of docs/design/store-era.md).

Cause: the answer was taken for a confirmation whatever era it came from.

Change: an update whose condition names a version of another era than the answer confirms nothing; the feed is listed again. Claims of slots have the same weakness, and it stays open there: point 5.

--- a/control/usage_internal.h
+++ b/control/usage_internal.h
@@ -35,6 +35,7 @@
 	uint64_t claimed_us;	/**< when it got the duty */
 	bool put_pending;	/**< a conditional update is not answered */
 	uint64_t put_sent_us;
+	uint64_t put_condition;	    /**< version that it replaces, or 0 */
 	kl_usage_record_t put;	    /**< contents of that update */
 	uint64_t confirmed_version; /**< version of its last update */
 	uint64_t confirmed_us;	    /**< when that update was sent */
--- a/control/usage_update.c
+++ b/control/usage_update.c
@@ -3,8 +3,11 @@
 #include <string.h>
 
 #include "control/controllers.h"
+#include "control/store_era.h"
 #include "control/usage_internal.h"
 
+static bool met_by_chance(const kl_usage_duty_t *duty,
+			  const kl_platform_answer_t *answer);
 static void adopt_put(kl_node_t *node, kl_usage_state_t *state,
 		      uint64_t version);
 static void handle_call_answer(kl_node_t *node, kl_usage_state_t *state,
@@ -34,6 +37,7 @@
 		return;
 	if (!kl_usage_record_copy(&duty->put, record)) {
 		duty->put_pending = true;
+		duty->put_condition = state->record.version;
 		duty->put_sent_us = now;
 		duty->claimed_token = record->token;
 		call.body = body;
@@ -56,12 +60,23 @@
 	if (!duty->put_pending || answer->call_sent_us != duty->put_sent_us)
 		return;
 	duty->put_pending = false;
-	if (answer->error)
+	if (answer->error || met_by_chance(duty, answer))
 		kl_sync_request_list(node, KL_FEED_SLOTS);
 	else if (answer->revision >= state->record.version)
 		adopt_put(node, state, answer->revision);
 }
 
+/*
+ * Whether the update was conditional on a version of an older era: the restored
+ * store may have assigned its revision to other contents.
+ */
+static bool met_by_chance(const kl_usage_duty_t *duty,
+			  const kl_platform_answer_t *answer)
+{
+	return duty->put_condition && kl_version_era(duty->put_condition) !=
+					      kl_version_era(answer->revision);
+}
+
 /*
  * Takes over the record that this VM has just written, which the feed may have
  * brought already.
