Let a simulated database register again when it becomes a replica

The databases of the platform report a change of role at once; the simulated ones did so only when they became primary.

--- a/tests/world_internal.h
+++ b/tests/world_internal.h
@@ -70,6 +70,9 @@
 int world_promote_database(world_t *world, const vm_t *vm, const char *name,
 			   uint64_t token);
 
+/** Write the object in which a database registers itself. */
+void world_register_database(world_t *world, const db_t *db);
+
 /** Let a primary that is recorded without a promotion use the new term. */
 void world_adopt_record_term(world_t *world, const char *service);
 
