Rely on no record of a primary that a restored store may have lost a successor of

The store comes back from a copy of before that, while all VMs start again. Reads of primary routes run on the former primary (23, which lack up to 18 acknowledged commits), and every write is refused as read-only for the 20 s that follow.

Cause: the record of the copy counts whenever the lease on it is valid. The memory of the VMs was the only guard, and nobody checked that a VM has one. What databases report of themselves was not compared with the record. Evidence: the log of the VMs has era_rose and then no decision about the group.

Change: a record names the store's era in which it was written, and shows a primary in that era only, or on a VM that held it, stable, under a valid lease when the era rose: then no change of primary can have been over. It shows none either if the database's registration, newer than the record, says that it is a replica. Every path and the promoter ask kl_primary_recorded(). Where no VM can vouch for a record, a prober claims a term in one without a primary, and the database that leads in the newest term that any of them reports is recorded (control/promote_leader.c).

Why this works: terms of the databases are in no store, so a restore can't lose them; and until they have told, nothing that needs a primary is sent.

--- a/board/sections.h
+++ b/board/sections.h
@@ -63,6 +63,11 @@
 	bool unreadable; /**< it exists, but its contents can't be read */
 	/** The store was restored from a copy, and has older contents. */
 	bool store_is_behind;
+	/**
+	 * A group's record: the store lost no later one when it was restored,
+	 * since this VM held the newest one under a valid lease then.
+	 */
+	bool held_under_lease;
 	char *body; /**< JSON text; "null" for a removed object */
 } kl_object_t;
 
@@ -119,6 +124,7 @@
 	/** It became so no earlier than this; 0: not known. */
 	uint64_t leaving_after_us;
 	bool registered_primary; /**< according to its registration */
+	uint64_t version;	 /**< of its registration; 0: not known */
 	/** statements that it executes at once; 0: not known */
 	uint32_t execution_slots;
 	struct kl_service *service;
@@ -219,13 +225,22 @@
 	uint64_t change;
 	uint64_t term; /**< of the primary, or of the failover under way */
 	kl_group_state_t state;
-	/** The primary or, while promoting, the candidate. */
+	/**
+	 * The primary or, while promoting, the candidate; "" while nobody knows
+	 * which database leads.
+	 */
 	char primary[KL_NAME_MAX];
 	char promoter[KL_NAME_MAX]; /**< VM that carries the failover out */
 	kl_term_start_t history[KL_TERM_HISTORY_MAX]; /**< oldest term first */
 	uint32_t history_count;
 	uint64_t first_seen_us; /**< when this VM first saw this version */
-	bool store_is_behind;	/**< as in kl_object_t */
+	uint64_t era; /**< of the store when it was written; 0: not known */
+	bool store_is_behind; /**< as in kl_object_t */
+	/**
+	 * It is from before the store was restored, and a later record may be
+	 * lost: it does not show which database leads.
+	 */
+	bool may_be_outdated;
 } kl_group_t;
 
 /** The recorded states of all groups. */
--- a/control/config.c
+++ b/control/config.c
@@ -20,6 +20,7 @@
 	char *body;		/* of the newest version */
 	bool newest_is_invalid; /* the newest version is refused */
 	json_t *valid_json;	/* the last valid version, or NULL */
+	uint64_t valid_version; /* of the object that it is from */
 	bool leaving;		/* it says "leaving" */
 	/* It says so since no earlier than this; 0: not known. */
 	uint64_t leaving_after_us;
@@ -199,8 +200,11 @@
 		kl_index_put(state->index, &document->name);
 	}
 	document->version = object->version;
-	if (document->body && !strcmp(document->body, object->body))
+	if (document->body && !strcmp(document->body, object->body)) {
+		if (!document->newest_is_invalid)
+			document->valid_version = object->version;
 		return;
+	}
 	free(document->body);
 	document->body = strdup(object->body);
 	json = json_loads(object->body, JSON_DECODE_ANY, NULL);
@@ -219,6 +223,7 @@
 	update_leaving(document, json, object->changed_after_us, kind);
 	json_decref(document->valid_json);
 	document->valid_json = json;
+	document->valid_version = object->version;
 }
 
 /*
@@ -276,6 +281,7 @@
 	kl_document_t document = {
 		.name = object->name.name + strlen(kind->prefix),
 		.json = object->valid_json,
+		.version = object->valid_version,
 		.leaving_after_us = object->leaving_after_us
 	};
 
--- a/control/document.h
+++ b/control/document.h
@@ -13,6 +13,7 @@
 typedef struct kl_document {
 	const char *name; /**< without the prefix of its kind */
 	json_t *json;
+	uint64_t version; /**< of its object */
 	/** It says "leaving" since no earlier than this; 0: not known. */
 	uint64_t leaving_after_us;
 } kl_document_t;
--- a/control/document_route.c
+++ b/control/document_route.c
@@ -48,6 +48,7 @@
 	kl_name_copy(upstream->domain, domain);
 	upstream->port = (uint16_t)port;
 	upstream->registered_primary = primary;
+	upstream->version = document->version;
 	upstream->leaving = leaving;
 	upstream->leaving_after_us = document->leaving_after_us;
 	if (kl_config_upstream_marked(config, document->name, domain,
--- a/control/group_record.c
+++ b/control/group_record.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "control/group_record.h"
+#include "control/store_era.h"
 #include "kumquatloft/kind.h"
 
 static const char *const state_names[KL_GROUP_STATE_COUNT] = {
@@ -14,14 +15,15 @@
 {
 	json_t *json = json_loads(body, 0, NULL);
 	json_t *history, *entry;
-	json_int_t term, entry_term, entry_start;
+	json_int_t term, entry_term, entry_start, era = 0;
 	const char *state, *primary, *promoter;
 	int error = -KL_E_INVALID;
 	size_t i;
 
-	if (json_unpack(json, "{s:I,s:s,s:s,s:s,s:o}", "term", &term, "state",
-			&state, "primary", &primary, "promoter", &promoter,
-			"history", &history))
+	if (json_unpack(json, "{s:I,s:s,s:s,s:s,s:o,s?I}", "term", &term,
+			"state", &state, "primary", &primary, "promoter",
+			&promoter, "history", &history, "era", &era) ||
+	    era < 0)
 		goto out;
 	group->state = KL_GROUP_STATE_COUNT;
 	for (int s = 0; s < KL_GROUP_STATE_COUNT; s++)
@@ -32,6 +34,7 @@
 	    kl_name_copy(group->promoter, promoter))
 		goto out;
 	group->term = (uint64_t)term;
+	group->era = (uint64_t)era;
 	group->history_count = 0;
 	json_array_foreach(history, i, entry) {
 		if (json_unpack(entry, "[I,I]", &entry_term, &entry_start))
@@ -60,6 +63,10 @@
 			 (json_int_t)group->term, "state",
 			 state_names[group->state], "primary", group->primary,
 			 "promoter", group->promoter, "history", history);
+	/* A store without eras has none. */
+	if (group->era)
+		json_object_set_new(json, "era",
+				    json_integer((json_int_t)group->era));
 	text = json_dumps(json, JSON_COMPACT);
 	json_decref(json);
 	return text;
@@ -71,6 +78,14 @@
 					       : group->state;
 }
 
+bool kl_group_is_of_era(const kl_group_t *group, uint64_t era)
+{
+	/* Records of earlier versions of this program name no era. */
+	uint64_t written_era = group->era ? group->era : KL_FIRST_ERA;
+
+	return era <= written_era;
+}
+
 uint64_t kl_group_replica_term(const kl_group_t *group)
 {
 	if (!group->history_count)
--- a/control/group_record.h
+++ b/control/group_record.h
@@ -23,6 +23,9 @@
 /** Number of the record's step within its term, which ends stable. */
 uint64_t kl_group_progress(const kl_group_t *group);
 
+/** Whether a record was written in an era of the store; 0: it has no eras. */
+bool kl_group_is_of_era(const kl_group_t *group, uint64_t era);
+
 /**
  * Term that replicas serve: the newest one in the history or, if that is empty,
  * the recorded term.
--- a/control/promote.c
+++ b/control/promote.c
@@ -101,7 +101,8 @@
 
 /*
  * Creates a group's first record.  The primary is the first database that
- * registered itself as primary.
+ * registered itself as primary; in a store that was restored, the one that
+ * proves to lead.
  */
 static void create_record(kl_promote_ctx_t *ctx)
 {
@@ -125,7 +126,13 @@
 		return;
 	group.name = ctx->base.service->name;
 	group.primary[0] = '\0';
-	kl_name_copy(group.primary, first->name.name);
+	if (kl_sync_era(ctx->base.node) > KL_FIRST_ERA) {
+		/* The store may have lost a record. */
+		group.state = KL_GROUP_FENCING;
+		memcpy(group.promoter, ctx->base.node->self.vm, KL_NAME_MAX);
+	} else {
+		kl_name_copy(group.primary, first->name.name);
+	}
 	kl_promote_write_record(ctx, &group, "group_recorded", "registered");
 }
 
@@ -136,6 +143,10 @@
 	bool leaving = kl_promote_primary_leaving(ctx);
 
 	demote_old_primaries(ctx);
+	if (kl_promote_primary_denies(ctx)) {
+		kl_promote_claim_unknown(ctx, "primary_denies");
+		return;
+	}
 	if (failed)
 		kl_failover_report_suspicion(&ctx->base);
 	else
@@ -209,7 +220,8 @@
 	kl_name_copy(next.primary, best);
 	memcpy(next.promoter, ctx->base.node->self.vm, KL_NAME_MAX);
 	kl_promote_write_record(ctx, &next, "candidate_chosen",
-				"highest_position");
+				*ctx->base.group->primary ? "highest_position"
+							  : "databases_tell");
 }
 
 static void step_promoting(kl_promote_ctx_t *ctx)
@@ -360,6 +372,7 @@
 	    ctx->base.now - failover->last_record_write_us < RETRY_INTERVAL_US)
 		return;
 	failover->last_record_write_us = ctx->base.now;
+	group->era = kl_sync_era(node);
 	body = kl_group_encode(group);
 	if (!body)
 		return;
--- a/control/promote_choose.c
+++ b/control/promote_choose.c
@@ -133,6 +133,7 @@
 	promotion->last_promote_call_us = 0;
 	promotion->platform_accepted_promotion = false;
 	promotion->candidate_not_running = false;
+	promotion->denied_since_us = 0;
 	promotion->wait_logged = false;
 	if (group->state == KL_GROUP_STABLE)
 		promotion->failed_candidate[0] = '\0';
@@ -263,8 +264,19 @@
 	const kl_upstream_t *upstream;
 	bool best_leaving = false, replies_missing = false;
 	bool planned = is_planned(ctx);
+	const char *leader;
 	uint64_t now = ctx->base.now;
 
+	if (!*primary) {
+		switch (kl_promote_find_leader(ctx, settled_us, &leader)) {
+		case KL_LEADER_FOUND:
+			return leader;
+		case KL_LEADER_UNDECIDED:
+			return NULL;
+		default:
+			break;
+		}
+	}
 	if (ctx->base.service->sync_replicas)
 		return kl_promote_choose_synced(ctx, settled_us, planned);
 	CK_STAILQ_FOREACH(upstream, &ctx->base.service->upstreams, link) {
--- a/control/promote_internal.h
+++ b/control/promote_internal.h
@@ -53,6 +53,8 @@
 	bool suspicion_logged;
 	/** Time since which the primary is not registered, or 0. */
 	uint64_t unregistered_since_us;
+	/** Time since which the primary denies that it leads, or 0. */
+	uint64_t denied_since_us;
 	/** Term that this VM claimed from a stable record, or 0. */
 	uint64_t claimed_from_stable;
 	bool claimed_to_leave; /**< because the primary leaves, though it works
@@ -165,12 +167,42 @@
  */
 bool kl_promote_rewrite(kl_promote_ctx_t *ctx);
 
+/**
+ * Begin a change of primary in which the databases tell which one leads.  Its
+ * term is above any that was used after a record that the store lost.
+ */
+void kl_promote_claim_unknown(kl_promote_ctx_t *ctx, const char *reason);
+
 /** Term of the next change, which no change that the store lost has used. */
 uint64_t kl_promote_next_term(const kl_promote_ctx_t *ctx);
 
 /** Term of a group's first record. */
 uint64_t kl_promote_first_term(const kl_promote_ctx_t *ctx);
 
+/* promote_leader.c */
+
+/** What the databases tell of which one leads. */
+typedef enum kl_leader {
+	KL_LEADER_UNDECIDED, /**< too few have answered */
+	KL_LEADER_FOUND,     /**< one leads in the newest term that is known */
+	KL_LEADER_NONE,	     /**< none that answers does */
+} kl_leader_t;
+
+/**
+ * Find the database that leads, for a record that names none.
+ *
+ * @param settled_us as for kl_promote_choose_candidate()
+ * @param leader receives its name if there is one
+ */
+kl_leader_t kl_promote_find_leader(const kl_promote_ctx_t *ctx,
+				   uint64_t settled_us, const char **leader);
+
+/**
+ * Whether the recorded primary denies that it leads, and this prober is the
+ * next one to act on that.  Queries its status.
+ */
+bool kl_promote_primary_denies(kl_promote_ctx_t *ctx);
+
 /* promote_suspect.c */
 
 /**
--- a/control/store_era.h
+++ b/control/store_era.h
@@ -18,6 +18,12 @@
 /** The sum of the versions of all feeds must fit into 63 bits. */
 #define KL_ERA_MAX ((1ull << 20) - 1)
 
+/**
+ * A store in this era was never restored.  In a later one a process that starts
+ * can't tell how long ago that was.
+ */
+#define KL_FIRST_ERA 1
+
 /** Compose a version. */
 uint64_t kl_store_version(uint64_t era, uint64_t revision);
 
--- a/control/sync_apply.c
+++ b/control/sync_apply.c
@@ -271,6 +271,7 @@
 		copy->feed = object->feed;
 		copy->generation = object->generation;
 		copy->store_is_behind = object->store_is_behind;
+		copy->held_under_lease = object->held_under_lease;
 		copy->changed_after_us = object->changed_after_us;
 		CK_STAILQ_INSERT_TAIL(&objects->list, copy, link);
 		kl_index_put(objects->index, &copy->name);
--- a/control/sync_era.c
+++ b/control/sync_era.c
@@ -18,12 +18,6 @@
 #define ERA_GRACE_US (1 * KL_SEC)
 #define ERA_GRACE_LAPSED_US (3 * KL_SEC)
 
-/*
- * A store in this era was never restored.  In a later one a process that starts
- * can't tell how long ago that was.
- */
-#define FIRST_ERA 1
-
 /*
  * For this long after a drill a mark that the store lacks stands, unless its
  * removal is seen: operators write lost marks again in this time.
@@ -106,12 +100,13 @@
 	if (sync->era)
 		sync->settled_us =
 			now + (lapsed ? ERA_GRACE_LAPSED_US : ERA_GRACE_US);
-	else if (era > FIRST_ERA)
+	else if (era > KL_FIRST_ERA)
 		sync->settled_us = now + ERA_GRACE_US;
 	if (sync->era) {
 		sync->marks_kept_until_us = now + MARK_KEEP_US;
 		sync->keeps_marks = true;
 	}
+	sync->had_lease_at_restore = sync->era && !lapsed;
 	sync->era = era;
 	for (uint32_t i = 0; i < KL_FEED_COUNT; i++)
 		sync->feeds[i].has_withheld = false;
--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -67,6 +67,8 @@
 	uint64_t era; /**< newest of the store that is known; 0: none */
 	/** Lowest revisions seen in that era and in those before it; 0: none */
 	uint64_t first_revisions[KL_STORE_ERAS];
+	/** This VM's lease on the terms was valid when that era began. */
+	bool had_lease_at_restore;
 	uint64_t settled_us; /**< confirmations of the era count from then on */
 	/** Until then a mark that the store lacks may be one that it lost. */
 	uint64_t marks_kept_until_us;
--- a/control/sync_withhold.c
+++ b/control/sync_withhold.c
@@ -16,10 +16,12 @@
 static void withhold_configuration(kl_node_t *node, kl_sync_t *sync,
 				   const kl_objects_t *old,
 				   const kl_feed_update_t *update);
-static void keep_newer_records(kl_node_t *node, const kl_objects_t *old,
+static void keep_newer_records(kl_node_t *node, const kl_sync_t *sync,
+			       const kl_objects_t *old,
 			       const kl_feed_update_t *update);
-static void add_missing_records(const kl_objects_t *old,
+static void add_missing_records(const kl_sync_t *sync, const kl_objects_t *old,
 				const kl_feed_update_t *update);
+static bool is_newest_record(const kl_sync_t *sync, const kl_object_t *held);
 static const kl_object_t *find(const kl_object_list_t *list, const char *name);
 static bool record_is_ahead(const char *body, const char *other_body);
 static void set_body(kl_object_t *object, const char *text);
@@ -77,9 +79,9 @@
 		withhold_configuration(node, sync, old, update);
 	if (update->feed != KL_FEED_TERMS)
 		return;
-	keep_newer_records(node, old, update);
+	keep_newer_records(node, sync, old, update);
 	if (update->full)
-		add_missing_records(old, update);
+		add_missing_records(sync, old, update);
 }
 
 /*
@@ -137,7 +139,8 @@
  * Replaces the records of groups that are behind those held.  They keep the
  * store's version, so that they can be written again conditionally.
  */
-static void keep_newer_records(kl_node_t *node, const kl_objects_t *old,
+static void keep_newer_records(kl_node_t *node, const kl_sync_t *sync,
+			       const kl_objects_t *old,
 			       const kl_feed_update_t *update)
 {
 	kl_object_t *object;
@@ -151,7 +154,10 @@
 		    (!held->store_is_behind &&
 		     kl_version_era(held->version) ==
 			     kl_version_era(object->version)) ||
-		    !record_is_ahead(held->body, object->body))
+		    record_is_ahead(object->body, held->body))
+			continue;
+		object->held_under_lease = is_newest_record(sync, held);
+		if (!record_is_ahead(held->body, object->body))
 			continue;
 		log_object(node, "record_behind", object, update->feed);
 		set_body(object, held->body);
@@ -159,8 +165,27 @@
 	}
 }
 
+/*
+ * Whether no later record than the one held was written before the store was
+ * restored.  A change of primary waits for the acknowledgement or for the lease
+ * of each VM, so none was over while this VM held a stable record under a valid
+ * lease.  Of a change under way this VM may have missed the last steps.
+ */
+static bool is_newest_record(const kl_sync_t *sync, const kl_object_t *held)
+{
+	kl_group_t group = { 0 };
+
+	if (kl_version_era(held->version) == sync->era)
+		return held->held_under_lease;
+	return sync->had_lease_at_restore &&
+	       !kl_group_decode(&group, held->body) &&
+	       group.state == KL_GROUP_STABLE &&
+	       (held->held_under_lease ||
+		kl_group_is_of_era(&group, kl_version_era(held->version)));
+}
+
 /* Adds the records that the store lost; revision 0 lets them be created. */
-static void add_missing_records(const kl_objects_t *old,
+static void add_missing_records(const kl_sync_t *sync, const kl_objects_t *old,
 				const kl_feed_update_t *update)
 {
 	uint64_t era = kl_version_era(update->read_revision);
@@ -178,6 +203,7 @@
 		if (!object)
 			return;
 		object->store_is_behind = true;
+		object->held_under_lease = is_newest_record(sync, held);
 		CK_STAILQ_INSERT_TAIL(update->objects, object, link);
 	}
 }
--- a/control/terms.c
+++ b/control/terms.c
@@ -9,6 +9,7 @@
 #define GROUP_PREFIX "group/"
 
 static uint64_t change_of(const kl_group_t *group);
+static bool may_be_outdated(const kl_group_t *group, const kl_object_t *object);
 
 int kl_terms_create(kl_node_t *node)
 {
@@ -57,12 +58,23 @@
 			group->first_seen_us = kl_node_now(node);
 		}
 		group->store_is_behind = object->store_is_behind;
+		group->may_be_outdated = may_be_outdated(group, object);
 		CK_STAILQ_INSERT_TAIL(&terms->groups, group, link);
 		kl_index_put(terms->index, &group->name);
 	}
 	kl_node_publish(node, KL_SECTION_TERMS, &terms->base);
 }
 
+/*
+ * Whether the record is from before the store was restored, and this VM can't
+ * tell that no later one was lost.
+ */
+static bool may_be_outdated(const kl_group_t *group, const kl_object_t *object)
+{
+	return !kl_group_is_of_era(group, kl_version_era(object->version)) &&
+	       !object->held_under_lease;
+}
+
 /*
  * A store with eras may write a record again under another version.  Each state
  * is recorded once in a term: FENCING, PROMOTING, STABLE.
--- a/daemon/status.c
+++ b/daemon/status.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 
 #include "control/controllers.h"
+#include "control/recorded_primary.h"
 #include "control/store_era.h"
 #include "daemon/counter.h"
 #include "daemon/log.h"
@@ -23,6 +24,7 @@
 static void on_metrics(struct evhttp_request *request, void *arg);
 static void on_status(struct evhttp_request *request, void *arg);
 static void add_feeds(struct evbuffer *body, kl_node_t *node);
+static void add_groups(struct evbuffer *body, kl_node_t *node);
 static void add_sync(struct evbuffer *body, const kl_node_t *node);
 static void add_latencies(struct evbuffer *body);
 static void add_priorities(struct evbuffer *body);
@@ -125,6 +127,7 @@
 	add_latencies(body);
 	add_priorities(body);
 	add_feeds(body, server->node);
+	add_groups(body, server->node);
 	add_sync(body, server->node);
 	kl_status_add_usage(body, server->node);
 	reply(request, "text/plain; version=0.0.4", body);
@@ -148,6 +151,30 @@
 	kl_read_end(node->reader);
 }
 
+/* Groups that are served nothing that needs a primary. */
+static void add_groups(struct evbuffer *body, kl_node_t *node)
+{
+	const kl_config_t *config;
+	const kl_terms_t *terms;
+	const kl_group_t *group;
+	uint64_t count = 0;
+
+	kl_read_begin(node->reader);
+	config = kl_node_get(node, KL_SECTION_CONFIG);
+	terms = kl_node_get(node, KL_SECTION_TERMS);
+	if (terms) {
+		CK_STAILQ_FOREACH(group, &terms->groups, link)
+			count += !kl_primary_recorded(config, group);
+	}
+	kl_read_end(node->reader);
+	evbuffer_add_printf(body,
+			    "# HELP kl_groups_without_primary groups whose "
+			    "record shows no primary that can be relied on\n"
+			    "# TYPE kl_groups_without_primary gauge\n"
+			    "kl_groups_without_primary %" PRIu64 "\n",
+			    count);
+}
+
 /* What the sync controller counts: eras of the store, and what it refused. */
 static void add_sync(struct evbuffer *body, const kl_node_t *node)
 {
--- a/path/engine.c
+++ b/path/engine.c
@@ -154,10 +154,8 @@
 bool kl_engine_primary_proven(const kl_engine_t *engine,
 			      const kl_group_t *group)
 {
-	return group && group->state == KL_GROUP_STABLE &&
-	       kl_lease_valid(engine->view.confirmation, engine->view.terms,
-			      engine->now_us,
-			      engine->settings.data_path.lease_us);
+	return kl_primary_proven(&engine->view, group,
+				 engine->settings.data_path.lease_us);
 }
 
 static void recheck_waiting(kl_engine_t *engine)
--- a/path/path.h
+++ b/path/path.h
@@ -51,6 +51,16 @@
 	char domain[KL_NAME_MAX];
 } kl_path_settings_t;
 
+/**
+ * Whether the recorded primary is proven to be the only one now: the record
+ * shows it (control/recorded_primary.h), and this VM's lease on the records is
+ * valid.
+ *
+ * @param group may be NULL
+ */
+bool kl_primary_proven(const kl_view_t *view, const kl_group_t *group,
+		       uint64_t lease_us);
+
 /** Which statements an upstream may get. */
 typedef enum kl_upstream_use {
 	KL_USE_ANY,
--- a/path/proof.c
+++ b/path/proof.c
@@ -1,4 +1,3 @@
-#include "control/node.h"
 #include "path/path.h"
 
 static kl_proof_state_t lease_holds(const kl_view_t *view,
@@ -28,9 +27,8 @@
 	(void)tally;
 	if (!group || group->term > term)
 		return KL_PROOF_FAILS;
-	if (group->term == term && group->state == KL_GROUP_STABLE &&
-	    kl_lease_valid(view->confirmation, view->terms, view->now_us,
-			   settings->lease_us))
+	if (group->term == term &&
+	    kl_primary_proven(view, group, settings->lease_us))
 		return KL_PROOF_HOLDS;
 	return KL_PROOF_UNDECIDED;
 }
--- a/path/route.c
+++ b/path/route.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "control/group_record.h"
+#include "control/recorded_primary.h"
 #include "path/path.h"
 
 static void route_write(const kl_view_t *view,
@@ -85,7 +86,7 @@
 {
 	const kl_observation_t *observed;
 
-	if (group->state != KL_GROUP_STABLE) {
+	if (!kl_primary_recorded(view->config, group)) {
 		wait_for_upstream(choice, "changing_primary");
 		return;
 	}
--- a/tests/engine_board.c
+++ b/tests/engine_board.c
@@ -210,6 +210,7 @@
 	group->first_seen_us = model->now_us;
 	group->term = model->record_version;
 	group->state = model->fencing ? KL_GROUP_FENCING : KL_GROUP_STABLE;
+	group->may_be_outdated = model->outdated;
 	CK_STAILQ_INSERT_TAIL(&terms->groups, group, link);
 	kl_index_put(terms->index, &group->name);
 }
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -92,7 +92,8 @@
 	/** of MODEL_SERVICE; that of another one is its database with "primary"
 	 */
 	char recorded_primary[KL_NAME_MAX];
-	bool fencing; /**< state of the group's record; else it is stable */
+	bool fencing;  /**< state of the group's record; else it is stable */
+	bool outdated; /**< a later record may be lost */
 	model_mark_t marks[MODEL_ITEMS_MAX];
 	uint32_t mark_count;
 	bool lease_held; /**< confirmations of the group record are published */
--- a/tests/engine_run.c
+++ b/tests/engine_run.c
@@ -296,11 +296,15 @@
 	}
 }
 
-/* primary NAME [fencing]: a new version of the group record names it */
+/*
+ * primary NAME [fencing|outdated]: a new version of the group record names it;
+ * an outdated one is from before a restore of the store
+ */
 static void step_primary(char **args, int count)
 {
 	kl_name_copy(model->recorded_primary, args[0]);
-	model->fencing = count > 1;
+	model->fencing = count > 1 && !strcmp(args[1], "fencing");
+	model->outdated = count > 1 && !strcmp(args[1], "outdated");
 	model->record_version++;
 	model_publish_terms(model);
 	model_confirm(model);
