Count no database as gone whose registration may have lapsed with the store

The replica that received nothing is back first and is promoted a second after the store's return; about 180 of 690 acknowledged commits are lost, with the replica that has them alive, and registered 0.9 s later.

Cause: the choice of a candidate counts the replicas that are registered at that moment.

Change: a VM notes when the store answers again after an outage (control/sync_registry.c). For 2.5 s from then on a database whose registration is missing counts as a silent one, and then only a list that was asked for after that time takes it for gone (control/promote_registry.c). All choices ask this one function: with and without synchronous replicas, and where the databases tell which one leads. A promoter that started in the outage never saw the registrations complete; it waits too, where acknowledged commits are at stake.

Why this works: entries that lapsed are back within about two seconds of the store's return, if the database is alive and reaches it.

On the code before, the scripts promote_synced_lapsed, _lapsed_start, _lapsed_twice and promote_lapsed promote p3; now p2. promote_synced_gone: without an outage 1.7 s, as before.

--- a/control/controllers.h
+++ b/control/controllers.h
@@ -14,6 +14,12 @@
 void kl_sync_request_list(kl_node_t *node, kl_feed_t feed);
 /** Time of the request for the last full list of a feed received, or 0. */
 uint64_t kl_sync_last_list_us(const kl_node_t *node, kl_feed_t feed);
+/**
+ * Since when the databases' registrations are complete, or 0 if they may not
+ * be: some lapse while the store is away, and are back some time after its
+ * return.  A process that starts can't tell whether it was away.
+ */
+uint64_t kl_sync_registry_complete_us(const kl_node_t *node);
 /** Newest era of the store that is known (control/store_era.h); 0: none. */
 uint64_t kl_sync_era(const kl_node_t *node);
 /** Lowest revision of the store that was seen in that era, or 0. */
--- a/control/promote.c
+++ b/control/promote.c
@@ -93,6 +93,7 @@
 		if (promotion->failover.record_version !=
 		    ctx.base.group->version)
 			kl_promotion_reset(promotion, ctx.base.group);
+		kl_promote_note_registry(&ctx);
 		if (!kl_promote_rewrite(&ctx))
 			continue;
 		steps[ctx.base.group->state](&ctx);
--- a/control/promote_choose.c
+++ b/control/promote_choose.c
@@ -23,6 +23,9 @@
 /* How long a planned change waits for a replica with the complete log. */
 #define PLANNED_CATCH_UP_US (5 * KL_SEC)
 
+/* A choice that waits for longer than this is reported. */
+#define LOG_WAIT_US (1 * KL_SEC)
+
 /* The old primary works if it replied to a query that is no older. */
 #define PRIMARY_REPLY_MAX_AGE_US (1 * KL_SEC)
 
@@ -267,6 +270,11 @@
 	const char *leader;
 	uint64_t now = ctx->base.now;
 
+	if (!kl_promote_registry_complete(
+		    ctx, ctx->base.service->sync_replicas || !*primary)) {
+		kl_promote_log_wait(ctx, settled_us, "registrations_missing");
+		return NULL;
+	}
 	if (!*primary) {
 		switch (kl_promote_find_leader(ctx, settled_us, &leader)) {
 		case KL_LEADER_FOUND:
@@ -340,3 +348,20 @@
 {
 	return !kl_promote_has_newer_log(old_primary, reply);
 }
+
+void kl_promote_log_wait(const kl_promote_ctx_t *ctx, uint64_t settled_us,
+			 const char *reason)
+{
+	const kl_node_t *node = ctx->base.node;
+	kl_decision_t decision = { .name = "promotion_waits",
+				   .service = ctx->base.service->name.name,
+				   .reason = reason,
+				   .term = ctx->base.group->term };
+
+	if (ctx->promotion->wait_logged ||
+	    ctx->base.now < settled_us + LOG_WAIT_US)
+		return;
+	ctx->promotion->wait_logged = true;
+	decision.age_us = ctx->base.now - settled_us;
+	node->ops->log_decision(node->ops_context, &decision);
+}
--- a/control/promote_internal.h
+++ b/control/promote_internal.h
@@ -39,6 +39,12 @@
  */
 #define KL_PROMOTE_RANK_DELAY_US (150 * KL_MS)
 
+/** A database that was registered. */
+typedef struct kl_known_upstream {
+	char name[KL_NAME_MAX];
+	bool lapsed; /**< its registration is missing, and may come back */
+} kl_known_upstream_t;
+
 /** State of one service's failover where the platform promotes databases. */
 typedef struct kl_promotion {
 	kl_failover_t failover; /**< first: its name is the index key */
@@ -68,7 +74,8 @@
 	bool platform_accepted_promotion;
 	/** The platform refused it since the candidate is not running. */
 	bool candidate_not_running;
-	bool wait_logged; /**< it was logged that replicas are missing */
+	bool registry_known; /**< the registrations were complete once */
+	bool wait_logged;    /**< it was logged that this change waits */
 	/** Candidate that was not promoted and is not chosen again, or "". */
 	char failed_candidate[KL_NAME_MAX];
 	/**
@@ -81,6 +88,9 @@
 	uint64_t last_hello_sent_us;
 	kl_status_reply_t replies[REPLIES_MAX]; /**< the last of each */
 	uint32_t reply_count;
+	uint32_t known_count; /**< of the array below */
+	/** Databases that are registered, and those that may be again. */
+	kl_known_upstream_t known[REPLIES_MAX];
 } kl_promotion_t;
 
 /** State of the promotion controller. */
@@ -203,6 +213,21 @@
  */
 bool kl_promote_primary_denies(kl_promote_ctx_t *ctx);
 
+/* promote_registry.c */
+
+/** Note which databases are registered. */
+void kl_promote_note_registry(kl_promote_ctx_t *ctx);
+
+/**
+ * Whether every database of the service that may live is registered.  If not,
+ * those that are missing count as silent: nothing may be chosen without them.
+ * It takes no time unless registrations may have lapsed in an outage.
+ *
+ * @param must_be_known also false if this VM never saw them complete, so that
+ *			it may have started in the outage
+ */
+bool kl_promote_registry_complete(kl_promote_ctx_t *ctx, bool must_be_known);
+
 /* promote_suspect.c */
 
 /**
@@ -243,6 +268,10 @@
 			      const kl_status_reply_t *candidate,
 			      uint64_t settled_us, bool planned);
 
+/** Tell once for a record why a change of primary waits, if it waits long. */
+void kl_promote_log_wait(const kl_promote_ctx_t *ctx, uint64_t settled_us,
+			 const char *reason);
+
 /**
  * Choose the database to promote in a service with synchronous replication.
  * Arguments as for kl_promote_choose_candidate() and
--- a/control/promote_synced.c
+++ b/control/promote_synced.c
@@ -13,9 +13,6 @@
 
 #include "control/promote_internal.h"
 
-/* Logs of replicas that are missing for longer than this are reported. */
-#define LOG_WAIT_US (1 * KL_SEC)
-
 static bool is_better(const kl_promote_ctx_t *ctx,
 		      const kl_upstream_t *upstream,
 		      const kl_status_reply_t *reply, const kl_upstream_t *best,
@@ -25,7 +22,6 @@
 static bool has_primarys_log(const kl_promote_ctx_t *ctx,
 			     const kl_status_reply_t *reply,
 			     uint64_t settled_us);
-static void log_wait(const kl_promote_ctx_t *ctx, uint64_t settled_us);
 
 const char *kl_promote_choose_synced(const kl_promote_ctx_t *ctx,
 				     uint64_t settled_us, bool planned)
@@ -56,7 +52,7 @@
 	}
 	if (!best || (replies + service->sync_replicas <= replicas &&
 		      !has_primarys_log(ctx, best_reply, settled_us))) {
-		log_wait(ctx, settled_us);
+		kl_promote_log_wait(ctx, settled_us, "replicas_missing");
 		return NULL;
 	}
 	/* A planned change gains nothing by another one that leaves. */
@@ -99,20 +95,3 @@
 	       primary->query_sent_us >= settled_us &&
 	       !kl_promote_has_newer_log(primary, reply);
 }
-
-/* Tells once for a record that replicas keep a change of primary waiting. */
-static void log_wait(const kl_promote_ctx_t *ctx, uint64_t settled_us)
-{
-	const kl_node_t *node = ctx->base.node;
-	kl_decision_t decision = { .name = "promotion_waits",
-				   .service = ctx->base.service->name.name,
-				   .reason = "replicas_missing",
-				   .term = ctx->base.group->term };
-
-	if (ctx->promotion->wait_logged ||
-	    ctx->base.now < settled_us + LOG_WAIT_US)
-		return;
-	ctx->promotion->wait_logged = true;
-	decision.age_us = ctx->base.now - settled_us;
-	node->ops->log_decision(node->ops_context, &decision);
-}
--- a/control/sync.c
+++ b/control/sync.c
@@ -379,9 +379,11 @@
 		update.revision = complete_revision(feed, answer);
 	if (kl_sync_apply(node, sync, &update))
 		kl_sync_announce(node, sync);
-	/* Confirms only if the copy is at the revision of the answer. */
 	if (answer->feed != KL_FEED_TERMS)
 		return;
+	if (answer->op == KL_PLATFORM_LIST)
+		kl_sync_note_store(node, sync, answer->call_sent_us);
+	/* Confirms only if the copy is at the revision of the answer. */
 	/* The list is newer than its request, and so is what it names. */
 	if (answer->is_full_list)
 		kl_sync_update_registration(node, sync, answer->call_sent_us);
--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -54,6 +54,10 @@
 	bool has_confirmation; /**< confirmed at least once */
 	/** When this VM's record was first seen, or 0 if it has none. */
 	uint64_t registered_us;
+	/** Newest time at which the store is known to have answered, or 0. */
+	uint64_t store_answered_us;
+	/** Registrations that lapsed in its last outage are back by then. */
+	uint64_t registry_complete_us;
 	uint64_t last_hello_us; /**< time of the last hellos */
 	uint64_t fetch_sent_us; /**< send time of the outstanding fetch, or 0 */
 	char fetch_vm[KL_NAME_MAX];   /**< VM that the fetch was sent to */
@@ -199,6 +203,10 @@
 bool kl_sync_is_lost(const kl_sync_t *sync, const kl_object_t *held,
 		     const kl_feed_update_t *update);
 
+/** Note that the store answered a request that was sent at answered_us. */
+void kl_sync_note_store(const kl_node_t *node, kl_sync_t *sync,
+			uint64_t answered_us);
+
 /** Handle a message from another VM. */
 void kl_sync_handle_hello(kl_node_t *node, kl_sync_t *sync,
 			  const kl_peer_message_t *message);
--- a/control/sync_peer.c
+++ b/control/sync_peer.c
@@ -35,6 +35,9 @@
 		kl_revision_times_add(
 			&sync->revision_times, hello->store_revision,
 			hello->echo_us - hello->store_revision_age_us);
+	if (hello->confirmation_age_us < hello->echo_us)
+		kl_sync_note_store(node, sync,
+				   hello->echo_us - hello->confirmation_age_us);
 	if (hello->confirmation_age_us < hello->echo_us &&
 	    hello->feed_revisions[KL_FEED_TERMS] ==
 		    sync->feeds[KL_FEED_TERMS].revision)
