Let a simulated watch wait for events of its own feed, as long as the daemon's

A watch of the simulated platform ended as soon as anything had changed since its revision, also in another feed, and waited for 10 s otherwise. The platform's watches bring events of one kind, and the daemon lets those of the configuration, the marks (2.5 s) and the databases (4 s) end sooner. A fault that depends on which watch waits could not show. The steps "refuse", "silent" and "cut_watches" are new.

--- a/tests/script_look.c
+++ b/tests/script_look.c
@@ -320,3 +320,32 @@
 	(void)count;
 	world_find_vm(script_world, words[0])->peers_cut = words[1][0] == '1';
 }
+
+/* refuse VM 0|1: whether the platform turns its new calls away at once */
+void step_refuse(char **words, int count)
+{
+	(void)count;
+	world_find_vm(script_world, words[0])->refused = words[1][0] == '1';
+}
+
+/* silent VM FEED 0|1: whether its lists and watches of a feed get no answer */
+void step_silent(char **words, int count)
+{
+	vm_t *vm = world_find_vm(script_world, words[0]);
+	(void)count;
+
+	for (uint32_t i = 0; i < KL_FEED_COUNT; i++) {
+		if (strcmp(kl_feed_name(i), words[1]) != 0)
+			continue;
+		vm->silent_feeds &= ~(1u << i);
+		vm->silent_feeds |= (uint32_t)(words[2][0] == '1') << i;
+	}
+}
+
+/* cut_watches: the watches that wait at the platform fail */
+void step_cut_watches(char **words, int count)
+{
+	(void)words;
+	(void)count;
+	script_world->watches_cut_us = script_world->now_us;
+}
--- a/tests/world.h
+++ b/tests/world.h
@@ -31,7 +31,8 @@
 	bool up;	   /**< its process runs */
 	bool frozen;	   /**< neither runs nor receives events */
 	int partition;	   /**< reaches only what has the same number */
-	bool platform_cut; /**< the platform turns it away */
+	bool platform_cut; /**< the platform turns it away, after a while */
+	bool refused;	   /**< the platform turns its new calls away at once */
 	bool peers_cut;	   /**< it sends and receives no peer messages */
 	/** bits of the feeds whose lists and watches get no answer */
 	uint32_t silent_feeds;
@@ -149,9 +150,10 @@
 	GPtrArray *lost_writes; /**< in a drill, that are written again */
 	uint64_t rewrite_at_us; /**< time at which they are, or 0 */
 	bool platform_down;
-	int platform_partition;	    /**< like vm.partition */
-	int put_answers_to_lose;    /**< the next updates lose their answer */
-	int peer_loss_percent;	    /**< peer messages that are lost */
+	uint64_t watches_cut_us; /**< watches that were sent until then fail */
+	int platform_partition;	 /**< like vm.partition */
+	int put_answers_to_lose; /**< the next updates lose their answer */
+	int peer_loss_percent;	 /**< peer messages that are lost */
 	int peer_duplicate_percent; /**< peer messages delivered twice */
 	uint64_t peer_delay_us;	    /**< least delay of a peer message */
 	/** Bound of the random delay added to peer and platform messages. */
--- a/tests/world_fake.c
+++ b/tests/world_fake.c
@@ -5,7 +5,11 @@
 #include "control/store_era.h"
 #include "tests/world_internal.h"
 
+/* A watch that waits looks for changes so often. */
+#define WATCH_POLL_US (50 * KL_MS)
+
 static uint64_t silent_call_us(const kl_platform_call_t *call);
+static uint64_t watch_us(const kl_platform_call_t *call);
 static uint64_t stored_version(const world_t *world, const kl_object_t *object);
 static void list_changed_objects(world_t *world, const kl_platform_call_t *call,
 				 kl_object_list_t *list);
@@ -33,6 +37,14 @@
 		world_schedule(world, event, silent_call_us(call));
 		return;
 	}
+	if ((event->vm->refused &&
+	     world->now_us - call->sent_us < WATCH_POLL_US) ||
+	    (call->op == KL_PLATFORM_WATCH &&
+	     call->sent_us <= world->watches_cut_us)) {
+		answer->error = -KL_E_UNAVAILABLE;
+		world_schedule(world, event, PLATFORM_DELAY_US);
+		return;
+	}
 	if (world->platform_down || event->vm->platform_cut ||
 	    event->vm->partition != world->platform_partition) {
 		answer->error = -KL_E_UNAVAILABLE;
@@ -68,16 +80,18 @@
 		answer->error = -KL_E_STALE_CONFIG;
 	} else {
 		world->platform_reads++;
+		list_changed_objects(world, call, &event->answer_objects);
 		/* A watch without changes is tried again until it times out. */
 		if (call->op == KL_PLATFORM_WATCH &&
-		    call->since_revision >= world->revision &&
-		    world->now_us - call->sent_us < 10 * KL_SEC) {
+		    CK_STAILQ_EMPTY(&event->answer_objects) &&
+		    (world->platform_promotes ||
+		     call->since_revision >= world->revision) &&
+		    world->now_us - call->sent_us < watch_us(call)) {
 			event->kind = WORLD_EVENT_PLATFORM_CALL;
 			world->platform_reads--;
-			world_schedule(world, event, 50 * KL_MS);
+			world_schedule(world, event, WATCH_POLL_US);
 			return;
 		}
-		list_changed_objects(world, call, &event->answer_objects);
 		answer->is_full_list = world->platform_promotes &&
 				       call->op == KL_PLATFORM_LIST;
 	}
@@ -103,6 +117,19 @@
 	return object->version;
 }
 
+/* Longest wait of a watch without changes, as in the daemon. */
+static uint64_t watch_us(const kl_platform_call_t *call)
+{
+	static const uint64_t short_watches_us[KL_FEED_COUNT] = {
+		[KL_FEED_CONFIG] = 2500 * KL_MS,
+		[KL_FEED_UPSTREAMS] = 4 * KL_SEC,
+		[KL_FEED_MARKS] = 2500 * KL_MS,
+	};
+
+	return short_watches_us[call->feed] ? short_watches_us[call->feed]
+					    : 10 * KL_SEC;
+}
+
 /*
  * Time after which a call without an answer ends, as in the daemon: the watches
  * of urgent feeds are short.
