Know for each feed how long ago it was current, on watchers and others

Machines that it serves run requests with a dropped key 3 to 5 s after the acknowledgement.

Cause: a VM that is no watcher asks the store only when its confirmation is overdue, which is of the terms. A watch that was cut off counts as refused until a list of any feed succeeds; the list that clears this is the one that renews the confirmation, so that no watch follows. Evidence: in the simulated fleet each VM's calls are at 2.5 s, when the flag is set, and at 5 s, when it has just been cleared.

Change: a VM keeps a time for each of the feeds of the configuration, the databases and the marks at which its copy was known to be current (control/sync_current.c). A failed call takes back what a watch seemed to prove, and the feed is listed before a watch counts again. The age in a hello is the oldest of the confirmation and these feeds.

Why this works: nothing that is known of one feed stands for another one, and no wait depends on the success of a call for another purpose.

Scripts feed_refused and feed_untold: before, none of six VMs has the change 2.6 s (with silent watches 4 s) after it; now all have. All other scripts have the same output before and after.

--- a/control/controllers.h
+++ b/control/controllers.h
@@ -20,6 +20,10 @@
  * return.  A process that starts can't tell whether it was away.
  */
 uint64_t kl_sync_registry_complete_us(const kl_node_t *node);
+/** Whether changes of a feed must be known within a bounded time. */
+bool kl_feed_is_urgent(kl_feed_t feed);
+/** Time since a feed was last known to be current, microseconds. */
+uint64_t kl_sync_feed_age_us(const kl_node_t *node, kl_feed_t feed);
 /** Newest era of the store that is known (control/store_era.h); 0: none. */
 uint64_t kl_sync_era(const kl_node_t *node);
 /** Lowest revision of the store that was seen in that era, or 0. */
--- a/control/sync.c
+++ b/control/sync.c
@@ -21,16 +21,9 @@
 #define LIST_TIMEOUT_US (1 * KL_SEC)
 #define WATCH_TIMEOUT_US (20 * KL_SEC)	    /* with a single feed */
 #define FEED_WATCH_TIMEOUT_US (12 * KL_SEC) /* with several feeds */
-/* Time from the process start to the first watch. */
-#define WATCH_START_DELAY_US (700 * KL_MS)
 /* Minimum time between watches, so that one answer brings many changes. */
 #define WATCH_INTERVAL_US (100 * KL_MS)
 #define LIST_RETRY_US (300 * KL_MS) /* after a failed list */
-/*
- * A watch that fails later than this got no answer, as on a connection that was
- * lost without a reset; one that fails sooner was refused.
- */
-#define WATCH_REFUSED_US (2 * KL_SEC)
 /* For this long after its start an unconfirmed VM lists without delay. */
 #define STARTUP_US (300 * KL_MS)
 #define STARTUP_LIST_US (200 * KL_MS) /* interval of these lists */
@@ -45,8 +38,9 @@
 			 const kl_platform_answer_t *answer);
 static bool confirmation_overdue(const kl_node_t *node, const kl_sync_t *sync,
 				 uint64_t now);
-static void delay_watch(const kl_node_t *node, kl_feed_state_t *feed,
-			const kl_platform_answer_t *answer);
+static bool may_call(const kl_feed_state_t *feed, bool overdue, uint64_t now);
+static void note_failed_call(const kl_node_t *node, kl_sync_t *sync,
+			     const kl_platform_answer_t *answer);
 static uint64_t complete_revision(const kl_feed_state_t *feed,
 				  const kl_platform_answer_t *answer);
 static void update_watch_era(const kl_node_t *node, kl_sync_t *sync,
@@ -55,8 +49,8 @@
 			uint64_t now);
 static uint64_t list_interval(const kl_node_t *node, const kl_sync_t *sync,
 			      kl_feed_t feed);
-static void expire_calls(const kl_node_t *node, kl_feed_state_t *feed,
-			 uint64_t now);
+static void expire_calls(const kl_node_t *node, kl_sync_t *sync,
+			 kl_feed_t feed_id, uint64_t now);
 
 int kl_sync_create(kl_node_t *node)
 {
@@ -142,7 +136,7 @@
 	kl_feed_state_t *feed = &sync->feeds[KL_FEED_TERMS];
 	bool watcher = !members || members->is_watcher;
 
-	expire_calls(node, feed, now);
+	expire_calls(node, sync, KL_FEED_TERMS, now);
 	if ((watcher || confirmation_overdue(node, sync, now)) &&
 	    !feed->list_sent_us && now >= feed->next_list_us) {
 		feed->list_sent_us = now;
@@ -168,17 +162,21 @@
 {
 	const kl_members_t *members = kl_node_get(node, KL_SECTION_MEMBERS);
 	bool watcher = !members || members->is_watcher;
+	bool overdue = confirmation_overdue(node, sync, now);
 
 	kl_sync_list_overdue(node, sync);
 	for (uint32_t i = 0; i < KL_FEED_COUNT; i++) {
 		kl_feed_state_t *feed = &sync->feeds[i];
-		bool due = feed->needs_list || i == KL_FEED_TERMS;
+		bool unproven = kl_feed_is_unproven(sync, i);
+		bool due = feed->needs_list || unproven || i == KL_FEED_TERMS;
 
-		expire_calls(node, feed, now);
-		if (!watcher && !confirmation_overdue(node, sync, now) &&
-		    !feed->needs_list)
+		expire_calls(node, sync, i, now);
+		kl_feed_watch_waits(feed, now);
+		if (!watcher && !overdue && !feed->needs_list &&
+		    !kl_feed_is_overdue(sync, i, now))
 			continue;
-		if (due && !feed->list_sent_us && now >= feed->next_list_us) {
+		if (due && !feed->list_sent_us && now >= feed->next_list_us &&
+		    (i == KL_FEED_TERMS || may_call(feed, overdue, now))) {
 			feed->list_sent_us = now;
 			feed->next_list_us = now + list_interval(node, sync, i);
 			if (!watcher && !is_starting(node, sync, now))
@@ -188,16 +186,27 @@
 		}
 		update_watch_era(node, sync, i, now);
 		/* Which VMs are watchers is known once all have registered. */
-		if (now - node->started_us >= WATCH_START_DELAY_US &&
-		    feed->loaded && !feed->needs_list && !feed->watch_sent_us &&
-		    !feed->watch_refused && now >= feed->next_watch_us) {
-			feed->watch_sent_us = now;
+		if (now - node->started_us >= KL_WATCH_START_DELAY_US &&
+		    feed->loaded && !feed->needs_list && !unproven &&
+		    !feed->watch_sent_us && may_call(feed, overdue, now) &&
+		    now >= feed->next_watch_us) {
+			kl_feed_watch_sent(feed, now);
 			feed->next_watch_us = now + WATCH_INTERVAL_US;
 			send_call(node, feed, KL_PLATFORM_WATCH, i, now);
 		}
 	}
 }
 
+/*
+ * A call that was refused is tried again soon while other VMs are confirmed,
+ * since the store then serves somebody.  If none is, the list of the terms goes
+ * on, and shows that the store is back.
+ */
+static bool may_call(const kl_feed_state_t *feed, bool overdue, uint64_t now)
+{
+	return !feed->refused || (!overdue && now >= feed->retry_us);
+}
+
 /*
  * A watch can't start at a version of an older era.  If another VM brought the
  * feed of the new era, this VM has every change up to its revision.
@@ -233,17 +242,21 @@
 				      : STARTUP_LIST_US;
 }
 
-static void expire_calls(const kl_node_t *node, kl_feed_state_t *feed,
-			 uint64_t now)
+static void expire_calls(const kl_node_t *node, kl_sync_t *sync,
+			 kl_feed_t feed_id, uint64_t now)
 {
+	kl_feed_state_t *feed = &sync->feeds[feed_id];
 	uint64_t watch_timeout_us = node->tuning.feed_count > 1
 					    ? FEED_WATCH_TIMEOUT_US
 					    : WATCH_TIMEOUT_US;
 
 	if (feed->list_sent_us && now - feed->list_sent_us > LIST_TIMEOUT_US)
 		feed->list_sent_us = 0;
-	if (feed->watch_sent_us && now - feed->watch_sent_us > watch_timeout_us)
+	if (feed->watch_sent_us &&
+	    now - feed->watch_sent_us > watch_timeout_us) {
+		kl_feed_call_failed(sync, feed_id, now, feed->watch_sent_us);
 		feed->watch_sent_us = 0;
+	}
 }
 
 static bool confirmation_overdue(const kl_node_t *node, const kl_sync_t *sync,
@@ -281,7 +294,7 @@
 	kl_feed_state_t *state = &sync->feeds[feed];
 
 	state->needs_list = true;
-	state->watch_refused = false;
+	state->refused = false;
 	state->list_sent_us = 0;
 	state->watch_sent_us = 0;
 	state->next_list_us = now;
@@ -341,15 +354,15 @@
 				    .sent_us = answer->call_sent_us };
 	bool is_watch = answer->op == KL_PLATFORM_WATCH &&
 			answer->call_sent_us == feed->watch_sent_us;
+	bool is_list = answer->op == KL_PLATFORM_LIST &&
+		       answer->call_sent_us == feed->list_sent_us;
 
-	if (answer->op == KL_PLATFORM_LIST &&
-	    answer->call_sent_us == feed->list_sent_us)
+	if (is_list)
 		feed->list_sent_us = 0;
-	if (is_watch) {
+	if (is_watch)
 		feed->watch_sent_us = 0;
-		if (answer->error)
-			delay_watch(node, feed, answer);
-	}
+	if ((is_list || is_watch) && answer->error)
+		note_failed_call(node, sync, answer);
 	if (!kl_sync_accept_answer(node, sync, answer))
 		return;
 	/* A watch that was given up when the era rose lacks changes. */
@@ -365,11 +378,12 @@
 		return;
 	if (answer->op == KL_PLATFORM_LIST) {
 		for (uint32_t i = 0; i < KL_FEED_COUNT; i++)
-			sync->feeds[i].watch_refused = false;
+			sync->feeds[i].refused = false;
 		feed->needs_list = false;
 		if (answer->is_full_list)
 			feed->last_list_us = answer->call_sent_us;
 	}
+	kl_feed_answered(feed, answer->call_sent_us);
 	kl_revision_times_add(&sync->revision_times, answer->revision,
 			      answer->call_sent_us);
 	if (answer->revision > feed->watch_revision)
@@ -379,11 +393,11 @@
 		update.revision = complete_revision(feed, answer);
 	if (kl_sync_apply(node, sync, &update))
 		kl_sync_announce(node, sync);
+	/* Confirms only if the copy is at the revision of the answer. */
 	if (answer->feed != KL_FEED_TERMS)
 		return;
 	if (answer->op == KL_PLATFORM_LIST)
 		kl_sync_note_store(node, sync, answer->call_sent_us);
-	/* Confirms only if the copy is at the revision of the answer. */
 	/* The list is newer than its request, and so is what it names. */
 	if (answer->is_full_list)
 		kl_sync_update_registration(node, sync, answer->call_sent_us);
@@ -411,22 +425,26 @@
 }
 
 /*
- * After a failed watch.  With several feeds a watch without an answer is
- * repeated at once, or changes would be missed for longer than its duration.
- * One that was refused waits for the next successful list, since lists go on
- * while the platform is down.  A single feed waits for LIST_TIMEOUT_US.
+ * After a failed watch, or a failed list of an urgent feed.  With several feeds
+ * one without an answer is followed by a list at once, or changes would be
+ * missed for longer than its duration.  One that was refused waits as
+ * may_call() says, or for the next successful list of any feed.  A single feed
+ * waits for LIST_TIMEOUT_US.
  */
-static void delay_watch(const kl_node_t *node, kl_feed_state_t *feed,
-			const kl_platform_answer_t *answer)
+static void note_failed_call(const kl_node_t *node, kl_sync_t *sync,
+			     const kl_platform_answer_t *answer)
 {
+	bool is_watch = answer->op == KL_PLATFORM_WATCH;
 	uint64_t now = kl_node_now(node);
 
-	if (node->tuning.feed_count > 1)
-		feed->watch_refused =
-			answer->error == -KL_E_UNAVAILABLE &&
-			now - answer->call_sent_us < WATCH_REFUSED_US;
-	else
-		feed->watch_sent_us = now - WATCH_TIMEOUT_US + LIST_TIMEOUT_US;
+	if (node->tuning.feed_count == 1 && is_watch)
+		sync->feeds[answer->feed].watch_sent_us =
+			now - WATCH_TIMEOUT_US + LIST_TIMEOUT_US;
+	else if (node->tuning.feed_count > 1 &&
+		 answer->error == -KL_E_UNAVAILABLE &&
+		 (is_watch || kl_feed_is_urgent(answer->feed)))
+		kl_feed_call_failed(sync, answer->feed, now,
+				    answer->call_sent_us);
 }
 
 /*
--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -8,6 +8,9 @@
 #include "control/node.h"
 #include "control/revision_time.h"
 
+/** Time from the process start to the first watch. */
+#define KL_WATCH_START_DELAY_US (700 * KL_MS)
+
 #define KL_KNOWN_RANGES 16 /**< ranges of revisions kept for a feed */
 
 /** Revisions of a feed, the first and the last one included. */
@@ -40,7 +43,19 @@
 	/** Fetches of this revision are too large; 0: none. */
 	uint64_t refused_revision;
 	uint32_t skipped_last; /**< entries skipped in the last answer */
-	bool watch_refused;    /**< no watch until a list was successful */
+	/** The last call failed soon: none before retry_us, or before a list of
+	 * any feed was successful. */
+	bool refused;
+	uint32_t refused_count; /**< calls refused in a row */
+	uint64_t retry_us;	/**< time from which a call is tried again */
+	bool proven; /**< the last call was answered, so a watch proves more */
+	/** Newest time at which the copy is known to have been current, or 0.
+	 */
+	uint64_t current_us;
+	/** The same without the outstanding watch, which may prove nothing. */
+	uint64_t current_before_us;
+	/** VM that told of current_us, or "". */
+	char current_from[KL_NAME_MAX];
 	/** Objects of the store's era were withheld as older than those held.
 	 */
 	bool has_withheld;
@@ -217,6 +232,43 @@
 void kl_sync_handle_delta(kl_node_t *node, kl_sync_t *sync,
 			  const kl_peer_message_t *message);
 
+/* sync_current.c */
+
+/** Note that a watch is being sent. */
+void kl_feed_watch_sent(kl_feed_state_t *feed, uint64_t now);
+
+/** Note that the outstanding watch, if there is one, still waits. */
+void kl_feed_watch_waits(kl_feed_state_t *feed, uint64_t now);
+
+/** Note that a list or watch that was sent at sent_us got no answer. */
+void kl_feed_call_failed(kl_sync_t *sync, kl_feed_t feed, uint64_t now,
+			 uint64_t sent_us);
+
+/** Note that a list or watch that was sent at sent_us was answered. */
+void kl_feed_answered(kl_feed_state_t *feed, uint64_t sent_us);
+
+/**
+ * Whether a feed must be listed before it is watched: the last call for it
+ * failed, and a watch that is repeated proves nothing before it ends.
+ */
+bool kl_feed_is_unproven(const kl_sync_t *sync, kl_feed_t feed);
+
+/**
+ * Whether it is too long ago that the copy of an urgent feed was known to be
+ * current.
+ */
+bool kl_feed_is_overdue(const kl_sync_t *sync, kl_feed_t feed, uint64_t now);
+
+/**
+ * Time at which this VM's confirmation and all its urgent feeds were current;
+ * 0: not known.
+ */
+uint64_t kl_sync_current_us(const kl_node_t *node, const kl_sync_t *sync);
+
+/** Note what another VM tells of the time at which it was current. */
+void kl_sync_note_current(kl_sync_t *sync, const kl_peer_message_t *hello,
+			  uint64_t current_us);
+
 /** Note which feeds another VM has newer. */
 void kl_sync_note_newer(const kl_node_t *node, kl_sync_t *sync,
 			const kl_peer_message_t *hello);
--- a/control/sync_peer.c
+++ b/control/sync_peer.c
@@ -14,7 +14,7 @@
 			  const kl_peer_message_t *message)
 {
 	const kl_peer_hello_t *hello = &message->hello;
-	uint64_t now = kl_node_now(node);
+	uint64_t now = kl_node_now(node), current_us;
 	bool accepted = kl_sync_accept_message(node, sync, message);
 
 	if (hello->wants_answer)
@@ -35,14 +35,14 @@
 		kl_revision_times_add(
 			&sync->revision_times, hello->store_revision,
 			hello->echo_us - hello->store_revision_age_us);
-	if (hello->confirmation_age_us < hello->echo_us)
-		kl_sync_note_store(node, sync,
-				   hello->echo_us - hello->confirmation_age_us);
-	if (hello->confirmation_age_us < hello->echo_us &&
-	    hello->feed_revisions[KL_FEED_TERMS] ==
-		    sync->feeds[KL_FEED_TERMS].revision)
-		kl_sync_confirm(node, sync,
-				hello->echo_us - hello->confirmation_age_us);
+	if (hello->confirmation_age_us >= hello->echo_us)
+		return;
+	current_us = hello->echo_us - hello->confirmation_age_us;
+	kl_sync_note_store(node, sync, current_us);
+	kl_sync_note_current(sync, message, current_us);
+	if (hello->feed_revisions[KL_FEED_TERMS] ==
+	    sync->feeds[KL_FEED_TERMS].revision)
+		kl_sync_confirm(node, sync, current_us);
 }
 
 void kl_sync_send_hello(kl_node_t *node, const kl_member_t *member)
@@ -72,9 +72,9 @@
 	hello->echo_us = echo_us;
 	for (int i = 0; i < KL_FEED_COUNT; i++)
 		hello->feed_revisions[i] = sync->feeds[i].revision;
-	hello->confirmation_age_us = sync->has_confirmation
-					     ? now - sync->confirmed_us
-					     : KL_AGE_UNCONFIRMED;
+	hello->confirmation_age_us =
+		sync->has_confirmation ? now - kl_sync_current_us(node, sync)
+				       : KL_AGE_UNCONFIRMED;
 	memcpy(message.first_revisions, sync->first_revisions,
 	       sizeof(message.first_revisions));
 	if (sample) {
--- a/daemon/status.c
+++ b/daemon/status.c
@@ -149,6 +149,18 @@
 			kl_feed_name(feed),
 			kl_version_revision(objects->feed_revisions[feed]));
 	kl_read_end(node->reader);
+	evbuffer_add_printf(body,
+			    "# HELP kl_feed_age_ms time since the copy of a "
+			    "feed was last known to be current\n"
+			    "# TYPE kl_feed_age_ms gauge\n");
+	for (kl_feed_t feed = 0; feed < KL_FEED_COUNT; feed++)
+		if (kl_feed_is_urgent(feed))
+			evbuffer_add_printf(
+				body,
+				"kl_feed_age_ms{feed=\"%s\"} %" PRIu64 "\n",
+				kl_feed_name(feed),
+				(uint64_t)(kl_sync_feed_age_us(node, feed) /
+					   KL_MS));
 }
 
 /* Groups that are served nothing that needs a primary. */
