Raise an unknown term for each era that the record has missed

A term is raised by 1,000 after one restore of the store and is lost in the next one, while all VMs start again; the copy has a record of two eras before.

Cause: the term of a record that names no primary was raised by 1,000 once, whatever the number of eras between.

Change: by 1,000 for each of them. Each era uses less than that.

Measured: the kept schedule "a term of two eras before is used again" fails before and holds after. drill_forgotten_twice ends in term 2001 in place of 1001. A script of its own was tried and did not show it, as the copy has to fall into the second between the restore and the claim.

--- a/control/promote_rewrite.c
+++ b/control/promote_rewrite.c
@@ -61,12 +61,18 @@
 		kl_promote_claim_unknown(ctx, "store_restored");
 }
 
-/* The record says nothing of the terms that were used after it. */
+/*
+ * The record says nothing of the terms that were used after it, in its own era
+ * and in those that followed.
+ */
 void kl_promote_claim_unknown(kl_promote_ctx_t *ctx, const char *reason)
 {
 	kl_group_t next = *ctx->base.group;
+	uint64_t era = kl_sync_era(ctx->base.node);
+	uint64_t written_era = next.era ? next.era : KL_FIRST_ERA;
+	uint64_t eras = era > written_era ? era - written_era : 1;
 
-	next.term += LOST_TERMS_MAX;
+	next.term += eras * LOST_TERMS_MAX;
 	next.state = KL_GROUP_FENCING;
 	next.primary[0] = '\0';
 	memcpy(next.promoter, ctx->base.node->self.vm, KL_NAME_MAX);
