Wait for the lease of a VM whose registration a restored store lost

The copy is from before the VMs registered; one of them is cut off with a lease of the time before, and the primary fails.

Cause: a promoter waits for the VMs that are registered, or were. A registration that is missing from the list was forgotten at once, and a promoter that started after the restore never knew it.

Change: a registration that ends with its record counts like one that is marked gone: its VM is waited for until its lease has ended. A process that started after a restore waits for so long in any case, unless no record names the primary: then the databases tell, and such a VM uses the one that they name.

--- a/control/controllers.h
+++ b/control/controllers.h
@@ -26,6 +26,8 @@
 uint64_t kl_sync_feed_age_us(const kl_node_t *node, kl_feed_t feed);
 /** Newest era of the store that is known (control/store_era.h); 0: none. */
 uint64_t kl_sync_era(const kl_node_t *node);
+/** Whether the store had been restored when this process started. */
+bool kl_sync_started_restored(const kl_node_t *node);
 /** Lowest revision of the store that was seen in that era, or 0. */
 uint64_t kl_sync_first_revision(const kl_node_t *node);
 /** Number of answers and messages of older eras. */
--- a/control/member.c
+++ b/control/member.c
@@ -197,9 +197,14 @@
 	int port;
 
 	vm->record_removed = !strcmp(object->body, "null");
+	vm->member.last_message_us = 0;
+	/* A restored store lost it; the VM may still use its lease. */
+	if (vm->record_removed && vm->member.registered) {
+		vm->member.unregistered_since_us = now;
+		vm->member.last_message_us = now;
+	}
 	vm->member.registered = false;
 	vm->member.leaving = false;
-	vm->member.last_message_us = 0;
 	vm->registered_host[0] = '\0';
 	if (!json_unpack(json, "{s:s,s:s,s:i,s:s}", "domain", &domain, "host",
 			 &host, "port", &port, "state", &state) &&
--- a/control/member_check.c
+++ b/control/member_check.c
@@ -131,8 +131,9 @@
 	if (rank < 0)
 		return;
 	if (vm->member.unregistered_since_us) {
-		if (now - vm->member.unregistered_since_us >
-		    GONE_RECORD_KEPT_US + delay_us)
+		if (!vm->record_removed &&
+		    now - vm->member.unregistered_since_us >
+			    GONE_RECORD_KEPT_US + delay_us)
 			kl_member_put_record(node, vm, NULL);
 	} else if (silent_us > UNREGISTER_AFTER_US + delay_us && may_mark &&
 		   leaves_hellos_unanswered(vm) &&
--- a/control/promote_choose.c
+++ b/control/promote_choose.c
@@ -29,6 +29,7 @@
 /* The old primary works if it replied to a query that is no older. */
 #define PRIMARY_REPLY_MAX_AGE_US (1 * KL_SEC)
 
+static bool may_lack_members(const kl_promote_ctx_t *ctx);
 static bool has_acked(const kl_promote_ctx_t *ctx, const kl_member_t *member);
 static bool old_primary_works(const kl_promote_ctx_t *ctx);
 static bool is_planned(const kl_promote_ctx_t *ctx);
@@ -87,6 +88,8 @@
 	if (ctx->base.now - group->first_seen_us >=
 	    kl_fencing_delay_us(&node->tuning))
 		return true;
+	if (may_lack_members(ctx))
+		return false;
 	/*
 	 * Members and records come in the same feed, so every VM that
 	 * registered before the record was written is in this list.
@@ -108,6 +111,20 @@
 	return done;
 }
 
+/*
+ * Whether a VM that holds a lease may be unknown here: the store lost its
+ * registration, and this process started only then.  If no record names the
+ * primary, the databases tell of one that such a VM uses, too.
+ */
+static bool may_lack_members(const kl_promote_ctx_t *ctx)
+{
+	const kl_node_t *node = ctx->base.node;
+
+	return kl_sync_started_restored(node) && *ctx->base.group->primary &&
+	       ctx->base.now - node->started_us <
+		       kl_fencing_delay_us(&node->tuning);
+}
+
 /* Whether a VM is known to hold the current record. */
 static bool has_acked(const kl_promote_ctx_t *ctx, const kl_member_t *member)
 {
--- a/control/sync.c
+++ b/control/sync.c
@@ -311,6 +311,13 @@
 	return sync->era;
 }
 
+bool kl_sync_started_restored(const kl_node_t *node)
+{
+	const kl_sync_t *sync = node->state[KL_CONTROLLER_SYNC];
+
+	return sync->first_era > KL_FIRST_ERA;
+}
+
 uint64_t kl_sync_first_revision(const kl_node_t *node)
 {
 	const kl_sync_t *sync = node->state[KL_CONTROLLER_SYNC];
--- a/control/sync_era.c
+++ b/control/sync_era.c
@@ -106,6 +106,8 @@
 		sync->marks_kept_until_us = now + MARK_KEEP_US;
 		sync->keeps_marks = true;
 	}
+	if (!sync->era)
+		sync->first_era = era;
 	sync->had_lease_at_restore = sync->era && !lapsed;
 	sync->era = era;
 	for (uint32_t i = 0; i < KL_FEED_COUNT; i++)
--- a/control/sync_internal.h
+++ b/control/sync_internal.h
@@ -86,6 +86,7 @@
 	uint64_t era; /**< newest of the store that is known; 0: none */
 	/** Lowest revisions seen in that era and in those before it; 0: none */
 	uint64_t first_revisions[KL_STORE_ERAS];
+	uint64_t first_era; /**< that this process knew */
 	/** This VM's lease on the terms was valid when that era began. */
 	bool had_lease_at_restore;
 	uint64_t settled_us; /**< confirmations of the era count from then on */
