Count a former primary as a replica once another one has followed it

Cause: every database that is registered as primary was left out of the replicas, so that R was 1 in place of 2, and one log was enough.

Change: one is left out, the one that the record names, or that leads in the newest term.

Measured: script promote_synced_two_primaries: before p2, which has received nothing, after p1. The kept schedule fails before and holds after. The outputs of all other scripts are the same.

--- a/control/promote_synced.c
+++ b/control/promote_synced.c
@@ -13,6 +13,7 @@
 
 #include "control/promote_internal.h"
 
+static const kl_upstream_t *find_old_primary(const kl_promote_ctx_t *ctx);
 static bool is_better(const kl_promote_ctx_t *ctx,
 		      const kl_upstream_t *upstream,
 		      const kl_status_reply_t *reply, const kl_upstream_t *best,
@@ -29,17 +30,14 @@
 	const kl_service_t *service = ctx->base.service;
 	const kl_upstream_t *upstream, *best = NULL;
 	const kl_status_reply_t *best_reply = NULL;
+	const kl_upstream_t *old_primary = find_old_primary(ctx);
 	uint32_t replicas = 0, replies = 0;
 
 	CK_STAILQ_FOREACH(upstream, &service->upstreams, link) {
 		const kl_status_reply_t *reply = kl_promotion_find_reply(
 			ctx->promotion, upstream->name.name);
 
-		/*
-		 * The record may name a candidate that was never promoted, so
-		 * the old primary is known by its registration.
-		 */
-		if (upstream->registered_primary)
+		if (upstream == old_primary)
 			continue;
 		replicas++;
 		if (!reply || reply->query_sent_us < settled_us)
@@ -62,6 +60,34 @@
 	return best->name.name;
 }
 
+/*
+ * The record may name a candidate that was never promoted, so the old primary
+ * is known by its registration.  One before it may be registered so, too, until
+ * it learns of its successor; it counts as a replica.
+ */
+static const kl_upstream_t *find_old_primary(const kl_promote_ctx_t *ctx)
+{
+	const kl_upstream_t *upstream, *newest = NULL;
+	uint64_t newest_term = 0;
+
+	CK_STAILQ_FOREACH(upstream, &ctx->base.service->upstreams, link) {
+		const kl_status_reply_t *reply = kl_promotion_find_reply(
+			ctx->promotion, upstream->name.name);
+		/* One that is silent may be in the newest term. */
+		uint64_t term = reply ? reply->term : UINT64_MAX;
+
+		if (!upstream->registered_primary)
+			continue;
+		if (!strcmp(upstream->name.name, ctx->base.group->primary))
+			return upstream;
+		if (!newest || term > newest_term) {
+			newest = upstream;
+			newest_term = term;
+		}
+	}
+	return newest;
+}
+
 /* The newest log comes first, whatever else speaks against its database. */
 static bool is_better(const kl_promote_ctx_t *ctx,
 		      const kl_upstream_t *upstream,
