--- a/tests/world.h
+++ b/tests/world.h
@@ -220,6 +220,9 @@
 void world_register_vm(vm_t *vm, const char *state);
 /** Let the platform promote databases; call it before adding VMs. */
 void world_use_platform_promotion(world_t *world);
+/** Write the object in which a database registers itself. */
+void world_register_database(world_t *world, const db_t *db);
+
 /** Write the objects in which a service's databases register themselves. */
 void world_register_databases(world_t *world, const char *service);
 
@@ -237,6 +240,9 @@
 /** Advance the clock by a duration, microseconds. */
 void world_run(world_t *world, uint64_t duration_us);
 
+/** @return the primary of the highest term of a service, or NULL */
+db_t *world_current_primary(world_t *world, const char *service);
+
 /** @return the VM, or NULL */
 vm_t *world_find_vm(world_t *world, const char *name);
 /** @return the database, or NULL */
@@ -246,6 +252,8 @@
 /** A service's group as the platform stores it; all zero if it has none. */
 kl_group_t world_group_record(world_t *world, const char *service);
 
+/** The primary that a VM relies on. @return its name, or NULL: none */
+const char *world_proven_primary(vm_t *vm, const char *service);
 /** Whether a VM may send statements to an upstream that it knows. */
 bool world_may_use(vm_t *vm, const char *service, const char *upstream);
 /** Admit up to count statements of a workspace now. @return how many */
--- a/tests/world_caller.c
+++ b/tests/world_caller.c
@@ -96,6 +96,18 @@
 	return admitted;
 }
 
+const char *world_proven_primary(vm_t *vm, const char *service)
+{
+	const kl_group_t *group = world_vm_group(vm, service);
+	kl_view_t view;
+
+	world_load_view(vm, &view);
+	return kl_primary_proven(&view, group,
+				 vm->world->data_path_settings.lease_us)
+		       ? group->primary
+		       : NULL;
+}
+
 int world_begin_write(vm_t *vm, const char *service, const char *id,
 		      pending_write_t *pending)
 {
--- a/tests/world_internal.h
+++ b/tests/world_internal.h
@@ -54,9 +54,6 @@
 /** Let replicas follow their primary and apply writes older than their lag. */
 void world_replicate(world_t *world);
 
-/** @return the primary of the highest term of a service, or NULL */
-db_t *world_current_primary(world_t *world, const char *service);
-
 /** @return feed that an object belongs to */
 kl_feed_t world_feed_of_object(const world_t *world, const char *name);
 
@@ -70,9 +67,6 @@
 int world_promote_database(world_t *world, const vm_t *vm, const char *name,
 			   uint64_t token);
 
-/** Write the object in which a database registers itself. */
-void world_register_database(world_t *world, const db_t *db);
-
 /** Let a primary that is recorded without a promotion use the new term. */
 void world_adopt_record_term(world_t *world, const char *service);
 
