--- a/control/peer_message.h
+++ b/control/peer_message.h
@@ -41,7 +41,9 @@
 
 /**
  * The revisions that a VM holds, and the age of their confirmation.  A receiver
- * that holds the same revision of the terms takes the confirmation over.
+ * that holds the same revision of the terms takes the confirmation over; one
+ * that holds the revision of an urgent feed, or a newer one, knows its copy to
+ * be as current.
  */
 typedef struct kl_peer_hello {
 	uint64_t incarnation; /**< of the sender */
@@ -54,7 +56,11 @@
 	uint64_t echo_us;  /**< sent_us of the hello answered, or 0 */
 	/** Versions held by the sender (control/store_era.h). */
 	uint64_t feed_revisions[KL_FEED_COUNT];
-	uint64_t confirmation_age_us; /**< or KL_AGE_UNCONFIRMED */
+	/**
+	 * Of the confirmation or of the oldest urgent feed (sync_current.c), or
+	 * KL_AGE_UNCONFIRMED.
+	 */
+	uint64_t confirmation_age_us;
 	/** The platform's store was at most at this version; 0: not known. */
 	uint64_t store_revision;
 	uint64_t store_revision_age_us; /**< that long before sent_us */
--- a/control/promote_internal.h
+++ b/control/promote_internal.h
@@ -59,7 +59,7 @@
 	bool suspicion_logged;
 	/** Time since which the primary is not registered, or 0. */
 	uint64_t unregistered_since_us;
-	/** Time since which the primary denies that it leads, or 0. */
+	/** Time since which the recorded primary denies that it leads, or 0. */
 	uint64_t denied_since_us;
 	/** Term that this VM claimed from a stable record, or 0. */
 	uint64_t claimed_from_stable;
--- a/control/promote_registry.c
+++ b/control/promote_registry.c
@@ -51,6 +51,8 @@
 /*
  * Forgets databases that are not registered.  One whose registration ends while
  * the store is there has left.
+ *
+ * lapsed_too: those, too, whose registration lapsed in an outage
  */
 static void forget_missing(kl_promote_ctx_t *ctx, bool lapsed_too)
 {
@@ -91,7 +93,7 @@
 		return true;
 	if (!complete_us)
 		return false;
-	/* What is missing still may have come back without this VM's notice. */
+	/* This VM's copy may lack an entry that has come back. */
 	if (kl_sync_last_list_us(ctx->base.node, KL_FEED_UPSTREAMS) <
 	    complete_us) {
 		kl_sync_request_list(ctx->base.node, KL_FEED_UPSTREAMS);
